--- /dev/null
+++ b/crates/agatehold-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions of the agatehold proxy fleet.
+//!
+//! Entities live in tables, systems are free functions that run over them.
+//! Nothing here opens a socket, reads a clock, starts a thread or encodes a
+//! message: time and randomness are arguments.
+
+pub mod config;
+pub mod ids;
+pub mod note;
+pub mod outcome;
+pub mod refusal;
+pub mod routing;
+pub mod table;
+pub mod units;
--- /dev/null
+++ b/crates/agatehold-core/src/note/mod.rs
@@ -0,0 +1,21 @@
+//! Release notes: their changes, their chain, and how they take effect.
+
+mod apply;
+mod chain;
+mod change;
+
+pub use apply::ApplyError;
+pub use apply::apply;
+pub use chain::ChainFault;
+pub use chain::Head;
+pub use chain::NoteHeader;
+pub use chain::verify_descendant;
+pub use change::EntityRef;
+pub use change::Note;
+pub use change::NoteChange;
+pub use change::PutAction;
+pub use change::RoutePatch;
+pub use change::ServicePatch;
+pub use change::TargetPatch;
+pub use change::TenantPatch;
+pub use change::overlap;
--- /dev/null
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -0,0 +1,124 @@
+//! The live state of one target that all threads share.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crate::units::DurationMs;
+use crate::units::SlotCount;
+use crate::units::TimeMs;
+
+/// The time after which half of a load report counts as outdated.
+const REPORT_HALF_LIFE_MS: DurationMs = DurationMs(200);
+
+/// The order in which targets are chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Preference {
+    /// The target is chosen first.
+    Preferred = 0,
+    /// The target starts cold and is chosen less often.
+    Ramping = 1,
+    /// The target is chosen only when no other has a free slot, so that
+    /// avoiding it takes no capacity from the service.
+    Avoided = 2,
+}
+
+/// The live state of one target.
+///
+/// The control thread writes the verdicts, traffic threads write the counts.
+/// The cell outlives the routing tables that refer to it.
+#[derive(Debug, Default)]
+pub struct TargetCell {
+    /// Requests that this daemon has sent and not finished; at most the slots.
+    in_flight: AtomicU32,
+    /// Requests in the target by its last report, less this daemon's own.
+    reported_others: AtomicU32,
+    /// When the report came, in milliseconds.
+    reported_at_ms: AtomicU64,
+    /// A [`Preference`] as a number.
+    preference: AtomicU8,
+    /// Until when the target is excluded; 0 if it is not.
+    excluded_until_ms: AtomicU64,
+    /// Whether the target is leaving.
+    leaving: AtomicBool,
+}
+
+impl TargetCell {
+    /// Takes a slot and returns whether one was free.
+    pub fn try_claim(&self, slots: SlotCount) -> bool {
+        self.in_flight
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |count| {
+                (count < slots.0).then_some(count + 1)
+            })
+            .is_ok()
+    }
+
+    /// Gives back a slot taken by [`TargetCell::try_claim`].
+    pub fn release(&self) {
+        let previous = self.in_flight.fetch_sub(1, Ordering::AcqRel);
+        debug_assert!(previous > 0, "released a slot that was not claimed");
+    }
+
+    /// Returns the number of this daemon's requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Stores the target's load report.
+    pub fn report_load(&self, in_target: u32, now: TimeMs) {
+        let others = in_target.saturating_sub(self.in_flight());
+        self.reported_others.store(others, Ordering::Relaxed);
+        self.reported_at_ms.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Returns the estimated load: own requests plus those of others by the
+    /// last report, halved for each half-life of the report's age.
+    pub fn estimated_load(&self, now: TimeMs) -> f64 {
+        let reported_at = TimeMs(self.reported_at_ms.load(Ordering::Relaxed));
+        let age_ms = now.since(reported_at).0 as f64;
+        let weight = (-age_ms / REPORT_HALF_LIFE_MS.0 as f64).exp2();
+        let others = f64::from(self.reported_others.load(Ordering::Relaxed));
+        f64::from(self.in_flight()) + others * weight
+    }
+
+    /// Sets the order of choice.
+    pub fn set_preference(&self, preference: Preference) {
+        self.preference.store(preference as u8, Ordering::Release);
+    }
+
+    /// Returns the order of choice.
+    pub fn preference(&self) -> Preference {
+        match self.preference.load(Ordering::Acquire) {
+            0 => Preference::Preferred,
+            1 => Preference::Ramping,
+            _ => Preference::Avoided,
+        }
+    }
+
+    /// Excludes the target until `until`; `None` ends the exclusion.
+    pub fn set_excluded_until(&self, until: Option<TimeMs>) {
+        let until_ms = until.map_or(0, |time| time.0);
+        self.excluded_until_ms.store(until_ms, Ordering::Release);
+    }
+
+    /// Returns whether the target is excluded at `now`.
+    ///
+    /// The time is checked at each choice, so that a daemon that was paused
+    /// does not exclude a target on a permit it has not confirmed since.
+    pub fn is_excluded(&self, now: TimeMs) -> bool {
+        now.0 < self.excluded_until_ms.load(Ordering::Acquire)
+    }
+
+    /// Sets whether the target is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Release);
+    }
+
+    /// Returns whether the target is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/crates/agatehold-core/src/routing/mod.rs
@@ -0,0 +1,19 @@
+//! The immutable routing table that traffic threads read.
+
+mod build;
+mod cell;
+mod matching;
+mod pick;
+
+pub use build::RouteEntry;
+pub use build::RoutingTable;
+pub use build::ServiceEntry;
+pub use build::ServiceIndex;
+pub use build::TargetEntry;
+pub use build::TargetIndex;
+pub use build::build;
+pub use cell::Preference;
+pub use cell::TargetCell;
+pub use matching::is_idempotent;
+pub use matching::match_route;
+pub use pick::pick_target;
--- /dev/null
+++ b/crates/agatehold-core/src/units/mod.rs
@@ -0,0 +1,38 @@
+//! Newtypes for times, sizes, counts and rates.
+
+mod measure;
+mod time;
+
+pub use measure::ByteCount;
+pub use measure::Percent;
+pub use measure::Probability;
+pub use measure::RequestsPerSecond;
+pub use measure::SlotCount;
+pub use measure::TargetCount;
+pub use time::DurationMs;
+pub use time::TimeMs;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// A text that is not a value of the unit asked for.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum ParseUnitError {
+        /// The text is not a number of the unit.
+        NotANumber(expected: &'static str) {
+            display("expected {}", expected)
+        }
+        /// The number lies outside the range of the unit.
+        OutOfRange(expected: &'static str) {
+            display("out of range, expected {}", expected)
+        }
+    }
+}
+
+/// Parses an unsigned number that may carry the suffix of its unit.
+fn parse_unsigned(text: &str, suffix: &str, expected: &'static str) -> Result<u64, ParseUnitError> {
+    let digits = text.strip_suffix(suffix).unwrap_or(text).trim_end();
+    digits
+        .parse()
+        .map_err(|_| ParseUnitError::NotANumber(expected))
+}
