Add idempotency keys, the key table and the claim decision

Cause: the traffic path needs the types and signatures of at most once.

Ruled out: one table per shard (an epoch closed early in one shard would need agreement with the prefixes given out); random nonces (a counter per process is unique together with its incarnation and needs no generator); running a forwarded caller-made key on the sight of a released row (the platform's record may belong to an older row that ran and was dropped).

Change: agatehold-core::idempotency with KeyPrefix, IdempotencyKey, KeyTable and next_claim_step. A claim is a value that can't be copied, so it is ended once. refusal_outcome turns not-run into unknown for a key that may have run, whatever the refusal's kind. Under memory pressure stored answers are dropped before an epoch is closed.

Conclusion: the signatures are ready for the traffic path.

--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! message: time and randomness are arguments.
 
 pub mod config;
+pub mod idempotency;
 pub mod ids;
 pub mod note;
 pub mod outcome;
