Add the admission queue, the tenant buckets and the Retry-After spread

Cause: overload of one class or tenant must not reach the others, and a request that can't be answered in time must be refused while that is cheap.

Ruled out: a full queue that refuses every newcomer (one tenant fills it); strict priority (a batch request waits for ever behind steady urgent load); lazy removal of expired requests (grows while no slot becomes free); one table of buckets (a pass over 63,000 rows would hold up requests).

Change: agatehold-core::limits.

Conclusion: the signatures are ready for the traffic path.

--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod idempotency;
 pub mod ids;
+pub mod limits;
 pub mod note;
 pub mod outcome;
 pub mod refusal;
--- /dev/null
+++ b/crates/agatehold-core/src/limits/mod.rs
@@ -0,0 +1,20 @@
+//! Admission: tenant buckets, the queue of a service, and `Retry-After`.
+
+mod bucket;
+mod drain;
+mod lane;
+mod queue;
+mod retry_after;
+
+pub use bucket::BUCKET_SHARDS;
+pub use bucket::TenantBuckets;
+pub use queue::Admission;
+pub use queue::AdmissionQueue;
+pub use queue::Dropped;
+pub use queue::LANE_TURN_SLOTS;
+pub use queue::Offer;
+pub use queue::QueueLimits;
+pub use queue::WaiterId;
+pub use queue::effective_class;
+pub use retry_after::RetryWindow;
+pub use retry_after::spread_retry_after;
--- /dev/null
+++ b/crates/agatehold-core/src/limits/retry_after.rs
@@ -0,0 +1,42 @@
+//! Spreads the times at which refused callers come back.
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::units::DurationMs;
+
+/// The shortest delay; the header field counts whole seconds.
+const SHORTEST_MS: DurationMs = DurationMs(1_000);
+
+/// The longest delay before the spread.
+const LONGEST_MS: DurationMs = DurationMs(60_000);
+
+/// The span from which the delay of one refused caller is drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryWindow {
+    /// The shortest delay.
+    pub from_ms: DurationMs,
+    /// The longest delay.
+    pub to_ms: DurationMs,
+}
+
+impl RetryWindow {
+    /// Creates the window for a cause that passes after `cause_ms`.
+    ///
+    /// It is twice as long as the cause and at least two seconds long, so that
+    /// callers refused together don't come back together.
+    pub fn after(cause_ms: DurationMs) -> Self {
+        let from_ms = cause_ms.clamp(SHORTEST_MS, LONGEST_MS);
+        Self {
+            from_ms,
+            to_ms: from_ms.times(3),
+        }
+    }
+}
+
+/// Draws a delay for `Retry-After` in whole seconds.
+pub fn spread_retry_after(window: RetryWindow, rng: &mut impl Rng) -> DurationMs {
+    let from_s = window.from_ms.0.div_ceil(1_000);
+    let to_s = window.to_ms.0.div_ceil(1_000).max(from_s);
+    DurationMs(rng.random_range(from_s..=to_s)).times(1_000)
+}
