Add the retry budget and the table from attempt to answer

Cause: retries must not multiply an overload, and not-run may be said only where no target can have run the request.

Ruled out: a floor that refills with time (at one request in ten seconds it doubles the load); keeping more than one second's unused retries (a burst of them exceeds 1.2 times the requests of that second); deciding by the last attempt alone (an attempt that may have run followed by one that was shed would be refused as not-run).

Change: agatehold-core::retry with RetryBudget and next_step.

Conclusion: the signatures are ready for the traffic path.

--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod note;
 pub mod outcome;
 pub mod refusal;
+pub mod retry;
 pub mod routing;
 pub mod table;
 pub mod units;
