Add the INI codec for process settings and release notes

Cause: the daemon and agateholdctl need settings, and notes need a text form that names the line of each mistake.

Ruled out: stopping at the first error (operators would restart once per mistake); showing the text of a malformed line or the value of an unknown key (either may be a misplaced secret).

In the core, note::apply and overlap use sets in place of quadratic scans, and an empty host in a route patch lifts the restriction.

--- a/crates/agatehold-core/src/note/apply.rs
+++ b/crates/agatehold-core/src/note/apply.rs
@@ -1,5 +1,7 @@
 //! Applies a release note to the configuration.
 
+use std::collections::BTreeSet;
+
 use quick_error::quick_error;
 
 use crate::config::ConfigTables;
@@ -101,7 +103,7 @@
 pub fn apply(config: &ConfigTables, note: &Note) -> Result<ConfigTables, Vec<ApplyError>> {
     let mut next = config.clone();
     let mut errors = Vec::new();
-    let mut touched = Vec::new();
+    let mut touched = BTreeSet::new();
     for change in &note.changes {
         let entity = change.entity();
         if touched.contains(&entity) {
@@ -111,7 +113,7 @@
         if let Err(error) = apply_change(&mut next, change, &entity) {
             errors.push(error);
         }
-        touched.push(entity);
+        touched.insert(entity);
     }
     check_references(&next, &mut errors);
     check_services(&next, &mut errors);
@@ -255,7 +257,11 @@
     Ok(RouteRow {
         service: service.ok_or_else(|| missing("service"))?,
         path_prefix: prefix,
-        host: patch.host.clone().or(old.and_then(|row| row.host.clone())),
+        host: match &patch.host {
+            Some(host) if host.is_empty() => None,
+            Some(host) => Some(host.clone()),
+            None => old.and_then(|row| row.host.clone()),
+        },
         methods: patch
             .methods
             .clone()
--- a/crates/agatehold-core/src/note/change.rs
+++ b/crates/agatehold-core/src/note/change.rs
@@ -1,5 +1,6 @@
 //! The changes that a release note lists.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -105,7 +106,8 @@
     pub service: Option<ServiceName>,
     /// See [`crate::config::RouteRow::path_prefix`].
     pub path_prefix: Option<Box<str>>,
-    /// See [`crate::config::RouteRow::host`].
+    /// See [`crate::config::RouteRow::host`]; an empty text lifts the
+    /// restriction.
     pub host: Option<Box<str>>,
     /// See [`crate::config::RouteRow::methods`].
     pub methods: Option<Vec<Box<str>>>,
@@ -174,13 +176,12 @@
 
 /// Returns the entities that both notes touch, in order.
 pub fn overlap(ours: &Note, theirs: &Note) -> Vec<EntityRef> {
-    let mut shared = Vec::new();
-    for change in &ours.changes {
-        let entity = change.entity();
-        if theirs.changes.iter().any(|other| other.entity() == entity) {
-            shared.push(entity);
-        }
-    }
-    shared.sort();
-    shared
+    let touched = touched_entities(theirs);
+    let shared = touched_entities(ours);
+    shared.intersection(&touched).cloned().collect()
+}
+
+/// Returns the entities that `note` touches.
+pub fn touched_entities(note: &Note) -> BTreeSet<EntityRef> {
+    note.changes.iter().map(NoteChange::entity).collect()
 }
--- a/crates/agatehold-core/src/note/mod.rs
+++ b/crates/agatehold-core/src/note/mod.rs
@@ -19,3 +19,4 @@
 pub use change::TargetPatch;
 pub use change::TenantPatch;
 pub use change::overlap;
+pub use change::touched_entities;
--- /dev/null
+++ b/crates/agatehold-settings/src/process/daemon.rs
@@ -0,0 +1,391 @@
+//! The settings of the daemon.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use agatehold_core::ids::FailureDomain;
+use agatehold_core::ids::HostId;
+use agatehold_core::table::Table;
+use agatehold_core::units::ByteCount;
+use agatehold_core::units::DurationMs;
+
+use crate::document::Document;
+use crate::document::Entry;
+use crate::document::SectionReader;
+use crate::document::parse_document;
+use crate::document::value_error;
+use crate::fault::SettingsError;
+use crate::fault::sort_errors;
+use crate::secret::Secret;
+
+use super::ConnectionCount;
+use super::PlatformSettings;
+use super::ThreadCount;
+use super::values::ParseValueError;
+use super::values::check_sections;
+use super::values::parse_announced;
+use super::values::parse_duration;
+use super::values::parse_local;
+use super::values::parse_remote;
+use super::values::parse_size;
+use super::values::read_platform;
+
+/// The sections of the file.
+const SECTIONS: &[&str] = &[
+    "host", "listen", "platform", "peers", "admin", "limits", "log",
+];
+
+/// The address of the admin server where the settings don't say.
+const DEFAULT_ADMIN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7902);
+
+/// The prefix of the keys that list known hosts.
+const HOST_PREFIX: &str = "host.";
+
+/// The settings of a daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DaemonSettings {
+    /// The host that the daemon runs on.
+    pub host: HostSettings,
+    /// The addresses that the daemon binds.
+    pub listen: ListenSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// The other daemons.
+    pub peers: PeerSettings,
+    /// The admin server.
+    pub admin: AdminSettings,
+    /// Limits on threads, sizes, times and connections.
+    pub limits: LimitSettings,
+    /// The least severe messages that are logged.
+    pub log: LogLevel,
+}
+
+/// The host that a daemon runs on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostSettings {
+    /// The host's id, unique in the fleet.
+    pub id: HostId,
+    /// The hosts that fail together with this one.
+    pub failure_domain: FailureDomain,
+}
+
+/// The addresses that a daemon binds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other daemons connect.
+    pub peers: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+}
+
+/// The other daemons.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerSettings {
+    /// The key of the messages between daemons.
+    pub secret: Secret,
+    /// The hosts known beforehand; no two share an address.
+    pub hosts: Table<HostId, KnownHost>,
+}
+
+/// A host known before any message from it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownHost {
+    /// The hosts that fail together with it.
+    pub failure_domain: FailureDomain,
+    /// Where daemons connect to it.
+    pub peers: SocketAddr,
+    /// Where callers connect to it.
+    pub callers: SocketAddr,
+}
+
+/// The admin server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdminSettings {
+    /// The token that changes need.
+    pub token: Secret,
+}
+
+/// Limits on threads, sizes, times and connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// The number of threads that carry requests.
+    pub traffic_threads: ThreadCount,
+    /// The size of a request head.
+    pub head_bytes: ByteCount,
+    /// The size of a request body.
+    pub body_bytes: ByteCount,
+    /// The size of an answer that is read whole before it is passed on.
+    pub answer_bytes: ByteCount,
+    /// How long a request head may take to arrive.
+    pub head_timeout_ms: DurationMs,
+    /// How long a request body may take to arrive.
+    pub body_timeout_ms: DurationMs,
+    /// The number of callers' connections.
+    pub caller_connections: ConnectionCount,
+    /// How long a stopping daemon waits for further connections.
+    pub quiet_ms: DurationMs,
+    /// How long a stop may take before requests are aborted.
+    pub stop_limit_ms: DurationMs,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            traffic_threads: ThreadCount(2),
+            head_bytes: ByteCount(16_384),
+            body_bytes: ByteCount(1_048_576),
+            answer_bytes: ByteCount(1_048_576),
+            head_timeout_ms: DurationMs(5_000),
+            body_timeout_ms: DurationMs(10_000),
+            caller_connections: ConnectionCount(4_096),
+            quiet_ms: DurationMs(2_000),
+            stop_limit_ms: DurationMs(60_000),
+        }
+    }
+}
+
+/// The severity of log messages.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Faults that end the process.
+    Error,
+    /// Faults that the process lives with.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Details for developers.
+    Debug,
+}
+
+impl fmt::Display for LogLevel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+        })
+    }
+}
+
+impl FromStr for LogLevel {
+    type Err = ParseValueError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "error" => Ok(Self::Error),
+            "warn" => Ok(Self::Warn),
+            "info" => Ok(Self::Info),
+            "debug" => Ok(Self::Debug),
+            _ => Err(ParseValueError::Expected("error, warn, info or debug")),
+        }
+    }
+}
+
+/// Parses the settings of a daemon, or returns every error in them.
+pub fn parse_daemon(file: &str, text: &str) -> Result<DaemonSettings, Vec<SettingsError>> {
+    let mut errors = Vec::new();
+    let document = parse_document(file, text, &mut errors);
+    check_sections(&document, SECTIONS, &mut errors);
+    let settings = read_daemon(&document, &mut errors);
+    match settings {
+        Some(settings) if errors.is_empty() => Ok(settings),
+        _ => {
+            sort_errors(&mut errors);
+            Err(errors)
+        }
+    }
+}
+
+fn read_daemon(document: &Document, errors: &mut Vec<SettingsError>) -> Option<DaemonSettings> {
+    let host = read_host(document, errors);
+    let listen = read_listen(document, errors);
+    let platform = read_platform(document, errors);
+    let peers = read_peers(document, host.as_ref(), errors);
+    let admin = read_admin(document, errors);
+    let limits = read_limits(document, errors);
+    let log = read_log(document, errors);
+    Some(DaemonSettings {
+        host: host?,
+        listen: listen?,
+        platform: platform?,
+        peers: peers?,
+        admin: admin?,
+        limits,
+        log,
+    })
+}
+
+fn read_host(document: &Document, errors: &mut Vec<SettingsError>) -> Option<HostSettings> {
+    let mut reader = SectionReader::open(document, "host", errors);
+    let id = reader.required("id", str::parse);
+    let failure_domain = reader.required("failure_domain", str::parse);
+    reader.close(None);
+    Some(HostSettings {
+        id: id?,
+        failure_domain: failure_domain?,
+    })
+}
+
+fn read_listen(document: &Document, errors: &mut Vec<SettingsError>) -> Option<ListenSettings> {
+    let mut reader = SectionReader::open(document, "listen", errors);
+    let callers = reader.required("callers", parse_announced);
+    let peers = reader.required("peers", |text| {
+        let address = parse_announced(text)?;
+        if address.port() != 0 && Some(address) == callers {
+            return Err(ParseValueError::Expected("an address other than callers"));
+        }
+        Ok(address)
+    });
+    let admin = reader.optional("admin", |text| {
+        let address = parse_local(text)?;
+        if address.port() != 0 && (Some(address) == callers || Some(address) == peers) {
+            let expected = "an address other than callers and peers";
+            return Err(ParseValueError::Expected(expected));
+        }
+        Ok(address)
+    });
+    reader.close(None);
+    Some(ListenSettings {
+        callers: callers?,
+        peers: peers?,
+        admin: admin.unwrap_or(DEFAULT_ADMIN),
+    })
+}
+
+fn read_peers(
+    document: &Document,
+    own: Option<&HostSettings>,
+    errors: &mut Vec<SettingsError>,
+) -> Option<PeerSettings> {
+    let mut reader = SectionReader::open(document, "peers", errors);
+    let secret = reader.secret("secret");
+    reader.close(Some(HOST_PREFIX));
+    let hosts = read_known_hosts(document, own, errors);
+    Some(PeerSettings {
+        secret: secret?,
+        hosts,
+    })
+}
+
+fn read_known_hosts(
+    document: &Document,
+    own: Option<&HostSettings>,
+    errors: &mut Vec<SettingsError>,
+) -> Table<HostId, KnownHost> {
+    let mut hosts = Table::new();
+    let mut addresses = BTreeMap::new();
+    let Some(section) = document.section("peers") else {
+        return hosts;
+    };
+    for entry in &section.entries {
+        let Some(name) = entry.key.strip_prefix(HOST_PREFIX) else {
+            continue;
+        };
+        match read_known_host(name, entry, own, &mut addresses) {
+            Ok((id, host)) => {
+                hosts.insert(id, host);
+            }
+            Err(expected) => {
+                errors.push(value_error(&document.file, &section.name, entry, expected));
+            }
+        }
+    }
+    hosts
+}
+
+fn read_known_host(
+    name: &str,
+    entry: &Entry,
+    own: Option<&HostSettings>,
+    addresses: &mut BTreeMap<SocketAddr, HostId>,
+) -> Result<(HostId, KnownHost), String> {
+    let id: HostId = name
+        .parse()
+        .map_err(|error| format!("the host id in the key is invalid: {error}"))?;
+    let words: Vec<&str> = entry.value.split_whitespace().collect();
+    let [domain, peers, callers] = words[..] else {
+        return Err("expected FAILURE-DOMAIN PEERS-IP:PORT CALLERS-IP:PORT".to_owned());
+    };
+    let host = KnownHost {
+        failure_domain: domain
+            .parse()
+            .map_err(|error| format!("the failure domain is invalid: {error}"))?,
+        peers: parse_remote(peers).map_err(|error| format!("peers: {error}"))?,
+        callers: parse_remote(callers).map_err(|error| format!("callers: {error}"))?,
+    };
+    for address in [host.peers, host.callers] {
+        if let Some(other) = addresses.insert(address, id.clone()) {
+            return Err(format!(
+                "expected each address once, but {address} belongs to host.{other}"
+            ));
+        }
+    }
+    if let Some(own) = own
+        && own.id == id
+        && own.failure_domain != host.failure_domain
+    {
+        return Err(format!(
+            "expected the failure domain of [host], {}",
+            own.failure_domain
+        ));
+    }
+    Ok((id, host))
+}
+
+fn read_admin(document: &Document, errors: &mut Vec<SettingsError>) -> Option<AdminSettings> {
+    let mut reader = SectionReader::open(document, "admin", errors);
+    let token = reader.secret("token");
+    reader.close(None);
+    Some(AdminSettings { token: token? })
+}
+
+fn read_limits(document: &Document, errors: &mut Vec<SettingsError>) -> LimitSettings {
+    let base = LimitSettings::default();
+    let mut reader = SectionReader::open(document, "limits", errors);
+    let limits = LimitSettings {
+        traffic_threads: reader
+            .optional("traffic_threads", str::parse)
+            .unwrap_or(base.traffic_threads),
+        head_bytes: reader
+            .optional("head_bytes", parse_size)
+            .unwrap_or(base.head_bytes),
+        body_bytes: reader
+            .optional("body_bytes", parse_size)
+            .unwrap_or(base.body_bytes),
+        answer_bytes: reader
+            .optional("answer_bytes", parse_size)
+            .unwrap_or(base.answer_bytes),
+        head_timeout_ms: reader
+            .optional("head_timeout_ms", parse_duration)
+            .unwrap_or(base.head_timeout_ms),
+        body_timeout_ms: reader
+            .optional("body_timeout_ms", parse_duration)
+            .unwrap_or(base.body_timeout_ms),
+        caller_connections: reader
+            .optional("caller_connections", str::parse)
+            .unwrap_or(base.caller_connections),
+        quiet_ms: reader
+            .optional("quiet_ms", parse_duration)
+            .unwrap_or(base.quiet_ms),
+        stop_limit_ms: reader
+            .optional("stop_limit_ms", parse_duration)
+            .unwrap_or(base.stop_limit_ms),
+    };
+    reader.close(None);
+    limits
+}
+
+fn read_log(document: &Document, errors: &mut Vec<SettingsError>) -> LogLevel {
+    let mut reader = SectionReader::open(document, "log", errors);
+    let level = reader.optional("level", str::parse);
+    reader.close(None);
+    level.unwrap_or_default()
+}
