Define the JSON of the admin address and of stored notes

Cause: agateholdctl and the daemon share the answers for status, hosts, targets and ejections, and both read and write notes and the head.

Ruled out: serde in the core (encodings stay outside it); numbering body keys with leading zeros (a prefix with the number lists the rivals of one note already).

Conclusion: the daemon can use the types; a text that does not have the hash in its header is refused.

--- a/crates/agatehold-core/src/note/mod.rs
+++ b/crates/agatehold-core/src/note/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod chain;
 mod change;
+mod stored;
 
 pub use apply::ApplyError;
 pub use apply::apply;
@@ -20,3 +21,9 @@
 pub use change::TenantPatch;
 pub use change::overlap;
 pub use change::touched_entities;
+pub use stored::HeadRecord;
+pub use stored::StoredNote;
+pub use stored::body_digest;
+pub use stored::note_id;
+pub use stored::snapshot_before;
+pub use stored::snapshot_due;
--- a/crates/agatehold-wire/src/lib.rs
+++ b/crates/agatehold-wire/src/lib.rs
@@ -1,1 +1,3 @@
-//! TBD.
+//! Message codecs of agatehold.
+
+pub mod admin;
