Add the codec of the platform's HTTP protocol and records

Ruled out: one function per call that also sends it, because the daemon and the tool use different clients; serde on the core's types, because the core has no encoding.

Change: `platform::PlatformRequest` with `encode_request`, `decode_response`, the host list, and the records of head, note and claim. A note is refused if its text does not have the hash in its header.

Conclusion: the protocol can be used by any client that takes `http::Request<Vec<u8>>`.

--- a/crates/agatehold-wire/src/lib.rs
+++ b/crates/agatehold-wire/src/lib.rs
@@ -1,1 +1,3 @@
-//! TBD.
+//! Message codecs of agatehold, free of sockets.
+
+pub mod platform;
--- /dev/null
+++ b/crates/agatehold-wire/src/platform/mod.rs
@@ -0,0 +1,44 @@
+//! The platform's HTTP protocol and the records that are kept there.
+
+mod answer;
+mod fault;
+mod hosts;
+mod key;
+mod record;
+mod request;
+mod text;
+
+pub use answer::PlatformAnswer;
+pub use answer::decode_response;
+pub use fault::PlatformFault;
+pub use hosts::HostListRow;
+pub use hosts::ListedName;
+pub use hosts::ListedState;
+pub use hosts::decode_hosts;
+pub use hosts::encode_hosts;
+pub use key::KeyPrefix;
+pub use key::LeaseId;
+pub use key::PlatformKey;
+pub use key::ValueVersion;
+pub use record::ClaimNonce;
+pub use record::ClaimRecord;
+pub use record::HeadRecord;
+pub use record::NoteRecord;
+pub use record::claim_key;
+pub use record::decode_claim;
+pub use record::decode_head;
+pub use record::decode_note;
+pub use record::encode_claim;
+pub use record::encode_head;
+pub use record::encode_note;
+pub use record::head_key;
+pub use record::note_body_hash;
+pub use record::note_key;
+pub use record::note_prefix;
+pub use record::parse_note_key;
+pub use record::permits_key;
+pub use record::snapshot_key;
+pub use record::snapshot_prefix;
+pub use request::PlatformRequest;
+pub use request::VALUE_MAX_BYTES;
+pub use request::encode_request;
--- /dev/null
+++ b/crates/agatehold-wire/src/platform/request.rs
@@ -0,0 +1,186 @@
+//! Requests to the platform.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use http::Request;
+use http::Uri;
+use http::header::CONTENT_TYPE;
+use http::header::IF_MATCH;
+use http::header::IF_NONE_MATCH;
+
+use agatehold_core::units::DurationMs;
+
+use super::KeyPrefix;
+use super::LeaseId;
+use super::PlatformFault;
+use super::PlatformKey;
+use super::ValueVersion;
+
+/// The largest value that the platform takes.
+pub const VALUE_MAX_BYTES: usize = 1_000_000;
+
+/// One call to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlatformRequest {
+    /// Reads a value.
+    Get {
+        /// The key to read.
+        key: PlatformKey,
+    },
+    /// Waits until a value is newer than `after`.
+    Watch {
+        /// The key to watch.
+        key: PlatformKey,
+        /// The version that the caller holds; 0 if none.
+        after: ValueVersion,
+        /// How long the platform holds the call.
+        wait_ms: DurationMs,
+    },
+    /// Writes a value if the key has none.
+    Create {
+        /// The key to write.
+        key: PlatformKey,
+        /// The value, at most [`VALUE_MAX_BYTES`] long.
+        value: Vec<u8>,
+        /// The lease that the key ends with.
+        lease: Option<LeaseId>,
+    },
+    /// Replaces a value if its version is `version`.
+    CompareAndSwap {
+        /// The key to write.
+        key: PlatformKey,
+        /// The version to replace.
+        version: ValueVersion,
+        /// The value, at most [`VALUE_MAX_BYTES`] long.
+        value: Vec<u8>,
+        /// The lease that the key ends with.
+        lease: Option<LeaseId>,
+    },
+    /// Removes a value if its version is `version`.
+    Delete {
+        /// The key to remove.
+        key: PlatformKey,
+        /// The version to remove.
+        version: ValueVersion,
+    },
+    /// Lists the keys that begin with a prefix.
+    ListKeys {
+        /// The prefix.
+        prefix: KeyPrefix,
+    },
+    /// Creates a lease.
+    CreateLease {
+        /// How long the lease lasts without renewal.
+        ttl_ms: DurationMs,
+    },
+    /// Renews a lease.
+    RenewLease {
+        /// The lease to renew.
+        lease: LeaseId,
+    },
+    /// Reads the host list.
+    ListHosts,
+}
+
+impl PlatformRequest {
+    /// Returns whether the request may change the platform's state, so that a
+    /// lost answer leaves its effect unknown.
+    pub const fn is_write(&self) -> bool {
+        match self {
+            Self::Get { .. } | Self::Watch { .. } | Self::ListKeys { .. } | Self::ListHosts => {
+                false
+            }
+            Self::Create { .. }
+            | Self::CompareAndSwap { .. }
+            | Self::Delete { .. }
+            | Self::CreateLease { .. }
+            | Self::RenewLease { .. } => true,
+        }
+    }
+
+    /// Returns the word for metrics and counts.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Get { .. } => "get",
+            Self::Watch { .. } => "watch",
+            Self::Create { .. } => "create",
+            Self::CompareAndSwap { .. } => "compare-and-swap",
+            Self::Delete { .. } => "delete",
+            Self::ListKeys { .. } => "list-keys",
+            Self::CreateLease { .. } => "create-lease",
+            Self::RenewLease { .. } => "renew-lease",
+            Self::ListHosts => "list-hosts",
+        }
+    }
+
+    /// Returns the method and the path with query.
+    fn target(&self) -> (Method, String) {
+        match self {
+            Self::Get { key } => (Method::GET, format!("/kv/{key}")),
+            Self::Watch {
+                key,
+                after,
+                wait_ms,
+            } => (
+                Method::GET,
+                format!("/kv/{key}?after={after}&wait_ms={}", wait_ms.0),
+            ),
+            Self::Create { key, lease, .. } | Self::CompareAndSwap { key, lease, .. } => {
+                let query = lease.as_ref().map(|lease| format!("?lease={lease}"));
+                let query = query.unwrap_or_default();
+                (Method::PUT, format!("/kv/{key}{query}"))
+            }
+            Self::Delete { key, .. } => (Method::DELETE, format!("/kv/{key}")),
+            Self::ListKeys { prefix } => (Method::GET, format!("/keys?prefix={prefix}")),
+            Self::CreateLease { ttl_ms } => (Method::POST, format!("/leases?ttl_ms={}", ttl_ms.0)),
+            Self::RenewLease { lease } => (Method::POST, format!("/leases/{lease}/renew")),
+            Self::ListHosts => (Method::GET, "/hosts".to_owned()),
+        }
+    }
+}
+
+/// Encodes a request to the platform at `address`.
+///
+/// The URI is absolute, so that a client can open the connection by it.
+pub fn encode_request(
+    request: &PlatformRequest,
+    address: SocketAddr,
+) -> Result<Request<Vec<u8>>, PlatformFault> {
+    let failed = |error: http::Error| PlatformFault::Encode(error.to_string().into());
+    let (method, path) = request.target();
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query(path)
+        .build()
+        .map_err(failed)?;
+    let mut builder = Request::builder().method(method).uri(uri);
+    let mut body = Vec::new();
+    match request {
+        PlatformRequest::Create { value, .. } => {
+            builder = builder.header(IF_NONE_MATCH, "*");
+            body.clone_from(value);
+        }
+        PlatformRequest::CompareAndSwap { version, value, .. } => {
+            builder = builder.header(IF_MATCH, version.entity_tag());
+            body.clone_from(value);
+        }
+        PlatformRequest::Delete { version, .. } => {
+            builder = builder.header(IF_MATCH, version.entity_tag());
+        }
+        PlatformRequest::Get { .. }
+        | PlatformRequest::Watch { .. }
+        | PlatformRequest::ListKeys { .. }
+        | PlatformRequest::CreateLease { .. }
+        | PlatformRequest::RenewLease { .. }
+        | PlatformRequest::ListHosts => {}
+    }
+    if body.len() > VALUE_MAX_BYTES {
+        return Err(PlatformFault::TooLarge(body.len()));
+    }
+    if !body.is_empty() {
+        builder = builder.header(CONTENT_TYPE, "application/octet-stream");
+    }
+    builder.body(body).map_err(failed)
+}
--- /dev/null
+++ b/crates/agatehold-wire/tests/platform_codec.rs
@@ -0,0 +1,177 @@
+//! Guards the platform's protocol and records.
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+
+use agatehold_core::ids::Digest;
+use agatehold_core::ids::NoteId;
+use agatehold_core::ids::NoteNumber;
+use agatehold_core::note::NoteHeader;
+use agatehold_core::units::DurationMs;
+use agatehold_wire::platform;
+use agatehold_wire::platform::ClaimNonce;
+use agatehold_wire::platform::ClaimRecord;
+use agatehold_wire::platform::HeadRecord;
+use agatehold_wire::platform::NoteRecord;
+use agatehold_wire::platform::PlatformAnswer;
+use agatehold_wire::platform::PlatformFault;
+use agatehold_wire::platform::PlatformKey;
+use agatehold_wire::platform::PlatformRequest;
+use agatehold_wire::platform::ValueVersion;
+
+const ADDRESS: &str = "127.0.0.1:7000";
+
+fn tagged(tag: &'static str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert("etag", HeaderValue::from_static(tag));
+    headers
+}
+
+fn create() -> PlatformRequest {
+    PlatformRequest::Create {
+        key: platform::head_key(),
+        value: b"v".to_vec(),
+        lease: Some("l1".parse().expect("a lease")),
+    }
+}
+
+/// A write without its condition would overwrite another writer's value.
+#[test]
+fn writes_carry_their_condition() {
+    let address = ADDRESS.parse().unwrap();
+    let created = platform::encode_request(&create(), address).unwrap();
+    assert_eq!(created.method(), "PUT");
+    assert_eq!(created.headers()["if-none-match"], "*");
+    let uri = created.uri().to_string();
+    assert_eq!(uri, "http://127.0.0.1:7000/kv/notes/head?lease=l1");
+    let swap = PlatformRequest::CompareAndSwap {
+        key: platform::head_key(),
+        version: ValueVersion(7),
+        value: Vec::new(),
+        lease: None,
+    };
+    let swapped = platform::encode_request(&swap, address).unwrap();
+    assert_eq!(swapped.headers()["if-match"], "\"7\"");
+    let delete = PlatformRequest::Delete {
+        key: platform::head_key(),
+        version: ValueVersion(8),
+    };
+    let deleted = platform::encode_request(&delete, address).unwrap();
+    assert_eq!(deleted.headers()["if-match"], "\"8\"");
+}
+
+/// A conflict read as success would let two writers both believe they won.
+#[test]
+fn answers_keep_conflict_and_success_apart() {
+    let request = create();
+    let decode =
+        |status, headers: &HeaderMap| platform::decode_response(&request, status, headers, b"");
+    let version = ValueVersion(4);
+    assert_eq!(
+        decode(StatusCode::CREATED, &tagged("\"4\"")),
+        Ok(PlatformAnswer::Stored { version })
+    );
+    let current = Some(version);
+    assert_eq!(
+        decode(StatusCode::PRECONDITION_FAILED, &tagged("\"4\"")),
+        Ok(PlatformAnswer::Conflict { current })
+    );
+    assert_eq!(
+        decode(StatusCode::NOT_FOUND, &HeaderMap::new()),
+        Ok(PlatformAnswer::LeaseGone)
+    );
+    assert_eq!(
+        decode(StatusCode::OK, &HeaderMap::new()),
+        Err(PlatformFault::Header("etag"))
+    );
+    assert_eq!(
+        decode(StatusCode::SERVICE_UNAVAILABLE, &HeaderMap::new()),
+        Err(PlatformFault::Status(503))
+    );
+}
+
+/// A watch that ends without news must not look like a removed value.
+#[test]
+fn watch_tells_unchanged_from_missing() {
+    let request = PlatformRequest::Watch {
+        key: platform::head_key(),
+        after: ValueVersion(3),
+        wait_ms: DurationMs(30_000),
+    };
+    let encoded = platform::encode_request(&request, ADDRESS.parse().unwrap()).unwrap();
+    assert_eq!(encoded.uri().query(), Some("after=3&wait_ms=30000"));
+    let none = HeaderMap::new();
+    assert_eq!(
+        platform::decode_response(&request, StatusCode::NOT_MODIFIED, &none, b""),
+        Ok(PlatformAnswer::Unchanged)
+    );
+    assert_eq!(
+        platform::decode_response(&request, StatusCode::NOT_FOUND, &none, b""),
+        Ok(PlatformAnswer::Missing)
+    );
+}
+
+/// A host list with an unknown state or name must not be taken in part.
+#[test]
+fn host_list_round_trips_and_refuses_unknown_words() {
+    let text = r#"[{"name":"e1","kind":"entry","address":"127.0.0.1:1","failure_domain":"a","state":"live"},
+        {"name":"t1","kind":"target","address":"127.0.0.1:2","failure_domain":"b","state":"leaving"}]"#;
+    let rows = platform::decode_hosts(text.as_bytes()).unwrap();
+    let again = platform::encode_hosts(&rows).unwrap();
+    assert_eq!(platform::decode_hosts(&again).as_ref(), Ok(&rows));
+    assert!(platform::decode_hosts(text.replace("live", "asleep").as_bytes()).is_err());
+    assert!(platform::decode_hosts(text.replace("\"e1\"", "\"E 1\"").as_bytes()).is_err());
+}
+
+/// A key that leaves its path would read or write another key.
+#[test]
+fn keys_refuse_dot_segments_and_escapes() {
+    for text in ["", "a//b", "/a", "a/", "a/../b", "a?b", "a%2fb", "A"] {
+        assert!(text.parse::<PlatformKey>().is_err(), "{text}");
+    }
+    let id = NoteId([9; 16]);
+    let key = platform::note_key(NoteNumber(12), id);
+    assert_eq!(platform::parse_note_key(&key), Some((NoteNumber(12), id)));
+    assert!(
+        key.as_str()
+            .starts_with(platform::note_prefix(NoteNumber(12)).as_str())
+    );
+}
+
+/// A record that changes on its way would break the chain or name a wrong
+/// owner; a text that was altered must be refused.
+#[test]
+fn records_round_trip_and_bind_the_text() {
+    let text = "[note]\nauthor = ana\n";
+    let header = NoteHeader {
+        number: NoteNumber(1),
+        id: NoteId([1; 16]),
+        prev: Digest::default(),
+        body: platform::note_body_hash(text),
+        config: Digest([2; 32]),
+        author: "ana".into(),
+    };
+    let head = HeadRecord {
+        head: header.head(),
+        id: header.id,
+        config: header.config,
+    };
+    let bytes = platform::encode_head(&head).unwrap();
+    assert_eq!(platform::decode_head(&bytes), Ok(head));
+    let note = NoteRecord {
+        header,
+        text: text.into(),
+    };
+    let bytes = platform::encode_note(&note).unwrap();
+    assert_eq!(platform::decode_note(&bytes), Ok(note));
+    let altered = String::from_utf8(bytes).unwrap().replace("= ana", "= eve");
+    assert!(platform::decode_note(altered.as_bytes()).is_err());
+    let claim = ClaimRecord {
+        owner: "e1".parse().unwrap(),
+        incarnation: "00000000000000ff".parse().unwrap(),
+        nonce: ClaimNonce(5),
+    };
+    let bytes = platform::encode_claim(&claim).unwrap();
+    assert_eq!(platform::decode_claim(&bytes), Ok(claim));
+}
