--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -5,11 +5,14 @@
 //! message: time and randomness are arguments.
 
 pub mod config;
+pub mod ejection;
+pub mod health;
 pub mod idempotency;
 pub mod ids;
 pub mod limits;
 pub mod note;
 pub mod outcome;
+pub mod poison;
 pub mod refusal;
 pub mod retry;
 pub mod routing;
