Add the failure detector, ejection permits and poisoned requests

Ruled out: a sorted window for medians (hundreds of numbers a target); judging all 9,900 targets each tick, most of which get no work from one daemon; taking excluded targets back by the daemon's own evidence, since two daemons then keep different targets excluded and exceed the floor together.

Change: agatehold-core::{health, ejection, poison}; cells with a ramp share and a trial; pick_trial.

Conclusion: the signatures can be used; constants wait for the measurements.

--- /dev/null
+++ b/crates/agatehold-core/src/health/mod.rs
@@ -0,0 +1,31 @@
+//! Judges targets from the outcome of real work.
+
+mod baseline;
+mod cusum;
+mod judge;
+mod median;
+mod peers;
+mod record;
+mod rows;
+
+pub use baseline::next_overdue_at;
+pub use baseline::refresh_baselines;
+pub use cusum::Cusum;
+pub use cusum::alarm_threshold;
+pub use judge::Judgement;
+pub use judge::Verdict;
+pub use judge::Wish;
+pub use judge::judge;
+pub use judge::write_verdicts;
+pub use median::MedianEstimate;
+pub use peers::PeerEvidence;
+pub use peers::drop_reporter;
+pub use peers::exceptional_evidence;
+pub use peers::merge_peer_evidence;
+pub use record::record_outcomes;
+pub use rows::HealthTables;
+pub use rows::HoldMemory;
+pub use rows::LogLikelihood;
+pub use rows::ServiceBaseline;
+pub use rows::Standing;
+pub use rows::TargetHealth;
--- /dev/null
+++ b/crates/agatehold-core/src/health/peers.rs
@@ -0,0 +1,83 @@
+//! Evidence of other daemons.
+
+use crate::config::ConfigTables;
+use crate::ids::HostId;
+use crate::ids::TargetName;
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+use super::HealthTables;
+use super::LogLikelihood;
+use super::alarm_threshold;
+
+/// The share of the alarm threshold from which evidence is told to peers.
+///
+/// Below it, single background errors at many daemons would be gossiped.
+const EXCEPTIONAL_SHARE: f64 = 0.75;
+
+/// How long evidence counts.
+pub(super) const EVIDENCE_LIFETIME_MS: DurationMs = DurationMs(15_000);
+
+/// The evidence of one daemon against one target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerEvidence {
+    /// The target.
+    pub target: TargetName,
+    /// The daemon that observed it.
+    pub reporter: HostId,
+    /// The largest statistic at the reporter.
+    pub evidence: LogLikelihood,
+    /// When it was observed, on this daemon's clock (arrival less age).
+    pub at: TimeMs,
+}
+
+/// Returns the evidence of this daemon that its peers need.
+pub fn exceptional_evidence(
+    tables: &HealthTables,
+    config: &ConfigTables,
+    own: &HostId,
+    now: TimeMs,
+) -> Vec<PeerEvidence> {
+    let mut found = Vec::new();
+    for (name, row) in tables.targets.rows() {
+        let Some(service) = config.services.get(&row.service) else {
+            continue;
+        };
+        let Some(at) = row.observed_at else {
+            continue;
+        };
+        let threshold = alarm_threshold(&service.detection);
+        if row.evidence() < threshold.scaled(EXCEPTIONAL_SHARE) {
+            continue;
+        }
+        if now.since(at) > EVIDENCE_LIFETIME_MS {
+            continue;
+        }
+        found.push(PeerEvidence {
+            target: name.clone(),
+            reporter: own.clone(),
+            evidence: row.evidence(),
+            at,
+        });
+    }
+    found
+}
+
+/// Keeps the newest evidence of each reporter and drops what is outdated.
+pub fn merge_peer_evidence(tables: &mut HealthTables, offered: &[PeerEvidence], now: TimeMs) {
+    for row in offered {
+        let key = (row.target.clone(), row.reporter.clone());
+        if tables.peers.get(&key).is_some_and(|held| held.at >= row.at) {
+            continue;
+        }
+        tables.peers.insert(key, row.clone());
+    }
+    tables
+        .peers
+        .retain(|_, row| now.since(row.at) <= EVIDENCE_LIFETIME_MS);
+}
+
+/// Drops the evidence of a daemon that suspects its own network path.
+pub fn drop_reporter(tables: &mut HealthTables, reporter: &HostId) {
+    tables.peers.retain(|key, _| key.1 != *reporter);
+}
--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -5,9 +5,12 @@
 //! message: time and randomness are arguments.
 
 pub mod config;
+pub mod ejection;
+pub mod health;
 pub mod ids;
 pub mod note;
 pub mod outcome;
+pub mod poison;
 pub mod refusal;
 pub mod routing;
 pub mod table;
--- /dev/null
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -0,0 +1,14 @@
+//! Requests that crash the targets that run them.
+
+mod admit;
+mod rows;
+
+pub use admit::Admission;
+pub use admit::admit;
+pub use admit::clear;
+pub use admit::is_blamed;
+pub use admit::mark_crash;
+pub use admit::merge_marks;
+pub use rows::CrashMark;
+pub use rows::PoisonRow;
+pub use rows::PoisonTable;
--- a/crates/agatehold-core/src/routing/cell.rs
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use crate::units::DurationMs;
+use crate::units::Percent;
 use crate::units::SlotCount;
 use crate::units::TimeMs;
 
@@ -40,6 +41,10 @@
     reported_at_ms: AtomicU64,
     /// A [`Preference`] as a number.
     preference: AtomicU8,
+    /// The share of its work that a ramping target gets, in hundredths.
+    ramp_percent: AtomicU8,
+    /// Whether one idempotent request may try the avoided target.
+    trial: AtomicBool,
     /// Until when the target is excluded; 0 if it is not.
     excluded_until_ms: AtomicU64,
     /// Whether the target is leaving.
@@ -98,6 +103,26 @@
         }
     }
 
+    /// Sets the share of its work that the target gets while it ramps.
+    pub fn set_ramp_share(&self, share: Percent) {
+        self.ramp_percent.store(share.get(), Ordering::Release);
+    }
+
+    /// Returns the share of its work that the target gets while it ramps.
+    pub fn ramp_share(&self) -> Percent {
+        Percent::new(self.ramp_percent.load(Ordering::Acquire)).unwrap_or(Percent::HUNDRED)
+    }
+
+    /// Sets whether one idempotent request may try the target.
+    pub fn set_trial(&self, trial: bool) {
+        self.trial.store(trial, Ordering::Release);
+    }
+
+    /// Takes the trial and returns whether there was one.
+    pub fn take_trial(&self) -> bool {
+        self.trial.swap(false, Ordering::AcqRel)
+    }
+
     /// Excludes the target until `until`; `None` ends the exclusion.
     pub fn set_excluded_until(&self, until: Option<TimeMs>) {
         let until_ms = until.map_or(0, |time| time.0);
--- a/crates/agatehold-core/src/routing/mod.rs
+++ b/crates/agatehold-core/src/routing/mod.rs
@@ -17,3 +17,4 @@
 pub use matching::is_idempotent;
 pub use matching::match_route;
 pub use pick::pick_target;
+pub use pick::pick_trial;
--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -15,7 +15,8 @@
 ///
 /// Of the targets that take new work, two are drawn at random from the best
 /// preference that has a free slot and the less loaded one is taken (power of
-/// two choices, Mitzenmacher 2001). Targets in `tried` are passed over.
+/// two choices, Mitzenmacher 2001). A ramping target joins the preferred ones
+/// with the probability of its share. Targets in `tried` are passed over.
 /// Returns `None` when no target has a free slot.
 pub fn pick_target(
     table: &RoutingTable,
@@ -36,7 +37,7 @@
             if tried.contains(index) || !takes_new_work(target, now) {
                 continue;
             }
-            if target.cell.preference() != preference {
+            if !joins(target, preference, rng) {
                 continue;
             }
             if target.cell.in_flight() >= target.slots.0 {
@@ -51,6 +52,38 @@
     None
 }
 
+/// Chooses an avoided target that an idempotent request may try.
+///
+/// Claims a slot of it. Each grant of the control thread lets one request
+/// through; `None` is the usual answer.
+pub fn pick_trial(
+    table: &RoutingTable,
+    service: ServiceIndex,
+    tried: &[TargetIndex],
+    now: TimeMs,
+) -> Option<TargetIndex> {
+    let entry = table.services.get(service.position())?;
+    for index in &entry.targets {
+        let target = &table.targets[index.position()];
+        if tried.contains(index) || !takes_new_work(target, now) {
+            continue;
+        }
+        if target.cell.take_trial() && target.cell.try_claim(target.slots) {
+            return Some(*index);
+        }
+    }
+    None
+}
+
+/// Returns whether the target is a candidate among those of `preference`.
+fn joins(target: &TargetEntry, preference: Preference, rng: &mut impl Rng) -> bool {
+    let own = target.cell.preference();
+    if own == Preference::Ramping && preference == Preference::Preferred {
+        return rng.random_bool(target.cell.ramp_share().fraction());
+    }
+    own == preference
+}
+
 fn takes_new_work(target: &TargetEntry, now: TimeMs) -> bool {
     !target.withdrawn && !target.cell.is_leaving() && !target.cell.is_excluded(now)
 }
--- a/crates/agatehold-core/src/units/measure.rs
+++ b/crates/agatehold-core/src/units/measure.rs
@@ -54,6 +54,8 @@
 impl Percent {
     /// One tenth.
     pub const TEN: Self = Self(10);
+    /// The whole.
+    pub const HUNDRED: Self = Self(100);
 
     /// Creates a share, `None` above 100.
     pub const fn new(value: u8) -> Option<Self> {
@@ -63,6 +65,11 @@
         Some(Self(value))
     }
 
+    /// Returns the share in hundredths.
+    pub const fn get(self) -> u8 {
+        self.0
+    }
+
     /// Returns the share as a fraction from 0 to 1.
     pub fn fraction(self) -> f64 {
         f64::from(self.0) / 100.0
