--- a/crates/agatehold-core/src/health/judge.rs
+++ b/crates/agatehold-core/src/health/judge.rs
@@ -147,10 +147,9 @@
                 agreed.then_some(Wish::Eject { hold_ms })
             }
         };
-        if let Some(row) = tables.targets.get(name) {
-            judgement
-                .verdicts
-                .insert(name.clone(), verdict(row, wish, now));
+        if let Some(row) = tables.targets.get(&name) {
+            let verdict = verdict(row, wish, now);
+            judgement.verdicts.insert(name, verdict);
         }
     }
     judgement
--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod config;
 pub mod ejection;
 pub mod health;
-pub mod idempotency;
 pub mod ids;
 pub mod limits;
 pub mod note;
