--- /dev/null
+++ b/crates/agatehold-core/src/addresses/mod.rs
@@ -0,0 +1,12 @@
+//! Through which daemons callers enter a service.
+
+mod answer;
+mod entries;
+mod rendezvous;
+
+pub use answer::ANSWER_ADDRESSES_MAX;
+pub use answer::answer;
+pub use entries::EntryHost;
+pub use entries::EntryRow;
+pub use entries::choose_entries;
+pub use rendezvous::rendezvous_score;
--- /dev/null
+++ b/crates/agatehold-core/src/addresses/rendezvous.rs
@@ -0,0 +1,20 @@
+//! Rendezvous hashing (highest random weight, Thaler and Ravishankar 1998).
+
+/// Returns the score of `host` for the subject that `parts` name.
+///
+/// FNV-1a over the parts, finished by the mixer of MurmurHash3; the score
+/// needs an even spread and no secrecy, and is computed for each pair of
+/// service and host.
+pub fn rendezvous_score(parts: &[&str], host: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for part in parts.iter().copied().chain([host]) {
+        for byte in part.bytes().chain([0]) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -4,11 +4,14 @@
 //! Nothing here opens a socket, reads a clock, starts a thread or encodes a
 //! message: time and randomness are arguments.
 
+pub mod addresses;
 pub mod config;
 pub mod ids;
+pub mod membership;
 pub mod note;
 pub mod outcome;
 pub mod refusal;
 pub mod routing;
+pub mod spread;
 pub mod table;
 pub mod units;
--- /dev/null
+++ b/crates/agatehold-core/src/membership/mod.rs
@@ -0,0 +1,46 @@
+//! Which hosts make up the fleet, and what each of them does.
+//!
+//! Each tick runs [`run`]; each message runs [`merge`] and is answered with
+//! [`digest`]; each failed exchange runs [`unreachable`].
+
+mod digest;
+mod host_list;
+mod merge;
+mod neighbours;
+mod own;
+mod rows;
+mod suspicion;
+
+pub use digest::DIGEST_ROWS_MAX;
+pub use digest::EvidenceNews;
+pub use digest::HeadNews;
+pub use digest::JOIN_ROWS_MAX;
+pub use digest::PeerDigest;
+pub use digest::PermitEntry;
+pub use digest::PermitNews;
+pub use digest::PoisonNews;
+pub use digest::RowNews;
+pub use digest::StandingNews;
+pub use host_list::host_list_period;
+pub use host_list::merge_host_list;
+pub use merge::digest;
+pub use merge::merge;
+pub use neighbours::neighbours;
+pub use neighbours::push_urgently;
+pub use neighbours::ring_position;
+pub use neighbours::run;
+pub use own::Contact;
+pub use own::contact;
+pub use own::new_incarnation;
+pub use own::set_phase;
+pub use own::start;
+pub use rows::ExchangePlan;
+pub use rows::Heartbeat;
+pub use rows::HostPhase;
+pub use rows::ListedHost;
+pub use rows::Membership;
+pub use rows::OwnRow;
+pub use rows::PeerChange;
+pub use rows::PeerRow;
+pub use rows::Standing;
+pub use suspicion::unreachable;
--- /dev/null
+++ b/crates/agatehold-core/src/membership/neighbours.rs
@@ -0,0 +1,188 @@
+//! Whom a daemon exchanges digests with.
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::ids::Digest;
+use crate::ids::HostId;
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+use super::HostPhase;
+use super::Membership;
+use super::PeerChange;
+use super::Standing;
+use super::host_list;
+use super::suspicion;
+
+/// The time between two regular exchanges.
+const EXCHANGE_PERIOD: DurationMs = DurationMs(1_000);
+
+/// The time between two exchanges while a daemon starts and needs the rows
+/// and heads of the others; one for each tick of the control loop.
+const START_PERIOD: DurationMs = DurationMs(100);
+
+/// Every eighth exchange tries a host that is gone, so that the two sides of
+/// a partition find each other again when it ends.
+const GONE_TURN: u64 = 8;
+
+/// The most urgent exchanges in one tick, so that many suspicions at once
+/// do not exceed the bandwidth of a daemon.
+const URGENT_PER_TICK: usize = 4;
+
+/// Returns the place of a host in the ring of neighbours.
+pub fn ring_position(host: &HostId) -> u64 {
+    let hash = Digest::of_parts(&[host.as_str().as_bytes()]).0;
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash[..8]);
+    u64::from_be_bytes(first)
+}
+
+/// Returns the ring of hosts that are not gone, from the one after `start`
+/// around to the one before it; `start` itself is left out.
+fn ring_after(membership: &Membership, start: &HostId) -> Vec<HostId> {
+    let own = &membership.own.id;
+    let mut ring: Vec<(u64, &HostId)> = vec![(ring_position(own), own)];
+    for (id, row) in membership.peers.rows() {
+        if id != start && matches!(row.standing, Standing::Gone { .. }) {
+            continue;
+        }
+        ring.push((row.ring_position, id));
+    }
+    ring.sort_unstable();
+    let Some(place) = ring.iter().position(|(_, id)| *id == start) else {
+        return Vec::new();
+    };
+    ring.rotate_left(place);
+    ring.into_iter().skip(1).map(|(_, id)| id.clone()).collect()
+}
+
+/// Returns the hosts at offsets 1, 2, 4, ... after this one in the ring.
+pub fn neighbours(membership: &Membership) -> Vec<HostId> {
+    let ring = ring_after(membership, &membership.own.id);
+    let mut chosen = Vec::new();
+    let mut offset = 1;
+    while offset <= ring.len() {
+        chosen.push(ring[offset - 1].clone());
+        offset *= 2;
+    }
+    chosen
+}
+
+/// Returns the hosts that have `host` as a neighbour, nearest first.
+pub(super) fn watchers_of(membership: &Membership, host: &HostId) -> Vec<HostId> {
+    let ring = ring_after(membership, host);
+    let mut chosen = Vec::new();
+    let mut offset = 1;
+    while offset <= ring.len() {
+        chosen.push(ring[ring.len() - offset].clone());
+        offset *= 2;
+    }
+    chosen
+}
+
+/// Adds an exchange with `host` to the next tick.
+pub(super) fn push_to(membership: &mut Membership, host: &HostId) {
+    if *host == membership.own.id || membership.plan.urgent.contains(host) {
+        return;
+    }
+    membership.plan.urgent.push(host.clone());
+}
+
+/// Adds exchanges with `count` neighbours to the next tick, for news that
+/// must not wait for the regular exchange.
+pub fn push_urgently(membership: &mut Membership, count: usize, rng: &mut impl Rng) {
+    let mut chosen = neighbours(membership);
+    for _ in 0..count {
+        if chosen.is_empty() {
+            return;
+        }
+        let host = chosen.swap_remove(rng.random_range(0..chosen.len()));
+        push_to(membership, &host);
+    }
+}
+
+/// Runs the systems of the peer table for one tick.
+///
+/// Returns the hosts to exchange digests with now, and what changed. The
+/// caller builds each message with [`super::digest`].
+pub fn run(
+    membership: &mut Membership,
+    now: TimeMs,
+    rng: &mut impl Rng,
+) -> (Vec<HostId>, Vec<PeerChange>) {
+    let mut changes = Vec::new();
+    suspicion::expire(membership, now, &mut changes);
+    host_list::forget(membership, now, &mut changes);
+
+    let waiting = membership
+        .plan
+        .urgent
+        .split_off(membership.plan.urgent.len().min(URGENT_PER_TICK));
+    let mut partners = std::mem::replace(&mut membership.plan.urgent, waiting);
+    if now < membership.plan.next_at {
+        return (partners, changes);
+    }
+    let starting = membership.own.phase == HostPhase::Starting;
+    let period = if starting {
+        START_PERIOD
+    } else {
+        EXCHANGE_PERIOD
+    };
+    membership.plan.next_at = now + period;
+    let turn = membership.plan.turn;
+    membership.plan.turn = turn.wrapping_add(1);
+    let partner = if starting {
+        any_host(membership, turn)
+    } else if turn % GONE_TURN == GONE_TURN - 1 {
+        gone_host(membership, rng).or_else(|| next_neighbour(membership, turn))
+    } else {
+        next_neighbour(membership, turn)
+    };
+    if let Some(host) = partner
+        && !partners.contains(&host)
+    {
+        partners.push(host);
+    }
+    (partners, changes)
+}
+
+fn next_neighbour(membership: &Membership, turn: u64) -> Option<HostId> {
+    let mut chosen = neighbours(membership);
+    if chosen.is_empty() {
+        return None;
+    }
+    let count = u64::try_from(chosen.len()).unwrap_or(1);
+    let place = usize::try_from(turn % count).unwrap_or(0);
+    Some(chosen.swap_remove(place))
+}
+
+fn gone_host(membership: &Membership, rng: &mut impl Rng) -> Option<HostId> {
+    let mut gone = Vec::new();
+    for (id, row) in membership.peers.rows() {
+        if matches!(row.standing, Standing::Gone { .. }) {
+            gone.push(id);
+        }
+    }
+    if gone.is_empty() {
+        return None;
+    }
+    Some(gone[rng.random_range(0..gone.len())].clone())
+}
+
+/// Returns each known host in turn, in ring order.
+fn any_host(membership: &Membership, turn: u64) -> Option<HostId> {
+    let mut ring: Vec<(u64, &HostId)> = Vec::with_capacity(membership.peers.len());
+    for (id, row) in membership.peers.rows() {
+        ring.push((row.ring_position, id));
+    }
+    if ring.is_empty() {
+        return None;
+    }
+    ring.sort_unstable();
+    let own = ring_position(&membership.own.id);
+    let first = ring.partition_point(|(position, _)| *position < own);
+    let count = u64::try_from(ring.len()).unwrap_or(1);
+    let place = usize::try_from(turn % count).unwrap_or(0);
+    Some(ring[(first + place) % ring.len()].1.clone())
+}
--- /dev/null
+++ b/crates/agatehold-core/src/spread/log.rs
@@ -0,0 +1,429 @@
+//! The notes that a daemon holds, and when a further one takes effect.
+
+use std::collections::VecDeque;
+
+use quick_error::quick_error;
+
+use crate::config::ConfigTables;
+use crate::config::config_digest;
+use crate::ids::Digest;
+use crate::ids::NoteNumber;
+use crate::note::ChainFault;
+use crate::note::Head;
+use crate::note::Note;
+use crate::note::NoteHeader;
+use crate::note::apply;
+use crate::note::verify_descendant;
+
+/// The headers that a daemon keeps; a day at the design size of 4,100 notes.
+pub const HEADERS_MAX: usize = 4_096;
+
+/// The bodies that a daemon keeps, at most; later ones drop earlier ones.
+pub const BODIES_MAX: usize = 128;
+
+/// The total size of the bodies that a daemon keeps.
+pub const BODIES_MAX_BYTES: usize = 4 << 20;
+
+/// A note with its text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NoteRecord {
+    /// The header of the note.
+    pub header: NoteHeader,
+    /// The text of the note.
+    pub body: Box<str>,
+}
+
+/// The whole configuration as text, as of one note.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The header of the last note that the text includes.
+    pub header: NoteHeader,
+    /// The configuration as one note that adds every entity.
+    pub text: Box<str>,
+}
+
+quick_error! {
+    /// Why a note or a snapshot does not take effect.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+    pub enum NoteFault {
+        /// It is not newer than the note in force.
+        NotNewer {
+            display("not newer than the note in force")
+        }
+        /// A note before it is missing.
+        Gap {
+            display("a note before it is missing")
+        }
+        /// It does not descend from the note in force.
+        Fork {
+            display("it does not descend from the note in force")
+        }
+        /// The text is not the one that the header names.
+        BodyHash {
+            display("the text does not match the hash in the header")
+        }
+        /// The text can't be parsed.
+        Unreadable {
+            display("the text can't be parsed")
+        }
+        /// The changes can't be applied.
+        Inapplicable {
+            display("the changes can't be applied to the configuration")
+        }
+        /// The configuration after it is not the one that the header names.
+        ConfigHash {
+            display("the configuration does not match the hash in the header")
+        }
+    }
+}
+
+impl NoteFault {
+    /// Returns the name of the fault, for counters.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotNewer => "not-newer",
+            Self::Gap => "gap",
+            Self::Fork => "fork",
+            Self::BodyHash => "body-hash",
+            Self::Unreadable => "unreadable",
+            Self::Inapplicable => "inapplicable",
+            Self::ConfigHash => "config-hash",
+        }
+    }
+}
+
+impl From<ChainFault> for NoteFault {
+    fn from(fault: ChainFault) -> Self {
+        match fault {
+            ChainFault::NotNewer(_, _) => Self::NotNewer,
+            ChainFault::Gap(_) => Self::Gap,
+            ChainFault::Fork(_) => Self::Fork,
+        }
+    }
+}
+
+/// The configuration in force and the notes that led to it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct NoteLog {
+    /// The head of the configuration in force.
+    pub head: Head,
+    /// The configuration in force.
+    pub config: ConfigTables,
+    /// The newest headers in order, at most [`HEADERS_MAX`]; the last one is
+    /// that of `head` once any note is in force.
+    headers: VecDeque<NoteHeader>,
+    /// The newest bodies in order; the last one belongs to the last header.
+    bodies: VecDeque<Box<str>>,
+    body_bytes: usize,
+    /// The newest snapshot that was rendered or read, for hosts that start.
+    snapshot: Option<Snapshot>,
+}
+
+/// Returns the hash of a note's text, as its header carries it.
+pub fn body_digest(body: &str) -> Digest {
+    Digest::of_parts(&[body.as_bytes()])
+}
+
+impl NoteLog {
+    /// Returns the header of the note `number`, if it is kept.
+    pub fn header(&self, number: NoteNumber) -> Option<&NoteHeader> {
+        let first = self.headers.front()?.number;
+        let place = number.0.checked_sub(first.0)?;
+        self.headers.get(usize::try_from(place).ok()?)
+    }
+
+    /// Returns the body of the note `number`, if it is kept.
+    pub fn body(&self, number: NoteNumber) -> Option<&str> {
+        let kept = u64::try_from(self.bodies.len()).ok()?;
+        let first = self.head.number.0 - kept + 1;
+        let place = number.0.checked_sub(first)?;
+        let body = self.bodies.get(usize::try_from(place).ok()?)?;
+        Some(body)
+    }
+
+    /// Returns the newest snapshot that is held.
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns whether `head` is an ancestor of the configuration in force,
+    /// or its head, as far as the kept headers tell.
+    pub fn is_ancestor(&self, head: Head) -> bool {
+        if head == self.head {
+            return true;
+        }
+        let next = head.number.next();
+        self.header(next)
+            .is_some_and(|header| header.prev == head.hash)
+    }
+
+    /// Returns the number of kept headers and bodies, and the bytes of the
+    /// bodies.
+    pub fn kept(&self) -> (usize, usize, usize) {
+        (self.headers.len(), self.bodies.len(), self.body_bytes)
+    }
+
+    fn push(&mut self, header: NoteHeader, body: Option<&str>) {
+        self.head = header.head();
+        self.headers.push_back(header);
+        if self.headers.len() > HEADERS_MAX {
+            self.headers.pop_front();
+        }
+        let Some(body) = body else {
+            self.bodies.clear();
+            self.body_bytes = 0;
+            return;
+        };
+        self.bodies.push_back(body.into());
+        self.body_bytes += body.len();
+        while self.bodies.len() > BODIES_MAX || self.body_bytes > BODIES_MAX_BYTES {
+            let Some(dropped) = self.bodies.pop_front() else {
+                break;
+            };
+            self.body_bytes -= dropped.len();
+        }
+    }
+}
+
+/// Puts `records` into force, each in turn, up to the first that is faulty.
+///
+/// Returns the number of notes that took effect. A record at or below the
+/// head is passed over when it is on the chain.
+pub fn accept(
+    log: &mut NoteLog,
+    records: &[NoteRecord],
+    parse: impl Fn(&str) -> Option<Note>,
+) -> (usize, Option<NoteFault>) {
+    let mut accepted = 0;
+    for record in records {
+        if log.is_ancestor(record.header.head()) {
+            continue;
+        }
+        if let Err(fault) = accept_one(log, record, &parse) {
+            return (accepted, Some(fault));
+        }
+        accepted += 1;
+    }
+    (accepted, None)
+}
+
+fn accept_one(
+    log: &mut NoteLog,
+    record: &NoteRecord,
+    parse: impl Fn(&str) -> Option<Note>,
+) -> Result<(), NoteFault> {
+    verify_descendant(log.head, std::slice::from_ref(&record.header))?;
+    if body_digest(&record.body) != record.header.body {
+        return Err(NoteFault::BodyHash);
+    }
+    let note = parse(&record.body).ok_or(NoteFault::Unreadable)?;
+    let next = apply(&log.config, &note).map_err(|_| NoteFault::Inapplicable)?;
+    if config_digest(&next) != record.header.config {
+        return Err(NoteFault::ConfigHash);
+    }
+    log.config = next;
+    log.push(record.header.clone(), Some(&record.body));
+    Ok(())
+}
+
+/// Puts a snapshot into force.
+///
+/// `headers` lead from the note in force to the snapshot. A daemon that has
+/// no configuration yet has nothing to descend from; which head it may take
+/// is decided by [`super::StartRow`].
+pub fn accept_snapshot(
+    log: &mut NoteLog,
+    headers: &[NoteHeader],
+    snapshot: &Snapshot,
+    parse: impl Fn(&str) -> Option<Note>,
+) -> Result<(), NoteFault> {
+    if snapshot.header.number <= log.head.number {
+        return Err(NoteFault::NotNewer);
+    }
+    let fresh = log.head == Head::default();
+    if !fresh {
+        let mut chain: Vec<NoteHeader> = Vec::new();
+        for header in headers {
+            if header.number < snapshot.header.number {
+                chain.push(header.clone());
+            }
+        }
+        chain.push(snapshot.header.clone());
+        verify_descendant(log.head, &chain)?;
+    }
+    let note = parse(&snapshot.text).ok_or(NoteFault::Unreadable)?;
+    let next = apply(&ConfigTables::default(), &note).map_err(|_| NoteFault::Inapplicable)?;
+    if config_digest(&next) != snapshot.header.config {
+        return Err(NoteFault::ConfigHash);
+    }
+    if fresh {
+        log.headers.clear();
+    }
+    for header in headers {
+        if header.number > log.head.number && header.number < snapshot.header.number && !fresh {
+            log.push(header.clone(), None);
+        }
+    }
+    log.push(snapshot.header.clone(), None);
+    log.config = next;
+    log.snapshot = Some(snapshot.clone());
+    Ok(())
+}
+
+/// The size of a chunk of a snapshot, and of all the notes in one answer.
+pub const ANSWER_MAX_BYTES: usize = 512 << 10;
+
+/// A request for the notes that a daemon lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotesRequest {
+    /// The newest note that the asker holds.
+    pub after: NoteNumber,
+    /// The snapshot and chunk that the asker continues with, if any.
+    pub chunk: Option<(NoteNumber, u32)>,
+}
+
+/// One chunk of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SnapshotChunk {
+    /// The header of the last note that the snapshot includes.
+    pub header: NoteHeader,
+    /// The place of this chunk, from 0.
+    pub index: u32,
+    /// The number of chunks.
+    pub count: u32,
+    /// The text of this chunk.
+    pub text: Box<str>,
+}
+
+/// The answer to a [`NotesRequest`], at most [`ANSWER_MAX_BYTES`] of text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NotesAnswer {
+    /// The notes after the asked one, in order.
+    pub records: Vec<NoteRecord>,
+    /// Headers without bodies that lead to the snapshot.
+    pub headers: Vec<NoteHeader>,
+    /// One chunk of a snapshot, where the asker is too far behind.
+    pub chunk: Option<SnapshotChunk>,
+}
+
+/// The size that a header takes in an answer, with a margin for its author.
+const HEADER_BYTES: usize = 256;
+
+/// The most headers beside the last chunk of a snapshot.
+const ANSWER_HEADERS_MAX: u64 = 1_024;
+
+/// Answers a request for notes.
+///
+/// `render` turns the configuration in force into a snapshot's text; it is
+/// called only when the asker is too far behind for the kept bodies and no
+/// snapshot that the kept bodies continue is held.
+pub fn answer_request(
+    log: &mut NoteLog,
+    request: NotesRequest,
+    render: impl FnOnce(&ConfigTables) -> Box<str>,
+) -> NotesAnswer {
+    let mut answer = NotesAnswer::default();
+    if request.after >= log.head.number {
+        return answer;
+    }
+    let bodies_reach = log.body(request.after.next()).is_some();
+    if !bodies_reach {
+        refresh_snapshot(log, request, render);
+        return answer_chunk(log, request);
+    }
+    let mut bytes = 0;
+    let mut number = request.after.next();
+    while let (Some(header), Some(body)) = (log.header(number), log.body(number)) {
+        bytes += body.len() + HEADER_BYTES;
+        if bytes > ANSWER_MAX_BYTES && !answer.records.is_empty() {
+            break;
+        }
+        answer.records.push(NoteRecord {
+            header: header.clone(),
+            body: body.into(),
+        });
+        number = number.next();
+    }
+    answer
+}
+
+fn refresh_snapshot(
+    log: &mut NoteLog,
+    request: NotesRequest,
+    render: impl FnOnce(&ConfigTables) -> Box<str>,
+) {
+    if let Some(held) = &log.snapshot {
+        let continued = request
+            .chunk
+            .is_some_and(|(number, _)| number == held.header.number);
+        let current = held.header.number == log.head.number;
+        if continued || current || log.body(held.header.number.next()).is_some() {
+            return;
+        }
+    }
+    let Some(header) = log.header(log.head.number) else {
+        return;
+    };
+    log.snapshot = Some(Snapshot {
+        header: header.clone(),
+        text: render(&log.config),
+    });
+}
+
+fn answer_chunk(log: &NoteLog, request: NotesRequest) -> NotesAnswer {
+    let mut answer = NotesAnswer::default();
+    let Some(snapshot) = &log.snapshot else {
+        return answer;
+    };
+    let index = match request.chunk {
+        Some((number, index)) if number == snapshot.header.number => index,
+        _ => 0,
+    };
+    let chunks = split_chunks(&snapshot.text);
+    let Some(text) = usize::try_from(index).ok().and_then(|at| chunks.get(at)) else {
+        return answer;
+    };
+    answer.chunk = Some(SnapshotChunk {
+        header: snapshot.header.clone(),
+        index,
+        count: u32::try_from(chunks.len()).unwrap_or(u32::MAX),
+        text: (*text).into(),
+    });
+    if request.after == NoteNumber(0) || usize::try_from(index + 1) != Ok(chunks.len()) {
+        return answer;
+    }
+    // The chain travels with the last chunk, unless it is too long for one
+    // answer; then only the platform can bring the asker up to date.
+    let gap = snapshot.header.number.0 - request.after.0;
+    if gap > ANSWER_HEADERS_MAX {
+        return answer;
+    }
+    let mut number = request.after.next();
+    while number < snapshot.header.number {
+        let Some(header) = log.header(number) else {
+            break;
+        };
+        answer.headers.push(header.clone());
+        number = number.next();
+    }
+    answer
+}
+
+/// Splits a snapshot's text into chunks of at most half of
+/// [`ANSWER_MAX_BYTES`], so that headers fit beside the last one.
+pub fn split_chunks(text: &str) -> Vec<&str> {
+    let limit = ANSWER_MAX_BYTES / 2;
+    let mut chunks = Vec::new();
+    let mut rest = text;
+    while rest.len() > limit {
+        let mut end = limit;
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (chunk, after) = rest.split_at(end);
+        chunks.push(chunk);
+        rest = after;
+    }
+    chunks.push(rest);
+    chunks
+}
--- /dev/null
+++ b/crates/agatehold-core/src/spread/run.rs
@@ -0,0 +1,168 @@
+//! The systems of the note log, run at each tick.
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::membership;
+use crate::membership::HostPhase;
+use crate::membership::Membership;
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+use super::NoteSource;
+use super::NotesRequest;
+use super::PendingRequest;
+use super::Spread;
+use super::SpreadCommand;
+use super::start;
+use super::watch;
+
+/// The time without a confirmed head and without contact with a majority
+/// after which a daemon is isolated.
+pub const ISOLATION_TIME: DurationMs = DurationMs(9_000);
+
+/// How long a request for notes may stay unanswered.
+const REQUEST_TIMEOUT: DurationMs = DurationMs(1_500);
+
+/// The neighbours that a daemon tells at once of a new head.
+const PUSH_NEIGHBOURS: usize = 2;
+
+/// Runs the systems of the note log for one tick.
+///
+/// Sets the phase of this daemon: it serves once it has a configuration, and
+/// is isolated while it can neither confirm it nor reach a majority.
+pub fn run(
+    spread: &mut Spread,
+    membership: &mut Membership,
+    now: TimeMs,
+    rng: &mut impl Rng,
+) -> Vec<SpreadCommand> {
+    let mut commands = Vec::new();
+    start::update(
+        &mut spread.start,
+        membership,
+        &spread.platform,
+        spread.log.head,
+    );
+    let in_contact = update_contact(spread, membership, now);
+    update_phase(spread, membership, in_contact, now, rng);
+    publish(spread, membership, rng, &mut commands);
+    watch::read_platform(spread, membership, in_contact, now, &mut commands);
+    watch::write_back(spread, membership, now, &mut commands);
+    ask_for_notes(spread, now, rng, &mut commands);
+    commands
+}
+
+/// Returns whether the daemon was in contact with more than half of the known
+/// hosts within the isolation time.
+fn update_contact(spread: &mut Spread, membership: &Membership, now: TimeMs) -> bool {
+    let contact = membership::contact(membership, now);
+    if contact.is_majority() {
+        spread.majority_at = Some(now);
+    }
+    // What the ring lacks has been lacking for the whole window already.
+    contact.is_ring_alive()
+        && spread
+            .majority_at
+            .is_some_and(|at| now.since(at) < ISOLATION_TIME)
+}
+
+fn update_phase(
+    spread: &mut Spread,
+    membership: &mut Membership,
+    in_contact: bool,
+    now: TimeMs,
+    rng: &mut impl Rng,
+) {
+    if !spread.start.done {
+        return;
+    }
+    let confirmed = spread
+        .confirmed_at()
+        .is_some_and(|at| now.since(at) < ISOLATION_TIME);
+    let phase = if confirmed || in_contact {
+        HostPhase::Serving
+    } else {
+        HostPhase::Isolated
+    };
+    membership::set_phase(membership, phase, rng);
+}
+
+fn publish(
+    spread: &mut Spread,
+    membership: &mut Membership,
+    rng: &mut impl Rng,
+    commands: &mut Vec<SpreadCommand>,
+) {
+    let head = spread.log.head;
+    if !spread.start.done || spread.published == Some(head) {
+        return;
+    }
+    spread.published = Some(head);
+    commands.push(SpreadCommand::PublishConfig { head });
+    membership::push_urgently(membership, PUSH_NEIGHBOURS, rng);
+}
+
+fn ask_for_notes(
+    spread: &mut Spread,
+    now: TimeMs,
+    rng: &mut impl Rng,
+    commands: &mut Vec<SpreadCommand>,
+) {
+    if let Some(request) = &spread.request {
+        if now.since(request.sent_at) < REQUEST_TIMEOUT {
+            return;
+        }
+        let source = request.source.clone();
+        super::request_failed(spread, &source);
+    }
+    let starting = spread.log.head.number.0 == 0;
+    if starting && !spread.start.permits(&spread.platform) {
+        return;
+    }
+    let Some(source) = choose_source(spread, rng) else {
+        return;
+    };
+    spread.request = Some(PendingRequest {
+        source: source.clone(),
+        sent_at: now,
+    });
+    let after = spread.log.head.number;
+    match source {
+        NoteSource::Platform => commands.push(SpreadCommand::ReadNotes { after }),
+        NoteSource::Peer(host) => {
+            let chunk = spread.partial.as_ref().and_then(|partial| {
+                let same = partial.source == NoteSource::Peer(host.clone());
+                same.then_some((partial.header.number, partial.chunks))
+            });
+            let request = NotesRequest { after, chunk };
+            commands.push(SpreadCommand::AskPeer { host, request });
+        }
+        NoteSource::Tool => {}
+    }
+}
+
+/// Chooses the source to ask: the one that is sending a snapshot, else one of
+/// those with the highest head.
+fn choose_source(spread: &Spread, rng: &mut impl Rng) -> Option<NoteSource> {
+    if let Some(partial) = &spread.partial
+        && spread.ahead.contains(&partial.source)
+    {
+        return Some(partial.source.clone());
+    }
+    let mut best: Vec<&NoteSource> = Vec::new();
+    let mut highest = spread.log.head.number;
+    for (source, row) in spread.ahead.rows() {
+        if row.head.number > highest {
+            highest = row.head.number;
+            best.clear();
+        }
+        if row.head.number == highest {
+            best.push(source);
+        }
+    }
+    if best.is_empty() {
+        return None;
+    }
+    Some(best[rng.random_range(0..best.len())].clone())
+}
--- /dev/null
+++ b/crates/agatehold-core/src/spread/watch.rs
@@ -0,0 +1,193 @@
+//! When a daemon reads the platform, and what it writes back.
+
+use crate::addresses::rendezvous_score;
+use crate::ids::FailureDomain;
+use crate::ids::HostId;
+use crate::membership::HostPhase;
+use crate::membership::Membership;
+use crate::membership::Standing;
+use crate::note::Head;
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+use super::NoteRecord;
+use super::Spread;
+use super::SpreadCommand;
+use super::WriteBack;
+
+/// The daemons of a failure domain that watch the platform's head.
+const WATCHERS_PER_DOMAIN: usize = 2;
+
+/// How long a watch of the head waits. Each answer confirms the head, so that
+/// this bounds the age of the confirmation; 30 s would leave every daemon
+/// unconfirmed for longer than the isolation time.
+pub const WATCH_WAIT: DurationMs = DurationMs(3_000);
+
+/// How long a read or watch may stay unanswered past its waiting time.
+const READ_TIMEOUT: DurationMs = DurationMs(2_000);
+
+/// The pause between two tries of a platform that does not answer.
+const RETRY_PAUSE: DurationMs = DurationMs(1_000);
+
+/// The age of the confirmation from which a daemon reads the head itself.
+const READ_AGE: DurationMs = DurationMs(6_000);
+
+/// The pause before the next watcher by rank writes back.
+const WRITE_BACK_PAUSE: DurationMs = DurationMs(2_000);
+
+/// Returns the place of this daemon among the watchers of the platform, or
+/// `None` if it is not one.
+///
+/// The watchers are the hosts with the highest rendezvous scores of each
+/// failure domain, so that a lost watcher is replaced by the next host that
+/// the others agree on.
+pub fn watcher_rank(membership: &Membership) -> Option<usize> {
+    let own = &membership.own;
+    if own.phase == HostPhase::Leaving {
+        return None;
+    }
+    let mine = score(&own.failure_domain, &own.id);
+    let mut rank = 0;
+    for (id, row) in membership.peers.rows() {
+        let able = matches!(row.phase, HostPhase::Serving | HostPhase::Isolated)
+            && matches!(row.standing, Standing::Alive | Standing::Accused { .. })
+            && !row.listed_leaving;
+        if !able || row.failure_domain != own.failure_domain {
+            continue;
+        }
+        if score(&row.failure_domain, id) > mine {
+            rank += 1;
+        }
+    }
+    (rank < WATCHERS_PER_DOMAIN).then_some(rank)
+}
+
+fn score(domain: &FailureDomain, host: &HostId) -> (u64, HostId) {
+    let score = rendezvous_score(&["head", domain.as_str()], host.as_str());
+    (score, host.clone())
+}
+
+/// Reads or watches the platform's head where this is due.
+pub(super) fn read_platform(
+    spread: &mut Spread,
+    membership: &Membership,
+    in_contact: bool,
+    now: TimeMs,
+    commands: &mut Vec<SpreadCommand>,
+) {
+    let row = &mut spread.platform;
+    let age = row.asked_at.map(|at| now.since(at));
+    if row.waiting && age.is_some_and(|age| age < WATCH_WAIT + READ_TIMEOUT) {
+        return;
+    }
+    let starting = !spread.start.done;
+    if starting {
+        if age.is_none_or(|age| age >= RETRY_PAUSE) {
+            ask(spread, now, SpreadCommand::ReadHead, commands);
+        }
+        return;
+    }
+    let answered = row.answered_at >= row.asked_at;
+    if watcher_rank(membership).is_some() {
+        if answered || age.is_none_or(|age| age >= RETRY_PAUSE) {
+            let watch = SpreadCommand::WatchHead {
+                wait_ms: WATCH_WAIT,
+            };
+            ask(spread, now, watch, commands);
+        }
+        return;
+    }
+    let confirmed = spread.confirmed_at();
+    if confirmed.is_some_and(|at| now.since(at) < READ_AGE) {
+        return;
+    }
+    // In contact with the fleet a daemon leaves the platform to the watchers
+    // and reads it rarely; all daemons together do so four times a second.
+    let period = if in_contact {
+        let hosts = u64::try_from(membership.peers.len() + 1).unwrap_or(u64::MAX);
+        DurationMs(250).times(hosts).max(WATCH_WAIT)
+    } else {
+        WATCH_WAIT
+    };
+    if spread
+        .platform
+        .asked_at
+        .is_none_or(|at| now.since(at) >= period)
+    {
+        ask(spread, now, SpreadCommand::ReadHead, commands);
+    }
+}
+
+fn ask(
+    spread: &mut Spread,
+    now: TimeMs,
+    command: SpreadCommand,
+    commands: &mut Vec<SpreadCommand>,
+) {
+    spread.platform.asked_at = Some(now);
+    spread.platform.waiting = true;
+    commands.push(command);
+}
+
+/// Writes the state in force back to a platform that was restored to an
+/// ancestor of it.
+pub(super) fn write_back(
+    spread: &mut Spread,
+    membership: &Membership,
+    now: TimeMs,
+    commands: &mut Vec<SpreadCommand>,
+) {
+    let Some(head) = spread.platform.head else {
+        return;
+    };
+    let log = &spread.log;
+    if head.number >= log.head.number || !log.is_ancestor(head) {
+        return;
+    }
+    let Some(rank) = watcher_rank(membership) else {
+        return;
+    };
+    let places = u64::try_from(rank + 1).unwrap_or(1);
+    let pause = WRITE_BACK_PAUSE.times(places);
+    let last = spread.platform.written_back_at;
+    let Some(last) = last else {
+        // The first watcher writes at once, the second after a pause.
+        spread.platform.written_back_at = Some(now);
+        if rank == 0 {
+            commands.push(write_back_command(spread, head));
+        }
+        return;
+    };
+    if now.since(last) < pause {
+        return;
+    }
+    spread.platform.written_back_at = Some(now);
+    commands.push(write_back_command(spread, head));
+}
+
+fn write_back_command(spread: &Spread, expected: Head) -> SpreadCommand {
+    let log = &spread.log;
+    let mut records = Vec::new();
+    let mut number = expected.number.next();
+    let mut complete = true;
+    while number <= log.head.number {
+        match (log.header(number), log.body(number)) {
+            (Some(header), Some(body)) => records.push(NoteRecord {
+                header: header.clone(),
+                body: body.into(),
+            }),
+            _ => complete = false,
+        }
+        number = number.next();
+    }
+    SpreadCommand::WriteBack(Box::new(WriteBack {
+        expected,
+        records,
+        snapshot: if complete {
+            None
+        } else {
+            log.snapshot().cloned()
+        },
+        head: log.head,
+    }))
+}
