--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -4,16 +4,20 @@
 //! Nothing here opens a socket, reads a clock, starts a thread or encodes a
 //! message: time and randomness are arguments.
 
+pub mod addresses;
 pub mod config;
 pub mod ejection;
 pub mod health;
+pub mod idempotency;
 pub mod ids;
 pub mod limits;
+pub mod membership;
 pub mod note;
 pub mod outcome;
 pub mod poison;
 pub mod refusal;
 pub mod retry;
 pub mod routing;
+pub mod spread;
 pub mod table;
 pub mod units;
