Add peer messages with an authenticated envelope, and a fleet on virtual time

Cause: daemons need a codec for digests and notes that a stranger can't use, and the proofs of the core need many daemons in one loop.

Ruled out: build scripts that generate code (no protoc on the machines, and generated code is committed); tags over the body alone (an answer could be replayed as the answer to a later question).

--- a/crates/agatehold-core/src/membership/host_list.rs
+++ b/crates/agatehold-core/src/membership/host_list.rs
@@ -105,6 +105,7 @@
         ring_position: neighbours::ring_position(&host.id),
     };
     membership.peers.insert(host.id.clone(), row);
+    membership.ring_changed = true;
     changes.push(PeerChange::Joined(host.id.clone()));
 }
 
--- a/crates/agatehold-core/src/membership/merge.rs
+++ b/crates/agatehold-core/src/membership/merge.rs
@@ -208,6 +208,7 @@
         row.sends_left = quota;
         row.last_contact = direct.then_some(now);
         membership.peers.insert(news.host.clone(), row);
+        membership.ring_changed = true;
         changes.push(PeerChange::Joined(news.host.clone()));
         return;
     };
@@ -225,6 +226,7 @@
         next.last_contact = row.last_contact;
         next.sends_left = quota;
         *row = next;
+        membership.ring_changed = true;
         changes.push(PeerChange::Restarted(news.host.clone()));
         return;
     }
@@ -235,6 +237,7 @@
     }
     let is = row.standing.clone();
     if is != was {
+        membership.ring_changed |= was.rank().max(is.rank()) == 3;
         react(membership, &news.host, &was, &is, direct, now);
     }
 }
@@ -383,6 +386,7 @@
     }
     if let Some(old) = old {
         membership.peers.remove(&old);
+        membership.ring_changed = true;
         changes.push(PeerChange::Replaced {
             old,
             new: news.host.clone(),
--- a/crates/agatehold-core/src/membership/neighbours.rs
+++ b/crates/agatehold-core/src/membership/neighbours.rs
@@ -38,47 +38,55 @@
     u64::from_be_bytes(first)
 }
 
-/// Returns the ring of hosts that are not gone, from the one after `start`
-/// around to the one before it; `start` itself is left out.
-fn ring_after(membership: &Membership, start: &HostId) -> Vec<HostId> {
-    let own = &membership.own.id;
-    let mut ring: Vec<(u64, &HostId)> = vec![(ring_position(own), own)];
+/// Brings the ring in line with the table.
+pub(super) fn rebuild_ring(membership: &mut Membership) {
+    let own = membership.own.id.clone();
+    membership.ring.clear();
+    membership.ring.push((ring_position(&own), own));
     for (id, row) in membership.peers.rows() {
-        if id != start && matches!(row.standing, Standing::Gone { .. }) {
-            continue;
+        if !matches!(row.standing, Standing::Gone { .. }) {
+            membership.ring.push((row.ring_position, id.clone()));
         }
-        ring.push((row.ring_position, id));
     }
-    ring.sort_unstable();
-    let Some(place) = ring.iter().position(|(_, id)| *id == start) else {
-        return Vec::new();
-    };
-    ring.rotate_left(place);
-    ring.into_iter().skip(1).map(|(_, id)| id.clone()).collect()
+    membership.ring.sort_unstable();
+    membership.ring_changed = false;
 }
 
-/// Returns the hosts at offsets 1, 2, 4, ... after this one in the ring.
-pub fn neighbours(membership: &Membership) -> Vec<HostId> {
-    let ring = ring_after(membership, &membership.own.id);
+/// Returns the hosts at the offsets 1, 2, 4, ... from `host`; `step` turns an
+/// offset into a place in the ring, given the place of `host`.
+fn at_offsets(
+    membership: &Membership,
+    host: &HostId,
+    step: impl Fn(usize, usize) -> usize,
+) -> Vec<HostId> {
+    let ring = &membership.ring;
+    let key = (ring_position(host), host.clone());
+    let (place, present) = match ring.binary_search(&key) {
+        Ok(place) => (place, true),
+        Err(place) => (place, false),
+    };
+    let others = ring.len() - usize::from(present);
     let mut chosen = Vec::new();
     let mut offset = 1;
-    while offset <= ring.len() {
-        chosen.push(ring[offset - 1].clone());
+    while offset <= others {
+        let at = step(place, offset) % ring.len();
+        chosen.push(ring[at].1.clone());
         offset *= 2;
     }
     chosen
 }
 
+/// Returns the hosts at offsets 1, 2, 4, ... after this one in the ring.
+pub fn neighbours(membership: &Membership) -> Vec<HostId> {
+    at_offsets(membership, &membership.own.id, |place, offset| {
+        place + offset
+    })
+}
+
 /// Returns the hosts that have `host` as a neighbour, nearest first.
 pub(super) fn watchers_of(membership: &Membership, host: &HostId) -> Vec<HostId> {
-    let ring = ring_after(membership, host);
-    let mut chosen = Vec::new();
-    let mut offset = 1;
-    while offset <= ring.len() {
-        chosen.push(ring[ring.len() - offset].clone());
-        offset *= 2;
-    }
-    chosen
+    let count = membership.ring.len();
+    at_offsets(membership, host, |place, offset| place + count - offset)
 }
 
 /// Adds an exchange with `host` to the next tick.
@@ -114,12 +122,16 @@
     let mut changes = Vec::new();
     suspicion::expire(membership, now, &mut changes);
     host_list::forget(membership, now, &mut changes);
+    if membership.ring_changed {
+        rebuild_ring(membership);
+    }
 
     let waiting = membership
         .plan
         .urgent
         .split_off(membership.plan.urgent.len().min(URGENT_PER_TICK));
     let mut partners = std::mem::replace(&mut membership.plan.urgent, waiting);
+    partners.retain(|host| membership.peers.contains(host));
     if now < membership.plan.next_at {
         return (partners, changes);
     }
--- a/crates/agatehold-core/src/membership/own.rs
+++ b/crates/agatehold-core/src/membership/own.rs
@@ -35,6 +35,8 @@
     let mut membership = Membership {
         own,
         peers: Table::new(),
+        ring: Vec::new(),
+        ring_changed: true,
         plan: ExchangePlan {
             next_at: now,
             ..ExchangePlan::default()
@@ -46,6 +48,7 @@
     for host in hosts {
         host_list::add_listed(&mut membership, host, &mut changes);
     }
+    neighbours::rebuild_ring(&mut membership);
     membership
 }
 
--- a/crates/agatehold-core/src/membership/rows.rs
+++ b/crates/agatehold-core/src/membership/rows.rs
@@ -213,6 +213,10 @@
     pub own: OwnRow,
     /// The other hosts by name.
     pub peers: Table<HostId, PeerRow>,
+    /// The hosts that are not gone, with this one, by ring position.
+    pub ring: Vec<(u64, HostId)>,
+    /// Whether the ring no longer fits the table; [`super::run`] rebuilds it.
+    pub ring_changed: bool,
     /// Whom to exchange with, and when.
     pub plan: ExchangePlan,
     /// When the last message came from any host.
--- a/crates/agatehold-core/src/membership/suspicion.rs
+++ b/crates/agatehold-core/src/membership/suspicion.rs
@@ -98,6 +98,7 @@
 /// Removes suspected hosts that did not refute in time.
 pub(super) fn expire(membership: &mut Membership, now: TimeMs, changes: &mut Vec<PeerChange>) {
     let quota = sends_quota(membership);
+    let mut any_gone = false;
     for (id, row) in membership.peers.rows_mut() {
         let Standing::Suspected { since } = row.standing else {
             continue;
@@ -114,7 +115,9 @@
             continue;
         }
         row.standing = Standing::Gone { since: now };
+        any_gone = true;
         row.sends_left = quota;
         changes.push(PeerChange::Standing(id.clone(), row.standing.clone()));
     }
+    membership.ring_changed |= any_gone;
 }
--- /dev/null
+++ b/crates/agatehold-measure-fleet/src/fleet/drive.rs
@@ -0,0 +1,405 @@
+//! Moves a fleet through virtual time.
+
+use prost::Message as _;
+use rand::RngExt;
+
+use agatehold_core::config::config_digest;
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::NoteId;
+use agatehold_core::membership;
+use agatehold_core::membership::PeerDigest;
+use agatehold_core::note::Note;
+use agatehold_core::note::NoteHeader;
+use agatehold_core::note::apply;
+use agatehold_core::spread;
+use agatehold_core::spread::NoteRecord;
+use agatehold_core::spread::NoteSource;
+use agatehold_core::spread::NotesAnswer;
+use agatehold_core::spread::NotesRequest;
+use agatehold_core::spread::SpreadCommand;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::TimeMs;
+use agatehold_wire::peers;
+use agatehold_wire::peers::EnvelopeHeader;
+use agatehold_wire::peers::Method;
+use agatehold_wire::peers::PeerKey;
+
+use crate::configs;
+
+use super::rows::Call;
+use super::rows::Fleet;
+use super::rows::Happening;
+use super::rows::WaitingWatch;
+
+/// The time a message takes one way, rounded up from 1.5 ms.
+const LATENCY: DurationMs = DurationMs(2);
+
+/// How long a daemon waits for the answer to an exchange.
+const EXCHANGE_TIMEOUT: DurationMs = DurationMs(1_000);
+
+/// The period of a daemon's ticker.
+const TICK: DurationMs = DurationMs(100);
+
+/// Adds something that happens later.
+pub(super) fn schedule(fleet: &mut Fleet, at: TimeMs, what: Happening) {
+    fleet.sequence += 1;
+    fleet.queue.insert((at, fleet.sequence), what);
+}
+
+/// Runs the fleet until `until`.
+pub fn advance(fleet: &mut Fleet, until: TimeMs) {
+    while let Some(entry) = fleet.queue.first_entry() {
+        let at = entry.key().0;
+        if at > until {
+            break;
+        }
+        let what = entry.remove();
+        fleet.now = at;
+        happen(fleet, what);
+    }
+    fleet.now = until;
+}
+
+/// Accepts a note at the platform, as the operators' tool does.
+///
+/// # Panics
+///
+/// Panics if the note can't take effect.
+pub fn release(fleet: &mut Fleet, text: &str, note: Note) -> NoteRecord {
+    let platform = &mut fleet.platform;
+    let next = match apply(&platform.config, &note) {
+        Ok(next) => next,
+        Err(errors) => panic!("{}", errors[0]),
+    };
+    let head = platform.head();
+    let record = NoteRecord {
+        header: NoteHeader {
+            number: head.number.next(),
+            id: NoteId(fleet.rng.random()),
+            prev: head.hash,
+            body: spread::body_digest(text),
+            config: config_digest(&next),
+            author: note.author.clone(),
+        },
+        body: text.into(),
+    };
+    platform.config = next;
+    platform.records.push(record.clone());
+    fleet.texts.insert(text.into(), note);
+    for watch in std::mem::take(&mut fleet.platform.waiting) {
+        let head = record.header.head();
+        let answer =
+            Happening::PlatformHead(watch.host, watch.start, head, watch.sent_at, DurationMs(0));
+        let at = fleet.now + LATENCY;
+        schedule(fleet, at, answer);
+    }
+    record
+}
+
+/// Hands an accepted note to a daemon, as the operators' tool does.
+pub fn push_note(fleet: &mut Fleet, host: &HostId, record: &NoteRecord) {
+    let Some(row) = fleet.daemons.get(host) else {
+        return;
+    };
+    let start = row.start;
+    let answer = NotesAnswer {
+        records: vec![record.clone()],
+        ..NotesAnswer::default()
+    };
+    let what = Happening::Notes(host.clone(), start, NoteSource::Tool, Box::new(answer));
+    let at = fleet.now + LATENCY;
+    schedule(fleet, at, what);
+}
+
+fn happen(fleet: &mut Fleet, what: Happening) {
+    match what {
+        Happening::Tick(host, start) => tick(fleet, &host, start),
+        Happening::Request(call, digest) => request(fleet, call, &digest),
+        Happening::Answer(call, digest) => answered(fleet, &call, &digest),
+        Happening::TimedOut(call) => timed_out(fleet, &call),
+        Happening::NotesRequest(call, request) => notes_request(fleet, &call, request),
+        Happening::Notes(host, start, source, answer) => {
+            notes(fleet, &host, start, &source, &answer);
+        }
+        Happening::PlatformHead(host, start, head, sent_at, waited) => {
+            let now = fleet.now;
+            if let Some(row) = running(fleet, &host, start) {
+                spread::platform_head(&mut row.spread, head, sent_at, waited, now);
+            }
+        }
+        Happening::WatchEnds(host, start, sent_at) => watch_ends(fleet, &host, start, sent_at),
+        Happening::PlatformFailed(host, start) => {
+            if let Some(row) = running(fleet, &host, start) {
+                spread::platform_failed(&mut row.spread);
+            }
+        }
+    }
+}
+
+fn running<'a>(
+    fleet: &'a mut Fleet,
+    host: &HostId,
+    start: u32,
+) -> Option<&'a mut super::DaemonRow> {
+    fleet
+        .daemons
+        .get_mut(host)
+        .filter(|row| row.running && row.start == start)
+}
+
+fn tick(fleet: &mut Fleet, host: &HostId, start: u32) {
+    let now = fleet.now;
+    let Some(row) = fleet
+        .daemons
+        .get_mut(host)
+        .filter(|row| row.running && row.start == start)
+    else {
+        return;
+    };
+    let commands = spread::run(&mut row.spread, &mut row.membership, now, &mut fleet.rng);
+    let (partners, _) = membership::run(&mut row.membership, now, &mut fleet.rng);
+    schedule(fleet, now + TICK, Happening::Tick(host.clone(), start));
+    for partner in partners {
+        exchange(fleet, host, start, &partner);
+    }
+    for command in commands {
+        carry_out(fleet, host, start, command);
+    }
+}
+
+fn exchange(fleet: &mut Fleet, host: &HostId, start: u32, partner: &HostId) {
+    let now = fleet.now;
+    let Some(row) = running(fleet, host, start) else {
+        return;
+    };
+    let head = row.spread.log.head;
+    let confirmed = row.spread.confirmed_at();
+    let digest = membership::digest(&mut row.membership, partner, head, confirmed, now);
+    row.exchanges += 1;
+    fleet.sequence += 1;
+    let call = Call {
+        id: fleet.sequence,
+        from: host.clone(),
+        from_start: start,
+        to: partner.clone(),
+        sent_at: now,
+    };
+    fleet.open_calls.insert(call.id);
+    schedule(
+        fleet,
+        now + EXCHANGE_TIMEOUT,
+        Happening::TimedOut(call.clone()),
+    );
+    if arrives(fleet, host, partner) {
+        count_bytes(fleet, host, partner, &digest);
+        let what = Happening::Request(call, Box::new(digest));
+        schedule(fleet, now + LATENCY, what);
+    }
+}
+
+fn arrives(fleet: &mut Fleet, from: &HostId, to: &HostId) -> bool {
+    let faults = &fleet.faults;
+    if faults.loss > 0.0 && fleet.rng.random_bool(faults.loss) {
+        return false;
+    }
+    if faults.apart.contains(from) != faults.apart.contains(to) {
+        return false;
+    }
+    !faults.cut.contains(&(from.clone(), to.clone()))
+}
+
+/// Counts the size of a sealed message, whose names and tag are real.
+fn count_bytes(fleet: &mut Fleet, from: &HostId, to: &HostId, digest: &PeerDigest) {
+    if !fleet.measure_bytes {
+        return;
+    }
+    let Ok(key) = PeerKey::new("a secret of the fleet") else {
+        return;
+    };
+    let header = EnvelopeHeader {
+        sender: from.clone(),
+        receiver: to.clone(),
+        incarnation: digest.sender.incarnation,
+        // A week of messages, as for the size of a long-running daemon.
+        sequence: 1_200_000,
+        answers: Some((digest.sender.incarnation, 1_200_000)),
+    };
+    let body = peers::encode_digest(digest);
+    let envelope = peers::seal(&key, Method::Exchange, &header, body);
+    let bytes = u64::try_from(envelope.encoded_len()).unwrap_or(u64::MAX);
+    if let Some(row) = fleet.daemons.get_mut(from) {
+        row.sent_bytes += bytes;
+    }
+    if let Some(row) = fleet.daemons.get_mut(to) {
+        row.received_bytes += bytes;
+    }
+}
+
+fn request(fleet: &mut Fleet, call: Call, digest: &PeerDigest) {
+    let now = fleet.now;
+    let Some(row) = fleet.daemons.get_mut(&call.to).filter(|row| row.running) else {
+        return;
+    };
+    membership::merge(&mut row.membership, digest, now);
+    spread::merge_head(&mut row.spread, digest, None, now);
+    let head = row.spread.log.head;
+    let confirmed = row.spread.confirmed_at();
+    let answer = membership::digest(&mut row.membership, &call.from, head, confirmed, now);
+    if arrives(fleet, &call.to, &call.from) {
+        count_bytes(fleet, &call.to.clone(), &call.from.clone(), &answer);
+        schedule(
+            fleet,
+            now + LATENCY,
+            Happening::Answer(call, Box::new(answer)),
+        );
+    }
+}
+
+fn answered(fleet: &mut Fleet, call: &Call, digest: &PeerDigest) {
+    let now = fleet.now;
+    if !fleet.open_calls.remove(&call.id) {
+        return;
+    }
+    let Some(row) = running(fleet, &call.from, call.from_start) else {
+        return;
+    };
+    membership::merge(&mut row.membership, digest, now);
+    let round_trip = now.since(call.sent_at);
+    spread::merge_head(&mut row.spread, digest, Some(round_trip), now);
+}
+
+fn timed_out(fleet: &mut Fleet, call: &Call) {
+    let now = fleet.now;
+    if !fleet.open_calls.remove(&call.id) {
+        return;
+    }
+    let Some(row) = running(fleet, &call.from, call.from_start) else {
+        return;
+    };
+    membership::unreachable(&mut row.membership, &call.to, now);
+}
+
+fn notes_request(fleet: &mut Fleet, call: &Call, request: NotesRequest) {
+    let now = fleet.now;
+    let Some(row) = fleet.daemons.get_mut(&call.to).filter(|row| row.running) else {
+        return;
+    };
+    let texts = &mut fleet.texts;
+    let number = row.spread.log.head.number;
+    let answer = spread::answer_request(&mut row.spread.log, request, |config| {
+        let text: Box<str> = format!("snapshot {number}").into();
+        texts.insert(text.clone(), configs::snapshot_note(config));
+        text
+    });
+    if arrives(fleet, &call.to, &call.from) {
+        let source = NoteSource::Peer(call.to.clone());
+        let what = Happening::Notes(call.from.clone(), call.from_start, source, Box::new(answer));
+        schedule(fleet, now + LATENCY, what);
+    }
+}
+
+fn notes(fleet: &mut Fleet, host: &HostId, start: u32, source: &NoteSource, answer: &NotesAnswer) {
+    let Some(row) = fleet
+        .daemons
+        .get_mut(host)
+        .filter(|row| row.running && row.start == start)
+    else {
+        return;
+    };
+    let texts = &fleet.texts;
+    spread::merge_notes(&mut row.spread, source, answer, |text| {
+        texts.get(&Box::from(text)).cloned()
+    });
+}
+
+fn watch_ends(fleet: &mut Fleet, host: &HostId, start: u32, sent_at: TimeMs) {
+    let waiting = &mut fleet.platform.waiting;
+    let before = waiting.len();
+    waiting.retain(|watch| watch.host != *host || watch.sent_at != sent_at);
+    if waiting.len() == before {
+        return;
+    }
+    let head = fleet.platform.head();
+    let waited = fleet.now.since(sent_at);
+    let answer = Happening::PlatformHead(host.clone(), start, head, sent_at, waited);
+    let at = fleet.now + LATENCY;
+    schedule(fleet, at, answer);
+}
+
+fn carry_out(fleet: &mut Fleet, host: &HostId, start: u32, command: SpreadCommand) {
+    let now = fleet.now;
+    match command {
+        SpreadCommand::PublishConfig { .. } => {}
+        SpreadCommand::AskPeer { host: to, request } => {
+            if arrives(fleet, host, &to) {
+                let call = Call {
+                    id: 0,
+                    from: host.clone(),
+                    from_start: start,
+                    to,
+                    sent_at: now,
+                };
+                schedule(fleet, now + LATENCY, Happening::NotesRequest(call, request));
+            }
+        }
+        SpreadCommand::ReadHead
+        | SpreadCommand::WatchHead { .. }
+        | SpreadCommand::ReadNotes { .. }
+        | SpreadCommand::WriteBack(_) => call_platform(fleet, host, start, command),
+    }
+}
+
+fn call_platform(fleet: &mut Fleet, host: &HostId, start: u32, command: SpreadCommand) {
+    let now = fleet.now;
+    if !fleet.platform.up || fleet.faults.platform_cut.contains(host) {
+        let what = Happening::PlatformFailed(host.clone(), start);
+        schedule(fleet, now + EXCHANGE_TIMEOUT, what);
+        return;
+    }
+    let platform = &mut fleet.platform;
+    let head = platform.head();
+    match command {
+        SpreadCommand::ReadHead => {
+            platform.calls.read_head += 1;
+            let answer = Happening::PlatformHead(host.clone(), start, head, now, DurationMs(0));
+            schedule(fleet, now + LATENCY + LATENCY, answer);
+        }
+        SpreadCommand::WatchHead { wait_ms } => {
+            platform.calls.watch_head += 1;
+            let Some(row) = fleet.daemons.get(host) else {
+                return;
+            };
+            let known = row.spread.platform.head.unwrap_or_default();
+            if known != head {
+                let answer = Happening::PlatformHead(host.clone(), start, head, now, DurationMs(0));
+                schedule(fleet, now + LATENCY + LATENCY, answer);
+                return;
+            }
+            fleet.platform.waiting.push(WaitingWatch {
+                host: host.clone(),
+                start,
+                sent_at: now,
+                known,
+            });
+            let ends = Happening::WatchEnds(host.clone(), start, now);
+            schedule(fleet, now + wait_ms, ends);
+        }
+        SpreadCommand::ReadNotes { after } => {
+            platform.calls.read_notes += 1;
+            let answer = NotesAnswer {
+                records: platform.after(after),
+                ..NotesAnswer::default()
+            };
+            let what =
+                Happening::Notes(host.clone(), start, NoteSource::Platform, Box::new(answer));
+            schedule(fleet, now + LATENCY + LATENCY, what);
+        }
+        SpreadCommand::WriteBack(write) => {
+            platform.calls.write_back += 1;
+            if head == write.expected {
+                platform.records.extend(write.records);
+            }
+        }
+        SpreadCommand::AskPeer { .. } | SpreadCommand::PublishConfig { .. } => {}
+    }
+}
--- /dev/null
+++ b/crates/agatehold-measure-fleet/src/fleet/setup.rs
@@ -0,0 +1,191 @@
+//! Starts and stops daemons.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::Incarnation;
+use agatehold_core::membership;
+use agatehold_core::membership::Heartbeat;
+use agatehold_core::membership::HostPhase;
+use agatehold_core::membership::ListedHost;
+use agatehold_core::membership::Membership;
+use agatehold_core::membership::OwnRow;
+use agatehold_core::membership::PeerRow;
+use agatehold_core::membership::Standing;
+use agatehold_core::note::Note;
+use agatehold_core::spread;
+use agatehold_core::spread::HeadProof;
+use agatehold_core::spread::Spread;
+use agatehold_core::table::Table;
+use agatehold_core::units::TimeMs;
+
+use crate::configs;
+
+use super::drive;
+use super::rows::DaemonRow;
+use super::rows::Faults;
+use super::rows::Fleet;
+use super::rows::FleetPlan;
+use super::rows::Happening;
+use super::rows::PlatformDouble;
+
+/// The time at which every fleet begins, so that ages can lie before it.
+const BEGIN: TimeMs = TimeMs(100_000);
+
+/// The port for exchanges, and that for callers.
+const PORTS: (u16, u16) = (7901, 7900);
+
+fn own_row(number: u32, domains: u32, unix_ms: u64, rng: &mut Pcg64) -> OwnRow {
+    OwnRow {
+        id: configs::host(number),
+        failure_domain: configs::domain(number % domains),
+        peer_address: configs::address(number, PORTS.0),
+        caller_address: configs::address(number, PORTS.1),
+        incarnation: membership::new_incarnation(unix_ms, rng),
+        heartbeat: Heartbeat(0),
+        phase: HostPhase::Serving,
+    }
+}
+
+/// Returns the entry of a daemon in settings and host lists.
+pub fn listed(own: &OwnRow) -> ListedHost {
+    ListedHost {
+        id: own.id.clone(),
+        failure_domain: own.failure_domain.clone(),
+        peer_address: own.peer_address,
+        caller_address: Some(own.caller_address),
+        leaving: false,
+    }
+}
+
+/// Creates a fleet in which every daemon serves the configuration of `base`
+/// and knows every other one.
+///
+/// # Panics
+///
+/// Panics if `base` can't take effect.
+pub fn steady(plan: FleetPlan, base: &Note) -> Fleet {
+    let mut fleet = Fleet {
+        now: BEGIN,
+        daemons: Table::new(),
+        platform: PlatformDouble {
+            up: true,
+            ..PlatformDouble::default()
+        },
+        faults: Faults {
+            loss: plan.loss,
+            ..Faults::default()
+        },
+        texts: Table::new(),
+        measure_bytes: false,
+        open_calls: Default::default(),
+        queue: Default::default(),
+        sequence: 0,
+        rng: Pcg64::seed_from_u64(plan.seed),
+    };
+    drive::release(&mut fleet, "base", base.clone());
+    let mut log = Spread::default();
+    let texts = &fleet.texts;
+    let (taken, fault) = spread::accept(&mut log.log, &fleet.platform.records, |text| {
+        texts.get(&Box::from(text)).cloned()
+    });
+    assert_eq!((taken, fault), (1, None), "the base note must take effect");
+    log.start.done = true;
+    log.published = Some(log.log.head);
+    log.majority_at = Some(BEGIN);
+    log.proof = Some(HeadProof {
+        head: log.log.head,
+        at: BEGIN,
+    });
+    let mut owns = Vec::new();
+    for number in 0..plan.daemons {
+        owns.push(own_row(number, plan.domains, BEGIN.0, &mut fleet.rng));
+    }
+    let mut peers = Table::new();
+    for own in &owns {
+        peers.insert(own.id.clone(), known_row(own, &log));
+    }
+    for own in owns {
+        let mut membership = membership::start(own.clone(), &[], BEGIN);
+        membership.peers = peers.clone();
+        membership.peers.remove(&own.id);
+        membership.ring_changed = true;
+        membership.last_contact = Some(BEGIN);
+        // Daemons do not start at the same moment.
+        membership.plan.next_at =
+            BEGIN + agatehold_core::units::DurationMs(fleet.rng.random_range(0..1_000));
+        membership.plan.turn = fleet.rng.random_range(0..64);
+        add_daemon(&mut fleet, membership, log.clone(), 0);
+    }
+    fleet
+}
+
+fn known_row(own: &OwnRow, log: &Spread) -> PeerRow {
+    PeerRow {
+        failure_domain: own.failure_domain.clone(),
+        peer_address: own.peer_address,
+        caller_address: Some(own.caller_address),
+        incarnation: own.incarnation,
+        heartbeat: own.heartbeat,
+        phase: own.phase,
+        standing: Standing::Alive,
+        head: log.log.head.number,
+        last_heard: Some(BEGIN),
+        last_contact: Some(BEGIN),
+        own_failure: None,
+        listed: true,
+        listed_leaving: false,
+        sends_left: 0,
+        ring_position: membership::ring_position(&own.id),
+    }
+}
+
+fn add_daemon(fleet: &mut Fleet, membership: Membership, spread: Spread, start: u32) {
+    let id = membership.own.id.clone();
+    let row = DaemonRow {
+        membership,
+        spread,
+        running: true,
+        start,
+        sent_bytes: 0,
+        received_bytes: 0,
+        exchanges: 0,
+    };
+    fleet.daemons.insert(id.clone(), row);
+    let first = fleet.rng.random_range(0..100);
+    let at = fleet.now + agatehold_core::units::DurationMs(first);
+    drive::schedule(fleet, at, Happening::Tick(id, start));
+}
+
+/// Ends the process of a daemon; what was sent to it is lost.
+pub fn kill(fleet: &mut Fleet, host: &HostId) {
+    if let Some(row) = fleet.daemons.get_mut(host) {
+        row.running = false;
+        row.start += 1;
+    }
+}
+
+/// Starts a daemon anew, without any state, on the same address.
+///
+/// It knows from its settings the hosts that run at this moment.
+pub fn restart(fleet: &mut Fleet, host: &HostId) {
+    let Some(row) = fleet.daemons.get(host) else {
+        return;
+    };
+    let start = row.start + 1;
+    let mut own = row.membership.own.clone();
+    own.incarnation = membership::new_incarnation(fleet.now.0, &mut fleet.rng);
+    own.incarnation = own.incarnation.max(Incarnation(1));
+    own.heartbeat = Heartbeat(0);
+    own.phase = HostPhase::Starting;
+    let mut known = Vec::new();
+    for (id, other) in fleet.daemons.rows() {
+        if id != host {
+            known.push(listed(&other.membership.own));
+        }
+    }
+    let membership = membership::start(own, &known, fleet.now);
+    add_daemon(fleet, membership, Spread::default(), start);
+}
--- /dev/null
+++ b/crates/agatehold-measure-fleet/src/main.rs
@@ -0,0 +1,3 @@
+//! Measures the fleet's control work and prints Markdown tables.
+
+fn main() {}
--- /dev/null
+++ b/crates/agatehold-wire/src/peers/digest.rs
@@ -0,0 +1,245 @@
+//! Digests.
+
+use prost::Message as _;
+
+use agatehold_core::ids::Incarnation;
+use agatehold_core::ids::NoteNumber;
+use agatehold_core::membership::EvidenceNews;
+use agatehold_core::membership::HeadNews;
+use agatehold_core::membership::Heartbeat;
+use agatehold_core::membership::HostPhase;
+use agatehold_core::membership::JOIN_ROWS_MAX;
+use agatehold_core::membership::PeerDigest;
+use agatehold_core::membership::PermitEntry;
+use agatehold_core::membership::PermitNews;
+use agatehold_core::membership::PoisonNews;
+use agatehold_core::membership::RowNews;
+use agatehold_core::membership::StandingNews;
+use agatehold_core::note::Head;
+
+use crate::generated;
+use crate::generated::standing::Kind;
+
+use super::fields;
+use super::fields::PeerMessageError;
+
+/// The most services with permits in one digest; above the 340 of the design
+/// size.
+const PERMITS_MAX: usize = 1_024;
+
+/// The most permits of one service; above the targets of any service.
+const PERMIT_ENTRIES_MAX: usize = 4_096;
+
+/// The most entries of evidence in one digest, and of poisoned requests.
+const NEWS_MAX: usize = 1_024;
+
+/// Encodes a digest.
+pub fn encode_digest(digest: &PeerDigest) -> Vec<u8> {
+    let mut rows = Vec::new();
+    for row in &digest.rows {
+        rows.push(encode_row(row));
+    }
+    let mut permits = Vec::new();
+    for news in &digest.permits {
+        permits.push(encode_permits(news));
+    }
+    let mut evidence = Vec::new();
+    for news in &digest.evidence {
+        evidence.push(generated::Evidence {
+            target: news.target.to_string(),
+            observer: news.observer.to_string(),
+            log_likelihood_ratio: news.log_likelihood_ratio,
+            age_ms: news.age.0,
+        });
+    }
+    let mut poisoned = Vec::new();
+    for news in &digest.poisoned {
+        poisoned.push(generated::Poison {
+            fingerprint: news.fingerprint.0.to_vec(),
+            crashes: u32::from(news.crashes),
+            age_ms: news.age.0,
+        });
+    }
+    let message = generated::Digest {
+        sender: Some(encode_row(&digest.sender)),
+        rows,
+        head: Some(generated::Head {
+            number: digest.head.head.number.0,
+            hash: digest.head.head.hash.0.to_vec(),
+        }),
+        confirmed_age_ms: digest.head.confirmed_age.map(|age| age.0),
+        permits,
+        evidence,
+        poisoned,
+    };
+    message.encode_to_vec()
+}
+
+fn encode_row(row: &RowNews) -> generated::Row {
+    let kind = match &row.standing {
+        StandingNews::Alive => None,
+        StandingNews::Accused(by, age) => Some(Kind::Accused(generated::Accused {
+            by: by.to_string(),
+            age_ms: age.0,
+        })),
+        StandingNews::Suspected(age) => Some(Kind::SuspectedAgeMs(age.0)),
+        StandingNews::Gone(age) => Some(Kind::GoneAgeMs(age.0)),
+    };
+    generated::Row {
+        host: row.host.to_string(),
+        failure_domain: row.failure_domain.to_string(),
+        peer_address: Some(fields::encode_address(row.peer_address)),
+        caller_address: row.caller_address.map(fields::encode_address),
+        incarnation: row.incarnation.0,
+        heartbeat: row.heartbeat.0,
+        phase: encode_phase(row.phase).into(),
+        head: row.head.0,
+        heard_age_ms: row.heard_age.map(|age| age.0),
+        standing: kind.map(|kind| generated::Standing { kind: Some(kind) }),
+    }
+}
+
+const fn encode_phase(phase: HostPhase) -> generated::Phase {
+    match phase {
+        HostPhase::Starting => generated::Phase::Starting,
+        HostPhase::Serving => generated::Phase::Serving,
+        HostPhase::Isolated => generated::Phase::Isolated,
+        HostPhase::Leaving => generated::Phase::Leaving,
+    }
+}
+
+fn encode_permits(news: &PermitNews) -> generated::Permits {
+    let mut entries = Vec::new();
+    for entry in &news.entries {
+        entries.push(generated::Permit {
+            target: entry.target.to_string(),
+            returning: entry.returning,
+        });
+    }
+    generated::Permits {
+        service: news.service.to_string(),
+        version: news.version,
+        entries,
+        age_ms: news.age.0,
+    }
+}
+
+/// Decodes a digest and checks every field.
+pub fn decode_digest(body: &[u8]) -> Result<PeerDigest, PeerMessageError> {
+    let message = generated::Digest::decode(body).map_err(|_| PeerMessageError::Malformed)?;
+    fields::at_most(&message.rows, JOIN_ROWS_MAX, "rows")?;
+    fields::at_most(&message.permits, PERMITS_MAX, "permits")?;
+    fields::at_most(&message.evidence, NEWS_MAX, "evidence")?;
+    fields::at_most(&message.poisoned, NEWS_MAX, "poisoned")?;
+    let sender = decode_row(&fields::required(message.sender, "sender")?)?;
+    if sender.incarnation == Incarnation(0) || sender.standing != StandingNews::Alive {
+        return Err(PeerMessageError::Field("sender"));
+    }
+    let mut rows = Vec::new();
+    for row in &message.rows {
+        rows.push(decode_row(row)?);
+    }
+    let head = fields::required(message.head, "head")?;
+    let mut permits = Vec::new();
+    for news in &message.permits {
+        permits.push(decode_permits(news)?);
+    }
+    let mut evidence = Vec::new();
+    for news in &message.evidence {
+        if !news.log_likelihood_ratio.is_finite() {
+            return Err(PeerMessageError::Field("log_likelihood_ratio"));
+        }
+        evidence.push(EvidenceNews {
+            target: fields::name(&news.target, "target")?,
+            observer: fields::name(&news.observer, "observer")?,
+            log_likelihood_ratio: news.log_likelihood_ratio,
+            age: fields::age(news.age_ms),
+        });
+    }
+    let mut poisoned = Vec::new();
+    for news in &message.poisoned {
+        let crashes = u8::try_from(news.crashes);
+        poisoned.push(PoisonNews {
+            fingerprint: fields::hash(&news.fingerprint, "fingerprint")?,
+            crashes: crashes.map_err(|_| PeerMessageError::Field("crashes"))?,
+            age: fields::age(news.age_ms),
+        });
+    }
+    Ok(PeerDigest {
+        sender,
+        rows,
+        head: HeadNews {
+            head: Head {
+                number: NoteNumber(head.number),
+                hash: fields::hash(&head.hash, "hash")?,
+            },
+            confirmed_age: message.confirmed_age_ms.map(fields::age),
+        },
+        permits,
+        evidence,
+        poisoned,
+    })
+}
+
+fn decode_row(row: &generated::Row) -> Result<RowNews, PeerMessageError> {
+    let peer_address = fields::required(row.peer_address.as_ref(), "peer_address")?;
+    let caller_address = match &row.caller_address {
+        Some(address) => Some(fields::address(address, "caller_address")?),
+        None => None,
+    };
+    Ok(RowNews {
+        host: fields::name(&row.host, "host")?,
+        failure_domain: fields::name(&row.failure_domain, "failure_domain")?,
+        peer_address: fields::address(peer_address, "peer_address")?,
+        caller_address,
+        incarnation: Incarnation(row.incarnation),
+        heartbeat: Heartbeat(row.heartbeat),
+        phase: decode_phase(row.phase)?,
+        head: NoteNumber(row.head),
+        heard_age: row.heard_age_ms.map(fields::age),
+        standing: decode_standing(row.standing.as_ref())?,
+    })
+}
+
+fn decode_phase(phase: i32) -> Result<HostPhase, PeerMessageError> {
+    match generated::Phase::try_from(phase) {
+        Ok(generated::Phase::Starting) => Ok(HostPhase::Starting),
+        Ok(generated::Phase::Serving) => Ok(HostPhase::Serving),
+        Ok(generated::Phase::Isolated) => Ok(HostPhase::Isolated),
+        Ok(generated::Phase::Leaving) => Ok(HostPhase::Leaving),
+        Ok(generated::Phase::Unspecified) | Err(_) => Err(PeerMessageError::Field("phase")),
+    }
+}
+
+fn decode_standing(
+    standing: Option<&generated::Standing>,
+) -> Result<StandingNews, PeerMessageError> {
+    let Some(standing) = standing else {
+        return Ok(StandingNews::Alive);
+    };
+    match fields::required(standing.kind.as_ref(), "standing")? {
+        Kind::Accused(accused) => Ok(StandingNews::Accused(
+            fields::name(&accused.by, "by")?,
+            fields::age(accused.age_ms),
+        )),
+        Kind::SuspectedAgeMs(ms) => Ok(StandingNews::Suspected(fields::age(*ms))),
+        Kind::GoneAgeMs(ms) => Ok(StandingNews::Gone(fields::age(*ms))),
+    }
+}
+
+fn decode_permits(news: &generated::Permits) -> Result<PermitNews, PeerMessageError> {
+    fields::at_most(&news.entries, PERMIT_ENTRIES_MAX, "entries")?;
+    let mut entries = Vec::new();
+    for entry in &news.entries {
+        entries.push(PermitEntry {
+            target: fields::name(&entry.target, "target")?,
+            returning: entry.returning,
+        });
+    }
+    Ok(PermitNews {
+        service: fields::name(&news.service, "service")?,
+        version: news.version,
+        entries,
+        age: fields::age(news.age_ms),
+    })
+}
--- /dev/null
+++ b/crates/agatehold-wire/src/peers/mod.rs
@@ -0,0 +1,28 @@
+//! The messages between daemons.
+//!
+//! A message is a protobuf body in an authenticated envelope. Bodies are
+//! turned into the plain structs of `agatehold-core` and back.
+
+mod digest;
+mod envelope;
+mod fields;
+mod notes;
+
+pub use digest::decode_digest;
+pub use digest::encode_digest;
+pub use envelope::EnvelopeError;
+pub use envelope::EnvelopeHeader;
+pub use envelope::Method;
+pub use envelope::Opened;
+pub use envelope::PeerKey;
+pub use envelope::ReplayRow;
+pub use envelope::ReplayTable;
+pub use envelope::SECRET_MIN_CHARS;
+pub use envelope::open_answer;
+pub use envelope::open_request;
+pub use envelope::seal;
+pub use fields::PeerMessageError;
+pub use notes::decode_notes_answer;
+pub use notes::decode_notes_request;
+pub use notes::encode_notes_answer;
+pub use notes::encode_notes_request;
