--- /dev/null
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -0,0 +1,217 @@
+//! Runs the systems over the tables.
+
+use rand::Rng;
+
+use crate::addresses::choose_entries;
+use crate::config::TargetState;
+use crate::health;
+use crate::health::record_outcomes;
+use crate::health::refresh_baselines;
+use crate::health::write_verdicts;
+use crate::membership;
+use crate::outcome::OutcomeReport;
+use crate::poison::PoisonTable;
+use crate::poison::is_blamed;
+use crate::routing::Preference;
+use crate::spread;
+use crate::spread::SpreadCommand;
+use crate::spread::watcher_rank;
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+use super::Command;
+use super::ControlTables;
+use super::StateChange;
+use super::exchange::answer_digest;
+use super::exchange::note_peer_change;
+use super::permits;
+
+/// The time between two refreshes of what is normal for the services.
+const BASELINE_PERIOD_MS: DurationMs = DurationMs(1_000);
+
+/// The least time between two choices of the entries. At the design size one
+/// choice costs milliseconds, and changes of membership come in bursts.
+const ENTRIES_PERIOD_MS: DurationMs = DurationMs(500);
+
+/// Runs every system once, in the order in which they depend on each other.
+pub fn tick(
+    tables: &mut ControlTables,
+    poison: &PoisonTable,
+    now: TimeMs,
+    rng: &mut impl Rng,
+) -> Vec<Command> {
+    let mut commands = Vec::new();
+    run_health(tables, poison, now, &mut commands);
+    run_spread(tables, now, rng, &mut commands);
+    run_membership(tables, now, rng, &mut commands);
+    list_hosts(tables, now, &mut commands);
+    permits::run(tables, now, rng, &mut commands);
+    mark_leaving(tables, &mut commands);
+    choose_entry_hosts(tables, now, &mut commands);
+    publish_phase(tables, &mut commands);
+    commands
+}
+
+/// Keeps reports for the next tick.
+pub fn record_reports(
+    tables: &mut ControlTables,
+    reports: impl IntoIterator<Item = OutcomeReport>,
+) {
+    tables.reports.extend(reports);
+}
+
+fn run_health(
+    tables: &mut ControlTables,
+    poison: &PoisonTable,
+    now: TimeMs,
+    commands: &mut Vec<Command>,
+) {
+    let reports = std::mem::take(&mut tables.reports);
+    let config = &tables.spread.log.config;
+    record_outcomes(&mut tables.health, config, &reports, |report| {
+        is_blamed(poison, &report.fingerprint, &report.target)
+    });
+    let refresh_due = tables
+        .baselines_at
+        .is_none_or(|at| now.since(at) >= BASELINE_PERIOD_MS);
+    if refresh_due {
+        tables.baselines_at = Some(now);
+        refresh_baselines(&mut tables.health, config);
+        commands.push(Command::PublishSlowBounds);
+    }
+    let membership = &tables.membership;
+    let own = &membership.own;
+    let judgement = health::judge(
+        &mut tables.health,
+        config,
+        &tables.permits,
+        &own.id,
+        now,
+        |host| {
+            if *host == own.id {
+                return Some(own.failure_domain.clone());
+            }
+            let row = membership.peers.get(host)?;
+            Some(row.failure_domain.clone())
+        },
+    );
+    if judgement.own_path_suspected != tables.judgement.own_path_suspected {
+        let change = StateChange::OwnPath(judgement.own_path_suspected);
+        commands.push(Command::Log(change));
+    }
+    write_verdicts(&judgement, &tables.cells);
+    tables.judgement = judgement;
+    log_preferences(tables, commands);
+}
+
+fn log_preferences(tables: &mut ControlTables, commands: &mut Vec<Command>) {
+    for (name, verdict) in tables.judgement.verdicts.rows() {
+        let logged = tables
+            .logged
+            .get_or_insert(name.clone(), || Preference::Preferred);
+        if *logged == verdict.preference {
+            continue;
+        }
+        *logged = verdict.preference;
+        let change = StateChange::Target(name.clone(), verdict.preference);
+        commands.push(Command::Log(change));
+    }
+    let config = &tables.spread.log.config;
+    tables
+        .logged
+        .retain(|name, _| config.targets.contains(name));
+}
+
+fn run_spread(
+    tables: &mut ControlTables,
+    now: TimeMs,
+    rng: &mut impl Rng,
+    commands: &mut Vec<Command>,
+) {
+    for command in spread::run(&mut tables.spread, &mut tables.membership, now, rng) {
+        if let SpreadCommand::PublishConfig { head } = &command {
+            tables.entries_outdated = true;
+            commands.push(Command::Log(StateChange::Note(*head)));
+        }
+        commands.push(Command::Spread(command));
+    }
+}
+
+fn run_membership(
+    tables: &mut ControlTables,
+    now: TimeMs,
+    rng: &mut impl Rng,
+    commands: &mut Vec<Command>,
+) {
+    let (partners, changes) = membership::run(&mut tables.membership, now, rng);
+    for change in changes {
+        note_peer_change(tables, change, commands);
+    }
+    for host in partners {
+        let digest = answer_digest(tables, &host, now);
+        commands.push(Command::Exchange(host, Box::new(digest)));
+    }
+}
+
+fn list_hosts(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
+    let is_watcher = watcher_rank(&tables.membership).is_some();
+    let period = membership::host_list_period(&tables.membership, is_watcher);
+    let due = tables
+        .hosts_asked_at
+        .is_none_or(|at| now.since(at) >= period);
+    if !due {
+        return;
+    }
+    tables.hosts_asked_at = Some(now);
+    commands.push(Command::ListHosts);
+}
+
+/// Marks the targets that take no new work: by the note, by the host list, or
+/// by the target's own answers, whichever says so first.
+fn mark_leaving(tables: &mut ControlTables, commands: &mut Vec<Command>) {
+    for (name, cell) in tables.cells.rows() {
+        let by_note = tables
+            .spread
+            .log
+            .config
+            .targets
+            .get(name)
+            .is_some_and(|target| target.state == TargetState::Leaving);
+        let by_itself = tables
+            .judgement
+            .verdicts
+            .get(name)
+            .is_some_and(|verdict| verdict.leaving);
+        let leaving = by_note || by_itself || tables.listed_leaving.contains(name);
+        if cell.is_leaving() == leaving {
+            continue;
+        }
+        cell.set_leaving(leaving);
+        let change = StateChange::Leaving(name.clone(), leaving);
+        commands.push(Command::Log(change));
+    }
+}
+
+fn choose_entry_hosts(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
+    let waits = tables
+        .entries_at
+        .is_some_and(|at| now.since(at) < ENTRIES_PERIOD_MS);
+    if !tables.entries_outdated || waits {
+        return;
+    }
+    tables.entries_outdated = false;
+    tables.entries_at = Some(now);
+    tables.entries = choose_entries(&tables.spread.log.config, &tables.membership);
+    commands.push(Command::PublishEntries);
+}
+
+fn publish_phase(tables: &mut ControlTables, commands: &mut Vec<Command>) {
+    let phase = tables.membership.own.phase;
+    if tables.published_phase == Some(phase) {
+        return;
+    }
+    tables.published_phase = Some(phase);
+    tables.entries_outdated = true;
+    commands.push(Command::PublishPhase(phase));
+    commands.push(Command::Log(StateChange::Phase(phase)));
+}
--- a/crates/agatehold-core/src/ids/mod.rs
+++ b/crates/agatehold-core/src/ids/mod.rs
@@ -15,6 +15,7 @@
 pub use number::Epoch;
 pub use number::Incarnation;
 pub use number::NoteNumber;
+pub use number::RequestId;
 
 use quick_error::quick_error;
 
--- a/crates/agatehold-core/src/ids/number.rs
+++ b/crates/agatehold-core/src/ids/number.rs
@@ -28,6 +28,29 @@
     }
 }
 
+/// One request of a caller, drawn at random when it arrives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 32 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(ParseIdError::Hex(32));
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseIdError::Hex(32))
+    }
+}
+
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod addresses;
 pub mod config;
+pub mod control;
 pub mod ejection;
 pub mod health;
 pub mod idempotency;
--- a/crates/agatehold-core/src/membership/digest.rs
+++ b/crates/agatehold-core/src/membership/digest.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::ejection::PermitRecord;
 use crate::ids::Digest;
 use crate::ids::FailureDomain;
 use crate::ids::HostId;
@@ -89,27 +90,16 @@
 }
 
 /// The permit record of one service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PermitNews {
     /// The service.
     pub service: ServiceName,
-    /// The platform's version of the record.
-    pub version: u64,
-    /// The targets that hold a permit.
-    pub entries: Vec<PermitEntry>,
-    /// How long ago the record was read from the platform.
+    /// The record.
+    pub record: PermitRecord,
+    /// How long before now the read that confirmed the record began.
     pub age: DurationMs,
 }
 
-/// One target that holds a permit.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PermitEntry {
-    /// The target.
-    pub target: TargetName,
-    /// Whether the target is on its way back.
-    pub returning: bool,
-}
-
 /// Evidence against one target by one daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EvidenceNews {
@@ -123,13 +113,17 @@
     pub age: DurationMs,
 }
 
-/// A request that crashes targets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A crash of a target while it ran a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoisonNews {
     /// The fingerprint of the request.
     pub fingerprint: Digest,
-    /// The number of targets that it crashed.
-    pub crashes: u8,
-    /// How long ago the last crash was seen.
+    /// The target that crashed.
+    pub target: TargetName,
+    /// The daemon that sent the request.
+    pub reporter: HostId,
+    /// Whether the reporter has taken the mark back.
+    pub cleared: bool,
+    /// How long ago the crash was seen.
     pub age: DurationMs,
 }
--- a/crates/agatehold-core/src/membership/mod.rs
+++ b/crates/agatehold-core/src/membership/mod.rs
@@ -16,7 +16,6 @@
 pub use digest::HeadNews;
 pub use digest::JOIN_ROWS_MAX;
 pub use digest::PeerDigest;
-pub use digest::PermitEntry;
 pub use digest::PermitNews;
 pub use digest::PoisonNews;
 pub use digest::RowNews;
--- a/crates/agatehold-core/src/routing/cell.rs
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -79,6 +79,17 @@
         self.reported_at_ms.store(now.0, Ordering::Relaxed);
     }
 
+    /// Returns the requests of others by the last report and the report's age;
+    /// `None` before the first report.
+    pub fn load_report(&self, now: TimeMs) -> Option<(u32, DurationMs)> {
+        let reported_at_ms = self.reported_at_ms.load(Ordering::Relaxed);
+        if reported_at_ms == 0 {
+            return None;
+        }
+        let others = self.reported_others.load(Ordering::Relaxed);
+        Some((others, now.since(TimeMs(reported_at_ms))))
+    }
+
     /// Returns the estimated load: own requests plus those of others by the
     /// last report, halved for each half-life of the report's age.
     pub fn estimated_load(&self, now: TimeMs) -> f64 {
--- a/crates/agatehold-wire/src/peers/digest.rs
+++ b/crates/agatehold-wire/src/peers/digest.rs
@@ -2,6 +2,10 @@
 
 use prost::Message as _;
 
+use agatehold_core::ejection::PermitEntry;
+use agatehold_core::ejection::PermitNumber;
+use agatehold_core::ejection::PermitRecord;
+use agatehold_core::ejection::PermitState;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::ids::NoteNumber;
 use agatehold_core::membership::EvidenceNews;
@@ -10,12 +14,12 @@
 use agatehold_core::membership::HostPhase;
 use agatehold_core::membership::JOIN_ROWS_MAX;
 use agatehold_core::membership::PeerDigest;
-use agatehold_core::membership::PermitEntry;
 use agatehold_core::membership::PermitNews;
 use agatehold_core::membership::PoisonNews;
 use agatehold_core::membership::RowNews;
 use agatehold_core::membership::StandingNews;
 use agatehold_core::note::Head;
+use agatehold_core::table::Table;
 
 use crate::generated;
 use crate::generated::standing::Kind;
@@ -56,7 +60,9 @@
     for news in &digest.poisoned {
         poisoned.push(generated::Poison {
             fingerprint: news.fingerprint.0.to_vec(),
-            crashes: u32::from(news.crashes),
+            target: news.target.to_string(),
+            reporter: news.reporter.to_string(),
+            cleared: news.cleared,
             age_ms: news.age.0,
         });
     }
@@ -110,15 +116,18 @@
 
 fn encode_permits(news: &PermitNews) -> generated::Permits {
     let mut entries = Vec::new();
-    for entry in &news.entries {
+    for (target, entry) in news.record.entries.rows() {
         entries.push(generated::Permit {
-            target: entry.target.to_string(),
-            returning: entry.returning,
+            target: target.to_string(),
+            returning: entry.state == PermitState::Returning,
+            added: entry.added.0,
+            since: entry.since.0,
+            hold_ms: entry.hold_ms.0,
         });
     }
     generated::Permits {
         service: news.service.to_string(),
-        version: news.version,
+        number: news.record.number.0,
         entries,
         age_ms: news.age.0,
     }
@@ -158,10 +167,11 @@
     }
     let mut poisoned = Vec::new();
     for news in &message.poisoned {
-        let crashes = u8::try_from(news.crashes);
         poisoned.push(PoisonNews {
             fingerprint: fields::hash(&news.fingerprint, "fingerprint")?,
-            crashes: crashes.map_err(|_| PeerMessageError::Field("crashes"))?,
+            target: fields::name(&news.target, "target")?,
+            reporter: fields::name(&news.reporter, "reporter")?,
+            cleared: news.cleared,
             age: fields::age(news.age_ms),
         });
     }
@@ -229,17 +239,27 @@
 
 fn decode_permits(news: &generated::Permits) -> Result<PermitNews, PeerMessageError> {
     fields::at_most(&news.entries, PERMIT_ENTRIES_MAX, "entries")?;
-    let mut entries = Vec::new();
+    let mut entries = Table::new();
     for entry in &news.entries {
-        entries.push(PermitEntry {
-            target: fields::name(&entry.target, "target")?,
-            returning: entry.returning,
-        });
+        let state = if entry.returning {
+            PermitState::Returning
+        } else {
+            PermitState::Ejected
+        };
+        let row = PermitEntry {
+            state,
+            added: PermitNumber(entry.added),
+            since: PermitNumber(entry.since),
+            hold_ms: fields::age(entry.hold_ms),
+        };
+        entries.insert(fields::name(&entry.target, "target")?, row);
     }
     Ok(PermitNews {
         service: fields::name(&news.service, "service")?,
-        version: news.version,
-        entries,
+        record: PermitRecord {
+            number: PermitNumber(news.number),
+            entries,
+        },
         age: fields::age(news.age_ms),
     })
 }
--- a/crates/agatehold-wire/src/platform/record.rs
+++ b/crates/agatehold-wire/src/platform/record.rs
@@ -1,17 +1,16 @@
 //! The records of notes and claims, in JSON.
 
-use std::fmt;
-use std::str::FromStr;
-
 use serde::Deserialize;
 use serde::Serialize;
 
+use agatehold_core::idempotency::ClaimNonce;
+use agatehold_core::idempotency::ClaimRecord;
+use agatehold_core::idempotency::KeyOwner;
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::ids::NoteId;
 use agatehold_core::ids::NoteNumber;
-use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TenantName;
 use agatehold_core::note::Head;
 use agatehold_core::note::NoteHeader;
@@ -41,40 +40,13 @@
     pub text: Box<str>,
 }
 
-/// A random number by which a writer knows its own claim again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct ClaimNonce(pub u128);
-
-impl fmt::Display for ClaimNonce {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
-    }
-}
-
-impl FromStr for ClaimNonce {
-    type Err = PlatformFault;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let error = PlatformFault::Name("32 hexadecimal digits");
-        if text.len() != 32 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            return Err(error);
-        }
-        u128::from_str_radix(text, 16).map(Self).map_err(|_| error)
-    }
-}
-
-/// The value of `claims/<hash>`: which daemon runs a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimRecord {
-    /// The host that runs the request.
-    #[serde(with = "text")]
-    pub owner: HostId,
-    /// The start of that host's daemon.
+#[derive(Serialize, Deserialize)]
+struct ClaimJson {
     #[serde(with = "text")]
-    pub incarnation: Incarnation,
-    /// The random number of this claim.
+    owner: HostId,
     #[serde(with = "text")]
-    pub nonce: ClaimNonce,
+    incarnation: Incarnation,
+    nonce: u64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -136,11 +108,6 @@
     KeyPrefix::known(format!("notes/snapshot/{number}/"))
 }
 
-/// Returns the key of a service's ejection permits.
-pub fn permits_key(service: &ServiceName) -> PlatformKey {
-    PlatformKey::known(format!("permits/{service}"))
-}
-
 /// Returns the key of the claim for an idempotency key of a tenant.
 pub fn claim_key(tenant: &TenantName, idempotency_key: &str) -> PlatformKey {
     let parts = [tenant.as_str().as_bytes(), idempotency_key.as_bytes()];
@@ -211,15 +178,26 @@
 
 /// Reads a claim.
 pub fn decode_claim(bytes: &[u8]) -> Result<ClaimRecord, PlatformFault> {
-    from_json(bytes, "a claim")
+    let json: ClaimJson = from_json(bytes, "a claim")?;
+    Ok(ClaimRecord {
+        owner: KeyOwner {
+            host: json.owner,
+            incarnation: json.incarnation,
+        },
+        nonce: ClaimNonce(json.nonce),
+    })
 }
 
 /// Writes a claim.
 pub fn encode_claim(record: &ClaimRecord) -> Result<Vec<u8>, PlatformFault> {
-    to_json(record)
+    to_json(&ClaimJson {
+        owner: record.owner.host.clone(),
+        incarnation: record.owner.incarnation,
+        nonce: record.nonce.0,
+    })
 }
 
-fn from_json<'a, T: Deserialize<'a>>(
+pub(super) fn from_json<'a, T: Deserialize<'a>>(
     bytes: &'a [u8],
     expected: &'static str,
 ) -> Result<T, PlatformFault> {
@@ -227,6 +205,6 @@
         .map_err(|error| PlatformFault::Body(expected, error.to_string().into()))
 }
 
-fn to_json<T: Serialize>(value: &T) -> Result<Vec<u8>, PlatformFault> {
+pub(super) fn to_json<T: Serialize>(value: &T) -> Result<Vec<u8>, PlatformFault> {
     serde_json::to_vec(value).map_err(|error| PlatformFault::Encode(error.to_string().into()))
 }
--- a/crates/agatehold-wire/tests/platform_codec.rs
+++ b/crates/agatehold-wire/tests/platform_codec.rs
@@ -4,14 +4,15 @@
 use http::HeaderValue;
 use http::StatusCode;
 
+use agatehold_core::idempotency::ClaimNonce;
+use agatehold_core::idempotency::ClaimRecord;
+use agatehold_core::idempotency::KeyOwner;
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::NoteId;
 use agatehold_core::ids::NoteNumber;
 use agatehold_core::note::NoteHeader;
 use agatehold_core::units::DurationMs;
 use agatehold_wire::platform;
-use agatehold_wire::platform::ClaimNonce;
-use agatehold_wire::platform::ClaimRecord;
 use agatehold_wire::platform::HeadRecord;
 use agatehold_wire::platform::NoteRecord;
 use agatehold_wire::platform::PlatformAnswer;
@@ -168,8 +169,10 @@
     let altered = String::from_utf8(bytes).unwrap().replace("= ana", "= eve");
     assert!(platform::decode_note(altered.as_bytes()).is_err());
     let claim = ClaimRecord {
-        owner: "e1".parse().unwrap(),
-        incarnation: "00000000000000ff".parse().unwrap(),
+        owner: KeyOwner {
+            host: "e1".parse().unwrap(),
+            incarnation: "00000000000000ff".parse().unwrap(),
+        },
         nonce: ClaimNonce(5),
     };
     let bytes = platform::encode_claim(&claim).unwrap();
--- /dev/null
+++ b/crates/agatehold/src/control/apply.rs
@@ -0,0 +1,104 @@
+//! Carries out the commands of the control systems.
+
+use agatehold_core::control::Command;
+use agatehold_core::ids::HostId;
+use agatehold_core::membership;
+use agatehold_core::membership::HostPhase;
+use agatehold_core::spread;
+use agatehold_core::spread::NoteSource;
+use agatehold_core::spread::SpreadCommand;
+
+use crate::peers::PeerJob;
+use crate::platform::PlatformJob;
+use crate::shared::Phase;
+
+use super::ControlLoop;
+
+impl ControlLoop {
+    /// Carries out commands in order.
+    pub(super) fn apply(&mut self, commands: Vec<Command>) {
+        for command in commands {
+            self.apply_one(command);
+        }
+    }
+
+    fn apply_one(&mut self, command: Command) {
+        match command {
+            Command::Exchange(host, digest) => self.exchange(host, *digest),
+            Command::Spread(command) => self.apply_spread(command),
+            Command::ListHosts => self.push_platform(PlatformJob::ListHosts),
+            Command::ListPermits => self.push_platform(PlatformJob::ListPermits),
+            Command::ReadPermit(service) => {
+                self.push_platform(PlatformJob::ReadPermit(service));
+            }
+            Command::WritePermit(write) => self.push_platform(PlatformJob::WritePermit(write)),
+            Command::PublishEntries => self.publish_entries(),
+            Command::PublishPhase(phase) => self.publish_phase(phase),
+            Command::PublishSlowBounds => self.publish_slow_bounds(),
+            Command::Log(change) => log::info!("{change}"),
+        }
+    }
+
+    fn exchange(&mut self, host: HostId, digest: membership::PeerDigest) {
+        let Some(row) = self.tables.membership.peers.get(&host) else {
+            return;
+        };
+        self.peers.push(PeerJob::Exchange {
+            address: row.peer_address,
+            host,
+            digest: Box::new(digest),
+        });
+    }
+
+    fn apply_spread(&mut self, command: SpreadCommand) {
+        match command {
+            SpreadCommand::ReadHead => self.push_head_job(PlatformJob::ReadHead),
+            SpreadCommand::WatchHead { wait_ms } => {
+                self.push_head_job(PlatformJob::WatchHead(wait_ms));
+            }
+            SpreadCommand::ReadNotes { after } => {
+                if !self.platform.push(PlatformJob::ReadNotes(after)) {
+                    let source = NoteSource::Platform;
+                    spread::request_failed(&mut self.tables.spread, &source);
+                }
+            }
+            SpreadCommand::AskPeer { host, request } => {
+                let Some(row) = self.tables.membership.peers.get(&host) else {
+                    spread::request_failed(&mut self.tables.spread, &NoteSource::Peer(host));
+                    return;
+                };
+                self.peers.push(PeerJob::FetchNotes {
+                    address: row.peer_address,
+                    host,
+                    request,
+                });
+            }
+            SpreadCommand::PublishConfig { .. } => self.publish_routing(),
+            SpreadCommand::WriteBack(write_back) => {
+                self.push_platform(PlatformJob::WriteBack(write_back));
+            }
+        }
+    }
+
+    fn push_head_job(&mut self, job: PlatformJob) {
+        if !self.platform.push(job) {
+            spread::platform_failed(&mut self.tables.spread);
+        }
+    }
+
+    /// A job without room in the queue is due again after its period.
+    fn push_platform(&self, job: PlatformJob) {
+        if !self.platform.push(job) {
+            metrics::counter!("agatehold_platform_jobs_dropped_total").increment(1);
+        }
+    }
+
+    fn publish_phase(&mut self, phase: HostPhase) {
+        self.shared.set_phase(match phase {
+            HostPhase::Starting => Phase::Starting,
+            HostPhase::Serving => Phase::Serving,
+            HostPhase::Isolated => Phase::Isolated,
+            HostPhase::Leaving => Phase::Leaving,
+        });
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/control/publish.rs
@@ -0,0 +1,96 @@
+//! Publishes what the traffic threads read.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use agatehold_core::limits::QueueLimits;
+use agatehold_core::membership::Standing;
+use agatehold_core::retry::RetryBudget;
+use agatehold_core::routing;
+
+use crate::gate::ServiceGate;
+use crate::shared::EntryBook;
+use crate::shared::Published;
+
+use super::ControlLoop;
+
+impl ControlLoop {
+    /// Publishes the routing table of the configuration in force.
+    pub(super) fn publish_routing(&mut self) {
+        let log = &self.tables.spread.log;
+        let table = routing::build(log.head, &log.config, &mut self.tables.cells);
+        let now = self.shared.clock.now();
+        let config = &log.config;
+        self.gates.retain(|name, _| config.services.contains(name));
+        let mut gates = Vec::with_capacity(table.services.len());
+        let mut slow_bounds = Vec::with_capacity(table.services.len());
+        for service in &table.services {
+            let limits = QueueLimits::of(&service.policy);
+            let share = service.policy.retry_budget;
+            let gate = self.gates.get_or_insert(service.name.clone(), || {
+                Arc::new(ServiceGate::new(limits, RetryBudget::new(share, now)))
+            });
+            gate.set_limits(limits);
+            gate.with_budget(|budget| budget.set_share(share));
+            gates.push(Arc::clone(gate));
+            slow_bounds.push(AtomicU64::new(0));
+        }
+        self.shared.published.store(Arc::new(Published {
+            table,
+            gates,
+            slow_bounds,
+        }));
+        self.publish_slow_bounds();
+    }
+
+    /// Publishes when an answer of each service counts as slow.
+    pub(super) fn publish_slow_bounds(&self) {
+        let published = self.shared.published.load();
+        for (service, bound) in published.table.services.iter().zip(&published.slow_bounds) {
+            let bound_ms = self
+                .tables
+                .health
+                .services
+                .get(&service.name)
+                .map_or(0, |baseline| baseline.slow_bound_ms.0);
+            bound.store(bound_ms, Ordering::Relaxed);
+        }
+    }
+
+    /// Publishes the entries of the services and the hosts that own keys.
+    pub(super) fn publish_entries(&self) {
+        let mut by_host = HashMap::new();
+        let own = &self.tables.membership.own;
+        by_host.insert(own.id.clone(), (own.incarnation, own.caller_address));
+        for (id, row) in self.tables.membership.peers.rows() {
+            let gone = matches!(row.standing, Standing::Gone { .. });
+            if let (Some(address), false) = (row.caller_address, gone) {
+                by_host.insert(id.clone(), (row.incarnation, address));
+            }
+        }
+        let mut by_service = HashMap::new();
+        for (service, row) in self.tables.entries.rows() {
+            by_service.insert(service.clone(), row.clone());
+        }
+        self.shared.entries.store(Arc::new(EntryBook {
+            by_service,
+            by_host,
+        }));
+    }
+
+    /// Publishes the gauges of the control thread.
+    pub(super) fn publish_gauges(&self) {
+        let head = self.tables.spread.log.head.number.0;
+        metrics::gauge!("agatehold_note_number").set(head as f64);
+        metrics::gauge!("agatehold_known_hosts")
+            .set((self.tables.membership.peers.len() + 1) as f64);
+        let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
+        metrics::gauge!("agatehold_in_flight").set(in_flight as f64);
+        for (service, gate) in self.gates.rows() {
+            metrics::gauge!("agatehold_queue_length", "service" => service.to_string())
+                .set(gate.waiting() as f64);
+        }
+    }
+}
--- a/crates/agatehold/src/main.rs
+++ b/crates/agatehold/src/main.rs
@@ -1,3 +1,89 @@
-//! TBD.
+//! The agatehold daemon.
 
-fn main() {}
+mod admin;
+mod clock;
+mod control;
+mod daemon;
+mod gate;
+mod options;
+mod peers;
+mod platform;
+mod shared;
+mod telemetry;
+mod traffic;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use agatehold_settings::process::DaemonSettings;
+use agatehold_settings::process::parse_daemon;
+
+use daemon::Ended;
+use options::Options;
+
+/// The exit code for a failure.
+const EXIT_FAILURE: u8 = 1;
+
+/// The exit code for wrong usage.
+const EXIT_USAGE: u8 = 2;
+
+/// The exit code for invalid settings.
+const EXIT_SETTINGS: u8 = 3;
+
+/// The exit code for a forced stop that cut requests.
+const EXIT_CUT: u8 = 7;
+
+fn main() -> ExitCode {
+    let options = match options::parse(std::env::args_os().skip(1)) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("agatehold: {error}\n\n{}", options::HELP);
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let (path, check) = match options {
+        Options::Help => {
+            print!("{}", options::HELP);
+            return ExitCode::SUCCESS;
+        }
+        Options::Version => {
+            println!("agatehold {}", env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
+        Options::Check(path) => (path, true),
+        Options::Run(path) => (path, false),
+    };
+    let settings = match load_settings(&path) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if check {
+        println!("{}: the settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match daemon::run(settings) {
+        Ok(Ended::Gracefully) => ExitCode::SUCCESS,
+        Ok(Ended::Cut(requests)) => {
+            log::error!("forced stop cut requests: count={requests}");
+            ExitCode::from(EXIT_CUT)
+        }
+        Err(error) => {
+            eprintln!("agatehold: {error}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
+fn load_settings(path: &Path) -> Result<DaemonSettings, ExitCode> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        eprintln!("agatehold: reading {file} failed: {error}");
+        ExitCode::from(EXIT_SETTINGS)
+    })?;
+    parse_daemon(&file, &text).map_err(|errors| {
+        for error in errors {
+            eprintln!("{error}");
+        }
+        ExitCode::from(EXIT_SETTINGS)
+    })
+}
--- /dev/null
+++ b/crates/agatehold/src/peers/client.rs
@@ -0,0 +1,223 @@
+//! Sends messages to other daemons.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use tokio::sync::mpsc;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::Incarnation;
+use agatehold_core::membership::PeerDigest;
+use agatehold_core::spread::NotesAnswer;
+use agatehold_core::spread::NotesRequest;
+use agatehold_wire::generated::Envelope;
+use agatehold_wire::generated::peers_client::PeersClient;
+use agatehold_wire::peers::EnvelopeHeader;
+use agatehold_wire::peers::Method;
+use agatehold_wire::peers::PeerKey;
+use agatehold_wire::peers::decode_digest;
+use agatehold_wire::peers::decode_notes_answer;
+use agatehold_wire::peers::encode_digest;
+use agatehold_wire::peers::encode_notes_request;
+use agatehold_wire::peers::open_answer;
+use agatehold_wire::peers::seal;
+
+use crate::control::Input;
+use crate::shared::Shared;
+
+use super::PeerJob;
+
+/// How long an exchange may take; hosts are a few milliseconds apart.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a request for notes may take.
+const NOTES_TIMEOUT: Duration = Duration::from_millis(1_400);
+
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The connections that are kept; a daemon has about ten neighbours at the
+/// design size, and rarely talks to others.
+const CONNECTIONS_MAX: usize = 64;
+
+/// What the tasks of the client share.
+struct Client {
+    own: HostId,
+    incarnation: Incarnation,
+    key: PeerKey,
+    inputs: Sender<Input>,
+    channels: RefCell<HashMap<SocketAddr, Channel>>,
+    sequence: Cell<u64>,
+}
+
+/// Runs jobs until the thread ends.
+pub(super) async fn run(
+    shared: &Arc<Shared>,
+    key: PeerKey,
+    inputs: Sender<Input>,
+    mut jobs: mpsc::Receiver<PeerJob>,
+) {
+    let client = Rc::new(Client {
+        own: shared.host.clone(),
+        incarnation: shared.incarnation,
+        key,
+        inputs,
+        channels: RefCell::default(),
+        sequence: Cell::new(0),
+    });
+    let clock = shared.clock;
+    while let Some(job) = jobs.recv().await {
+        let client = Rc::clone(&client);
+        match job {
+            PeerJob::Close => return,
+            PeerJob::Exchange {
+                host,
+                address,
+                digest,
+            } => {
+                let sent_at = clock.now();
+                tokio::task::spawn_local(async move {
+                    let answer = client.exchange(&host, address, &digest).await;
+                    client.tell(Input::Exchanged {
+                        host,
+                        answer: answer.map(Box::new),
+                        sent_at,
+                    });
+                });
+            }
+            PeerJob::FetchNotes {
+                host,
+                address,
+                request,
+            } => {
+                tokio::task::spawn_local(async move {
+                    let answer = client.fetch_notes(&host, address, request).await;
+                    client.tell(Input::PeerNotes(host, answer));
+                });
+            }
+        }
+    }
+}
+
+impl Client {
+    fn tell(&self, input: Input) {
+        if self.inputs.try_send(input).is_err() {
+            metrics::counter!("agatehold_inputs_dropped_total").increment(1);
+        }
+    }
+
+    async fn exchange(
+        &self,
+        host: &HostId,
+        address: SocketAddr,
+        digest: &PeerDigest,
+    ) -> Option<PeerDigest> {
+        let body = encode_digest(digest);
+        let body = self
+            .call(Method::Exchange, host, address, body, EXCHANGE_TIMEOUT)
+            .await?;
+        let answer = decode_digest(&body).ok()?;
+        (answer.sender.host == *host).then_some(answer)
+    }
+
+    async fn fetch_notes(
+        &self,
+        host: &HostId,
+        address: SocketAddr,
+        request: NotesRequest,
+    ) -> Option<NotesAnswer> {
+        let body = encode_notes_request(&request);
+        let body = self
+            .call(Method::FetchNotes, host, address, body, NOTES_TIMEOUT)
+            .await?;
+        decode_notes_answer(&body).ok()
+    }
+
+    /// Makes a call. A kept connection may have gone silent, so that a call
+    /// that fails on one is made once more on a new one.
+    async fn call(
+        &self,
+        method: Method,
+        host: &HostId,
+        address: SocketAddr,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Option<Vec<u8>> {
+        let kept = self.channels.borrow().get(&address).cloned();
+        if let Some(channel) = kept {
+            let answer = self.call_on(channel, method, host, &body, timeout).await;
+            if answer.is_some() {
+                return answer;
+            }
+            self.channels.borrow_mut().remove(&address);
+        }
+        let channel = open_channel(address)?;
+        let answer = self
+            .call_on(channel.clone(), method, host, &body, timeout)
+            .await?;
+        let mut channels = self.channels.borrow_mut();
+        if channels.len() >= CONNECTIONS_MAX {
+            channels.clear();
+        }
+        channels.insert(address, channel);
+        Some(answer)
+    }
+
+    async fn call_on(
+        &self,
+        channel: Channel,
+        method: Method,
+        host: &HostId,
+        body: &[u8],
+        timeout: Duration,
+    ) -> Option<Vec<u8>> {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        let header = EnvelopeHeader {
+            sender: self.own.clone(),
+            receiver: host.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            answers: None,
+        };
+        let envelope = seal(&self.key, method, &header, body.to_vec());
+        let answer = tokio::time::timeout(timeout, send(channel, method, envelope))
+            .await
+            .ok()??;
+        match open_answer(&self.key, method, &header, answer) {
+            Ok(opened) => Some(opened.body),
+            Err(error) => {
+                metrics::counter!("agatehold_envelopes_refused_total").increment(1);
+                log::debug!("answer of a peer refused: host={host} reason={error}");
+                None
+            }
+        }
+    }
+}
+
+fn open_channel(address: SocketAddr) -> Option<Channel> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    Some(
+        endpoint
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .connect_lazy(),
+    )
+}
+
+async fn send(channel: Channel, method: Method, envelope: Envelope) -> Option<Envelope> {
+    let mut client = PeersClient::new(channel);
+    let answer = match method {
+        Method::Exchange => client.exchange(envelope).await,
+        Method::FetchNotes => client.fetch_notes(envelope).await,
+    };
+    answer.ok().map(tonic::Response::into_inner)
+}
--- /dev/null
+++ b/crates/agatehold/src/peers/mod.rs
@@ -0,0 +1,134 @@
+//! The thread that exchanges messages with the other daemons.
+
+mod client;
+mod server;
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use crossbeam::channel::Sender;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use agatehold_core::ids::HostId;
+use agatehold_core::membership::PeerDigest;
+use agatehold_core::spread::NotesRequest;
+use agatehold_wire::peers::PeerKey;
+
+use crate::control::Input;
+use crate::shared::Shared;
+
+/// The jobs that wait for the thread.
+const QUEUE_LENGTH: usize = 256;
+
+/// One message to another daemon.
+#[derive(Debug)]
+pub(crate) enum PeerJob {
+    /// Exchange digests.
+    Exchange {
+        host: HostId,
+        address: SocketAddr,
+        digest: Box<PeerDigest>,
+    },
+    /// Ask for notes.
+    FetchNotes {
+        host: HostId,
+        address: SocketAddr,
+        request: NotesRequest,
+    },
+    /// End the thread.
+    Close,
+}
+
+/// Hands jobs to the thread.
+#[derive(Clone)]
+pub(crate) struct PeerQueue {
+    jobs: mpsc::Sender<PeerJob>,
+}
+
+impl PeerQueue {
+    /// Queues a job; one without room is dropped and counted, and its answer
+    /// is missed like a lost message.
+    pub(crate) fn push(&self, job: PeerJob) {
+        if self.jobs.try_send(job).is_err() {
+            metrics::counter!("agatehold_peer_jobs_dropped_total").increment(1);
+        }
+    }
+}
+
+/// The running peers thread.
+pub(crate) struct PeerThread {
+    thread: JoinHandle<()>,
+    queue: PeerQueue,
+}
+
+impl PeerThread {
+    /// Binds the peers' address and starts the thread.
+    pub(crate) fn start(
+        shared: &Arc<Shared>,
+        key: PeerKey,
+        inputs: Sender<Input>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(shared.settings.listen.peers)?;
+        listener.set_nonblocking(true)?;
+        let (jobs, jobs_seen) = mpsc::channel(QUEUE_LENGTH);
+        let shared = Arc::clone(shared);
+        let thread = std::thread::Builder::new()
+            .name("peers".to_owned())
+            .spawn(move || run_thread(shared, key, inputs, listener, jobs_seen))?;
+        Ok(Self {
+            thread,
+            queue: PeerQueue { jobs },
+        })
+    }
+
+    /// Returns the queue of jobs.
+    pub(crate) fn queue(&self) -> PeerQueue {
+        self.queue.clone()
+    }
+
+    /// Ends the thread.
+    pub(crate) fn close(self) {
+        if self.queue.jobs.blocking_send(PeerJob::Close).is_err() {
+            log::error!("the peers thread had ended");
+        }
+        if self.thread.join().is_err() {
+            log::error!("the peers thread panicked");
+        }
+    }
+}
+
+fn run_thread(
+    shared: Arc<Shared>,
+    key: PeerKey,
+    inputs: Sender<Input>,
+    listener: TcpListener,
+    jobs: mpsc::Receiver<PeerJob>,
+) {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("starting the runtime of the peers thread failed: {error}");
+            std::process::abort();
+        }
+    };
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let serving = server::serve(&shared, key.clone(), inputs.clone(), listener);
+        tokio::select! {
+            result = serving => {
+                if let Err(error) = result {
+                    log::error!("serving peers failed: {error}");
+                    std::process::abort();
+                }
+            }
+            () = client::run(&shared, key, inputs, jobs) => {}
+        }
+    });
+}
--- /dev/null
+++ b/crates/agatehold/src/platform/mod.rs
@@ -0,0 +1,312 @@
+//! The threads that call the platform.
+//!
+//! Calls block; their answers come back to the control thread as inputs. A
+//! call that does not fit into the queue counts as failed.
+
+mod call;
+mod notes;
+
+use std::io;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use crossbeam::channel::bounded;
+
+use agatehold_core::control::PermitVersion;
+use agatehold_core::control::PermitWrite;
+use agatehold_core::ejection::PermitRecord;
+use agatehold_core::ids::NoteNumber;
+use agatehold_core::ids::ServiceName;
+use agatehold_core::note::Head;
+use agatehold_core::spread::WriteBack;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::TimeMs;
+use agatehold_wire::platform::HeadRecord;
+use agatehold_wire::platform::HostListRow;
+use agatehold_wire::platform::PlatformAnswer;
+use agatehold_wire::platform::PlatformRequest;
+use agatehold_wire::platform::ValueVersion;
+use agatehold_wire::platform::decode_head;
+use agatehold_wire::platform::decode_permits;
+use agatehold_wire::platform::encode_permits;
+use agatehold_wire::platform::head_key;
+use agatehold_wire::platform::parse_permits_key;
+use agatehold_wire::platform::permits_key;
+use agatehold_wire::platform::permits_prefix;
+
+use crate::control::Input;
+use crate::shared::Shared;
+
+use call::PlatformCaller;
+
+/// The jobs that wait for a platform thread.
+const QUEUE_LENGTH: usize = 64;
+
+/// The threads that make calls other than watches. Two, so that reading many
+/// notes does not hold up the confirmation of permits.
+const CALL_THREADS: usize = 2;
+
+/// One thing to ask of the platform.
+#[derive(Clone, Debug)]
+pub(crate) enum PlatformJob {
+    /// Read the head.
+    ReadHead,
+    /// Wait for another head than the one last seen.
+    WatchHead(DurationMs),
+    /// Read the notes after this one.
+    ReadNotes(NoteNumber),
+    /// Write to a platform that was restored to an older state.
+    WriteBack(Box<WriteBack>),
+    /// Read the host list.
+    ListHosts,
+    /// List the permit records.
+    ListPermits,
+    /// Read a permit record.
+    ReadPermit(ServiceName),
+    /// Write a permit record.
+    WritePermit(Box<PermitWrite>),
+}
+
+/// Hands jobs to the platform threads.
+#[derive(Clone)]
+pub(crate) struct PlatformQueue {
+    calls: Sender<PlatformJob>,
+    watches: Sender<PlatformJob>,
+}
+
+impl PlatformQueue {
+    /// Queues a job and returns whether there was room.
+    pub(crate) fn push(&self, job: PlatformJob) -> bool {
+        let queue = match job {
+            PlatformJob::WatchHead(_) => &self.watches,
+            _ => &self.calls,
+        };
+        queue.try_send(job).is_ok()
+    }
+}
+
+/// The running platform threads.
+pub(crate) struct PlatformThreads {
+    threads: Vec<JoinHandle<()>>,
+    queue: PlatformQueue,
+}
+
+impl PlatformThreads {
+    /// Starts the threads; answers go to `inputs`.
+    pub(crate) fn start(shared: &Arc<Shared>, inputs: &Sender<Input>) -> io::Result<Self> {
+        let (calls, calls_seen) = bounded(QUEUE_LENGTH);
+        let (watches, watches_seen) = bounded(1);
+        let mut threads = Vec::new();
+        for number in 0..CALL_THREADS {
+            let name = format!("platform-{number}");
+            let jobs = calls_seen.clone();
+            threads.push(start_thread(name, shared, inputs, jobs)?);
+        }
+        let name = "platform-watch".to_owned();
+        threads.push(start_thread(name, shared, inputs, watches_seen)?);
+        Ok(Self {
+            threads,
+            queue: PlatformQueue { calls, watches },
+        })
+    }
+
+    /// Returns the queue of jobs.
+    pub(crate) fn queue(&self) -> PlatformQueue {
+        self.queue.clone()
+    }
+
+    /// Ends the threads once all queues are dropped. A thread in a call ends
+    /// with the process, since a call can't be interrupted.
+    pub(crate) fn close(self) {
+        drop(self.queue);
+        for thread in self.threads {
+            if thread.is_finished() && thread.join().is_err() {
+                log::error!("a platform thread panicked");
+            }
+        }
+    }
+}
+
+fn start_thread(
+    name: String,
+    shared: &Arc<Shared>,
+    inputs: &Sender<Input>,
+    jobs: Receiver<PlatformJob>,
+) -> io::Result<JoinHandle<()>> {
+    let shared = Arc::clone(shared);
+    let inputs = inputs.clone();
+    std::thread::Builder::new()
+        .name(name)
+        .spawn(move || run_jobs(&shared, &jobs, &inputs))
+}
+
+fn run_jobs(shared: &Shared, jobs: &Receiver<PlatformJob>, inputs: &Sender<Input>) {
+    let caller = PlatformCaller::new(&shared.settings.platform);
+    let mut watched = ValueVersion::default();
+    for job in jobs {
+        let sent_at = shared.clock.now();
+        let input = run_job(&caller, job, &mut watched, shared, sent_at);
+        if inputs.send(input).is_err() {
+            return;
+        }
+    }
+}
+
+fn run_job(
+    caller: &PlatformCaller,
+    job: PlatformJob,
+    watched: &mut ValueVersion,
+    shared: &Shared,
+    sent_at: TimeMs,
+) -> Input {
+    match job {
+        PlatformJob::ReadHead => Input::HeadRead {
+            head: read_head(caller).map(|(_, head)| head),
+            sent_at,
+        },
+        PlatformJob::WatchHead(wait_ms) => watch_head(caller, wait_ms, watched, shared, sent_at),
+        PlatformJob::ReadNotes(after) => Input::PlatformNotes(notes::read_notes(caller, after)),
+        PlatformJob::WriteBack(write_back) => {
+            let written = notes::write_back(caller, &write_back).is_some();
+            log::warn!(
+                "wrote the notes in force back to the platform: head={} written={written}",
+                write_back.head.number
+            );
+            let sent_at = shared.clock.now();
+            Input::HeadRead {
+                head: read_head(caller).map(|(_, head)| head),
+                sent_at,
+            }
+        }
+        PlatformJob::ListHosts => Input::HostsRead(list_hosts(caller)),
+        PlatformJob::ListPermits => Input::PermitsListed {
+            listed: list_permits(caller),
+            sent_at,
+        },
+        PlatformJob::ReadPermit(service) => Input::PermitRead {
+            answer: read_permit(caller, &service),
+            service,
+            sent_at,
+        },
+        PlatformJob::WritePermit(write) => Input::PermitWritten {
+            version: write_permit(caller, &write),
+            write,
+            sent_at,
+        },
+    }
+}
+
+/// Reads the head and its version; a platform without notes has the head of
+/// an empty chain.
+fn read_head(caller: &PlatformCaller) -> Option<(ValueVersion, Head)> {
+    let answer = caller.call(&PlatformRequest::Get { key: head_key() })?;
+    decode_head_answer(answer)
+}
+
+fn decode_head_answer(answer: PlatformAnswer) -> Option<(ValueVersion, Head)> {
+    match answer {
+        PlatformAnswer::Value { version, value } => {
+            let HeadRecord { head, .. } = decode_head(&value).ok()?;
+            Some((version, head))
+        }
+        PlatformAnswer::Missing => Some((ValueVersion(0), Head::default())),
+        _ => None,
+    }
+}
+
+/// Waits for a newer head, and reads the head when the wait was in vain: a
+/// platform that was restored to an older state has a lower version, for which
+/// the watch does not end.
+fn watch_head(
+    caller: &PlatformCaller,
+    wait_ms: DurationMs,
+    watched: &mut ValueVersion,
+    shared: &Shared,
+    watched_from: TimeMs,
+) -> Input {
+    let request = PlatformRequest::Watch {
+        key: head_key(),
+        after: *watched,
+        wait_ms,
+    };
+    let mut sent_at = watched_from;
+    let found = match caller.watch(&request, wait_ms) {
+        Some(PlatformAnswer::Unchanged) => {
+            sent_at = shared.clock.now();
+            read_head(caller)
+        }
+        Some(answer) => decode_head_answer(answer),
+        None => None,
+    };
+    if let Some((version, _)) = found {
+        *watched = version;
+    }
+    Input::HeadRead {
+        head: found.map(|(_, head)| head),
+        sent_at,
+    }
+}
+
+fn list_hosts(caller: &PlatformCaller) -> Option<Vec<HostListRow>> {
+    match caller.call(&PlatformRequest::ListHosts)? {
+        PlatformAnswer::Hosts(rows) => Some(rows),
+        _ => None,
+    }
+}
+
+fn list_permits(caller: &PlatformCaller) -> Option<Vec<(ServiceName, PermitVersion)>> {
+    let request = PlatformRequest::ListKeys {
+        prefix: permits_prefix(),
+    };
+    let PlatformAnswer::Keys(keys) = caller.call(&request)? else {
+        return None;
+    };
+    let mut listed = Vec::with_capacity(keys.len());
+    for (key, version) in keys {
+        if let Some(service) = parse_permits_key(&key) {
+            listed.push((service, PermitVersion(version.0)));
+        }
+    }
+    Some(listed)
+}
+
+fn read_permit(
+    caller: &PlatformCaller,
+    service: &ServiceName,
+) -> Option<(PermitVersion, PermitRecord)> {
+    let request = PlatformRequest::Get {
+        key: permits_key(service),
+    };
+    match caller.call(&request)? {
+        PlatformAnswer::Value { version, value } => {
+            let record = decode_permits(&value).ok()?;
+            Some((PermitVersion(version.0), record))
+        }
+        PlatformAnswer::Missing => Some((PermitVersion(0), Default::default())),
+        _ => None,
+    }
+}
+
+fn write_permit(caller: &PlatformCaller, write: &PermitWrite) -> Option<PermitVersion> {
+    let value = encode_permits(&write.record).ok()?;
+    let key = permits_key(&write.service);
+    let request = match write.version {
+        PermitVersion(0) => PlatformRequest::Create {
+            key,
+            value,
+            lease: None,
+        },
+        PermitVersion(version) => PlatformRequest::CompareAndSwap {
+            key,
+            version: ValueVersion(version),
+            value,
+            lease: None,
+        },
+    };
+    match caller.call(&request)? {
+        PlatformAnswer::Stored { version } => Some(PermitVersion(version.0)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/traffic/intake.rs
@@ -0,0 +1,189 @@
+//! Reads a caller's request whole and checks it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::RequestId;
+use agatehold_core::ids::TenantName;
+use agatehold_core::refusal::RefusalKind;
+use agatehold_core::units::DurationMs;
+use agatehold_wire::headers;
+
+use super::answer::strip_hop_by_hop;
+use super::framing::FAULT_HEADER;
+
+/// Headers of a request that agatehold sets or consumes itself.
+const CONSUMED: [&str; 7] = [
+    headers::TIMEOUT_MS,
+    headers::IDEMPOTENT,
+    headers::REQUEST_ID,
+    headers::FORWARDED_BY,
+    "host",
+    "content-length",
+    "expect",
+];
+
+/// A request that arrived whole.
+pub(crate) struct Arrival {
+    /// Drawn at random for this arrival.
+    pub(crate) request_id: RequestId,
+    /// The method.
+    pub(crate) method: Method,
+    /// The host name without its port, empty if absent.
+    pub(crate) host: Box<str>,
+    /// The path with its query.
+    pub(crate) path_and_query: Box<str>,
+    /// The headers that go on to the target.
+    pub(crate) headers: HeaderMap,
+    /// The whole body.
+    pub(crate) body: Bytes,
+    /// The tenant, `None` if missing or malformed.
+    pub(crate) tenant: Option<TenantName>,
+    /// The time that the caller gives; `None` if it says nothing.
+    pub(crate) timeout_ms: Option<DurationMs>,
+    /// The idempotency key as received.
+    pub(crate) key: Option<Box<str>>,
+    /// Whether the caller marked the request as non-idempotent.
+    pub(crate) marked_non_idempotent: bool,
+    /// The daemon that forwarded the request.
+    pub(crate) forwarded_by: Option<HostId>,
+}
+
+impl Arrival {
+    /// Returns the path without its query.
+    pub(crate) fn path(&self) -> &str {
+        self.path_and_query.split('?').next().unwrap_or("/")
+    }
+}
+
+/// The limits of a request's body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyLimits {
+    /// The size of the body.
+    pub(crate) body_bytes: usize,
+    /// The time from the end of the head to the end of the body.
+    pub(crate) body_timeout: Duration,
+}
+
+/// Reads a request; its body is read whole, so that a caller that goes away
+/// midway has caused nothing.
+pub(crate) async fn read_request(
+    request: Request<Incoming>,
+    request_id: RequestId,
+    limits: BodyLimits,
+) -> Result<Arrival, RefusalKind> {
+    let (mut head, body) = request.into_parts();
+    if let Some(fault) = head.headers.get(FAULT_HEADER) {
+        let kind = fault.to_str().ok().and_then(|text| text.parse().ok());
+        return Err(kind.unwrap_or(RefusalKind::BadRequest));
+    }
+    let tenant = parse_header(&head.headers, headers::TENANT);
+    let timeout_ms = read_timeout(&head.headers)?;
+    let key = head
+        .headers
+        .get(headers::IDEMPOTENCY_KEY)
+        .map(|value| value.to_str().map(Box::from))
+        .transpose()
+        .map_err(|_| RefusalKind::KeyMalformed)?;
+    let marked_non_idempotent = head
+        .headers
+        .get(headers::IDEMPOTENT)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"no"));
+    let forwarded_by: Option<HostId> = parse_header(&head.headers, headers::FORWARDED_BY);
+    // The daemon that forwards checks the echo of its own identifier.
+    let request_id = match forwarded_by {
+        Some(_) => parse_header(&head.headers, headers::REQUEST_ID).unwrap_or(request_id),
+        None => request_id,
+    };
+    let host = host_name(&head.headers, head.uri.host());
+    let path_and_query = head
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .into();
+    strip_hop_by_hop(&mut head.headers);
+    for name in CONSUMED {
+        head.headers.remove(name);
+    }
+    let body = read_body(body, limits).await?;
+    Ok(Arrival {
+        request_id,
+        method: head.method,
+        host,
+        path_and_query,
+        headers: head.headers,
+        body,
+        tenant,
+        timeout_ms,
+        key,
+        marked_non_idempotent,
+        forwarded_by,
+    })
+}
+
+fn parse_header<T: std::str::FromStr>(fields: &HeaderMap, name: &str) -> Option<T> {
+    fields.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// A deadline of 0 or in the past, written as a negative number, is refused
+/// as passed; anything that is not a number is malformed.
+fn read_timeout(fields: &HeaderMap) -> Result<Option<DurationMs>, RefusalKind> {
+    let Some(value) = fields.get(headers::TIMEOUT_MS) else {
+        return Ok(None);
+    };
+    let timeout_ms: i64 = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or(RefusalKind::BadRequest)?;
+    match u64::try_from(timeout_ms) {
+        Ok(0) | Err(_) => Err(RefusalKind::DeadlinePassed),
+        Ok(timeout_ms) => Ok(Some(DurationMs(timeout_ms))),
+    }
+}
+
+fn host_name(fields: &HeaderMap, uri_host: Option<&str>) -> Box<str> {
+    let host = fields
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or(uri_host)
+        .unwrap_or("");
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase().into()
+}
+
+async fn read_body(mut body: Incoming, limits: BodyLimits) -> Result<Bytes, RefusalKind> {
+    let announced = hyper::body::Body::size_hint(&body).lower();
+    if announced > limits.body_bytes as u64 {
+        return Err(RefusalKind::BodyTooLarge);
+    }
+    let until = tokio::time::Instant::now() + limits.body_timeout;
+    let mut buffer = BytesMut::new();
+    loop {
+        let frame = match tokio::time::timeout_at(until, body.frame()).await {
+            Err(_) => return Err(RefusalKind::SlowSender),
+            Ok(None) => return Ok(buffer.freeze()),
+            Ok(Some(Err(_))) => return Err(RefusalKind::BadRequest),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > limits.body_bytes {
+            return Err(RefusalKind::BodyTooLarge);
+        }
+        buffer.extend_from_slice(&data);
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/traffic/mod.rs
@@ -0,0 +1,157 @@
+//! Traffic threads: callers' requests, targets' answers.
+
+mod addresses;
+mod answer;
+mod attempt;
+mod dispatch;
+mod framing;
+mod intake;
+mod keys;
+mod listener;
+mod plan;
+mod pool;
+mod refusal;
+mod serve;
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::shared::Shared;
+
+use pool::Pool;
+
+/// What the tasks of one traffic thread share.
+pub(crate) struct ThreadState {
+    /// The state of the process.
+    pub(crate) shared: Arc<Shared>,
+    /// The idle connections of this thread.
+    pub(crate) pool: RefCell<Pool>,
+    /// The random numbers of this thread.
+    pub(crate) rng: RefCell<Pcg64Mcg>,
+}
+
+/// How far the stop of the traffic threads has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum StopStage {
+    /// The threads accept connections.
+    #[default]
+    Running,
+    /// The threads finish what they have accepted.
+    Finishing,
+    /// The threads abort what is left.
+    Aborting,
+}
+
+/// The running traffic threads.
+pub(crate) struct TrafficThreads {
+    threads: Vec<JoinHandle<()>>,
+    stage: watch::Sender<StopStage>,
+    address: SocketAddr,
+}
+
+impl TrafficThreads {
+    /// Binds the callers' address and starts the threads.
+    pub(crate) fn start(shared: &Arc<Shared>) -> io::Result<Self> {
+        let listener = TcpListener::bind(shared.settings.listen.callers)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (stage, stage_seen) = watch::channel(StopStage::Running);
+        let mut threads = Vec::new();
+        for number in 0..shared.settings.limits.traffic_threads.0 {
+            // All threads accept from one socket: closing a socket of its own
+            // for each thread would reset the connections in its queue.
+            let listener = listener.try_clone()?;
+            let shared = Arc::clone(shared);
+            let stage_seen = stage_seen.clone();
+            let thread = std::thread::Builder::new()
+                .name(format!("traffic-{number}"))
+                .spawn(move || run_thread(shared, listener, stage_seen))?;
+            threads.push(thread);
+        }
+        Ok(Self {
+            threads,
+            stage,
+            address,
+        })
+    }
+
+    /// Returns the bound address.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, finishes what was accepted and ends the threads.
+    pub(crate) fn close(self) {
+        self.stage.send_replace(StopStage::Finishing);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("a traffic thread panicked");
+            }
+        }
+    }
+
+    /// Returns a handle that aborts what [`TrafficThreads::close`] waits for.
+    pub(crate) fn abort_handle(&self, shared: &Arc<Shared>) -> AbortHandle {
+        AbortHandle {
+            stage: self.stage.clone(),
+            shared: Arc::clone(shared),
+            cut: Arc::default(),
+        }
+    }
+}
+
+/// Aborts the requests that a stop waits for.
+#[derive(Clone)]
+pub(crate) struct AbortHandle {
+    stage: watch::Sender<StopStage>,
+    shared: Arc<Shared>,
+    /// The requests that were in flight at the abort.
+    cut: Arc<AtomicU64>,
+}
+
+impl AbortHandle {
+    /// Returns the number of requests that were aborted.
+    pub(crate) fn cut(&self) -> u64 {
+        self.cut.load(Ordering::Acquire)
+    }
+
+    /// Ends the traffic threads at once.
+    pub(crate) fn abort(&self) {
+        let in_flight = self.shared.in_flight.load(Ordering::Acquire);
+        self.cut.store(in_flight, Ordering::Release);
+        self.stage.send_replace(StopStage::Aborting);
+    }
+}
+
+fn run_thread(shared: Arc<Shared>, listener: TcpListener, stage: watch::Receiver<StopStage>) {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("starting the runtime of a traffic thread failed: {error}");
+            std::process::abort();
+        }
+    };
+    let state = Rc::new(ThreadState {
+        shared,
+        pool: RefCell::default(),
+        rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
+    });
+    let local = LocalSet::new();
+    local.block_on(&runtime, listener::run(&state, listener, stage));
+    state.pool.take().close();
+}
--- /dev/null
+++ b/crates/agatehold/src/traffic/plan.rs
@@ -0,0 +1,131 @@
+//! Decides where a request goes before anything is sent.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use agatehold_core::config::IsolationPolicy;
+use agatehold_core::config::RouteRow;
+use agatehold_core::config::TenantRow;
+use agatehold_core::config::TrafficClass;
+use agatehold_core::ids::Digest;
+use agatehold_core::ids::TenantName;
+use agatehold_core::limits::effective_class;
+use agatehold_core::refusal::RefusalKind;
+use agatehold_core::routing::RouteEntry;
+use agatehold_core::routing::ServiceEntry;
+use agatehold_core::routing::ServiceIndex;
+use agatehold_core::routing::is_idempotent;
+use agatehold_core::routing::match_route;
+use agatehold_core::units::TimeMs;
+
+use crate::shared::Phase;
+use crate::shared::Published;
+
+use super::ThreadState;
+use super::intake::Arrival;
+use super::refusal::Refusal;
+
+/// Where a request goes and by which rules.
+pub(crate) struct Plan {
+    /// The published state by which the request is served.
+    pub(crate) published: Arc<Published>,
+    /// The service.
+    pub(crate) service: ServiceIndex,
+    /// The tenant.
+    pub(crate) tenant: TenantName,
+    /// The tenant's policy.
+    pub(crate) tenant_row: TenantRow,
+    /// The class, by service and tenant.
+    pub(crate) class: TrafficClass,
+    /// When the request has to be answered.
+    pub(crate) deadline: TimeMs,
+    /// Whether the request may run more than once.
+    pub(crate) idempotent: bool,
+    /// Recognises the request if it crashes targets.
+    pub(crate) fingerprint: Digest,
+    /// The size up to which an answer is read whole.
+    pub(crate) answer_bytes: usize,
+    requires_key: bool,
+}
+
+impl Plan {
+    /// Returns the service's entry.
+    pub(crate) fn service_entry(&self) -> &ServiceEntry {
+        &self.published.table.services[self.service.position()]
+    }
+
+    /// Returns whether a non-idempotent request needs a key.
+    pub(crate) const fn requires_key(&self) -> bool {
+        self.requires_key
+    }
+}
+
+/// Checks a request against the configuration in force.
+pub(crate) fn plan_request(state: &Rc<ThreadState>, arrival: &Arrival) -> Result<Plan, Refusal> {
+    let phase = state.shared.phase();
+    if phase == Phase::Starting {
+        return Err(Refusal::new(RefusalKind::Starting));
+    }
+    let published = state.shared.published.load_full();
+    let table = &published.table;
+    let method = arrival.method.as_str();
+    let route = match_route(table, &arrival.host, arrival.path(), method)
+        .ok_or_else(|| Refusal::new(RefusalKind::UnknownRoute))?;
+    let tenant = arrival
+        .tenant
+        .clone()
+        .ok_or_else(|| Refusal::new(RefusalKind::UnknownTenant))?;
+    let tenant_row = table
+        .tenants
+        .get(&tenant)
+        .cloned()
+        .ok_or_else(|| Refusal::new(RefusalKind::UnknownTenant))?;
+    if !serves_tenant(&route.row, &tenant) {
+        return Err(Refusal::new(RefusalKind::TenantNotAllowed));
+    }
+    let policy = &table.services[route.service.position()].policy;
+    let idempotent = is_idempotent(&route.row, method, arrival.marked_non_idempotent);
+    let refuses = policy.when_isolated == IsolationPolicy::Refuse || !idempotent;
+    if phase == Phase::Isolated && refuses {
+        let mut refusal = Refusal::new(RefusalKind::Isolated);
+        refusal.service = Some(table.services[route.service.position()].name.clone());
+        return Err(refusal);
+    }
+    let timeout_ms = arrival
+        .timeout_ms
+        .unwrap_or(policy.timeout_ms)
+        .min(policy.timeout_ms);
+    let limits = &state.shared.settings.limits;
+    Ok(Plan {
+        service: route.service,
+        class: effective_class(policy, &tenant_row),
+        deadline: state.shared.clock.now() + timeout_ms,
+        idempotent,
+        fingerprint: fingerprint(route, arrival),
+        answer_bytes: usize::try_from(limits.answer_bytes.0).unwrap_or(usize::MAX),
+        requires_key: route.row.require_key,
+        tenant,
+        tenant_row,
+        published: Arc::clone(&published),
+    })
+}
+
+fn serves_tenant(row: &RouteRow, tenant: &TenantName) -> bool {
+    row.tenants.is_empty() || row.tenants.contains(tenant)
+}
+
+/// Hashes what a request that is sent again has in common with the first: its
+/// route and method, and its key or, without one, its path and body.
+fn fingerprint(route: &RouteEntry, arrival: &Arrival) -> Digest {
+    let route_name = route.name.as_str().as_bytes();
+    let method = arrival.method.as_str().as_bytes();
+    match &arrival.key {
+        Some(key) => Digest::of_parts(&[route_name, method, b"key", key.as_bytes()]),
+        None => Digest::of_parts(&[
+            route_name,
+            method,
+            arrival.path_and_query.as_bytes(),
+            &arrival.body,
+        ]),
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/traffic/serve.rs
@@ -0,0 +1,391 @@
+//! Serves one request of a caller from its arrival to its answer.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::sync::oneshot;
+
+use agatehold_core::idempotency::Arrival as KeyArrival;
+use agatehold_core::idempotency::IdempotencyKey;
+use agatehold_core::idempotency::KeyOwner;
+use agatehold_core::idempotency::KeyState;
+use agatehold_core::idempotency::StoredAnswer;
+use agatehold_core::idempotency::refusal_outcome;
+use agatehold_core::ids::Digest;
+use agatehold_core::ids::RequestId;
+use agatehold_core::limits::spread_retry_after;
+use agatehold_core::refusal::RefusalKind;
+use agatehold_core::refusal::RefusalOutcome;
+use agatehold_core::retry::Next;
+use agatehold_core::retry::next_forward_step;
+use agatehold_wire::headers;
+
+use crate::clock::duration;
+use crate::shared::Phase;
+use crate::telemetry;
+
+use super::ThreadState;
+use super::addresses;
+use super::answer::AnswerBody;
+use super::answer::refusal_response;
+use super::answer::set_header;
+use super::answer::strip_hop_by_hop;
+use super::answer::whole_response;
+use super::attempt::Outbound;
+use super::attempt::Received;
+use super::attempt::run_attempt;
+use super::dispatch;
+use super::dispatch::Dispatched;
+use super::dispatch::Ended;
+use super::intake::Arrival;
+use super::intake::BodyLimits;
+use super::intake::read_request;
+use super::keys::KeyGrant;
+use super::keys::KeyedRequest;
+use super::keys::claim_request_key;
+use super::plan::Plan;
+use super::plan::plan_request;
+use super::refusal::Refusal;
+
+/// The connections that a thread keeps to another daemon.
+const DAEMON_CONNECTIONS_MAX: usize = 16;
+
+/// The caller that waits for the answer.
+pub(crate) struct Caller {
+    reply: oneshot::Sender<Response<AnswerBody>>,
+}
+
+impl Caller {
+    /// Waits until the caller has gone away.
+    pub(crate) async fn gone(&mut self) {
+        self.reply.closed().await;
+    }
+}
+
+/// What a request came to.
+pub(crate) enum Served {
+    /// A response to pass on.
+    Response(Response<AnswerBody>),
+    /// The caller went away.
+    CallerGone,
+}
+
+/// Answers a request of a caller.
+///
+/// The request is handled by a task of its own, which ends what it began even
+/// if the caller's connection is dropped midway.
+pub(super) async fn answer(
+    state: Rc<ThreadState>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let request_id = RequestId(state.rng.borrow_mut().random());
+    let (reply, reply_seen) = oneshot::channel();
+    state.shared.in_flight.fetch_add(1, Ordering::AcqRel);
+    tokio::task::spawn_local(handle(Rc::clone(&state), request, request_id, reply));
+    if let Ok(mut response) = reply_seen.await {
+        if state.shared.phase() == Phase::Leaving {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        return Ok(response);
+    }
+    let refusal = Refusal::new(RefusalKind::Internal);
+    Ok(refuse(&state, &refusal, request_id))
+}
+
+async fn handle(
+    state: Rc<ThreadState>,
+    request: Request<Incoming>,
+    request_id: RequestId,
+    reply: oneshot::Sender<Response<AnswerBody>>,
+) {
+    let mut caller = Caller { reply };
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let limits = &state.shared.settings.limits;
+    let body_limits = BodyLimits {
+        body_bytes: usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX),
+        body_timeout: duration(limits.body_timeout_ms),
+    };
+    let (served, unread) = match read_request(request, request_id, body_limits).await {
+        Ok(arrival) => (serve(&state, &arrival, &mut caller).await, false),
+        Err(kind) => (Err(Refusal::new(kind)), true),
+    };
+    let served = served.unwrap_or_else(|refusal| {
+        count_refusal(&refusal);
+        Served::Response(refuse(&state, &refusal, request_id))
+    });
+    if let Served::Response(mut response) = served {
+        // The framing guard can't see where a chunked or unread body ends.
+        if chunked || unread {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        // A caller that went away needs no answer.
+        let _ = caller.reply.send(response);
+    }
+    state.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+}
+
+fn count_refusal(refusal: &Refusal) {
+    metrics::counter!("agatehold_refusals_total",
+        "kind" => refusal.kind.answer().name, "outcome" => refusal.outcome.to_string())
+    .increment(1);
+}
+
+fn refuse(state: &ThreadState, refusal: &Refusal, request_id: RequestId) -> Response<AnswerBody> {
+    let addresses = refusal
+        .service
+        .as_ref()
+        .map(|service| addresses::choose(state, service))
+        .unwrap_or_default();
+    let retry_after_ms = spread_retry_after(refusal.retry, &mut *state.rng.borrow_mut());
+    refusal_response(refusal, request_id, &addresses, retry_after_ms)
+}
+
+async fn serve(
+    state: &Rc<ThreadState>,
+    arrival: &Arrival,
+    caller: &mut Caller,
+) -> Result<Served, Refusal> {
+    let started = Instant::now();
+    if arrival.path() == headers::ADDRESSES_PATH {
+        return addresses::answer(state, arrival).map(Served::Response);
+    }
+    let plan = plan_request(state, arrival)?;
+    let result = serve_planned(state, arrival, &plan, caller, started).await;
+    let word = match &result {
+        Ok(Served::Response(_)) => "answered",
+        Ok(Served::CallerGone) => "caller-gone",
+        Err(refusal) => refusal.kind.answer().name,
+    };
+    if word != "answered" {
+        let total = started.elapsed();
+        let service = &plan.service_entry().name;
+        telemetry::record_request(service, plan.class, &plan.tenant, word, total, total);
+    }
+    result.map_err(|mut refusal| {
+        refusal.service = Some(plan.service_entry().name.clone());
+        refusal
+    })
+}
+
+async fn serve_planned(
+    state: &Rc<ThreadState>,
+    arrival: &Arrival,
+    plan: &Plan,
+    caller: &mut Caller,
+    started: Instant,
+) -> Result<Served, Refusal> {
+    if plan.idempotent {
+        return run(state, arrival, plan, KeyState::NoKey, caller, started)
+            .await
+            .into_served();
+    }
+    let Some(key) = &arrival.key else {
+        if plan.requires_key() {
+            return Err(Refusal::new(RefusalKind::KeyRequired));
+        }
+        return run(state, arrival, plan, KeyState::NoKey, caller, started)
+            .await
+            .into_served();
+    };
+    let key: IdempotencyKey = key
+        .parse()
+        .map_err(|_| Refusal::new(RefusalKind::KeyMalformed))?;
+    let keyed = KeyedRequest {
+        key: &key,
+        tenant: &plan.tenant,
+        request: request_digest(arrival),
+        arrival: match arrival.forwarded_by {
+            Some(_) => KeyArrival::Forwarded,
+            None => KeyArrival::Direct,
+        },
+        deadline: plan.deadline,
+    };
+    match claim_request_key(state, &keyed).await? {
+        KeyGrant::Replay(stored) => Ok(Served::Response(replay(&stored, arrival.request_id))),
+        KeyGrant::Forward(owner) => forward(state, arrival, plan, &owner).await,
+        KeyGrant::Run(claim, send_before) => {
+            let ran = if state.shared.clock.now() < send_before {
+                run(state, arrival, plan, KeyState::NeverRun, caller, started).await
+            } else {
+                Ran::refused(RefusalKind::DeadlinePassed, KeyState::NeverRun)
+            };
+            let mut keys = state.shared.keys();
+            match &ran {
+                Ran::Answered(_, Some(stored)) => {
+                    keys.finish_with_answer(claim, Arc::clone(stored));
+                }
+                Ran::Refused(refusal) if refusal.outcome == RefusalOutcome::NotRun => {
+                    keys.release_not_run(claim);
+                }
+                _ => keys.finish_unknown(claim),
+            }
+            drop(keys);
+            ran.into_served()
+        }
+    }
+}
+
+/// Hashes what makes two requests with one key the same.
+fn request_digest(arrival: &Arrival) -> Digest {
+    Digest::of_parts(&[
+        arrival.method.as_str().as_bytes(),
+        arrival.path_and_query.as_bytes(),
+        &arrival.body,
+    ])
+}
+
+/// How the run of a request ended.
+enum Ran {
+    /// With an answer; the copy that is kept for its key, if it is whole.
+    Answered(Response<AnswerBody>, Option<Arc<StoredAnswer>>),
+    /// With a refusal.
+    Refused(Refusal),
+    /// The caller went away.
+    CallerGone,
+}
+
+impl Ran {
+    fn refused(kind: RefusalKind, key: KeyState) -> Self {
+        Self::Refused(Refusal::with_outcome(kind, refusal_outcome(kind, key)))
+    }
+
+    fn into_served(self) -> Result<Served, Refusal> {
+        match self {
+            Self::Answered(response, _) => Ok(Served::Response(response)),
+            Self::Refused(refusal) => Err(refusal),
+            Self::CallerGone => Ok(Served::CallerGone),
+        }
+    }
+}
+
+async fn run(
+    state: &Rc<ThreadState>,
+    arrival: &Arrival,
+    plan: &Plan,
+    key: KeyState,
+    caller: &mut Caller,
+    started: Instant,
+) -> Ran {
+    let Dispatched { ended, at_targets } = dispatch::run(state, arrival, plan, key, caller).await;
+    let (received, target) = match ended {
+        Ended::Answered(received, target) => (received, target),
+        Ended::Refused(refusal) => return Ran::Refused(refusal),
+        Ended::CallerGone => return Ran::CallerGone,
+    };
+    let total = started.elapsed();
+    let added = total.saturating_sub(at_targets);
+    let service = &plan.service_entry().name;
+    telemetry::record_request(service, plan.class, &plan.tenant, "answered", total, added);
+    let stored = (key != KeyState::NoKey && received.rest.is_none())
+        .then(|| Arc::new(stored_answer(&received)));
+    let mut response = relay(received, arrival.method == http::Method::HEAD);
+    let fields = response.headers_mut();
+    set_header(fields, headers::TARGET, target.as_str());
+    set_header(fields, headers::ADDED_US, &added.as_micros().to_string());
+    set_header(fields, headers::REQUEST_ID, &arrival.request_id.to_string());
+    Ran::Answered(response, stored)
+}
+
+fn stored_answer(received: &Received) -> StoredAnswer {
+    let mut fields = received.headers.clone();
+    strip_hop_by_hop(&mut fields);
+    fields.remove(header::CONTENT_LENGTH);
+    StoredAnswer {
+        http_status: received.status.as_u16(),
+        headers: fields
+            .iter()
+            .map(|(name, value)| (name.as_str().into(), value.as_bytes().into()))
+            .collect(),
+        body: received.body.to_vec().into(),
+    }
+}
+
+fn replay(stored: &StoredAnswer, request_id: RequestId) -> Response<AnswerBody> {
+    let status =
+        StatusCode::from_u16(stored.http_status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut fields = HeaderMap::new();
+    for (name, value) in &stored.headers {
+        let (Ok(name), Ok(value)) = (
+            HeaderName::from_bytes(name.as_bytes()),
+            HeaderValue::from_bytes(value),
+        ) else {
+            continue;
+        };
+        fields.append(name, value);
+    }
+    set_header(&mut fields, headers::REQUEST_ID, &request_id.to_string());
+    set_header(&mut fields, headers::REPLAYED, "yes");
+    whole_response(status, fields, stored.body.to_vec().into())
+}
+
+/// Builds the response for a target's or another daemon's answer.
+fn relay(received: Received, is_head: bool) -> Response<AnswerBody> {
+    let mut fields = received.headers;
+    strip_hop_by_hop(&mut fields);
+    // The length of a relayed body is kept, so that the caller sees a cut.
+    if received.rest.is_none() && !is_head {
+        fields.remove(header::CONTENT_LENGTH);
+    }
+    let Some((rest, connection)) = received.rest else {
+        return whole_response(received.status, fields, received.body);
+    };
+    let body = dispatch::relay_rest(received.body, rest, connection);
+    let mut response = Response::new(body);
+    *response.status_mut() = received.status;
+    *response.headers_mut() = fields;
+    response
+}
+
+/// Passes a request to the daemon that owns its key.
+async fn forward(
+    state: &Rc<ThreadState>,
+    arrival: &Arrival,
+    plan: &Plan,
+    owner: &KeyOwner,
+) -> Result<Served, Refusal> {
+    let entries = state.shared.entries.load();
+    let address = match entries.by_host.get(&owner.host) {
+        Some((incarnation, address)) if *incarnation == owner.incarnation => *address,
+        _ => return Err(Refusal::new(RefusalKind::OwnerGone)),
+    };
+    metrics::counter!("agatehold_forwarded_total").increment(1);
+    let mut fields = arrival.headers.clone();
+    set_header(
+        &mut fields,
+        headers::FORWARDED_BY,
+        state.shared.host.as_str(),
+    );
+    set_header(&mut fields, headers::IDEMPOTENT, "no");
+    let outbound = Outbound {
+        method: &arrival.method,
+        path: &arrival.path_and_query,
+        host: Some(&arrival.host),
+        headers: &fields,
+        body: &arrival.body,
+        request_id: arrival.request_id,
+        deadline: plan.deadline,
+        idempotent: false,
+        connections_max: DAEMON_CONNECTIONS_MAX,
+        answer_bytes: plan.answer_bytes,
+    };
+    let attempt = run_attempt(&state.pool, state.shared.clock, address, &outbound).await;
+    match (next_forward_step(attempt.outcome), attempt.received) {
+        (Next::Answer, Some(received)) => Ok(Served::Response(relay(received, false))),
+        (Next::Refuse { kind, outcome }, _) => Err(Refusal::with_outcome(kind, outcome)),
+        _ => Err(Refusal::new(RefusalKind::OwnerUnreachable)),
+    }
+}
