Decide the release of notes over typed platform answers

Cause: a release must survive lost answers, late writes and rival operators, and report an outcome only where it is certain.

Ruled out: taking a failed compare-and-swap for a refusal (an earlier lost write may have caused it); a new id for each run (a repeated command would release the note twice); trusting the first body of a number (bodies that lost the race stay in the store).

Exhaustive runs: one operator with up to 3 faults, two operators in all orders with up to 1 fault.

Conclusion: the steps can be tested and reused without sockets.

--- a/crates/agatehold-core/src/note/mod.rs
+++ b/crates/agatehold-core/src/note/mod.rs
@@ -3,7 +3,11 @@
 mod apply;
 mod chain;
 mod change;
+mod difference;
+pub mod release;
+pub mod rollout;
 mod stored;
+mod walk;
 
 pub use apply::ApplyError;
 pub use apply::apply;
@@ -21,9 +25,12 @@
 pub use change::TenantPatch;
 pub use change::overlap;
 pub use change::touched_entities;
+pub use difference::difference;
 pub use stored::HeadRecord;
 pub use stored::StoredNote;
 pub use stored::body_digest;
 pub use stored::note_id;
 pub use stored::snapshot_before;
 pub use stored::snapshot_due;
+pub use walk::ChainWalk;
+pub use walk::WalkStep;
--- /dev/null
+++ b/crates/agatehold-core/tests/note_release.rs
@@ -0,0 +1,366 @@
+//! Guards the release of notes against lost answers and rival operators.
+
+#![expect(clippy::unwrap_used, reason = "the notes of the tests are valid")]
+
+use std::collections::BTreeMap;
+
+use agatehold_core::config::ConfigTables;
+use agatehold_core::ids::NoteId;
+use agatehold_core::ids::NoteNumber;
+use agatehold_core::note;
+use agatehold_core::note::HeadRecord;
+use agatehold_core::note::Note;
+use agatehold_core::note::NoteChange;
+use agatehold_core::note::PutAction;
+use agatehold_core::note::StoredNote;
+use agatehold_core::note::TenantPatch;
+use agatehold_core::note::release::ChainNote;
+use agatehold_core::note::release::HeadVersion;
+use agatehold_core::note::release::Release;
+use agatehold_core::note::release::ReleaseAnswer;
+use agatehold_core::note::release::ReleaseCall;
+use agatehold_core::note::release::ReleaseEnd;
+use agatehold_core::note::release::ReleaseStep;
+use agatehold_core::note::release::advance;
+use agatehold_core::note::touched_entities;
+use agatehold_core::note::verify_descendant;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::RequestsPerSecond;
+use agatehold_core::units::TimeMs;
+
+const DEADLINE: TimeMs = TimeMs(10_000);
+
+/// How a call goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    NotSent,
+    /// The call has no effect and no answer.
+    LostBefore,
+    /// The call takes effect, and its answer is lost.
+    LostAfter,
+    /// The answer is lost, and the call takes effect at some later time.
+    Delayed,
+}
+
+const FAULTS: [Fault; 4] = [
+    Fault::NotSent,
+    Fault::LostBefore,
+    Fault::LostAfter,
+    Fault::Delayed,
+];
+
+/// The platform, with the notes that its writers may write.
+#[derive(Clone, Debug, Default)]
+struct Platform {
+    version: u64,
+    record: HeadRecord,
+    bodies: BTreeMap<(NoteNumber, NoteId), StoredNote>,
+    chain: Vec<StoredNote>,
+    delayed: Vec<ReleaseCall>,
+    notes: BTreeMap<NoteId, Note>,
+}
+
+#[derive(Clone, Debug)]
+struct Operator {
+    id: NoteId,
+    release: Release,
+    next: ReleaseStep,
+}
+
+fn note(author: &str, tenant: &str) -> Note {
+    let patch = TenantPatch {
+        rate_per_s: RequestsPerSecond::new(5.0),
+        ..TenantPatch::default()
+    };
+    Note {
+        author: author.into(),
+        comment: "".into(),
+        changes: vec![NoteChange::PutTenant(
+            tenant.parse().unwrap(),
+            PutAction::Add,
+            patch,
+        )],
+    }
+}
+
+fn operator(platform: &mut Platform, note: &Note, base: Option<u64>) -> Operator {
+    let text = format!("{} {:?}", note.author, note.changes);
+    let release = Release::new(note.clone(), &text, base.map(NoteNumber), DEADLINE);
+    platform.notes.insert(release.id(), note.clone());
+    Operator {
+        id: release.id(),
+        next: release.start(),
+        release,
+    }
+}
+
+fn answer(platform: &mut Platform, call: &ReleaseCall) -> ReleaseAnswer {
+    match call {
+        ReleaseCall::ReadHead => {
+            ReleaseAnswer::Head(HeadVersion(platform.version), platform.record)
+        }
+        ReleaseCall::ReadChain { record, since } => {
+            let mut config = ConfigTables::default();
+            let mut notes = Vec::new();
+            for stored in &platform.chain {
+                if stored.header.number > record.head.number {
+                    break;
+                }
+                let note = &platform.notes[&stored.header.id];
+                config = note::apply(&config, note).unwrap();
+                if stored.header.number > *since {
+                    let entities = touched_entities(note);
+                    notes.push(ChainNote {
+                        header: stored.header.clone(),
+                        entities,
+                    });
+                }
+            }
+            ReleaseAnswer::Chain(config, notes)
+        }
+        ReleaseCall::CreateBody(stored) => {
+            let key = (stored.header.number, stored.header.id);
+            if platform.bodies.contains_key(&key) {
+                return ReleaseAnswer::BodyExists;
+            }
+            platform.bodies.insert(key, stored.clone());
+            ReleaseAnswer::BodyCreated
+        }
+        ReleaseCall::ReadBody(number, id) => {
+            ReleaseAnswer::Body(platform.bodies.get(&(*number, *id)).cloned())
+        }
+        ReleaseCall::SwapHead { expected, record } => {
+            if expected.0 != platform.version {
+                return ReleaseAnswer::HeadMoved;
+            }
+            let stored = &platform.bodies[&(record.head.number, record.id)];
+            platform.chain.push(stored.clone());
+            platform.version += 1;
+            platform.record = *record;
+            ReleaseAnswer::HeadSwapped
+        }
+    }
+}
+
+fn faulty(platform: &mut Platform, call: &ReleaseCall, fault: Fault) -> ReleaseAnswer {
+    match fault {
+        Fault::None => answer(platform, call),
+        Fault::NotSent => ReleaseAnswer::NotSent,
+        Fault::LostBefore => ReleaseAnswer::Lost,
+        Fault::LostAfter => {
+            answer(platform, call);
+            ReleaseAnswer::Lost
+        }
+        Fault::Delayed => {
+            platform.delayed.push(call.clone());
+            ReleaseAnswer::Lost
+        }
+    }
+}
+
+fn make_call(platform: &mut Platform, operator: &mut Operator, fault: Fault, now: TimeMs) {
+    let ReleaseStep::Call(_, call) = operator.next.clone() else {
+        return;
+    };
+    let answer = faulty(platform, &call, fault);
+    operator.next = advance(&mut operator.release, answer, now);
+}
+
+/// Checks the chain, and each operator's end against it.
+fn check(platform: &Platform, operators: &[Operator]) {
+    let headers: Vec<_> = platform
+        .chain
+        .iter()
+        .map(|note| note.header.clone())
+        .collect();
+    if !headers.is_empty() {
+        let head = verify_descendant(note::Head::default(), &headers).unwrap();
+        assert_eq!(head, platform.record.head);
+    }
+    for operator in operators {
+        let own = headers.iter().filter(|header| header.id == operator.id);
+        let released: Vec<_> = own.collect();
+        assert!(released.len() <= 1, "released twice: {operator:?}");
+        let ReleaseStep::End(end) = &operator.next else {
+            panic!("not ended: {operator:?}");
+        };
+        match end {
+            ReleaseEnd::Accepted { header, .. } => assert_eq!(released, [header]),
+            ReleaseEnd::Superseded { number, .. } => assert_eq!(released[0].number, *number),
+            ReleaseEnd::Unknown(_, _) => {}
+            ReleaseEnd::Conflict { winner, overlap } => {
+                assert!(released.is_empty() && headers.contains(winner) && !overlap.is_empty());
+            }
+            _ => assert!(released.is_empty(), "{operator:?}"),
+        }
+    }
+}
+
+/// Runs every order of calls with at most `faults` faults, and every time at
+/// which a delayed call takes effect. Returns the number of runs.
+fn explore(platform: &Platform, operators: &[Operator], faults: usize) -> usize {
+    let mut runs = 0;
+    let mut ended = true;
+    for index in 0..operators.len() {
+        if matches!(operators[index].next, ReleaseStep::End(_)) {
+            continue;
+        }
+        ended = false;
+        let choices = if faults > 0 { &FAULTS[..] } else { &[] };
+        for fault in [Fault::None].iter().chain(choices) {
+            let mut platform = platform.clone();
+            let mut operators = operators.to_vec();
+            make_call(&mut platform, &mut operators[index], *fault, TimeMs(0));
+            let left = faults - usize::from(*fault != Fault::None);
+            runs += explore(&platform, &operators, left);
+        }
+    }
+    for index in 0..platform.delayed.len() {
+        let mut platform = platform.clone();
+        let call = platform.delayed.remove(index);
+        answer(&mut platform, &call);
+        runs += explore(&platform, operators, faults);
+    }
+    if ended {
+        check(platform, operators);
+        return runs + 1;
+    }
+    runs
+}
+
+/// A release that takes a lost answer for a refusal runs twice or is reported
+/// as not released while it is in force.
+#[test]
+fn one_operator_survives_lost_answers_at_every_step() {
+    let mut platform = Platform::default();
+    let ana = operator(&mut platform, &note("ana", "a"), None);
+    let runs = explore(&platform, &[ana], 3);
+    assert!(runs > 500, "{runs}");
+}
+
+/// Two notes that overwrite each other silently leave neither operator's
+/// intent in force.
+#[test]
+fn two_operators_interleave_in_all_orders() {
+    for tenants in [["a", "b"], ["a", "a"]] {
+        let mut platform = Platform::default();
+        let ana = operator(&mut platform, &note("ana", tenants[0]), None);
+        let bruno = operator(&mut platform, &note("bruno", tenants[1]), None);
+        let runs = explore(&platform, &[ana, bruno], 1);
+        assert!(runs > 1_000, "{runs}");
+    }
+}
+
+/// Operators who touch different entities must not have to release again, and
+/// one of two who touch the same must be told.
+#[test]
+fn only_notes_that_overlap_conflict() {
+    for (tenant, conflicts) in [("b", false), ("a", true)] {
+        let mut platform = Platform::default();
+        let mut ana = operator(&mut platform, &note("ana", "a"), None);
+        let mut bruno = operator(&mut platform, &note("bruno", tenant), None);
+        make_call(&mut platform, &mut ana, Fault::None, TimeMs(0));
+        while !matches!(bruno.next, ReleaseStep::End(_)) {
+            make_call(&mut platform, &mut bruno, Fault::None, TimeMs(0));
+        }
+        while !matches!(ana.next, ReleaseStep::End(_)) {
+            make_call(&mut platform, &mut ana, Fault::None, TimeMs(0));
+        }
+        let ReleaseStep::End(end) = &ana.next else {
+            panic!("{ana:?}");
+        };
+        assert_eq!(
+            matches!(end, ReleaseEnd::Conflict { .. }),
+            conflicts,
+            "{end:?}"
+        );
+        check(&platform, &[ana, bruno]);
+    }
+}
+
+/// A platform that goes away at any step must leave an accurate report: the
+/// outcome is unknown once the head write was sent, and certain before.
+#[test]
+fn an_outage_at_any_step_is_reported_accurately() {
+    for step in 0..4 {
+        for fault in FAULTS {
+            let mut platform = Platform::default();
+            let mut ana = operator(&mut platform, &note("ana", "a"), None);
+            for _ in 0..step {
+                make_call(&mut platform, &mut ana, Fault::None, TimeMs(0));
+            }
+            make_call(&mut platform, &mut ana, fault, TimeMs(0));
+            let mut now = TimeMs(0);
+            while let ReleaseStep::Call(delay, _) = &ana.next {
+                assert!(
+                    *delay > DurationMs(0),
+                    "repeats a lost call without a delay"
+                );
+                now = now + *delay;
+                make_call(&mut platform, &mut ana, Fault::NotSent, now);
+            }
+            let sent = step == 3 && fault != Fault::NotSent;
+            let ReleaseStep::End(end) = &ana.next else {
+                panic!("{ana:?}");
+            };
+            let expected = if sent { 5 } else { 1 };
+            assert_eq!(end.exit_code(), expected, "{step} {fault:?} {end:?}");
+            for call in std::mem::take(&mut platform.delayed) {
+                answer(&mut platform, &call);
+            }
+            check(&platform, &[ana]);
+        }
+    }
+}
+
+/// An operator whose shell died repeats the command; that must not release
+/// the note again, nor hide that somebody has changed the entity since.
+#[test]
+fn a_repeated_release_finds_the_first() {
+    let mut platform = Platform::default();
+    let run = |platform: &mut Platform, note: &Note| {
+        let mut operator = operator(platform, note, None);
+        while !matches!(operator.next, ReleaseStep::End(_)) {
+            make_call(platform, &mut operator, Fault::None, TimeMs(0));
+        }
+        let ReleaseStep::End(end) = operator.next else {
+            panic!("not ended");
+        };
+        end
+    };
+    run(&mut platform, &note("ana", "a"));
+    run(&mut platform, &note("bruno", "b"));
+    let again = run(&mut platform, &note("ana", "a"));
+    assert!(
+        matches!(again, ReleaseEnd::Accepted { repeated: true, .. }),
+        "{again:?}"
+    );
+    let mut change = note("carla", "a");
+    change.changes = vec![NoteChange::WithdrawTenant("a".parse().unwrap())];
+    run(&mut platform, &change);
+    let again = run(&mut platform, &note("ana", "a"));
+    assert!(matches!(again, ReleaseEnd::Superseded { .. }), "{again:?}");
+    assert_eq!(platform.chain.len(), 3);
+}
+
+/// A note written against an old state must not overwrite what came since.
+#[test]
+fn a_base_in_the_note_is_respected() {
+    let mut platform = Platform::default();
+    for (author, tenant, base, code) in [
+        ("ana", "a", None, 0),
+        ("bruno", "a", Some(0), 4),
+        ("carla", "b", Some(0), 0),
+        ("dora", "c", Some(9), 3),
+    ] {
+        let mut operator = operator(&mut platform, &note(author, tenant), base);
+        while !matches!(operator.next, ReleaseStep::End(_)) {
+            make_call(&mut platform, &mut operator, Fault::None, TimeMs(0));
+        }
+        let ReleaseStep::End(end) = &operator.next else {
+            panic!("{operator:?}");
+        };
+        assert_eq!(end.exit_code(), code, "{author}: {end:?}");
+    }
+}
--- /dev/null
+++ b/crates/agatehold-core/tests/note_rollout.rs
@@ -0,0 +1,146 @@
+//! Guards the walk along the chain and the judgement of a rollout.
+
+#![expect(clippy::unwrap_used, reason = "the values of the tests are valid")]
+
+use std::net::SocketAddr;
+
+use agatehold_core::ids::Digest;
+use agatehold_core::ids::NoteId;
+use agatehold_core::ids::NoteNumber;
+use agatehold_core::note::ChainWalk;
+use agatehold_core::note::Head;
+use agatehold_core::note::HeadRecord;
+use agatehold_core::note::NoteHeader;
+use agatehold_core::note::StoredNote;
+use agatehold_core::note::WalkStep;
+use agatehold_core::note::body_digest;
+use agatehold_core::note::rollout::DaemonReport;
+use agatehold_core::note::rollout::DaemonReports;
+use agatehold_core::note::rollout::HostNote;
+use agatehold_core::note::rollout::lacks_majority;
+use agatehold_core::note::rollout::progress;
+use agatehold_core::note::rollout::push_addresses;
+
+fn stored(head: Head, id: u8) -> StoredNote {
+    StoredNote {
+        header: NoteHeader {
+            number: head.number.next(),
+            id: NoteId([id; 16]),
+            prev: head.hash,
+            body: body_digest(""),
+            config: Digest::default(),
+            author: "ana".into(),
+        },
+        text: "".into(),
+    }
+}
+
+/// The body of a note that lost the race for its number is not part of the
+/// chain, and must not take effect.
+#[test]
+fn the_walk_passes_over_bodies_that_lost() {
+    let first = stored(Head::default(), 1);
+    let loser = stored(Head::default(), 9);
+    let second = stored(first.header.head(), 2);
+    let mut walk = ChainWalk::new(&second.header.record(), NoteNumber(0));
+    assert_eq!(
+        walk.step(),
+        WalkStep::ReadBody(NoteNumber(2), second.header.id)
+    );
+    walk.body(Some(second.clone()));
+    assert_eq!(walk.step(), WalkStep::ListBodies(NoteNumber(1)));
+    walk.listed(vec![first.header.id, loser.header.id]);
+    walk.body(Some(loser));
+    assert_eq!(
+        walk.step(),
+        WalkStep::ReadBody(NoteNumber(1), first.header.id)
+    );
+    let mut broken = walk.clone();
+    broken.body(None);
+    assert_eq!(broken.step(), WalkStep::Broken(NoteNumber(1)));
+    walk.body(Some(first.clone()));
+    assert_eq!(walk.step(), WalkStep::Done);
+    assert_eq!(walk.notes(), [second, first]);
+}
+
+fn report(host: &str, domain: &str, number: u64) -> Option<DaemonReport> {
+    Some(DaemonReport {
+        host: host.parse().unwrap(),
+        failure_domain: domain.parse().unwrap(),
+        head: Head {
+            number: NoteNumber(number),
+            hash: Digest([number as u8; 32]),
+        },
+        confirmed: true,
+        leaving: false,
+    })
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([192, 0, 2, 1], port))
+}
+
+fn reports(rows: &[Option<DaemonReport>]) -> DaemonReports {
+    (1u16..).map(address).zip(rows.iter().cloned()).collect()
+}
+
+/// A release that is reported complete while one daemon is behind or silent
+/// leaves an operator to believe that a withdrawn target gets no work.
+#[test]
+fn every_daemon_has_to_report_the_note() {
+    let accepted = HeadRecord {
+        head: Head {
+            number: NoteNumber(5),
+            hash: Digest([5; 32]),
+        },
+        ..HeadRecord::default()
+    };
+    let mut rows = vec![
+        report("a", "z1", 5),
+        report("b", "z2", 6),
+        report("c", "z3", 4),
+        None,
+    ];
+    let mut forked = report("d", "z1", 5).unwrap();
+    forked.head.hash = Digest([9; 32]);
+    rows.push(Some(forked));
+    let gossiped = ["a", "c", "e"].map(|host| HostNote {
+        host: host.parse().unwrap(),
+        note: NoteNumber(4),
+    });
+    let judged = progress(accepted.head, &reports(&rows), &gossiped);
+    assert_eq!(judged.in_force, 2);
+    assert_eq!(judged.behind, ["c".parse().unwrap()]);
+    assert_eq!(judged.diverged, ["d".parse().unwrap()]);
+    assert_eq!(judged.silent, [address(4)]);
+    assert_eq!(judged.gossiped_behind, ["e".parse().unwrap()]);
+    assert!(!judged.is_complete());
+    let done = progress(accepted.head, &reports(&rows[..2]), &gossiped[..1]);
+    assert!(done.is_complete(), "{done:?}");
+}
+
+/// A note pushed to one failure domain only is lost with it.
+#[test]
+fn pushes_go_to_different_failure_domains() {
+    let rows = [
+        report("a", "z1", 1),
+        report("b", "z1", 1),
+        None,
+        report("d", "z2", 1),
+        report("e", "z3", 1),
+    ];
+    assert_eq!(push_addresses(&reports(&rows)), [1, 4, 5].map(address));
+    assert_eq!(push_addresses(&reports(&rows[..2])), [1, 2].map(address));
+}
+
+/// A minority must not accept a note unnoticed while the majority is cut off.
+#[test]
+fn an_unconfirmed_majority_is_reported() {
+    let mut cut_off = report("b", "z2", 1);
+    if let Some(report) = &mut cut_off {
+        report.confirmed = false;
+    }
+    let rows = [report("a", "z1", 1), cut_off, None, report("d", "z3", 1)];
+    assert_eq!(lacks_majority(&reports(&rows)), Some((2, 4)));
+    assert_eq!(lacks_majority(&reports(&[report("a", "z1", 1)])), None);
+}
--- a/crates/agatehold-settings/src/note/write.rs
+++ b/crates/agatehold-settings/src/note/write.rs
@@ -10,6 +10,7 @@
 use agatehold_core::note::ServicePatch;
 use agatehold_core::note::TargetPatch;
 use agatehold_core::note::TenantPatch;
+use agatehold_core::note::difference;
 
 use super::parse::ANY;
 
@@ -50,55 +51,10 @@
 ///
 /// Applied to an empty configuration, it gives `config` again.
 pub fn snapshot_note(config: &ConfigTables, author: &str, number: NoteNumber) -> Note {
-    let mut changes = Vec::new();
-    for (name, row) in config.services.rows() {
-        let patch = ServicePatch {
-            floor: Some(row.floor),
-            class: Some(row.class),
-            detection: Some(row.detection),
-            queue_limit: Some(row.queue_limit),
-            queue_wait_ms: Some(row.queue_wait_ms),
-            timeout_ms: Some(row.timeout_ms),
-            retry_budget: Some(row.retry_budget),
-            when_isolated: Some(row.when_isolated),
-        };
-        changes.push(NoteChange::PutService(name.clone(), PutAction::Add, patch));
-    }
-    for (name, row) in config.targets.rows() {
-        let patch = TargetPatch {
-            service: Some(row.service.clone()),
-            address: Some(row.address),
-            failure_domain: Some(row.failure_domain.clone()),
-            slots: Some(row.slots),
-            max_connections: Some(row.max_connections),
-            state: Some(row.state),
-        };
-        changes.push(NoteChange::PutTarget(name.clone(), PutAction::Add, patch));
-    }
-    for (name, row) in config.routes.rows() {
-        let patch = RoutePatch {
-            service: Some(row.service.clone()),
-            path_prefix: Some(row.path_prefix.clone()),
-            host: row.host.clone(),
-            methods: Some(row.methods.clone()),
-            idempotence: Some(row.idempotence),
-            require_key: Some(row.require_key),
-            tenants: Some(row.tenants.clone()),
-        };
-        changes.push(NoteChange::PutRoute(name.clone(), PutAction::Add, patch));
-    }
-    for (name, row) in config.tenants.rows() {
-        let patch = TenantPatch {
-            class: Some(row.class),
-            rate_per_s: Some(row.rate_per_s),
-            burst: Some(row.burst),
-        };
-        changes.push(NoteChange::PutTenant(name.clone(), PutAction::Add, patch));
-    }
     Note {
         author: author.into(),
         comment: format!("snapshot of note {number}").into(),
-        changes,
+        changes: difference(&ConfigTables::default(), config).changes,
     }
 }
 
