--- a/crates/agatehold-wire/src/lib.rs
+++ b/crates/agatehold-wire/src/lib.rs
@@ -1,3 +1,4 @@
-//! Message codecs of agatehold.
+//! Codecs of the messages that agatehold exchanges, free of sockets.
 
 pub mod admin;
+pub mod platform;
