Use the platform codec's records and keys in place of the admin module's

Cause: wire::platform now has the codec of notes, the head and their keys; two codecs of one format drift apart.

Ruled out: keeping both and testing them against each other.

Change: wire::admin keeps only the JSON of the admin address and of pushed notes. Its tests of the removed functions go with them; their twins are records_round_trip_and_bind_the_text and keys_refuse_dot_segments_and_escapes of the platform codec. ReadChain names the notes that are needed and those that are wanted, so that a gap in the search window does not stop a release.

Conclusion: one codec for each record.

--- a/crates/agatehold-core/src/note/release.rs
+++ b/crates/agatehold-core/src/note/release.rs
@@ -73,12 +73,14 @@
 pub enum ReleaseCall {
     /// Read the head and its version.
     ReadHead,
-    /// Read the configuration at `record` and the notes after `since`.
+    /// Read the configuration at `record` and the notes before it.
     ReadChain {
         /// The head to read from.
         record: HeadRecord,
-        /// The number before the oldest note that is needed.
-        since: NoteNumber,
+        /// Every note after this one is needed.
+        needed: NoteNumber,
+        /// The notes after this one are wanted, as far as they are kept.
+        wanted: NoteNumber,
     },
     /// Create the note's body unless its key exists.
     CreateBody(StoredNote),
@@ -313,8 +315,11 @@
         }
         return ReleaseStep::End(ReleaseEnd::BaseOutOfRange { base, head });
     }
-    let since = NoteNumber(base.0.min(head.0.saturating_sub(SEARCH_NOTES)));
-    call(ReleaseCall::ReadChain { record, since })
+    call(ReleaseCall::ReadChain {
+        record,
+        needed: base,
+        wanted: NoteNumber(base.0.min(head.0.saturating_sub(SEARCH_NOTES))),
+    })
 }
 
 fn on_chain(release: &mut Release, config: &ConfigTables, notes: &[ChainNote]) -> ReleaseStep {
--- a/crates/agatehold-core/tests/note_release.rs
+++ b/crates/agatehold-core/tests/note_release.rs
@@ -100,7 +100,7 @@
         ReleaseCall::ReadHead => {
             ReleaseAnswer::Head(HeadVersion(platform.version), platform.record)
         }
-        ReleaseCall::ReadChain { record, since } => {
+        ReleaseCall::ReadChain { record, wanted, .. } => {
             let mut config = ConfigTables::default();
             let mut notes = Vec::new();
             for stored in &platform.chain {
@@ -109,7 +109,7 @@
                 }
                 let note = &platform.notes[&stored.header.id];
                 config = note::apply(&config, note).unwrap();
-                if stored.header.number > *since {
+                if stored.header.number > *wanted {
                     let entities = touched_entities(note);
                     notes.push(ChainNote {
                         header: stored.header.clone(),
--- a/crates/agatehold-wire/src/admin/mod.rs
+++ b/crates/agatehold-wire/src/admin/mod.rs
@@ -1,4 +1,4 @@
-//! The JSON of the admin address and of stored notes.
+//! The JSON of the admin address.
 
 mod answers;
 mod notes;
@@ -18,18 +18,8 @@
 pub use answers::TargetRank;
 pub use answers::TargetsAnswer;
 pub use notes::AdminCodecError;
-pub use notes::HEAD_KEY;
 pub use notes::HeadJson;
 pub use notes::NoteVerdict;
 pub use notes::NotesAnswer;
-pub use notes::body_key;
-pub use notes::body_prefix;
-pub use notes::decode_head;
-pub use notes::decode_note;
 pub use notes::decode_notes;
-pub use notes::encode_head;
-pub use notes::encode_note;
 pub use notes::encode_notes;
-pub use notes::snapshot_key;
-pub use notes::snapshot_prefix;
-pub use notes::split_body_key;
--- a/crates/agatehold-wire/src/admin/notes.rs
+++ b/crates/agatehold-wire/src/admin/notes.rs
@@ -1,4 +1,4 @@
-//! The JSON of notes and of the head, and the platform keys that hold them.
+//! The JSON of the head and of notes that are pushed to a daemon.
 
 use quick_error::quick_error;
 use serde::Deserialize;
@@ -15,15 +15,6 @@
 
 use super::text;
 
-/// The platform key of the head.
-pub const HEAD_KEY: &str = "notes/head";
-
-/// The prefix of the platform keys of notes.
-const BODY_PREFIX: &str = "notes/body/";
-
-/// The prefix of the platform keys of snapshots.
-const SNAPSHOT_PREFIX: &str = "notes/snapshot/";
-
 quick_error! {
     /// Why bytes are not a note or a head.
     #[derive(Debug)]
@@ -81,7 +72,7 @@
     }
 }
 
-/// A stored note as JSON.
+/// A note as JSON.
 #[derive(Serialize, Deserialize)]
 struct NoteJson {
     number: u64,
@@ -126,27 +117,6 @@
     pub head: Option<HeadJson>,
 }
 
-/// Encodes the value of the head's key.
-pub fn encode_head(record: HeadRecord) -> Result<Vec<u8>, AdminCodecError> {
-    Ok(serde_json::to_vec(&HeadJson::from(record))?)
-}
-
-/// Decodes the value of the head's key.
-pub fn decode_head(bytes: &[u8]) -> Result<HeadRecord, AdminCodecError> {
-    let json: HeadJson = serde_json::from_slice(bytes)?;
-    Ok(json.into())
-}
-
-/// Encodes the value of a note's key.
-pub fn encode_note(note: &StoredNote) -> Result<Vec<u8>, AdminCodecError> {
-    Ok(serde_json::to_vec(&note_json(note))?)
-}
-
-/// Decodes the value of a note's key; its text has the hash in its header.
-pub fn decode_note(bytes: &[u8]) -> Result<StoredNote, AdminCodecError> {
-    checked_note(serde_json::from_slice(bytes)?)
-}
-
 /// Encodes the body of `POST /v1/notes`.
 pub fn encode_notes(notes: &[StoredNote]) -> Result<Vec<u8>, AdminCodecError> {
     let notes = notes.iter().map(note_json).collect();
@@ -159,35 +129,6 @@
     json.notes.into_iter().map(checked_note).collect()
 }
 
-/// Returns the platform key of a note.
-pub fn body_key(number: NoteNumber, id: NoteId) -> String {
-    format!("{BODY_PREFIX}{number}-{id}")
-}
-
-/// Returns the prefix of the platform keys of every note that was written to
-/// become note `number`.
-pub fn body_prefix(number: NoteNumber) -> String {
-    format!("{BODY_PREFIX}{number}-")
-}
-
-/// Returns the number and id of a note from its platform key, or from the
-/// key's last part.
-pub fn split_body_key(key: &str) -> Option<(NoteNumber, NoteId)> {
-    let name = key.strip_prefix(BODY_PREFIX).unwrap_or(key);
-    let (number, id) = name.split_once('-')?;
-    Some((number.parse().ok()?, id.parse().ok()?))
-}
-
-/// Returns the platform key of a chunk of a snapshot, counted from 0.
-pub fn snapshot_key(number: NoteNumber, chunk: usize) -> String {
-    format!("{SNAPSHOT_PREFIX}{number}/{chunk}")
-}
-
-/// Returns the prefix of the platform keys of a snapshot's chunks.
-pub fn snapshot_prefix(number: NoteNumber) -> String {
-    format!("{SNAPSHOT_PREFIX}{number}/")
-}
-
 fn note_json(note: &StoredNote) -> NoteJson {
     let header = &note.header;
     NoteJson {
