--- a/crates/agatehold-core/src/note/release.rs
+++ b/crates/agatehold-core/src/note/release.rs
@@ -254,6 +254,11 @@
         self.id
     }
 
+    /// Returns the author that the note's header names.
+    pub fn author(&self) -> &str {
+        &self.note.author
+    }
+
     /// Returns the first step.
     pub fn start(&self) -> ReleaseStep {
         ReleaseStep::Call(DurationMs(0), self.last.clone())
--- /dev/null
+++ b/crates/agateholdctl/src/commands/release.rs
@@ -0,0 +1,435 @@
+//! `note release`.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use agatehold_core::ids::NoteNumber;
+use agatehold_core::note::EntityRef;
+use agatehold_core::note::HeadRecord;
+use agatehold_core::note::NoteHeader;
+use agatehold_core::note::StoredNote;
+use agatehold_core::note::release::ChainNote;
+use agatehold_core::note::release::Release;
+use agatehold_core::note::release::ReleaseAnswer;
+use agatehold_core::note::release::ReleaseCall;
+use agatehold_core::note::release::ReleaseEnd;
+use agatehold_core::note::release::ReleaseStep;
+use agatehold_core::note::release::advance;
+use agatehold_core::note::rollout;
+use agatehold_core::note::touched_entities;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::TimeMs;
+use agatehold_settings::note::ParsedNote;
+use agatehold_settings::process::OperatorSettings;
+use agatehold_wire::platform;
+use agatehold_wire::platform::NoteRecord;
+use agatehold_wire::platform::PlatformAnswer;
+use agatehold_wire::platform::PlatformRequest;
+use agatehold_wire::platform::VALUE_MAX_BYTES;
+use agatehold_wire::platform::ValueVersion;
+
+use crate::chain::ChainView;
+use crate::chain::ensure_snapshot;
+use crate::chain::read_body;
+use crate::chain::read_chain;
+use crate::chain::read_head;
+use crate::client::AdminClient;
+use crate::client::CallOutcome;
+use crate::client::PlatformClient;
+use crate::fault::ToolFault;
+use crate::output;
+
+use super::load_note;
+use super::rollout as spread;
+
+/// How long the platform is tried before the release is given up.
+const PLATFORM_LIMIT_MS: TimeMs = TimeMs(15_000);
+
+/// The calls of one release and what they brought.
+struct Calls<'a> {
+    client: &'a PlatformClient,
+    /// The chain as last read.
+    view: Option<ChainView>,
+    /// The body as last written.
+    written: Option<StoredNote>,
+    /// Why the last call without an answer had none.
+    fault: String,
+}
+
+/// Releases the note in `file`.
+pub(super) fn run(
+    settings: &OperatorSettings,
+    file: &Path,
+    force: bool,
+    wait_ms: DurationMs,
+    json: bool,
+) -> Result<u8, ToolFault> {
+    let (mut parsed, text) = load_note(file)?;
+    if parsed.note.author.is_empty() {
+        parsed.note.author = settings.fleet.author.clone();
+    }
+    let admin = AdminClient::new(settings.fleet.token.clone());
+    let reports = admin.reports(&settings.fleet.admin);
+    if !force && let Some((confirmed, all)) = rollout::lacks_majority(&reports) {
+        return Err(ToolFault::Unconfirmed(confirmed, all));
+    }
+    let client = PlatformClient::new(&settings.platform);
+    let mut calls = Calls {
+        client: &client,
+        view: None,
+        written: None,
+        fault: String::new(),
+    };
+    let mut release = Release::new(parsed.note.clone(), &text, parsed.base, PLATFORM_LIMIT_MS);
+    check_size(&release, &text)?;
+    let end = drive(&mut release, &mut calls);
+    let ReleaseEnd::Accepted { header, repeated } = &end else {
+        return report(&end, &parsed, &calls.fault, json);
+    };
+    let record = header.record();
+    if !json {
+        let verb = if *repeated {
+            "was released before"
+        } else {
+            "is released"
+        };
+        output::line(&format!(
+            "the note {verb} as {}-{}",
+            header.number, header.id
+        ))?;
+    }
+    match ensure_snapshot(&client, &record) {
+        Ok(Some(number)) => eprintln!("wrote the snapshot of note {number}"),
+        Ok(None) => {}
+        Err(fault) => eprintln!("the snapshot is left to the next release: {fault}"),
+    }
+    for fault in spread::push(&admin, &reports, &notes_to_push(&calls, header)) {
+        eprintln!("{fault}");
+    }
+    finish(settings, &admin, &record, *repeated, wait_ms, json)
+}
+
+fn finish(
+    settings: &OperatorSettings,
+    admin: &AdminClient,
+    record: &HeadRecord,
+    repeated: bool,
+    wait_ms: DurationMs,
+    json: bool,
+) -> Result<u8, ToolFault> {
+    let waits = wait_ms > DurationMs(0);
+    let progress = match waits {
+        true => spread::wait(admin, settings, record.head, wait_ms),
+        false => spread::look(admin, settings, record.head),
+    };
+    let late = waits && !progress.is_complete();
+    if json {
+        output::json(&json!({
+            "outcome": "accepted", "repeated": repeated,
+            "number": record.head.number.0, "id": record.id.to_string(),
+            "rollout": spread::to_json(&progress),
+        }))?;
+    } else if late {
+        output::line(&format!(
+            "not in force everywhere in time: {}",
+            spread::describe(&progress)
+        ))?;
+    } else {
+        output::line(&spread::describe(&progress))?;
+    }
+    Ok(if late { 6 } else { 0 })
+}
+
+/// Makes the calls that the release asks for, to its end.
+fn drive(release: &mut Release, calls: &mut Calls<'_>) -> ReleaseEnd {
+    let started = Instant::now();
+    let mut step = release.start();
+    loop {
+        match step {
+            ReleaseStep::End(end) => return end,
+            ReleaseStep::Call(delay, call) => {
+                thread::sleep(Duration::from_millis(delay.0));
+                let answer = make_call(calls, &call);
+                let elapsed = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+                step = advance(release, answer, TimeMs(elapsed));
+            }
+        }
+    }
+}
+
+fn make_call(calls: &mut Calls<'_>, call: &ReleaseCall) -> ReleaseAnswer {
+    match call {
+        ReleaseCall::ReadHead => match read_head(calls.client) {
+            Ok((version, record)) => ReleaseAnswer::Head(version, record),
+            Err(fault) => lost(calls, fault),
+        },
+        ReleaseCall::ReadChain {
+            record,
+            needed,
+            wanted,
+        } => match read_chain(calls.client, record, *needed, *wanted) {
+            Ok(view) => {
+                let notes = chain_notes(&view);
+                let config = view.config.clone();
+                calls.view = Some(view);
+                ReleaseAnswer::Chain(config, notes)
+            }
+            Err(fault) => lost(calls, fault),
+        },
+        ReleaseCall::CreateBody(stored) => {
+            calls.written = Some(stored.clone());
+            create_body(calls, stored)
+        }
+        ReleaseCall::ReadBody(number, id) => {
+            let key = platform::note_key(*number, *id);
+            match read_body(calls.client, &PlatformRequest::Get { key }) {
+                Ok(found) => ReleaseAnswer::Body(found),
+                Err(fault) => lost(calls, fault),
+            }
+        }
+        ReleaseCall::SwapHead { expected, record } => {
+            swap_head(calls, ValueVersion(expected.0), record)
+        }
+    }
+}
+
+fn create_body(calls: &mut Calls<'_>, stored: &StoredNote) -> ReleaseAnswer {
+    let record = NoteRecord {
+        header: stored.header.clone(),
+        text: stored.text.clone(),
+    };
+    let value = match platform::encode_note(&record) {
+        Ok(value) => value,
+        Err(fault) => return not_sent(calls, fault.to_string()),
+    };
+    let request = PlatformRequest::Create {
+        key: platform::note_key(stored.header.number, stored.header.id),
+        value,
+        lease: None,
+    };
+    let answer = calls.client.call(&request);
+    written(
+        calls,
+        answer,
+        ReleaseAnswer::BodyCreated,
+        ReleaseAnswer::BodyExists,
+    )
+}
+
+fn swap_head(calls: &mut Calls<'_>, expected: ValueVersion, record: &HeadRecord) -> ReleaseAnswer {
+    let head = platform::HeadRecord {
+        head: record.head,
+        id: record.id,
+        config: record.config,
+    };
+    let value = match platform::encode_head(&head) {
+        Ok(value) => value,
+        Err(fault) => return not_sent(calls, fault.to_string()),
+    };
+    let (key, lease) = (platform::head_key(), None);
+    let request = if expected == ValueVersion(0) {
+        PlatformRequest::Create { key, value, lease }
+    } else {
+        PlatformRequest::CompareAndSwap {
+            key,
+            version: expected,
+            value,
+            lease,
+        }
+    };
+    let answer = calls.client.call(&request);
+    written(
+        calls,
+        answer,
+        ReleaseAnswer::HeadSwapped,
+        ReleaseAnswer::HeadMoved,
+    )
+}
+
+/// Returns `done` for a write that took effect and `refused` for one whose
+/// condition failed.
+fn written(
+    calls: &mut Calls<'_>,
+    outcome: CallOutcome,
+    done: ReleaseAnswer,
+    refused: ReleaseAnswer,
+) -> ReleaseAnswer {
+    match outcome {
+        CallOutcome::Answered(PlatformAnswer::Stored { .. }) => done,
+        CallOutcome::Answered(PlatformAnswer::Conflict { .. }) => refused,
+        CallOutcome::Answered(other) => {
+            lost(calls, format!("unexpected answer to a write: {other:?}"))
+        }
+        CallOutcome::Lost(fault) => lost(calls, fault),
+        CallOutcome::NotSent(fault) => not_sent(calls, fault),
+    }
+}
+
+fn lost(calls: &mut Calls<'_>, fault: String) -> ReleaseAnswer {
+    show_fault(calls, fault);
+    ReleaseAnswer::Lost
+}
+
+fn not_sent(calls: &mut Calls<'_>, fault: String) -> ReleaseAnswer {
+    show_fault(calls, fault);
+    ReleaseAnswer::NotSent
+}
+
+/// Prints a fault unless it is the one printed last.
+fn show_fault(calls: &mut Calls<'_>, fault: String) {
+    if calls.fault != fault {
+        eprintln!("platform: {fault}; trying again");
+    }
+    calls.fault = fault;
+}
+
+fn chain_notes(view: &ChainView) -> Vec<ChainNote> {
+    let mut notes = Vec::new();
+    for read in &view.notes {
+        notes.push(ChainNote {
+            header: read.stored.header.clone(),
+            entities: touched_entities(&read.note),
+        });
+    }
+    notes
+}
+
+/// Returns the accepted note and those before it that were read, oldest first.
+fn notes_to_push(calls: &Calls<'_>, accepted: &NoteHeader) -> Vec<StoredNote> {
+    let mut notes = Vec::new();
+    if let Some(view) = &calls.view {
+        for read in &view.notes {
+            notes.push(read.stored.clone());
+        }
+    }
+    if let Some(written) = &calls.written
+        && written.header == *accepted
+        && notes.iter().all(|note| note.header != *accepted)
+    {
+        notes.push(written.clone());
+    }
+    notes
+}
+
+/// Refuses a note that does not fit into a value of the platform.
+fn check_size(release: &Release, text: &str) -> Result<(), ToolFault> {
+    let header = NoteHeader {
+        number: NoteNumber(u64::MAX),
+        id: release.id(),
+        prev: HeadRecord::default().head.hash,
+        body: platform::note_body_hash(text),
+        config: HeadRecord::default().config,
+        author: release.author().into(),
+    };
+    let record = NoteRecord {
+        header,
+        text: text.into(),
+    };
+    let encoded = platform::encode_note(&record);
+    let bytes = encoded
+        .map_err(|fault| ToolFault::Platform(fault.to_string()))?
+        .len();
+    if bytes > VALUE_MAX_BYTES {
+        return Err(ToolFault::NoteTooLarge(bytes, VALUE_MAX_BYTES));
+    }
+    Ok(())
+}
+
+/// Reports a release that is not accepted.
+fn report(end: &ReleaseEnd, parsed: &ParsedNote, fault: &str, json: bool) -> Result<u8, ToolFault> {
+    let (outcome, lines) = describe(end, parsed, fault);
+    if json {
+        output::json(&json!({"outcome": outcome, "detail": lines}))?;
+    } else {
+        for line in lines {
+            eprintln!("{line}");
+        }
+    }
+    Ok(end.exit_code())
+}
+
+fn describe(end: &ReleaseEnd, parsed: &ParsedNote, fault: &str) -> (&'static str, Vec<String>) {
+    match end {
+        ReleaseEnd::Accepted { header, .. } => (
+            "accepted",
+            vec![format!("released as note {}", header.number)],
+        ),
+        ReleaseEnd::Conflict { winner, overlap } => (
+            "conflict",
+            vec![
+                format!("not released: {} changes the same entities", named(winner)),
+                format!("in both notes: {}", entities(overlap)),
+            ],
+        ),
+        ReleaseEnd::Superseded {
+            number,
+            winner,
+            overlap,
+        } => (
+            "superseded",
+            vec![
+                format!(
+                    "released before as note {number}, and since then {} changes the same entities",
+                    named(winner)
+                ),
+                format!("in both notes: {}", entities(overlap)),
+                format!(
+                    "to release it again, set base = {} in [note]",
+                    winner.number
+                ),
+            ],
+        ),
+        ReleaseEnd::Invalid { head, errors } => {
+            let mut lines = vec![format!("not released: invalid after note {head}")];
+            for error in errors {
+                lines.push(parsed.lines.locate(error).to_string());
+            }
+            ("invalid", lines)
+        }
+        ReleaseEnd::BaseOutOfRange { base, head } => (
+            "invalid",
+            vec![format!(
+                "not released: base = {base} is above or too far below the newest note, {head}"
+            )],
+        ),
+        ReleaseEnd::BodyTaken(number, id) => (
+            "conflict",
+            vec![format!(
+                "not released: the platform holds another note as {number}-{id}"
+            )],
+        ),
+        ReleaseEnd::Unavailable => (
+            "unavailable",
+            vec![format!(
+                "not released: the platform did not answer: {fault}"
+            )],
+        ),
+        ReleaseEnd::TimedOut => (
+            "timed-out",
+            vec!["not released: the head was not written in time".to_owned()],
+        ),
+        ReleaseEnd::Unknown(number, id) => (
+            "unknown",
+            vec![
+                format!("the outcome is unknown: the platform's answer was lost: {fault}"),
+                format!("to check it later, run: agateholdctl note status {number}-{id}"),
+            ],
+        ),
+    }
+}
+
+fn named(header: &NoteHeader) -> String {
+    format!(
+        "note {} ({}) by {}",
+        header.number, header.id, header.author
+    )
+}
+
+fn entities(overlap: &[EntityRef]) -> String {
+    let names: Vec<String> = overlap.iter().map(|entity| entity.to_string()).collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/agateholdctl/src/fault/mod.rs
@@ -0,0 +1,86 @@
+//! Faults that end a command.
+
+use std::io;
+use std::process::ExitCode;
+
+use quick_error::quick_error;
+
+use agatehold_settings::fault::SettingsError;
+
+quick_error! {
+    /// Why a command failed.
+    #[derive(Debug)]
+    pub enum ToolFault {
+        /// The command line is wrong.
+        Usage(detail: String) {
+            display("{}\ntry agateholdctl --help", detail)
+        }
+        /// A file can't be read.
+        File(path: String, error: io::Error) {
+            display("can't read {}: {}", path, error)
+        }
+        /// The output can't be written.
+        Output(error: io::Error) {
+            from()
+            display("can't write the output: {}", error)
+        }
+        /// An answer can't be written as JSON.
+        Json(error: serde_json::Error) {
+            from()
+            display("can't write JSON: {}", error)
+        }
+        /// Settings or a note are invalid.
+        Invalid(errors: Vec<SettingsError>) {
+            display("{}", lines(errors))
+        }
+        /// The note is larger than the platform's values.
+        NoteTooLarge(bytes: usize, limit: usize) {
+            display("the note takes {} bytes in the platform, expected at most {}", bytes, limit)
+        }
+        /// The platform did not answer or its answer can't be used.
+        Platform(detail: String) {
+            display("platform: {}", detail)
+        }
+        /// The platform did not answer, so the outcome of a note is open.
+        StatusUnknown(detail: String) {
+            display("the outcome is unknown: {}", detail)
+        }
+        /// No daemon answered.
+        Daemons(detail: String) {
+            display("daemons: {}", detail)
+        }
+        /// Most daemons can't confirm their configuration.
+        Unconfirmed(confirmed: usize, all: usize) {
+            display("only {} of {} daemons are confirmed, so the note would reach a minority; \
+                     use --force to release it all the same", confirmed, all)
+        }
+    }
+}
+
+impl ToolFault {
+    /// Returns the exit code (section 2 of the design page).
+    fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage(_) => 2,
+            Self::Invalid(_) | Self::NoteTooLarge(_, _) => 3,
+            Self::StatusUnknown(_) => 5,
+            Self::File(_, _)
+            | Self::Output(_)
+            | Self::Json(_)
+            | Self::Platform(_)
+            | Self::Daemons(_)
+            | Self::Unconfirmed(_, _) => 1,
+        }
+    }
+}
+
+/// Prints `fault` and returns its exit code.
+pub(crate) fn report(fault: &ToolFault) -> ExitCode {
+    eprintln!("{fault}");
+    ExitCode::from(fault.exit_code())
+}
+
+fn lines(errors: &[SettingsError]) -> String {
+    let lines: Vec<String> = errors.iter().map(|error| error.to_string()).collect();
+    lines.join("\n")
+}
