Add the platform stand-in

Ruled out: an oxhttp server, because a connection can't be closed without an answer; the wire codec for the server's reading, because a fault in it would be repeated on both sides and stay unseen.

Change: `platform-standin` and `platform_standin::start`, one thread with the tables and one for traffic.

--- /dev/null
+++ b/crates/agatehold-testing/src/common/control.rs
@@ -0,0 +1,104 @@
+//! The control port, over which a test switches faults and reads records.
+
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use super::Closed;
+use super::Reply;
+use super::json_response;
+use super::serve;
+use super::text_response;
+
+/// A request at the control port, answered by the owner of the state.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// `POST /control` with a JSON object.
+    Switch(Value, oneshot::Sender<Result<(), String>>),
+    /// `GET /control/<what>?<query>`; `None` if there is no such record.
+    Read {
+        /// What to read.
+        what: Box<str>,
+        /// The query, empty if none.
+        query: Box<str>,
+        /// Takes the answer.
+        reply: oneshot::Sender<Option<Value>>,
+    },
+}
+
+/// Serves the control port; each request becomes an event for the owner.
+pub async fn serve_control<E, W>(listener: TcpListener, events: Sender<E>, wrap: W)
+where
+    E: Send + 'static,
+    W: Fn(ControlEvent) -> E + Clone + Send + Sync + 'static,
+{
+    serve(listener, move |request| {
+        let events = events.clone();
+        let wrap = wrap.clone();
+        async move { answer_control(request, events, wrap).await }
+    })
+    .await;
+}
+
+async fn answer_control<E>(
+    request: Request<Bytes>,
+    events: Sender<E>,
+    wrap: impl Fn(ControlEvent) -> E,
+) -> Reply {
+    let path = request.uri().path();
+    if request.method() == Method::POST && path == "/control" {
+        let value = match serde_json::from_slice(request.body()) {
+            Ok(value) => value,
+            Err(error) => {
+                let text = format!("{error}\n");
+                return Ok(text_response(StatusCode::BAD_REQUEST, text));
+            }
+        };
+        let (reply, answer) = oneshot::channel();
+        let event = wrap(ControlEvent::Switch(value, reply));
+        events.send(event).map_err(|_| Closed::Stopped)?;
+        return match answer.await.map_err(|_| Closed::Stopped)? {
+            Ok(()) => Ok(text_response(StatusCode::NO_CONTENT, "")),
+            Err(text) => Ok(text_response(StatusCode::BAD_REQUEST, text + "\n")),
+        };
+    }
+    let Some(what) = path.strip_prefix("/control/") else {
+        return Ok(text_response(StatusCode::NOT_FOUND, ""));
+    };
+    if request.method() != Method::GET {
+        return Ok(text_response(StatusCode::METHOD_NOT_ALLOWED, ""));
+    }
+    let (reply, answer) = oneshot::channel();
+    let event = wrap(ControlEvent::Read {
+        what: what.into(),
+        query: request.uri().query().unwrap_or_default().into(),
+        reply,
+    });
+    events.send(event).map_err(|_| Closed::Stopped)?;
+    match answer.await.map_err(|_| Closed::Stopped)? {
+        Some(value) => Ok(json_response(&value)),
+        None => Ok(text_response(StatusCode::NOT_FOUND, "")),
+    }
+}
+
+/// Returns `current` with the fields that the object `patch` names replaced.
+pub fn merge_patch<T: Serialize + DeserializeOwned>(
+    current: &T,
+    patch: &Value,
+) -> Result<T, String> {
+    let mut merged = serde_json::to_value(current).map_err(|error| error.to_string())?;
+    let (Some(fields), Some(changes)) = (merged.as_object_mut(), patch.as_object()) else {
+        return Err("expected a JSON object".to_owned());
+    };
+    for (name, value) in changes {
+        fields.insert(name.clone(), value.clone());
+    }
+    serde_json::from_value(merged).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/agatehold-testing/src/common/mod.rs
@@ -0,0 +1,25 @@
+//! What the test doubles share: clock, HTTP service, control port, options.
+
+mod client;
+mod clock;
+mod control;
+mod http_io;
+mod options;
+
+pub use client::CallError;
+pub use client::call_platform;
+pub use client::read_control;
+pub use client::switch_control;
+pub use clock::unix_now;
+pub use control::ControlEvent;
+pub use control::merge_patch;
+pub use control::serve_control;
+pub use http_io::Closed;
+pub use http_io::Reply;
+pub use http_io::json_response;
+pub use http_io::serve;
+pub use http_io::serve_connection;
+pub use http_io::text_response;
+pub use options::parse_value;
+pub use options::print_lines;
+pub use options::wait_for_signal;
--- a/crates/agatehold-testing/src/lib.rs
+++ b/crates/agatehold-testing/src/lib.rs
@@ -1,1 +1,7 @@
-//! TBD.
+//! Test doubles for the systems around agatehold. Not shipped.
+//!
+//! Each double keeps its state in tables owned by one thread; another thread
+//! carries the traffic and asks it over a channel.
+
+pub mod common;
+pub mod platform_standin;
--- /dev/null
+++ b/crates/agatehold-testing/src/platform_standin/start.rs
@@ -0,0 +1,155 @@
+//! Starts the threads of the platform stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
+use crossbeam::channel::unbounded;
+use http::Request;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
+
+use agatehold_core::units::DurationMs;
+
+use crate::common::Closed;
+use crate::common::Reply;
+use crate::common::serve;
+use crate::common::serve_control;
+use crate::common::text_response;
+use crate::common::unix_now;
+
+use super::protocol::parse_request;
+use super::systems;
+use super::tables::Call;
+use super::tables::Event;
+use super::tables::Tables;
+use super::tables::Verdict;
+
+/// How the platform stand-in starts.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformOptions {
+    /// The address of the platform.
+    pub listen: SocketAddr,
+    /// The address of the control port.
+    pub control: SocketAddr,
+    /// How long the host list lags.
+    pub host_lag_ms: DurationMs,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: SocketAddr::from(([127, 0, 0, 1], 0)),
+            host_lag_ms: DurationMs(10_000),
+        }
+    }
+}
+
+/// A platform stand-in that runs.
+#[derive(Debug)]
+pub struct RunningPlatform {
+    /// The bound address of the platform.
+    pub platform: SocketAddr,
+    /// The bound address of the control port.
+    pub control: SocketAddr,
+    stop: oneshot::Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl RunningPlatform {
+    /// Stops the threads and waits for them.
+    pub fn close(self) {
+        // The receiver is gone only if the traffic thread has ended already.
+        let _ = self.stop.send(());
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts the platform stand-in.
+pub fn start(options: PlatformOptions) -> io::Result<RunningPlatform> {
+    let (events, inbox) = unbounded();
+    let (stop, stopped) = oneshot::channel();
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let listener = runtime.block_on(TcpListener::bind(options.listen))?;
+    let control_listener = runtime.block_on(TcpListener::bind(options.control))?;
+    let platform = listener.local_addr()?;
+    let control = control_listener.local_addr()?;
+
+    let tables = Tables {
+        host_lag_ms: options.host_lag_ms,
+        ..Tables::default()
+    };
+    let state = thread::Builder::new()
+        .name("platform-state".to_owned())
+        .spawn(move || run_state(tables, &inbox))?;
+    let traffic = thread::Builder::new()
+        .name("platform-traffic".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                tokio::spawn(serve_control(
+                    control_listener,
+                    events.clone(),
+                    Event::Control,
+                ));
+                tokio::spawn(serve(listener, move |request| {
+                    answer_call(request, events.clone())
+                }));
+                // Both the order to stop and a dropped handle end the thread.
+                let _ = stopped.await;
+            });
+        })?;
+    Ok(RunningPlatform {
+        platform,
+        control,
+        stop,
+        threads: vec![traffic, state],
+    })
+}
+
+/// Runs the systems at each event and deadline until all senders are gone.
+fn run_state(mut tables: Tables, inbox: &Receiver<Event>) {
+    loop {
+        let received = match systems::next_deadline(&tables) {
+            Some(deadline) => {
+                let wait = deadline.since(unix_now());
+                inbox.recv_timeout(Duration::from_millis(wait.0))
+            }
+            None => inbox.recv().map_err(RecvTimeoutError::from),
+        };
+        match received {
+            Ok(event) => systems::tick(&mut tables, unix_now(), Some(event)),
+            Err(RecvTimeoutError::Timeout) => systems::tick(&mut tables, unix_now(), None),
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+async fn answer_call(request: Request<Bytes>, events: Sender<Event>) -> Reply {
+    let request = match parse_request(&request) {
+        Ok(request) => request,
+        Err(status) => return Ok(text_response(status, "")),
+    };
+    let (reply, verdict) = oneshot::channel();
+    events
+        .send(Event::Call(Call { request, reply }))
+        .map_err(|_| Closed::Stopped)?;
+    match verdict.await.map_err(|_| Closed::Stopped)? {
+        Verdict::Answer(response, delay) => {
+            if delay > DurationMs(0) {
+                tokio::time::sleep(Duration::from_millis(delay.0)).await;
+            }
+            Ok(response)
+        }
+        Verdict::Close => Err(Closed::ByFault),
+    }
+}
