Add the target stand-in

Ruled out: a hand-written HTTP server for the byte faults, because a library reads HTTP better; faults inside the HTTP library, because it can't cut, mute or double the bytes of the wire.

Change: `target-standin` and `target_standin::start`, many targets on many ports in one process. hyper serves behind an in-memory pipe, and a relay between socket and pipe carries out cuts, silence and doubled answers. A crashed target keeps its port reserved with a bound socket that does not listen, so that connections are refused and no other process takes the port; its connections are reset after the listener has closed. Every start of a request is recorded, with its end.

--- a/crates/agatehold-testing/src/lib.rs
+++ b/crates/agatehold-testing/src/lib.rs
@@ -3,5 +3,7 @@
 //! Each double keeps its state in tables owned by one thread; another thread
 //! carries the traffic and asks it over a channel.
 
+pub mod answer;
 pub mod common;
 pub mod platform_standin;
+pub mod target_standin;
--- /dev/null
+++ b/crates/agatehold-testing/src/target_standin/mod.rs
@@ -0,0 +1,21 @@
+//! A stand-in of targets: slots, warm-up, load reports, drain, and faults
+//! that are switched while it runs. One process hosts many targets.
+
+mod control;
+mod faults;
+mod relay;
+mod start;
+mod systems;
+mod tables;
+mod traffic;
+
+pub use faults::CutEnd;
+pub use faults::CutPart;
+pub use faults::CutPlan;
+pub use faults::Delay;
+pub use faults::Drain;
+pub use faults::Faults;
+pub use faults::Silence;
+pub use start::RunningTargets;
+pub use start::TargetOptions;
+pub use start::start;
