Add the caller and the history checks

Cause: the guarantees are about what callers see and what targets ran, so the failure tests need a caller that keeps to the published interface and checks over both records.

Ruled out: a retry after a lost answer, because only a refusal advises one; one check by idempotency key alone, because a caller may use a new key for a request that did not run. Each request therefore carries a marker in its query that stays the same over all attempts.

Change: `caller` as a module and a binary with closed and open loops, and `history` with four checks: at most once by key and marker, not-run by id and marker, own and whole answer, and heads that never go back or fork. The target stand-in records its runs in the type that the checks read.

--- /dev/null
+++ b/crates/agatehold-testing/src/caller/traffic.rs
@@ -0,0 +1,164 @@
+//! Sends a caller's requests over connections that it keeps.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use agatehold_core::table::Table;
+
+use super::CallerOptions;
+use super::tables::AddressAnswer;
+use super::tables::Command;
+use super::tables::Event;
+use super::tables::SendResult;
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// Idle connections by address.
+type Pool = Arc<Mutex<Table<SocketAddr, Vec<Connection>>>>;
+
+/// What every task of the traffic thread shares.
+#[derive(Clone, Debug)]
+struct Shared {
+    pool: Pool,
+    patience: Duration,
+    keeps_connections: bool,
+    address_path: Arc<str>,
+    events: Sender<Event>,
+}
+
+/// Carries out commands until the owner of the tables has ended.
+pub(super) async fn run(
+    options: &CallerOptions,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+    events: Sender<Event>,
+) {
+    let path = format!(
+        "/.well-known/agatehold/addresses?service={}",
+        options.service
+    );
+    let shared = Shared {
+        pool: Arc::default(),
+        patience: Duration::from_millis(options.patience_ms.0),
+        keeps_connections: options.keeps_connections,
+        address_path: path.into(),
+        events,
+    };
+    while let Some(command) = commands.recv().await {
+        tokio::spawn(carry_out(command, shared.clone()));
+    }
+}
+
+async fn carry_out(command: Command, shared: Shared) {
+    let event = match command {
+        Command::Send {
+            number,
+            address,
+            request,
+        } => {
+            let begin = Instant::now();
+            let result = send_in_time(&shared, address, *request).await;
+            Event::Ended {
+                number,
+                result,
+                total_us: u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX),
+            }
+        }
+        Command::AskAddresses { daemon } => Event::Addresses(ask_addresses(&shared, daemon).await),
+    };
+    // The owner of the tables is gone only when the caller has ended.
+    let _ = shared.events.send(event);
+}
+
+async fn ask_addresses(shared: &Shared, daemon: SocketAddr) -> Option<AddressAnswer> {
+    let request = Request::get(&*shared.address_path)
+        .header("host", daemon.to_string())
+        .body(Bytes::new())
+        .ok()?;
+    match send_in_time(shared, daemon, request).await {
+        SendResult::Response(status, _, body) if status.is_success() => {
+            serde_json::from_slice(&body).ok()
+        }
+        SendResult::Response(..)
+        | SendResult::NotSent
+        | SendResult::ConnectFailed
+        | SendResult::Lost
+        | SendResult::TimedOut => None,
+    }
+}
+
+async fn send_in_time(shared: &Shared, address: SocketAddr, request: Request<Bytes>) -> SendResult {
+    let sent = tokio::time::timeout(shared.patience, send(shared, address, request));
+    sent.await.unwrap_or(SendResult::TimedOut)
+}
+
+/// Sends on an idle connection, or on a new one if the idle one closed before
+/// the request was written.
+async fn send(shared: &Shared, address: SocketAddr, request: Request<Bytes>) -> SendResult {
+    let mut request = request.map(Full::new);
+    while let Some(idle) = take_idle(&shared.pool, address) {
+        match send_on(shared, address, idle, request).await {
+            Ok(result) => return result,
+            Err(unsent) => request = unsent,
+        }
+    }
+    let Ok(stream) = TcpStream::connect(address).await else {
+        return SendResult::ConnectFailed;
+    };
+    // A failure only means that small requests wait for an acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let Ok((sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+        return SendResult::ConnectFailed;
+    };
+    tokio::spawn(connection);
+    let sent = send_on(shared, address, sender, request).await;
+    sent.unwrap_or(SendResult::ConnectFailed)
+}
+
+/// Sends on one connection; returns the request if nothing was written.
+async fn send_on(
+    shared: &Shared,
+    address: SocketAddr,
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<SendResult, Request<Full<Bytes>>> {
+    if connection.ready().await.is_err() {
+        return Err(request);
+    }
+    let response = match connection.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => return error.take_message().map_or(Ok(SendResult::Lost), Err),
+    };
+    let (head, body) = response.into_parts();
+    let Ok(collected) = body.collect().await else {
+        return Ok(SendResult::Lost);
+    };
+    if shared.keeps_connections {
+        let mut pool = shared.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        pool.get_or_insert(address, Vec::new).push(connection);
+    }
+    Ok(SendResult::Response(
+        head.status,
+        head.headers,
+        collected.to_bytes(),
+    ))
+}
+
+fn take_idle(pool: &Pool, address: SocketAddr) -> Option<Connection> {
+    let mut pool = pool.lock().unwrap_or_else(PoisonError::into_inner);
+    pool.get_mut(&address)?.pop()
+}
--- /dev/null
+++ b/crates/agatehold-testing/src/history/mod.rs
@@ -0,0 +1,17 @@
+//! Checks over the records of callers, targets and daemons.
+
+mod checks;
+mod records;
+
+pub use checks::Violation;
+pub use checks::check_at_most_once;
+pub use checks::check_heads;
+pub use checks::check_not_run;
+pub use checks::check_own_answer;
+pub use records::CallOutcome;
+pub use records::CallRecord;
+pub use records::HeadObservation;
+pub use records::RunEnd;
+pub use records::RunRecord;
+pub use records::parse_runs;
+pub use records::request_marker;
--- a/crates/agatehold-testing/src/lib.rs
+++ b/crates/agatehold-testing/src/lib.rs
@@ -4,6 +4,8 @@
 //! carries the traffic and asks it over a channel.
 
 pub mod answer;
+pub mod caller;
 pub mod common;
+pub mod history;
 pub mod platform_standin;
 pub mod target_standin;
--- a/crates/agatehold-testing/src/target_standin/control.rs
+++ b/crates/agatehold-testing/src/target_standin/control.rs
@@ -63,7 +63,7 @@
     let mut rows = Vec::new();
     let has_rows = query != "rows=0";
     for (_, run) in tables.runs.rows().filter(|_| has_rows) {
-        rows.push(json!(run));
+        rows.push(json!(run.record));
     }
     let counts: Vec<Value> = tables.targets.iter().map(|row| json!(row.counts)).collect();
     json!({"counts": counts, "runs": rows})
@@ -120,7 +120,7 @@
         if switch.forget_runs {
             tables
                 .runs
-                .retain(|_, run| run.target != index || run.end.is_none());
+                .retain(|_, run| run.record.target != index || run.record.end.is_none());
         }
     }
     Ok(())
--- a/crates/agatehold-testing/src/target_standin/systems.rs
+++ b/crates/agatehold-testing/src/target_standin/systems.rs
@@ -17,6 +17,8 @@
 use agatehold_core::units::TimeMs;
 
 use crate::answer::answer_body;
+use crate::history::RunEnd;
+use crate::history::RunRecord;
 
 use super::control;
 use super::faults::ConnectionOrder;
@@ -28,7 +30,6 @@
 use super::tables::ConnectionRow;
 use super::tables::Event;
 use super::tables::OpenedConnection;
-use super::tables::RunEnd;
 use super::tables::RunRow;
 use super::tables::Tables;
 use super::tables::TargetIndex;
@@ -196,7 +197,7 @@
     row.counts.started += 1;
     tables.run_count += 1;
     let path = request.uri().path_and_query();
-    let run = RunRow {
+    let record = RunRecord {
         target,
         request_id: header_text(request.headers(), "agatehold-request-id"),
         idempotency_key: header_text(request.headers(), "idempotency-key"),
@@ -206,9 +207,10 @@
         ended_ms: None,
         end: None,
         while_leaving,
-        body: request.body().clone(),
     };
-    tables.runs.insert(tables.run_count, run);
+    let body = request.body().clone();
+    let row = RunRow { record, body };
+    tables.runs.insert(tables.run_count, row);
     tables.run_count
 }
 
@@ -217,13 +219,13 @@
     let Some(row) = tables.runs.get_mut(&run) else {
         return false;
     };
-    if row.end.is_some() {
+    if row.record.end.is_some() {
         return false;
     }
-    row.end = Some(end);
-    row.ended_ms = Some(now.0);
+    row.record.end = Some(end);
+    row.record.ended_ms = Some(now.0);
     row.body = Bytes::new();
-    let target = &mut tables.targets[row.target];
+    let target = &mut tables.targets[row.record.target];
     target.in_flight = target.in_flight.saturating_sub(1);
     let counts = &mut target.counts;
     match end {
@@ -238,23 +240,23 @@
 
 /// Ends a run and builds its answer; `None` if it was cancelled before.
 fn end_run(tables: &mut Tables, now: TimeMs, run: u64, end: RunEnd) -> Option<Answer> {
-    let row = tables.runs.get(&run)?.clone();
+    let RunRow { record, body } = tables.runs.get(&run)?.clone();
     if !close_run(tables, now, run, end) {
         return None;
     }
-    let is_cold = now.since(tables.targets[row.target].started_at) < tables.warm_up_ms;
-    let target = &mut tables.targets[row.target];
+    let is_cold = now.since(tables.targets[record.target].started_at) < tables.warm_up_ms;
+    let target = &mut tables.targets[record.target];
     let (status, body) = match end {
         RunEnd::Finished => (
             StatusCode::OK,
-            answer_body(&row.method, &row.path, &row.body).into(),
+            answer_body(&record.method, &record.path, &body).into(),
         ),
         RunEnd::Deadline => (StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
         RunEnd::Failed | RunEnd::Cancelled | RunEnd::Crashed => {
             (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
         }
     };
-    let id = row.request_id.unwrap_or_default();
+    let id = record.request_id.unwrap_or_default();
     let (sent_id, sent_body) = if target.faults.cross_next > 0 {
         target.faults.cross_next -= 1;
         target.last_answer.clone()
--- a/crates/agatehold-testing/src/target_standin/tables.rs
+++ b/crates/agatehold-testing/src/target_standin/tables.rs
@@ -17,6 +17,8 @@
 use agatehold_core::units::TimeMs;
 
 use crate::common::ControlEvent;
+use crate::history::RunEnd;
+use crate::history::RunRecord;
 
 use super::faults::ConnectionOrder;
 use super::faults::Faults;
@@ -94,22 +96,6 @@
     pub(super) is_double: bool,
 }
 
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) enum RunEnd {
-    /// With a successful answer.
-    Finished,
-    /// With status 500.
-    Failed,
-    /// At the request's deadline, with status 504.
-    Deadline,
-    /// Because the connection closed.
-    Cancelled,
-    /// Because the target crashed.
-    Crashed,
-}
-
 /// One target.
 #[derive(Debug)]
 pub(super) struct TargetRow {
@@ -151,22 +137,10 @@
 }
 
 /// One run of a request.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
 pub(super) struct RunRow {
-    pub(super) target: TargetIndex,
-    pub(super) request_id: Option<Box<str>>,
-    pub(super) idempotency_key: Option<Box<str>>,
-    pub(super) method: Box<str>,
-    pub(super) path: Box<str>,
-    /// When it started, in Unix milliseconds.
-    pub(super) started_ms: u64,
-    /// When it ended, in Unix milliseconds; absent while it runs.
-    pub(super) ended_ms: Option<u64>,
-    /// How it ended; absent while it runs.
-    pub(super) end: Option<RunEnd>,
-    /// Whether the target said that it was leaving when the request came.
-    pub(super) while_leaving: bool,
-    #[serde(skip)]
+    pub(super) record: RunRecord,
+    /// The request body, dropped at the end of the run.
     pub(super) body: Bytes,
 }
 
