--- a/crates/agatehold-wire/src/lib.rs
+++ b/crates/agatehold-wire/src/lib.rs
@@ -1,3 +1,11 @@
-//! Message codecs of agatehold, free of sockets.
+//! Codecs of the messages that agatehold exchanges, free of sockets.
 
+pub mod admin;
+pub mod peers;
 pub mod platform;
+
+/// Protobuf messages and the gRPC service, made by `tools/protogen`.
+#[expect(missing_docs, clippy::all, reason = "generated code")]
+pub mod generated {
+    include!("generated/agatehold.peers.v1.rs");
+}
