--- a/crates/agatehold-testing/src/bin/caller.rs
+++ b/crates/agatehold-testing/src/bin/caller.rs
@@ -13,6 +13,8 @@
 use agatehold_testing::common::parse_value;
 use agatehold_testing::common::print_lines;
 use agatehold_testing::history;
+use agatehold_testing::history::CallOutcome;
+use agatehold_testing::history::CallRecord;
 
 const HELP: &str = "\
 Usage: caller --daemon IP:PORT [--daemon IP:PORT]... --service NAME --tenant NAME
@@ -20,15 +22,23 @@
               [--keys none|prefix|own] [--idempotent] [--say-non-idempotent]
               [--body-bytes N] [--body-text TEXT] [--timeout-ms N]
               [--workers N | --rate N] [--count N] [--duration-ms N]
-              [--patience-ms N] [--attempts N] [--stale] [--close]
+              [--patience-ms N] [--attempts N] [--stale] [--close] [--each]
 
 Sends requests and prints counts and latencies. --stale never asks for
-addresses, --close uses a connection for each request. Exits with 1 if an
-answer belongs to another request.";
+addresses, --close uses a connection for each request, --each prints every
+attempt. Exits with 1 if an answer belongs to another request.";
 
-fn parse_options() -> Result<Option<CallerOptions>, lexopt::Error> {
+/// What the command line asks for.
+struct Arguments {
+    options: CallerOptions,
+    /// Whether every attempt is printed.
+    prints_each: bool,
+}
+
+fn parse_options() -> Result<Option<Arguments>, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
     let mut daemons: Vec<SocketAddr> = Vec::new();
+    let mut prints_each = false;
     let mut service = None;
     let mut tenant = None;
     let nowhere = (
@@ -59,6 +69,7 @@
             Long("attempts") => options.attempts = parse_value(&mut parser)?,
             Long("stale") => options.asks_addresses = false,
             Long("close") => options.keeps_connections = false,
+            Long("each") => prints_each = true,
             Long("help") => return Ok(None),
             _ => return Err(arg.unexpected()),
         }
@@ -69,16 +80,46 @@
     options.daemons = daemons;
     options.service = service.ok_or("--service is missing")?;
     options.tenant = tenant.ok_or("--tenant is missing")?;
-    Ok(Some(options))
+    Ok(Some(Arguments {
+        options,
+        prints_each,
+    }))
 }
 
-fn run(options: CallerOptions) -> Result<ExitCode, Box<dyn Error>> {
-    let records = caller::start(options)?.join();
-    let mut lines: Vec<String> = caller::summarise(&records)
-        .to_string()
-        .lines()
-        .map(str::to_owned)
-        .collect();
+/// Returns one line on an attempt.
+fn describe(record: &CallRecord) -> String {
+    let end = match record.refusal {
+        Some(kind) => format!("{kind}"),
+        None => record.status.unwrap_or(0).to_string(),
+    };
+    let outcome = match record.outcome {
+        CallOutcome::Answered => "answered".to_owned(),
+        CallOutcome::Refused(outcome) => outcome.to_string(),
+        CallOutcome::NotSent => "not-sent".to_owned(),
+        CallOutcome::ConnectFailed => "connect-failed".to_owned(),
+        CallOutcome::Lost => "lost".to_owned(),
+        CallOutcome::TimedOut => "timed-out".to_owned(),
+    };
+    format!(
+        "request {} daemon={} target={} end={end} outcome={outcome} total_us={} added_us={}",
+        record.number,
+        record.address,
+        record.target.as_deref().unwrap_or("-"),
+        record.total_us,
+        record
+            .added_us
+            .map_or_else(|| "-".to_owned(), |added| added.to_string()),
+    )
+}
+
+fn run(arguments: Arguments) -> Result<ExitCode, Box<dyn Error>> {
+    let records = caller::start(arguments.options)?.join();
+    let mut lines = Vec::new();
+    if arguments.prints_each {
+        lines.extend(records.iter().map(describe));
+    }
+    let summary = caller::summarise(&records).to_string();
+    lines.extend(summary.lines().map(str::to_owned));
     let violations = history::check_own_answer(&records);
     for violation in &violations {
         lines.push(format!("violation: {violation}"));
@@ -91,8 +132,8 @@
 }
 
 fn main() -> ExitCode {
-    let options = match parse_options() {
-        Ok(Some(options)) => options,
+    let arguments = match parse_options() {
+        Ok(Some(arguments)) => arguments,
         Ok(None) => {
             println!("{HELP}");
             return ExitCode::SUCCESS;
@@ -102,7 +143,7 @@
             return ExitCode::from(2);
         }
     };
-    match run(options) {
+    match run(arguments) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("caller: {error}");
--- a/crates/agatehold-testing/src/caller/systems.rs
+++ b/crates/agatehold-testing/src/caller/systems.rs
@@ -13,6 +13,7 @@
 use agatehold_core::refusal::RetryAdvice;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
+use agatehold_wire::addresses::AddressAnswer;
 
 use crate::history::CallOutcome;
 use crate::history::CallRecord;
@@ -21,7 +22,6 @@
 use super::Load;
 use super::RequestShape;
 use super::tables::ASK_PAUSE;
-use super::tables::AddressAnswer;
 use super::tables::Command;
 use super::tables::Event;
 use super::tables::RequestRow;
@@ -181,7 +181,7 @@
     };
     book.ask_at = now + DurationMs(answer.ttl_ms).max(ASK_PAUSE);
     book.addresses = answer.addresses;
-    book.key_prefix = Some(answer.key_prefix);
+    book.key_prefix = answer.key_prefix;
 }
 
 fn send_due(tables: &mut Tables, now: TimeMs, commands: &mut Vec<Command>) {
--- a/crates/agatehold-testing/src/caller/tables.rs
+++ b/crates/agatehold-testing/src/caller/tables.rs
@@ -6,11 +6,11 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
-use serde::Deserialize;
 
 use agatehold_core::table::Table;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
+use agatehold_wire::addresses::AddressAnswer;
 
 use crate::history::CallRecord;
 
@@ -59,14 +59,6 @@
     TimedOut,
 }
 
-/// The address response of a daemon.
-#[derive(Clone, Debug, Deserialize)]
-pub(super) struct AddressAnswer {
-    pub(super) addresses: Vec<SocketAddr>,
-    pub(super) ttl_ms: u64,
-    pub(super) key_prefix: Box<str>,
-}
-
 /// The addresses that the caller uses.
 #[derive(Debug)]
 pub(super) struct AddressBook {
--- a/crates/agatehold-testing/src/caller/traffic.rs
+++ b/crates/agatehold-testing/src/caller/traffic.rs
@@ -20,8 +20,10 @@
 
 use agatehold_core::table::Table;
 
+use agatehold_wire::addresses;
+use agatehold_wire::addresses::AddressAnswer;
+
 use super::CallerOptions;
-use super::tables::AddressAnswer;
 use super::tables::Command;
 use super::tables::Event;
 use super::tables::SendResult;
@@ -90,9 +92,7 @@
         .body(Bytes::new())
         .ok()?;
     match send_in_time(shared, daemon, request).await {
-        SendResult::Response(status, _, body) if status.is_success() => {
-            serde_json::from_slice(&body).ok()
-        }
+        SendResult::Response(status, _, body) if status.is_success() => addresses::decode(&body),
         SendResult::Response(..)
         | SendResult::NotSent
         | SendResult::ConnectFailed
--- a/crates/agatehold/src/admin/mod.rs
+++ b/crates/agatehold/src/admin/mod.rs
@@ -141,7 +141,7 @@
     }
     let offered = offer.records.last().map(|record| record.header.head());
     let (reply, reply_seen) = bounded(1);
-    let input = Input::Admin(AdminQuestion::Notes(offer, reply));
+    let input = Input::Admin(AdminQuestion::Notes(Box::new(offer), reply));
     if state.inputs.send_timeout(input, ANSWER_TIMEOUT).is_err() {
         return busy();
     }
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -52,7 +52,7 @@
     /// The ejections and the capacity of the services.
     Ejections(Sender<agatehold_wire::admin::EjectionsAnswer>),
     /// Notes that the operators' tool pushes.
-    Notes(NotesAnswer, Sender<(Acceptance, Head)>),
+    Notes(Box<NotesAnswer>, Sender<(Acceptance, Head)>),
     /// A planned stop.
     Drain(Sender<agatehold_wire::admin::DrainAnswer>),
 }
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -448,7 +448,7 @@
 /// has slots, divided among the threads.
 fn connections_max(state: &ThreadState, slots: u32) -> usize {
     let threads = state.shared.settings.limits.traffic_threads.0.max(1);
-    slots.div_ceil(u32::from(threads)).max(1) as usize
+    slots.div_ceil(threads).max(1) as usize
 }
 
 /// Reads `<in flight>/<slots>`.
