--- /dev/null
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -0,0 +1,206 @@
+//! One daemon process of a fleet.
+
+use std::cell::RefCell;
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+
+use oxhttp::Client;
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use rustix::process::Pid;
+use rustix::process::kill_process;
+
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::ParseIdError;
+use agatehold_wire::admin::StatusAnswer;
+
+use super::FleetOptions;
+use super::ports::DaemonAddresses;
+
+/// How long the admin address may take for an answer.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The token of every admin address.
+const TOKEN: &str = "token-of-the-test-fleet";
+
+/// A signal to a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Ends the process at once.
+    Kill,
+    /// Begins a planned stop.
+    Term,
+    /// Freezes the process.
+    Stop,
+    /// Lets a frozen process go on.
+    Continue,
+}
+
+/// A daemon process.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// The host that the daemon runs as.
+    pub host: HostId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+    binary: PathBuf,
+    settings_file: PathBuf,
+    log_file: PathBuf,
+    /// The process; `None` once it has ended.
+    child: RefCell<Option<Child>>,
+}
+
+/// Returns the settings of daemon `number`.
+pub(super) fn settings(
+    rows: &[DaemonAddresses],
+    number: usize,
+    platform: SocketAddr,
+    options: &FleetOptions,
+) -> String {
+    let row = &rows[number];
+    let mut text = format!(
+        "[host]\nid = host-{number}\nfailure_domain = domain-{}\n\n\
+         [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\n\
+         [platform]\naddress = {platform}\n\n\
+         [admin]\ntoken = {TOKEN}\n\n\
+         [limits]\nquiet_ms = {}\n\n\
+         [peers]\nsecret = secret-of-the-test-fleet\n",
+        number % 3,
+        row.callers,
+        row.peers,
+        row.admin,
+        options.quiet_ms.0,
+    );
+    for row in rows {
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "host.host-{} = domain-{} {} {}",
+            row.number,
+            row.number % 3,
+            row.peers,
+            row.callers
+        );
+    }
+    text
+}
+
+impl DaemonProcess {
+    /// Writes the settings and starts the process.
+    pub(super) fn start(
+        binary: &Path,
+        dir: &Path,
+        row: &DaemonAddresses,
+        settings: &str,
+    ) -> io::Result<Self> {
+        let number = row.number;
+        let settings_file = dir.join(format!("host-{number}.ini"));
+        std::fs::write(&settings_file, settings)?;
+        let host = format!("host-{number}")
+            .parse()
+            .map_err(|error: ParseIdError| io::Error::other(error.to_string()))?;
+        let daemon = Self {
+            host,
+            callers: row.callers,
+            admin: row.admin,
+            binary: binary.to_owned(),
+            settings_file,
+            log_file: dir.join(format!("host-{number}.log")),
+            child: RefCell::new(None),
+        };
+        daemon.restart()?;
+        Ok(daemon)
+    }
+
+    /// Starts the process again after its end.
+    pub fn restart(&self) -> io::Result<()> {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log_file)?;
+        let child = Command::new(&self.binary)
+            .arg("--settings")
+            .arg(&self.settings_file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        *self.child.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let child = self.child.borrow();
+        let Some(child) = child.as_ref() else {
+            return Ok(());
+        };
+        let id = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        let Some(id) = id else {
+            return Ok(());
+        };
+        let signal = match signal {
+            Signal::Kill => rustix::process::Signal::KILL,
+            Signal::Term => rustix::process::Signal::TERM,
+            Signal::Stop => rustix::process::Signal::STOP,
+            Signal::Continue => rustix::process::Signal::CONT,
+        };
+        Ok(kill_process(id, signal)?)
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&self) -> io::Result<Option<ExitStatus>> {
+        let Some(mut child) = self.child.borrow_mut().take() else {
+            return Ok(None);
+        };
+        child.wait().map(Some)
+    }
+
+    /// Returns whether the process has not ended.
+    pub fn is_running(&self) -> bool {
+        let mut child = self.child.borrow_mut();
+        let Some(running) = child.as_mut() else {
+            return false;
+        };
+        matches!(running.try_wait(), Ok(None))
+    }
+
+    /// Returns the state of the daemon, `None` if it does not answer.
+    pub fn status(&self) -> Option<StatusAnswer> {
+        serde_json::from_slice(&self.read_admin("/v1/status")?).ok()
+    }
+
+    /// Returns the body of a page of the admin address.
+    pub fn read_admin(&self, path: &str) -> Option<Vec<u8>> {
+        let client = Client::new().with_global_timeout(ADMIN_TIMEOUT);
+        let request = Request::get(format!("http://{}{path}", self.admin))
+            .body(Body::empty())
+            .ok()?;
+        client.request(request).ok()?.into_body().to_vec().ok()
+    }
+
+    /// Returns what the daemon has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_file).unwrap_or_default()
+    }
+
+    /// Ends the process at once.
+    pub fn close(self) {
+        if let Some(mut child) = self.child.into_inner() {
+            // The process may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- a/crates/agatehold-testing/src/lib.rs
+++ b/crates/agatehold-testing/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod caller;
 pub mod common;
+pub mod fleet;
 pub mod history;
 pub mod platform_standin;
 pub mod target_standin;
