Echo forwarded ids in refusals, and say unknown for keys of other processes

A daemon that refused a forwarded request answered with an id of its own. The daemon that had forwarded it took this for the answer to another request and replaced the refusal, whatever its kind, by owner-unreachable. Callers came back up to three times, at one second each, until they got already-run.

A daemon that had just started refused a key of the process before it as starting with outcome not-run, although the key had run. A caller that sends the request again under a new key on not-run runs it twice.

Ruled out: a resend by a daemon (the targets' records show one run for each key) and the platform (the first fault came with prefix keys only).

Change: the id is chosen before the request is read, so that every answer echoes it. A refusal that comes before the claim of the key asks the table what is known of the key. The test caller asks for a new prefix when the owner of its prefix is gone.

--- a/crates/agatehold-core/src/idempotency/table.rs
+++ b/crates/agatehold-core/src/idempotency/table.rs
@@ -415,6 +415,25 @@
         row.progress = KeyProgress::Released { nonce, created };
     }
 
+    /// Returns what is known of earlier arrivals of `key` without claiming it.
+    ///
+    /// Only this process knows the arrivals of a key with its own prefix; any
+    /// other key may have run elsewhere, or in an earlier process on the host.
+    pub fn state_of(&self, key: &IdempotencyKey, tenant: &TenantName) -> KeyState {
+        let IdempotencyKey::Prefixed { prefix, .. } = key else {
+            return KeyState::MayHaveRun;
+        };
+        if prefix.host != self.owner.host || prefix.incarnation != self.owner.incarnation {
+            return KeyState::MayHaveRun;
+        }
+        let text = key.to_string();
+        let identity = Digest::of_parts(&[tenant.as_str().as_bytes(), text.as_bytes()]);
+        match self.epochs.get(&prefix.epoch) {
+            Some(epoch) if !epoch.keys.contains(&identity) => KeyState::NeverRun,
+            _ => KeyState::MayHaveRun,
+        }
+    }
+
     /// Returns the number of keys with a row.
     pub fn key_count(&self) -> usize {
         self.epochs.rows().map(|(_, epoch)| epoch.keys.len()).sum()
--- a/crates/agatehold-testing/src/caller/systems.rs
+++ b/crates/agatehold-testing/src/caller/systems.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use serde_json::Value;
 
+use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::RefusalOutcome;
 use agatehold_core::refusal::RetryAdvice;
 use agatehold_core::units::DurationMs;
@@ -288,6 +289,11 @@
             if record.refusal.is_some() {
                 take_refusal_addresses(tables, now, &body);
             }
+            if names_lost_owner(record.refusal) {
+                // The prefix of a daemon that is gone loses every request.
+                tables.book.key_prefix = None;
+                tables.book.ask_at = now;
+            }
         }
     }
     if let Some(pause) = retry_pause(&record, retry_after)
@@ -333,6 +339,14 @@
     };
 }
 
+/// Returns whether the daemon that made the key can't run its requests.
+const fn names_lost_owner(refusal: Option<RefusalKind>) -> bool {
+    matches!(
+        refusal,
+        Some(RefusalKind::OwnerGone | RefusalKind::OwnerUnreachable | RefusalKind::KeyExpired)
+    )
+}
+
 /// Uses the fresh addresses of a refusal, and asks for a prefix that goes
 /// with them.
 fn take_refusal_addresses(tables: &mut Tables, now: TimeMs, body: &[u8]) {
--- a/crates/agatehold-testing/src/fleet/daemon.rs
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -74,13 +74,14 @@
          [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\n\
          [platform]\naddress = {platform}\n\n\
          [admin]\ntoken = {TOKEN}\n\n\
-         [limits]\nquiet_ms = {}\n\n\
+         [limits]\nquiet_ms = {}\n{}\n\
          [peers]\nsecret = secret-of-the-test-fleet\n",
         number % 3,
         row.callers,
         row.peers,
         row.admin,
         options.quiet_ms.0,
+        options.limits,
     );
     for row in rows {
         // Writing to a string does not fail.
--- a/crates/agatehold-testing/src/fleet/mod.rs
+++ b/crates/agatehold-testing/src/fleet/mod.rs
@@ -14,12 +14,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+
 use agatehold_core::ids::NoteNumber;
+use agatehold_core::ids::ParseIdError;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::SlotCount;
 use agatehold_core::units::TargetCount;
 
+use crate::caller::CallerOptions;
 use crate::common::read_control;
+use crate::common::switch_control;
 use crate::history::RunRecord;
 use crate::history::parse_runs;
 use crate::platform_standin;
@@ -57,6 +62,8 @@
     pub host_lag_ms: DurationMs,
     /// How long a stopping daemon waits for further connections.
     pub quiet_ms: DurationMs,
+    /// Further lines of the daemons' section `[limits]`, each with its end.
+    pub limits: &'static str,
 }
 
 impl Default for FleetOptions {
@@ -69,6 +76,7 @@
             seed: 1,
             host_lag_ms: DurationMs(10_000),
             quiet_ms: DurationMs(500),
+            limits: "",
         }
     }
 }
@@ -154,6 +162,26 @@
         })
     }
 
+    /// Returns the options of a caller that knows every daemon.
+    pub fn caller(&self, name: &str) -> io::Result<CallerOptions> {
+        let invalid = |error: ParseIdError| io::Error::other(error.to_string());
+        let service = "certificates".parse().map_err(invalid)?;
+        let tenant = "exporter".parse().map_err(invalid)?;
+        let mut options = CallerOptions::new(self.callers(), service, tenant);
+        options.name = name.into();
+        Ok(options)
+    }
+
+    /// Switches faults of the targets.
+    pub fn switch_targets(&self, value: &Value) -> io::Result<()> {
+        switch_control(self.targets.control, value).map_err(io::Error::other)
+    }
+
+    /// Switches faults of the platform.
+    pub fn switch_platform(&self, value: &Value) -> io::Result<()> {
+        switch_control(self.platform.control, value).map_err(io::Error::other)
+    }
+
     /// Returns the targets' own records of what they ran.
     pub fn runs(&self) -> io::Result<Vec<RunRecord>> {
         let answer = read_control(self.targets.control, "runs").map_err(io::Error::other)?;
--- a/crates/agatehold-testing/src/fleet/ports.rs
+++ b/crates/agatehold-testing/src/fleet/ports.rs
@@ -1,6 +1,7 @@
 //! Addresses and files of a fleet.
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -19,11 +20,18 @@
 /// Returns free addresses for `daemons` daemons.
 ///
 /// The ports are bound together, so that all of them differ, and released
-/// before the daemons bind them.
+/// before the daemons bind them. They are on a loopback address of their own:
+/// on 127.0.0.1 an outgoing connection may take a port in between, or while a
+/// daemon that is restarted is down.
 pub(super) fn reserve(daemons: usize) -> io::Result<Vec<DaemonAddresses>> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let [_, _, _, fleet] = number.to_be_bytes();
+    let host = Ipv4Addr::new(127, 64 | (high ^ fleet) & 63, middle, low);
     let mut held = Vec::new();
     let mut bind = || {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let listener = TcpListener::bind((host, 0))?;
         let address = listener.local_addr()?;
         held.push(listener);
         io::Result::Ok(address)
--- a/crates/agatehold-testing/src/history/checks.rs
+++ b/crates/agatehold-testing/src/history/checks.rs
@@ -6,8 +6,10 @@
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::NoteNumber;
 use agatehold_core::note::Head;
+use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::RefusalOutcome;
 use agatehold_core::table::Table;
+use agatehold_core::units::TimeMs;
 
 use crate::answer::answer_body;
 
@@ -39,6 +41,13 @@
         /// The id or marker of the request.
         request: Box<str>,
     },
+    /// A key that had run before was answered `not-run`.
+    KeyRefusedAfterRun {
+        /// The key.
+        key: Box<str>,
+        /// The kind of the refusal.
+        kind: Option<RefusalKind>,
+    },
     /// A refusal has no request id, so that it can't be compared.
     RefusalWithoutId {
         /// The path of the request.
@@ -83,6 +92,12 @@
             Self::RanThoughNotRun { request } => {
                 write!(f, "the request {request} was answered not-run and ran")
             }
+            Self::KeyRefusedAfterRun { key, kind } => {
+                write!(
+                    f,
+                    "the key {key} had run and was answered not-run ({kind:?})"
+                )
+            }
             Self::RefusalWithoutId { path } => {
                 write!(f, "the refusal of {path} has no request id")
             }
@@ -101,6 +116,21 @@
     }
 }
 
+/// What became of the requests of callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestCounts {
+    /// All of them, each with all its attempts.
+    pub requests: usize,
+    /// Those that were answered with success.
+    pub succeeded: usize,
+    /// Those without success that a target ran.
+    pub unknown_and_ran: usize,
+    /// Those that were refused as `not-run` each time and that no target ran.
+    pub refused_not_run: usize,
+    /// Those that the caller has to look up although no target ran them.
+    pub unknown_not_run: usize,
+}
+
 /// The longest part of a foreign body in a violation.
 const BODY_SHOWN_BYTES: usize = 120;
 
@@ -191,6 +221,78 @@
     violations
 }
 
+/// Checks that no later arrival of a key that had run was answered `not-run`,
+/// on which the caller would send the request again under a new key.
+pub fn check_key_refusals(calls: &[CallRecord], runs: &[RunRecord]) -> Vec<Violation> {
+    let mut first_runs: Table<&str, TimeMs> = Table::new();
+    for run in runs {
+        let Some(key) = run.idempotency_key.as_deref() else {
+            continue;
+        };
+        let started = TimeMs(run.started_ms);
+        let first = first_runs.get_or_insert(key, || started);
+        *first = started.min(*first);
+    }
+    let mut violations = Vec::new();
+    for call in calls {
+        let Some(key) = call.key.as_deref() else {
+            continue;
+        };
+        let had_run = first_runs.get(&key).is_some_and(|at| *at < call.sent_at);
+        if had_run && call.outcome == CallOutcome::Refused(RefusalOutcome::NotRun) {
+            violations.push(Violation::KeyRefusedAfterRun {
+                key: key.into(),
+                kind: call.refusal,
+            });
+        }
+    }
+    violations
+}
+
+/// Counts requests by their markers and what became of them.
+pub fn count_requests(calls: &[CallRecord], runs: &[RunRecord]) -> RequestCounts {
+    let mut run_markers: Table<&str, ()> = Table::new();
+    for run in runs {
+        if let Some(marker) = request_marker(&run.path) {
+            run_markers.insert(marker, ());
+        }
+    }
+    let mut requests: Table<&str, (bool, bool)> = Table::new();
+    for call in calls {
+        let Some(marker) = request_marker(&call.path) else {
+            continue;
+        };
+        let (succeeded, not_run) = requests.get_or_insert(marker, || (false, true));
+        *succeeded |= call.is_success();
+        *not_run &= call.is_not_run();
+    }
+    let mut counts = RequestCounts::default();
+    for (marker, (succeeded, not_run)) in requests.rows() {
+        counts.requests += 1;
+        if *succeeded {
+            counts.succeeded += 1;
+        } else if run_markers.contains(marker) {
+            counts.unknown_and_ran += 1;
+        } else if *not_run {
+            counts.refused_not_run += 1;
+        } else {
+            counts.unknown_not_run += 1;
+        }
+    }
+    counts
+}
+
+/// Counts the refused attempts by kind.
+pub fn count_refusals(calls: &[CallRecord]) -> Vec<(RefusalKind, usize)> {
+    let mut counts: Table<RefusalKind, usize> = Table::new();
+    for call in calls {
+        if let Some(kind) = call.refusal {
+            *counts.get_or_insert(kind, || 0) += 1;
+        }
+    }
+    counts.rows().map(|(kind, count)| (*kind, *count)).collect()
+}
+
 /// Checks that every success carries the whole body of its own request.
 pub fn check_own_answer(calls: &[CallRecord]) -> Vec<Violation> {
     let mut violations = Vec::new();
--- a/crates/agatehold-testing/src/history/mod.rs
+++ b/crates/agatehold-testing/src/history/mod.rs
@@ -3,11 +3,15 @@
 mod checks;
 mod records;
 
+pub use checks::RequestCounts;
 pub use checks::Violation;
 pub use checks::check_at_most_once;
 pub use checks::check_heads;
+pub use checks::check_key_refusals;
 pub use checks::check_not_run;
 pub use checks::check_own_answer;
+pub use checks::count_refusals;
+pub use checks::count_requests;
 pub use records::CallOutcome;
 pub use records::CallRecord;
 pub use records::HeadObservation;
--- a/crates/agatehold/src/traffic/intake.rs
+++ b/crates/agatehold/src/traffic/intake.rs
@@ -34,7 +34,7 @@
 
 /// A request that arrived whole.
 pub(crate) struct Arrival {
-    /// Drawn at random for this arrival.
+    /// Drawn at random, or given by the daemon that forwarded the request.
     pub(crate) request_id: RequestId,
     /// The method.
     pub(crate) method: Method,
@@ -99,11 +99,6 @@
         .get(headers::IDEMPOTENT)
         .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"no"));
     let forwarded_by: Option<HostId> = parse_header(&head.headers, headers::FORWARDED_BY);
-    // The daemon that forwards checks the echo of its own identifier.
-    let request_id = match forwarded_by {
-        Some(_) => parse_header(&head.headers, headers::REQUEST_ID).unwrap_or(request_id),
-        None => request_id,
-    };
     let host = host_name(&head.headers, head.uri.host());
     let path_and_query = head
         .uri
@@ -130,6 +125,15 @@
     })
 }
 
+/// Returns the identifier that the daemon which forwards a request gave it.
+///
+/// Every answer has to echo it, refusals too: the other daemon takes an answer
+/// with another identifier for the answer to another request.
+pub(crate) fn forwarded_request_id(fields: &HeaderMap) -> Option<RequestId> {
+    let _: HostId = parse_header(fields, headers::FORWARDED_BY)?;
+    parse_header(fields, headers::REQUEST_ID)
+}
+
 fn parse_header<T: std::str::FromStr>(fields: &HeaderMap, name: &str) -> Option<T> {
     fields.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/crates/agatehold/src/traffic/serve.rs
+++ b/crates/agatehold/src/traffic/serve.rs
@@ -51,6 +51,7 @@
 use super::dispatch::Ended;
 use super::intake::Arrival;
 use super::intake::BodyLimits;
+use super::intake::forwarded_request_id;
 use super::intake::read_request;
 use super::keys::KeyGrant;
 use super::keys::KeyedRequest;
@@ -90,7 +91,8 @@
     state: Rc<ThreadState>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let request_id = RequestId(state.rng.borrow_mut().random());
+    let request_id = forwarded_request_id(request.headers())
+        .unwrap_or_else(|| RequestId(state.rng.borrow_mut().random()));
     let (reply, reply_seen) = oneshot::channel();
     state.shared.in_flight.fetch_add(1, Ordering::AcqRel);
     tokio::task::spawn_local(handle(Rc::clone(&state), request, request_id, reply));
@@ -163,7 +165,8 @@
     if arrival.path() == headers::ADDRESSES_PATH {
         return addresses::answer(state, arrival).map(Served::Response);
     }
-    let plan = plan_request(state, arrival)?;
+    let plan =
+        plan_request(state, arrival).map_err(|refusal| unclaimed(state, arrival, refusal))?;
     let result = serve_planned(state, arrival, &plan, caller, started).await;
     let word = match &result {
         Ok(Served::Response(_)) => "answered",
@@ -181,6 +184,25 @@
     })
 }
 
+/// Sets what a refusal that comes before the claim of the key says of it.
+///
+/// A process that has just started says `not-run` otherwise for a key that ran
+/// in the process before it, and the caller sends the request under a new key.
+fn unclaimed(state: &ThreadState, arrival: &Arrival, refusal: Refusal) -> Refusal {
+    let (Some(key), Some(tenant)) = (&arrival.key, &arrival.tenant) else {
+        return refusal;
+    };
+    // A malformed key has never been claimed.
+    let Ok(key) = key.parse() else {
+        return refusal;
+    };
+    let key_state = state.shared.keys().state_of(&key, tenant);
+    Refusal {
+        outcome: refusal_outcome(refusal.kind, key_state),
+        ..refusal
+    }
+}
+
 async fn serve_planned(
     state: &Rc<ThreadState>,
     arrival: &Arrival,
