Let a planned stop end without cutting requests, and a second signal end it

Callers that never renew their addresses connect for ever, so the daemon never became quiet and cut what was in flight at the limit.

A task that waited for the stop kept the watch channel's read lock while it served its connection. The next change of the stage blocked its sender, and the next read blocked the traffic thread: after a second signal the daemon neither served nor ended.

An abort that came before the traffic threads were asked to finish was overwritten by that request.

The answer to a caller counted as ended once its head was passed on. A target that paused within a relayed answer for longer than the quiet time had its answer cut by the stop, or by the idle time of 75 s without one.

Change: the listener closes after half of the stop limit at the latest. The stage is awaited by a function that drops the lock, and it never goes back. A connection is not idle while the task that reads its relayed answer lives.

--- a/crates/agatehold-core/src/control/stop.rs
+++ b/crates/agatehold-core/src/control/stop.rs
@@ -71,6 +71,12 @@
     if passed >= times.limit_ms {
         return StopStep::Abort;
     }
+    // Callers that never renew their addresses keep a daemon from becoming
+    // quiet, and their requests would be cut at the limit. The second half of
+    // the limit is for what was accepted in the first.
+    if passed.0 >= times.limit_ms.0 / 2 {
+        return StopStep::Close;
+    }
     // The quiet time also runs from the start of the stop, so that callers
     // that were just given this address are still served.
     let quiet_since = counts.last_connection_at.max(since);
--- a/crates/agatehold/src/traffic/answer.rs
+++ b/crates/agatehold/src/traffic/answer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Weak;
 use std::task::Context;
 use std::task::Poll;
 
@@ -56,7 +57,15 @@
     /// A whole body.
     Whole(Option<Bytes>),
     /// A body that is relayed part by part.
-    Relayed(mpsc::Receiver<Result<Bytes, AnswerAborted>>),
+    Relayed(Relay),
+}
+
+/// A body whose parts another task reads from the target.
+pub(crate) struct Relay {
+    /// The parts in order.
+    pub(crate) parts: mpsc::Receiver<Result<Bytes, AnswerAborted>>,
+    /// Lives as long as the task that reads the parts.
+    pub(crate) running: Weak<()>,
 }
 
 impl Body for AnswerBody {
@@ -69,7 +78,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerAborted>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|data| Ok(Frame::data(data)))),
-            Self::Relayed(parts) => match parts.poll_recv(cx) {
+            Self::Relayed(relay) => match relay.parts.poll_recv(cx) {
                 Poll::Ready(Some(Ok(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
                 Poll::Ready(Some(Err(aborted))) => Poll::Ready(Some(Err(aborted))),
                 Poll::Ready(None) => Poll::Ready(None),
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -45,6 +45,7 @@
 use super::ThreadState;
 use super::answer::AnswerAborted;
 use super::answer::AnswerBody;
+use super::answer::Relay;
 use super::attempt::Attempt;
 use super::attempt::Outbound;
 use super::attempt::Received;
@@ -471,12 +472,15 @@
 
 /// Relays a body that is over the buffer size, part by part.
 pub(crate) fn relay_rest(first: Bytes, rest: Incoming, connection: Connection) -> AnswerBody {
-    let (parts, parts_seen) = mpsc::channel(RELAY_PARTS);
+    let (sender, parts) = mpsc::channel(RELAY_PARTS);
+    let token = Rc::new(());
+    let running = Rc::downgrade(&token);
     tokio::task::spawn_local(async move {
-        relay_parts(first, rest, &parts).await;
+        relay_parts(first, rest, &sender).await;
         connection.close();
+        drop(token);
     });
-    AnswerBody::Relayed(parts_seen)
+    AnswerBody::Relayed(Relay { parts, running })
 }
 
 async fn relay_parts(
--- a/crates/agatehold/src/traffic/framing.rs
+++ b/crates/agatehold/src/traffic/framing.rs
@@ -6,10 +6,12 @@
 //! request gets a refusal from the table.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -69,6 +71,8 @@
     pub(crate) handling: Cell<bool>,
     /// When bytes last went either way.
     last_active_at: Cell<Instant>,
+    /// Lives as long as the task that reads the answer being relayed.
+    relay: RefCell<Weak<()>>,
 }
 
 impl ConnectionState {
@@ -78,9 +82,15 @@
             stopping: Cell::new(false),
             handling: Cell::new(false),
             last_active_at: Cell::new(Instant::now()),
+            relay: RefCell::default(),
         }
     }
 
+    /// Keeps the connection from being idle while an answer is relayed.
+    pub(crate) fn follow_relay(&self, running: Weak<()>) {
+        self.relay.replace(running);
+    }
+
     /// Notes that bytes went either way or a request was handled.
     pub(crate) fn touch(&self) {
         self.last_active_at.set(Instant::now());
@@ -184,6 +194,10 @@
         if self.connection.handling.get() || self.write_timer.is_some() {
             return Poll::Pending;
         }
+        // A target may pause within its answer for longer than the idle time.
+        if self.connection.relay.borrow().strong_count() > 0 {
+            self.connection.touch();
+        }
         let last_active_at = self.connection.last_active_at.get();
         let until = if !self.head.is_empty() {
             self.head_started_at + self.limits.head_timeout
--- a/crates/agatehold/src/traffic/listener.rs
+++ b/crates/agatehold/src/traffic/listener.rs
@@ -18,10 +18,12 @@
 
 use super::StopStage;
 use super::ThreadState;
+use super::answer::AnswerBody;
 use super::framing::ConnectionState;
 use super::framing::FramingGuard;
 use super::framing::FramingLimits;
 use super::pool;
+use super::reach;
 use super::serve;
 
 /// The time that a caller's connection may be idle between requests.
@@ -69,14 +71,14 @@
                 let now = state.shared.clock.now();
                 state.pool.borrow_mut().close_idle(now);
             }
-            _ = stop.wait_for(|stage| *stage >= StopStage::Finishing) => break,
+            () = reach(&mut stop, StopStage::Finishing) => break,
         }
     }
     accept_queued(state, &mut connections, &listener, &stage).await;
     drop(listener);
     tokio::select! {
         () = finish(&mut connections) => {}
-        _ = stop.wait_for(|stage| *stage >= StopStage::Aborting) => connections.abort_all(),
+        () = reach(&mut stop, StopStage::Aborting) => connections.abort_all(),
     }
 }
 
@@ -137,6 +139,11 @@
         async move {
             connection_state.handling.set(true);
             let response = serve::answer(state, request).await;
+            if let Ok(response) = &response
+                && let AnswerBody::Relayed(relay) = response.body()
+            {
+                connection_state.follow_relay(relay.running.clone());
+            }
             connection_state.handling.set(false);
             connection_state.touch();
             response
@@ -148,7 +155,7 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = stage.wait_for(|stage| *stage >= StopStage::Finishing) => {
+        () = reach(&mut stage, StopStage::Finishing) => {
             // The library's graceful shutdown would close an idle connection
             // at once and lose a request that is on its way. The guard waits
             // for a quiet time instead.
--- a/crates/agatehold/src/traffic/mod.rs
+++ b/crates/agatehold/src/traffic/mod.rs
@@ -54,6 +54,14 @@
     Aborting,
 }
 
+/// Waits until the stop has come to a stage.
+///
+/// The value seen is dropped here: it holds a lock, and a task that keeps it
+/// while it waits blocks the next change of the stage, and then its thread.
+async fn reach(seen: &mut watch::Receiver<StopStage>, stage: StopStage) {
+    let _ = seen.wait_for(|now| *now >= stage).await;
+}
+
 /// The running traffic threads.
 pub(crate) struct TrafficThreads {
     threads: Vec<JoinHandle<()>>,
@@ -94,7 +102,9 @@
 
     /// Stops accepting, finishes what was accepted and ends the threads.
     pub(crate) fn close(self) {
-        self.stage.send_replace(StopStage::Finishing);
+        // An abort that came before stays in force.
+        self.stage
+            .send_modify(|stage| *stage = (*stage).max(StopStage::Finishing));
         for thread in self.threads {
             if thread.join().is_err() {
                 log::error!("a traffic thread panicked");
