--- a/crates/agateholdctl/src/args/mod.rs
+++ b/crates/agateholdctl/src/args/mod.rs
@@ -262,7 +262,9 @@
         [] => return Err(ToolFault::Usage("expected a command".to_owned())),
         _ => {
             let given = texts.join(" ");
-            return Err(ToolFault::Usage(format!("unknown command: {given}")));
+            return Err(ToolFault::Usage(format!(
+                "unknown command or wrong arguments: {given}"
+            )));
         }
     };
     refuse_misplaced(&words, &command)?;
