--- a/crates/agatehold-settings/src/note/mod.rs
+++ b/crates/agatehold-settings/src/note/mod.rs
@@ -8,7 +8,5 @@
 pub use lines::NoteLines;
 pub use parse::ParsedNote;
 pub use parse::parse_note;
-pub use write::SNAPSHOT_CHUNK_MAX_BYTES;
-pub use write::snapshot_chunks;
 pub use write::snapshot_note;
 pub use write::write_note;
--- a/crates/agatehold-settings/src/note/write.rs
+++ b/crates/agatehold-settings/src/note/write.rs
@@ -14,10 +14,6 @@
 
 use super::parse::ANY;
 
-/// The largest chunk of a snapshot in bytes (section 4 of the design page);
-/// the platform's values end at 1 MB.
-pub const SNAPSHOT_CHUNK_MAX_BYTES: usize = 512 * 1_024;
-
 /// Returns the text of `note`.
 pub fn write_note(note: &Note, base: Option<NoteNumber>) -> String {
     let mut text = write_head(note, base);
@@ -28,25 +24,6 @@
     text
 }
 
-/// Returns the text of `note` in chunks of at most `max_bytes`.
-///
-/// Chunks begin and end with whole sections. A section longer than
-/// `max_bytes` is a chunk of its own.
-pub fn snapshot_chunks(note: &Note, max_bytes: usize) -> Vec<String> {
-    let mut chunks = Vec::new();
-    let mut chunk = write_head(note, None);
-    for change in &note.changes {
-        let section = write_change(change);
-        if chunk.len() + section.len() + 1 > max_bytes {
-            chunks.push(std::mem::take(&mut chunk));
-        }
-        chunk.push('\n');
-        chunk.push_str(&section);
-    }
-    chunks.push(chunk);
-    chunks
-}
-
 /// Returns `config` as a note that adds every row.
 ///
 /// Applied to an empty configuration, it gives `config` again.
--- a/crates/agatehold-settings/tests/note.rs
+++ b/crates/agatehold-settings/tests/note.rs
@@ -30,7 +30,6 @@
 use agatehold_core::units::SlotCount;
 use agatehold_core::units::TargetCount;
 use agatehold_settings::note::parse_note;
-use agatehold_settings::note::snapshot_chunks;
 use agatehold_settings::note::snapshot_note;
 use agatehold_settings::note::write_note;
 
@@ -188,10 +187,9 @@
     /// A snapshot that loses or rounds a value gives a fresh host another
     /// configuration than the fleet's.
     #[test]
-    fn snapshot_restores_the_configuration(config in configs(), max_bytes in 64..4_096usize) {
+    fn snapshot_restores_the_configuration(config in configs()) {
         let snapshot = snapshot_note(&config, "ana", NoteNumber(32));
-        let text = snapshot_chunks(&snapshot, max_bytes).concat();
-        prop_assert_eq!(&text, &write_note(&snapshot, None));
+        let text = write_note(&snapshot, None);
         let parsed = parse_note("snapshot", &text).unwrap();
         prop_assert_eq!(&parsed.note, &snapshot);
         let restored = note::apply(&ConfigTables::default(), &parsed.note).unwrap();
@@ -209,16 +207,6 @@
     }
 }
 
-/// A chunk above the platform's value size could not be stored.
-#[test]
-fn chunks_stay_within_the_limit() {
-    let snapshot = parse_note("n.ini", NOTE).unwrap().note;
-    for chunk in snapshot_chunks(&snapshot, 160) {
-        assert!(chunk.len() <= 160, "{chunk}");
-    }
-    assert!(snapshot_chunks(&snapshot, 160).len() > 1);
-}
-
 /// A note that changes on its way through the tool is not the one that the
 /// operator wrote.
 #[test]
--- a/crates/agateholdctl/src/chain/snapshot.rs
+++ b/crates/agateholdctl/src/chain/snapshot.rs
@@ -8,10 +8,10 @@
 use agatehold_core::note;
 use agatehold_core::note::HeadRecord;
 use agatehold_core::note::snapshot_due;
-use agatehold_settings::note::SNAPSHOT_CHUNK_MAX_BYTES;
+use agatehold_core::spread::split_chunks;
 use agatehold_settings::note::parse_note;
-use agatehold_settings::note::snapshot_chunks;
 use agatehold_settings::note::snapshot_note;
+use agatehold_settings::note::write_note;
 use agatehold_wire::platform::KeyPrefix;
 use agatehold_wire::platform::PlatformAnswer;
 use agatehold_wire::platform::PlatformFault;
@@ -26,9 +26,10 @@
 use super::read::read_chain;
 use super::read::read_notes;
 
-/// The author that snapshots name. It is the same for every writer, so that
-/// two tools write the same text.
-const SNAPSHOT_AUTHOR: &str = "agateholdctl";
+/// The author that snapshots name. It is the one that daemons use when they
+/// bring a restored platform up to date, so that all writers of a snapshot
+/// write the same chunks.
+const SNAPSHOT_AUTHOR: &str = "agatehold";
 
 /// The prefix of the keys of all snapshots.
 const SNAPSHOTS: &str = "notes/snapshot/";
@@ -51,12 +52,12 @@
     };
     let view = read_chain(client, &oldest.header.record(), due, due)?;
     let snapshot = snapshot_note(&view.config, SNAPSHOT_AUTHOR, due);
-    let chunks = snapshot_chunks(&snapshot, SNAPSHOT_CHUNK_MAX_BYTES);
-    for (index, chunk) in chunks.into_iter().enumerate().rev() {
+    let text = write_note(&snapshot, None);
+    for (index, chunk) in split_chunks(&text).into_iter().enumerate().rev() {
         let index = u32::try_from(index).map_err(|error| error.to_string())?;
         let request = PlatformRequest::Create {
             key: snapshot_key(due, index),
-            value: chunk.into_bytes(),
+            value: chunk.as_bytes().to_vec(),
             lease: None,
         };
         match client.call(&request) {
--- a/crates/agateholdctl/src/commands/release.rs
+++ b/crates/agateholdctl/src/commands/release.rs
@@ -20,6 +20,7 @@
 use agatehold_core::note::release::ReleaseStep;
 use agatehold_core::note::release::advance;
 use agatehold_core::note::rollout;
+use agatehold_core::note::rollout::RolloutProgress;
 use agatehold_core::note::touched_entities;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -46,8 +47,13 @@
 use super::load_note;
 use super::rollout as spread;
 
-/// How long the platform is tried before the release is given up.
-const PLATFORM_LIMIT_MS: TimeMs = TimeMs(15_000);
+/// How many times the platform's time limit a release may take before it is
+/// given up.
+const PLATFORM_LIMIT_TIMEOUTS: u64 = 15;
+
+/// The exit code of a release that is accepted and not in force everywhere in
+/// time.
+const EXIT_TIMED_OUT: u8 = 6;
 
 /// The calls of one release and what they brought.
 struct Calls<'a> {
@@ -84,13 +90,16 @@
         written: None,
         fault: String::new(),
     };
-    let mut release = Release::new(parsed.note.clone(), &text, parsed.base, PLATFORM_LIMIT_MS);
+    let limit = settings.platform.timeout_ms.times(PLATFORM_LIMIT_TIMEOUTS);
+    let deadline = TimeMs(limit.0);
+    let mut release = Release::new(parsed.note.clone(), &text, parsed.base, deadline);
     check_size(&release, &text)?;
     let end = drive(&mut release, &mut calls);
     let ReleaseEnd::Accepted { header, repeated } = &end else {
         return report(&end, &parsed, &calls.fault, json);
     };
     let record = header.record();
+    let faults = spread::push(&admin, &reports, &notes_to_push(&calls, header));
     if !json {
         let verb = if *repeated {
             "was released before"
@@ -107,41 +116,42 @@
         Ok(None) => {}
         Err(fault) => eprintln!("the snapshot is left to the next release: {fault}"),
     }
-    for fault in spread::push(&admin, &reports, &notes_to_push(&calls, header)) {
-        eprintln!("{fault}");
+    let progress = if wait_ms > DurationMs(0) {
+        spread::wait(&admin, settings, record.head, wait_ms)
+    } else {
+        spread::look(&admin, settings, record.head)
+    };
+    let late = wait_ms > DurationMs(0) && !progress.is_complete();
+    if late {
+        // A daemon that had the note from gossip before refuses the push, so
+        // a fault counts only where the note is not in force.
+        for fault in faults {
+            eprintln!("{fault}");
+        }
     }
-    finish(settings, &admin, &record, *repeated, wait_ms, json)
+    print_progress(&progress, &record, *repeated, late, json)?;
+    Ok(if late { EXIT_TIMED_OUT } else { 0 })
 }
 
-fn finish(
-    settings: &OperatorSettings,
-    admin: &AdminClient,
+fn print_progress(
+    progress: &RolloutProgress,
     record: &HeadRecord,
     repeated: bool,
-    wait_ms: DurationMs,
+    late: bool,
     json: bool,
-) -> Result<u8, ToolFault> {
-    let waits = wait_ms > DurationMs(0);
-    let progress = match waits {
-        true => spread::wait(admin, settings, record.head, wait_ms),
-        false => spread::look(admin, settings, record.head),
-    };
-    let late = waits && !progress.is_complete();
+) -> Result<(), ToolFault> {
     if json {
-        output::json(&json!({
+        return output::json(&json!({
             "outcome": "accepted", "repeated": repeated,
             "number": record.head.number.0, "id": record.id.to_string(),
-            "rollout": spread::to_json(&progress),
-        }))?;
-    } else if late {
-        output::line(&format!(
-            "not in force everywhere in time: {}",
-            spread::describe(&progress)
-        ))?;
-    } else {
-        output::line(&spread::describe(&progress))?;
+            "rollout": spread::to_json(progress),
+        }));
+    }
+    let described = spread::describe(progress);
+    if late {
+        return output::line(&format!("not in force everywhere in time: {described}"));
     }
-    Ok(if late { 6 } else { 0 })
+    output::line(&described)
 }
 
 /// Makes the calls that the release asks for, to its end.
