--- a/crates/agatehold-core/src/idempotency/platform_claim.rs
+++ b/crates/agatehold-core/src/idempotency/platform_claim.rs
@@ -78,18 +78,17 @@
 /// What a daemon does after a platform call about a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimStep {
-    /// The claim is this arrival's own: send the request before `send_before`.
-    Run {
-        /// The time after which the platform may have dropped the claim.
-        send_before: TimeMs,
-    },
+    /// The claim is this arrival's own: record that, and send the request.
+    Run,
     /// Forward the request to the process that owns the key.
     Forward(KeyOwner),
     /// Read the record.
     ReadBack,
     /// Create the record again, with the same nonce.
     CreateAgain,
-    /// Refuse the request.
+    /// Refuse the request. After [`RefusalKind::ClaimUnavailable`] the claim
+    /// is released, since a lost create may still take effect; after any other
+    /// refusal, and before forwarding, it is forgotten.
     Refuse(RefusalKind),
 }
 
@@ -102,21 +101,17 @@
 /// Decides what follows from the platform's answer to the claim `own`.
 ///
 /// `calls` counts the platform calls made for this arrival, this one included.
-/// `asked_at` is the time before the first of them was sent.
 pub fn next_claim_step(
     answer: &ClaimAnswer,
     own: &ClaimRecord,
     calls: u32,
-    asked_at: TimeMs,
     now: TimeMs,
     deadline: TimeMs,
 ) -> ClaimStep {
-    // Half of the retention leaves room for a platform clock that runs fast.
-    let send_before = asked_at + DurationMs(CLAIM_RETENTION_MS.0 / 2);
     let spent = calls >= CLAIM_CALLS_MAX || now >= deadline;
     match answer {
-        ClaimAnswer::Created => ClaimStep::Run { send_before },
-        ClaimAnswer::Exists(record) if record == own => ClaimStep::Run { send_before },
+        ClaimAnswer::Created => ClaimStep::Run,
+        ClaimAnswer::Exists(record) if record == own => ClaimStep::Run,
         ClaimAnswer::Exists(record) if record.owner == own.owner => {
             // An earlier claim of this process whose row was dropped.
             ClaimStep::Refuse(RefusalKind::KeyExpired)
--- a/crates/agatehold-core/src/idempotency/table.rs
+++ b/crates/agatehold-core/src/idempotency/table.rs
@@ -12,6 +12,7 @@
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
+use super::CLAIM_RETENTION_MS;
 use super::ClaimNonce;
 use super::ClaimRecord;
 use super::IdempotencyKey;
@@ -89,6 +90,19 @@
 pub struct ClaimId {
     epoch: Epoch,
     identity: Digest,
+    /// When the platform may have dropped its record of the claim; `None` for
+    /// a claim without one.
+    send_before: Option<TimeMs>,
+}
+
+impl ClaimId {
+    /// Returns whether the claim still keeps other arrivals from running.
+    ///
+    /// Checked right before the request is sent, since a process that was
+    /// paused after its claim may resume when the claim has ended.
+    pub fn may_send(&self, now: TimeMs) -> bool {
+        self.send_before.is_none_or(|time| now < time)
+    }
 }
 
 /// The answer of [`KeyTable::claim`].
@@ -261,7 +275,9 @@
             IdempotencyKey::Prefixed { prefix, .. } => {
                 self.claim_prefixed(prefix, identity, request, arrival)
             }
-            IdempotencyKey::CallerMade(_) => self.claim_caller_made(identity, request, arrival),
+            IdempotencyKey::CallerMade(_) => {
+                self.claim_caller_made(identity, request, arrival, now)
+            }
         }
     }
 
@@ -300,10 +316,20 @@
         Claim::Run(ClaimId {
             epoch: prefix.epoch,
             identity,
+            send_before: None,
         })
     }
 
-    fn claim_caller_made(&mut self, identity: Digest, request: Digest, arrival: Arrival) -> Claim {
+    fn claim_caller_made(
+        &mut self,
+        identity: Digest,
+        request: Digest,
+        arrival: Arrival,
+        now: TimeMs,
+    ) -> Claim {
+        // Half of the retention leaves room for the age of a released row and
+        // for a platform clock that runs fast.
+        let send_before = Some(now + DurationMs(CLAIM_RETENTION_MS.0 / 2));
         for (epoch, row) in self.epochs.rows_mut() {
             let Some(row) = row.keys.get_mut(&identity) else {
                 continue;
@@ -314,6 +340,7 @@
             let claim = ClaimId {
                 epoch: *epoch,
                 identity,
+                send_before,
             };
             row.request = request;
             // A forwarded arrival does not prove that the record carries this
@@ -343,7 +370,12 @@
             owner: self.owner.clone(),
             nonce,
         };
-        Claim::AskPlatform(ClaimId { epoch, identity }, record)
+        let claim = ClaimId {
+            epoch,
+            identity,
+            send_before,
+        };
+        Claim::AskPlatform(claim, record)
     }
 
     /// Records that the platform holds this claim, before the request is sent.
--- a/crates/agatehold-core/src/limits/queue.rs
+++ b/crates/agatehold-core/src/limits/queue.rs
@@ -138,6 +138,10 @@
     /// One lane for each class, in the order of the classes.
     lanes: [Lane; 3],
     next: WaiterId,
+    /// Requests that left without a slot, until `expire` returns them.
+    dropped: Vec<Dropped>,
+    /// At most the expiry of each waiting request.
+    earliest_expiry: TimeMs,
     drain: DrainRate,
     mean_run_ms: f64,
 }
@@ -150,6 +154,8 @@
             waiters: Table::new(),
             lanes: Default::default(),
             next: WaiterId::default(),
+            dropped: Vec::new(),
+            earliest_expiry: TimeMs(u64::MAX),
             drain: DrainRate::default(),
             mean_run_ms: 0.0,
         }
@@ -218,12 +224,7 @@
         let waiter = self.take_number();
         self.drain.begin_wait(now);
         self.lanes[lane].push_back(&offer.tenant, waiter);
-        let row = WaiterRow {
-            offer,
-            expires_at,
-            expiry,
-        };
-        self.waiters.insert(waiter, row);
+        self.insert_row(waiter, offer, expires_at, expiry);
         Admission::Queued { waiter, displaced }
     }
 
@@ -237,71 +238,62 @@
         let waiter = self.take_number();
         self.drain.begin_wait(now);
         self.lanes[offer.class as usize].push_front(&offer.tenant, waiter);
-        let row = WaiterRow {
-            offer,
-            expires_at,
-            expiry,
-        };
-        self.waiters.insert(waiter, row);
+        self.insert_row(waiter, offer, expires_at, expiry);
         waiter
     }
 
     /// Gives a free slot to the request whose turn it is.
     ///
-    /// Requests that are due to be dropped are passed over; `expire` returns
-    /// them.
+    /// Requests that are due to be dropped get no slot; `expire` returns them.
     pub fn slot_free(&mut self, now: TimeMs) -> Option<WaiterId> {
+        self.drop_due(now);
         self.drain.record_free_slot(now);
-        let mut due = Vec::new();
-        let mut chosen = None;
-        while let Some(lane) = self.next_lane() {
-            let Some(waiter) = self.lanes[lane].pop() else {
-                break;
-            };
-            let Some(row) = self.waiters.get(&waiter) else {
-                continue;
-            };
-            if now < row.expires_at {
-                self.count_turn(lane);
-                chosen = Some(waiter);
-                break;
-            }
-            due.push((lane, row.offer.tenant.clone(), waiter));
-        }
-        for (lane, tenant, waiter) in due {
-            self.lanes[lane].push_back(&tenant, waiter);
-        }
-        if let Some(waiter) = chosen {
-            self.waiters.remove(&waiter);
-        }
+        let lane = self.next_lane()?;
+        let waiter = self.lanes[lane].pop()?;
+        self.count_turn(lane);
+        self.waiters.remove(&waiter);
         if self.is_empty() {
             self.drain.end_wait();
         }
-        chosen
+        Some(waiter)
     }
 
     /// Drops the requests whose wait is over or whose deadline can't be met.
     pub fn expire(&mut self, now: TimeMs) -> Vec<Dropped> {
+        self.drop_due(now);
+        std::mem::take(&mut self.dropped)
+    }
+
+    fn drop_due(&mut self, now: TimeMs) {
+        if now < self.earliest_expiry {
+            return;
+        }
         let retry = self.retry_window(now);
-        let mut dropped = Vec::new();
+        let mut due = Vec::new();
+        let mut earliest = TimeMs(u64::MAX);
         for (waiter, row) in self.waiters.rows() {
             if now < row.expires_at {
+                earliest = earliest.min(row.expires_at);
                 continue;
             }
-            dropped.push(Dropped {
+            due.push(Dropped {
                 waiter: *waiter,
                 kind: row.expiry,
                 retry,
             });
         }
-        for drop in &dropped {
-            self.remove(drop.waiter);
+        self.earliest_expiry = earliest;
+        for dropped in due {
+            self.remove(dropped.waiter);
+            self.dropped.push(dropped);
         }
-        dropped
     }
 
     /// Returns when the next request is due to be dropped.
     pub fn next_expiry(&self) -> Option<TimeMs> {
+        if !self.dropped.is_empty() {
+            return Some(TimeMs::default());
+        }
         self.waiters.rows().map(|(_, row)| row.expires_at).min()
     }
 
@@ -329,6 +321,22 @@
         }
     }
 
+    fn insert_row(
+        &mut self,
+        waiter: WaiterId,
+        offer: Offer,
+        expires_at: TimeMs,
+        expiry: RefusalKind,
+    ) {
+        self.earliest_expiry = self.earliest_expiry.min(expires_at);
+        let row = WaiterRow {
+            offer,
+            expires_at,
+            expiry,
+        };
+        self.waiters.insert(waiter, row);
+    }
+
     fn take_number(&mut self) -> WaiterId {
         let waiter = self.next;
         self.next = WaiterId(waiter.0 + 1);
--- a/crates/agatehold-core/src/retry/budget.rs
+++ b/crates/agatehold-core/src/retry/budget.rs
@@ -14,22 +14,26 @@
 /// attempts stay below 1.2 times the requests together with saved retries.
 const SHARE_MAX: f64 = 0.1;
 
-/// How long unused retries are kept.
-///
-/// Over any longer time the saved retries add at most another [`SHARE_MAX`].
-const WINDOW_MS: DurationMs = DurationMs(1_000);
+/// The parts of the second over which recent requests are counted.
+const PARTS: usize = 10;
+
+/// The length of one part.
+const PART_MS: DurationMs = DurationMs(100);
 
 /// The retries that one service may make in one daemon.
 ///
-/// Each request adds its share of a retry; a retry takes one.
+/// Each request adds its share of a retry; a retry takes one. Retries that
+/// were not used are kept for one second, so that over any longer time they
+/// add at most another [`SHARE_MAX`].
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     share: f64,
-    /// At most the larger of the floor and the share of one window's requests.
+    /// At most the larger of the floor and the share of the last second.
     tokens: f64,
-    window_start: TimeMs,
-    requests: u32,
-    previous_requests: u32,
+    /// The requests of the last second in parts, by the number of the part.
+    requests: [u32; PARTS],
+    /// The number of the current part.
+    part: u64,
 }
 
 impl RetryBudget {
@@ -39,9 +43,8 @@
         Self {
             share,
             tokens: if share > 0.0 { RETRY_FLOOR } else { 0.0 },
-            window_start: now,
-            requests: 0,
-            previous_requests: 0,
+            requests: [0; PARTS],
+            part: now.0 / PART_MS.0,
         }
     }
 
@@ -52,14 +55,15 @@
 
     /// Records a request that is sent for the first time.
     pub fn record_request(&mut self, now: TimeMs) {
-        self.roll_window(now);
-        self.requests = self.requests.saturating_add(1);
+        self.pass_time(now);
+        let position = (self.part % PARTS as u64) as usize;
+        self.requests[position] = self.requests[position].saturating_add(1);
         self.tokens = (self.tokens + self.share).min(self.most_tokens());
     }
 
     /// Takes a retry and returns whether there was one.
     pub fn take(&mut self, now: TimeMs) -> bool {
-        self.roll_window(now);
+        self.pass_time(now);
         self.tokens = self.tokens.min(self.most_tokens());
         if self.tokens < 1.0 || self.share <= 0.0 {
             return false;
@@ -69,21 +73,18 @@
     }
 
     fn most_tokens(&self) -> f64 {
-        let recent = self.requests.max(self.previous_requests);
+        let recent: u32 = self.requests.iter().sum();
         (f64::from(recent) * self.share).max(RETRY_FLOOR)
     }
 
-    fn roll_window(&mut self, now: TimeMs) {
-        let passed = now.since(self.window_start);
-        if passed < WINDOW_MS {
-            return;
+    /// Clears the parts that lie more than a second back.
+    fn pass_time(&mut self, now: TimeMs) {
+        let part = now.0 / PART_MS.0;
+        let first = self.part + 1;
+        let last = part.min(self.part + PARTS as u64);
+        for passed in first..=last {
+            self.requests[(passed % PARTS as u64) as usize] = 0;
         }
-        self.previous_requests = if passed < WINDOW_MS.times(2) {
-            self.requests
-        } else {
-            0
-        };
-        self.requests = 0;
-        self.window_start = now;
+        self.part = self.part.max(part);
     }
 }
