--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -197,7 +197,7 @@
             return;
         }
         metrics::counter!("agatehold_exchanges_failed_total").increment(1);
-        for change in membership::unreachable(&mut self.tables.membership, host, now) {
+        for change in membership::unreachable(&mut self.tables.membership, host, sent_at, now) {
             self.apply(vec![control::Command::Log(control::StateChange::Peer(
                 change,
             ))]);
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -190,6 +190,12 @@
 
     async fn send_until_answered(&mut self, slot: ClaimedSlot, caller: &mut Caller) -> Ended {
         let mut slot = slot;
+        if self.state.shared.clock.now() >= self.plan.deadline {
+            // The claim or the queue took the time, or the process was paused.
+            slot.close();
+            self.pump();
+            return self.refused(RefusalKind::DeadlinePassed);
+        }
         loop {
             let target = slot.entry().name.clone();
             self.tried.push(slot.target);
--- a/crates/agatehold/src/traffic/keys.rs
+++ b/crates/agatehold/src/traffic/keys.rs
@@ -38,8 +38,8 @@
 
 /// What follows from the claim of a key.
 pub(crate) enum KeyGrant {
-    /// This daemon runs the request, before the time given.
-    Run(ClaimId, TimeMs),
+    /// This daemon runs the request.
+    Run(ClaimId),
     /// An earlier arrival was answered.
     Replay(Arc<StoredAnswer>),
     /// Another daemon runs the request.
@@ -80,7 +80,7 @@
         ));
     }
     match claim {
-        Claim::Run(claim) => Ok(KeyGrant::Run(claim, keyed.deadline)),
+        Claim::Run(claim) => Ok(KeyGrant::Run(claim)),
         Claim::AskPlatform(claim, record) => ask_platform(state, keyed, claim, record).await,
         Claim::Replay(answer) => Ok(KeyGrant::Replay(answer)),
         Claim::Forward(owner) => Ok(KeyGrant::Forward(owner)),
@@ -94,7 +94,6 @@
     claim: ClaimId,
     record: ClaimRecord,
 ) -> Result<KeyGrant, Refusal> {
-    let asked_at = state.shared.clock.now();
     let platform_key = claim_key(keyed.tenant, &keyed.key.to_string());
     let mut calls = 0;
     let mut create = true;
@@ -102,10 +101,10 @@
         let answer = call(state, &platform_key, &record, create, keyed.deadline).await;
         calls += 1;
         let now = state.shared.clock.now();
-        match next_claim_step(&answer, &record, calls, asked_at, now, keyed.deadline) {
-            ClaimStep::Run { send_before } => {
+        match next_claim_step(&answer, &record, calls, now, keyed.deadline) {
+            ClaimStep::Run => {
                 state.shared.keys().claim_created(&claim);
-                return Ok(KeyGrant::Run(claim, send_before.min(keyed.deadline)));
+                return Ok(KeyGrant::Run(claim));
             }
             ClaimStep::Forward(owner) => {
                 state.shared.keys().forget(claim);
--- a/crates/agatehold/src/traffic/serve.rs
+++ b/crates/agatehold/src/traffic/serve.rs
@@ -22,7 +22,6 @@
 use agatehold_core::idempotency::KeyOwner;
 use agatehold_core::idempotency::KeyState;
 use agatehold_core::idempotency::StoredAnswer;
-use agatehold_core::idempotency::refusal_outcome;
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::RequestId;
 use agatehold_core::limits::spread_retry_after;
@@ -217,12 +216,8 @@
     match claim_request_key(state, &keyed).await? {
         KeyGrant::Replay(stored) => Ok(Served::Response(replay(&stored, arrival.request_id))),
         KeyGrant::Forward(owner) => forward(state, arrival, plan, &owner).await,
-        KeyGrant::Run(claim, send_before) => {
-            let ran = if state.shared.clock.now() < send_before {
-                run(state, arrival, plan, KeyState::NeverRun, caller, started).await
-            } else {
-                Ran::refused(RefusalKind::DeadlinePassed, KeyState::NeverRun)
-            };
+        KeyGrant::Run(claim) => {
+            let ran = run(state, arrival, plan, KeyState::NeverRun, caller, started).await;
             let mut keys = state.shared.keys();
             match &ran {
                 Ran::Answered(_, Some(stored)) => {
@@ -259,10 +254,6 @@
 }
 
 impl Ran {
-    fn refused(kind: RefusalKind, key: KeyState) -> Self {
-        Self::Refused(Refusal::with_outcome(kind, refusal_outcome(kind, key)))
-    }
-
     fn into_served(self) -> Result<Served, Refusal> {
         match self {
             Self::Answered(response, _) => Ok(Served::Response(response)),
