Use one form of stored notes and one JSON codec for them

Cause: three packages written side by side each had a struct for a stored note and a codec for the head, so that a change of the format would have had to be made in three places.

Ruled out: converting between them at each border, which is what stood.

Change: core::note::StoredNote and HeadRecord are the only forms; the JSON lives in agatehold-wire::json and serves the platform's records and the admin address.

--- a/crates/agatehold-testing/src/fleet/notes.rs
+++ b/crates/agatehold-testing/src/fleet/notes.rs
@@ -8,13 +8,13 @@
 use agatehold_core::config::config_digest;
 use agatehold_core::ids::NoteNumber;
 use agatehold_core::note::Head;
+use agatehold_core::note::HeadRecord;
 use agatehold_core::note::NoteHeader;
+use agatehold_core::note::StoredNote;
 use agatehold_core::note::apply;
 use agatehold_core::note::body_digest;
 use agatehold_core::note::note_id;
 use agatehold_settings::note::parse_note;
-use agatehold_wire::platform::HeadRecord;
-use agatehold_wire::platform::NoteRecord;
 use agatehold_wire::platform::PlatformAnswer;
 use agatehold_wire::platform::PlatformRequest;
 use agatehold_wire::platform::ValueVersion;
@@ -68,7 +68,7 @@
             author: "test".into(),
         };
         let head = header.head();
-        let record = NoteRecord {
+        let record = StoredNote {
             header: header.clone(),
             text: text.into(),
         };
--- a/crates/agatehold-wire/src/admin/answers.rs
+++ b/crates/agatehold-wire/src/admin/answers.rs
@@ -12,8 +12,8 @@
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 
-use super::HeadJson;
-use super::text;
+use crate::json::HeadJson;
+use crate::json::text;
 
 /// The state of a host (section 5 of the design page).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/agatehold-wire/src/admin/mod.rs
+++ b/crates/agatehold-wire/src/admin/mod.rs
@@ -2,8 +2,8 @@
 
 mod answers;
 mod notes;
-mod text;
 
+pub use crate::json::HeadJson;
 pub use answers::DrainAnswer;
 pub use answers::EjectionEntry;
 pub use answers::EjectionState;
@@ -18,7 +18,6 @@
 pub use answers::TargetRank;
 pub use answers::TargetsAnswer;
 pub use notes::AdminCodecError;
-pub use notes::HeadJson;
 pub use notes::NoteVerdict;
 pub use notes::NotesAnswer;
 pub use notes::decode_notes;
--- a/crates/agatehold-wire/src/admin/notes.rs
+++ b/crates/agatehold-wire/src/admin/notes.rs
@@ -1,19 +1,14 @@
-//! The JSON of the head and of notes that are pushed to a daemon.
+//! The JSON of notes that are pushed to a daemon.
 
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
 
-use agatehold_core::ids::Digest;
-use agatehold_core::ids::NoteId;
 use agatehold_core::ids::NoteNumber;
-use agatehold_core::note::Head;
-use agatehold_core::note::HeadRecord;
-use agatehold_core::note::NoteHeader;
 use agatehold_core::note::StoredNote;
-use agatehold_core::note::body_digest;
 
-use super::text;
+use crate::json::HeadJson;
+use crate::json::NoteJson;
 
 quick_error! {
     /// Why bytes are not a note or a head.
@@ -32,62 +27,6 @@
     }
 }
 
-/// The head as JSON.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeadJson {
-    /// The number of the newest note.
-    pub number: u64,
-    /// The hash of its header.
-    #[serde(with = "text")]
-    pub hash: Digest,
-    /// Its id.
-    #[serde(with = "text")]
-    pub id: NoteId,
-    /// The hash of the configuration after it.
-    #[serde(with = "text")]
-    pub config: Digest,
-}
-
-impl From<HeadRecord> for HeadJson {
-    fn from(record: HeadRecord) -> Self {
-        Self {
-            number: record.head.number.0,
-            hash: record.head.hash,
-            id: record.id,
-            config: record.config,
-        }
-    }
-}
-
-impl From<HeadJson> for HeadRecord {
-    fn from(json: HeadJson) -> Self {
-        Self {
-            head: Head {
-                number: NoteNumber(json.number),
-                hash: json.hash,
-            },
-            id: json.id,
-            config: json.config,
-        }
-    }
-}
-
-/// A note as JSON.
-#[derive(Serialize, Deserialize)]
-struct NoteJson {
-    number: u64,
-    #[serde(with = "text")]
-    id: NoteId,
-    #[serde(with = "text")]
-    prev: Digest,
-    #[serde(with = "text")]
-    body: Digest,
-    #[serde(with = "text")]
-    config: Digest,
-    author: Box<str>,
-    text: Box<str>,
-}
-
 /// The body of `POST /v1/notes`.
 #[derive(Serialize, Deserialize)]
 struct NotesJson {
@@ -119,7 +58,7 @@
 
 /// Encodes the body of `POST /v1/notes`.
 pub fn encode_notes(notes: &[StoredNote]) -> Result<Vec<u8>, AdminCodecError> {
-    let notes = notes.iter().map(note_json).collect();
+    let notes = notes.iter().map(NoteJson::from).collect();
     Ok(serde_json::to_vec(&NotesJson { notes })?)
 }
 
@@ -129,33 +68,8 @@
     json.notes.into_iter().map(checked_note).collect()
 }
 
-fn note_json(note: &StoredNote) -> NoteJson {
-    let header = &note.header;
-    NoteJson {
-        number: header.number.0,
-        id: header.id,
-        prev: header.prev,
-        body: header.body,
-        config: header.config,
-        author: header.author.clone(),
-        text: note.text.clone(),
-    }
-}
-
 fn checked_note(json: NoteJson) -> Result<StoredNote, AdminCodecError> {
     let number = NoteNumber(json.number);
-    if body_digest(&json.text) != json.body {
-        return Err(AdminCodecError::BodyMismatch(number));
-    }
-    Ok(StoredNote {
-        header: NoteHeader {
-            number,
-            id: json.id,
-            prev: json.prev,
-            body: json.body,
-            config: json.config,
-            author: json.author,
-        },
-        text: json.text,
-    })
+    json.into_checked()
+        .ok_or(AdminCodecError::BodyMismatch(number))
 }
--- a/crates/agatehold-wire/src/admin/text.rs
+++ b/crates/agatehold-wire/src/json/text.rs
@@ -9,7 +9,7 @@
 use serde::de::Error;
 
 /// Writes `value` as its text.
-pub(super) fn serialize<T: fmt::Display, S: Serializer>(
+pub(crate) fn serialize<T: fmt::Display, S: Serializer>(
     value: &T,
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
@@ -17,7 +17,7 @@
 }
 
 /// Reads a value from its text.
-pub(super) fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+pub(crate) fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
 where
     T: FromStr<Err: fmt::Display>,
     D: Deserializer<'de>,
--- a/crates/agatehold-wire/src/lib.rs
+++ b/crates/agatehold-wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod addresses;
 pub mod admin;
 pub mod headers;
+mod json;
 pub mod peers;
 pub mod platform;
 pub mod problem;
--- a/crates/agatehold-wire/src/platform/answer.rs
+++ b/crates/agatehold-wire/src/platform/answer.rs
@@ -5,6 +5,8 @@
 use http::header::ETAG;
 use serde::Deserialize;
 
+use crate::json::text;
+
 use super::HostListRow;
 use super::LeaseId;
 use super::PlatformFault;
@@ -12,7 +14,6 @@
 use super::PlatformRequest;
 use super::ValueVersion;
 use super::decode_hosts;
-use super::text;
 
 /// What the platform answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/agatehold-wire/src/platform/hosts.rs
+++ b/crates/agatehold-wire/src/platform/hosts.rs
@@ -10,8 +10,9 @@
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::TargetName;
 
+use crate::json::text;
+
 use super::PlatformFault;
-use super::text;
 
 /// The name of a listed host, by kind.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/agatehold-wire/src/platform/permit.rs
+++ b/crates/agatehold-wire/src/platform/permit.rs
@@ -12,12 +12,13 @@
 use agatehold_core::table::Table;
 use agatehold_core::units::DurationMs;
 
+use crate::json::text;
+
 use super::KeyPrefix;
 use super::PlatformFault;
 use super::PlatformKey;
 use super::record::from_json;
 use super::record::to_json;
-use super::text;
 
 /// The beginning of the keys of permit records.
 const PERMITS_PREFIX: &str = "permits/";
--- a/crates/agatehold-wire/src/platform/record.rs
+++ b/crates/agatehold-wire/src/platform/record.rs
@@ -12,33 +12,16 @@
 use agatehold_core::ids::NoteId;
 use agatehold_core::ids::NoteNumber;
 use agatehold_core::ids::TenantName;
-use agatehold_core::note::Head;
-use agatehold_core::note::NoteHeader;
+use agatehold_core::note::HeadRecord;
+use agatehold_core::note::StoredNote;
+
+use crate::json::HeadJson;
+use crate::json::NoteJson;
+use crate::json::text;
 
 use super::KeyPrefix;
 use super::PlatformFault;
 use super::PlatformKey;
-use super::text;
-
-/// The value of `notes/head`: the newest note.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeadRecord {
-    /// The number and header hash of the note.
-    pub head: Head,
-    /// The identifier of the note.
-    pub id: NoteId,
-    /// The hash of the whole configuration after the note.
-    pub config: Digest,
-}
-
-/// The value of `notes/body/<number>-<id>`: one note.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NoteRecord {
-    /// The header that the chain binds.
-    pub header: NoteHeader,
-    /// The note as an INI text; `header.body` is its hash.
-    pub text: Box<str>,
-}
 
 #[derive(Serialize, Deserialize)]
 struct ClaimJson {
@@ -49,32 +32,6 @@
     nonce: u64,
 }
 
-#[derive(Serialize, Deserialize)]
-struct HeadJson {
-    number: u64,
-    #[serde(with = "text")]
-    hash: Digest,
-    #[serde(with = "text")]
-    id: NoteId,
-    #[serde(with = "text")]
-    config: Digest,
-}
-
-#[derive(Serialize, Deserialize)]
-struct NoteJson {
-    number: u64,
-    #[serde(with = "text")]
-    id: NoteId,
-    #[serde(with = "text")]
-    prev: Digest,
-    #[serde(with = "text")]
-    body: Digest,
-    #[serde(with = "text")]
-    config: Digest,
-    author: Box<str>,
-    text: Box<str>,
-}
-
 /// Returns the key of the newest note.
 pub fn head_key() -> PlatformKey {
     PlatformKey::known("notes/head".to_owned())
@@ -114,66 +71,29 @@
     PlatformKey::known(format!("claims/{}", Digest::of_parts(&parts)))
 }
 
-/// Returns the hash of a note's text, as it stands in the header.
-pub fn note_body_hash(text: &str) -> Digest {
-    Digest::of_parts(&[text.as_bytes()])
-}
-
 /// Reads the value of `notes/head`.
 pub fn decode_head(bytes: &[u8]) -> Result<HeadRecord, PlatformFault> {
     let json: HeadJson = from_json(bytes, "the head of the notes")?;
-    Ok(HeadRecord {
-        head: Head {
-            number: NoteNumber(json.number),
-            hash: json.hash,
-        },
-        id: json.id,
-        config: json.config,
-    })
+    Ok(json.into())
 }
 
 /// Writes the value of `notes/head`.
 pub fn encode_head(record: &HeadRecord) -> Result<Vec<u8>, PlatformFault> {
-    to_json(&HeadJson {
-        number: record.head.number.0,
-        hash: record.head.hash,
-        id: record.id,
-        config: record.config,
-    })
+    to_json(&HeadJson::from(*record))
 }
 
 /// Reads a note, and checks that its text has the hash in its header.
-pub fn decode_note(bytes: &[u8]) -> Result<NoteRecord, PlatformFault> {
+pub fn decode_note(bytes: &[u8]) -> Result<StoredNote, PlatformFault> {
     let json: NoteJson = from_json(bytes, "a note")?;
-    if note_body_hash(&json.text) != json.body {
+    json.into_checked().ok_or_else(|| {
         let detail = "the text does not have the hash in the header";
-        return Err(PlatformFault::Body("a note", detail.into()));
-    }
-    Ok(NoteRecord {
-        header: NoteHeader {
-            number: NoteNumber(json.number),
-            id: json.id,
-            prev: json.prev,
-            body: json.body,
-            config: json.config,
-            author: json.author,
-        },
-        text: json.text,
+        PlatformFault::Body("a note", detail.into())
     })
 }
 
 /// Writes a note.
-pub fn encode_note(record: &NoteRecord) -> Result<Vec<u8>, PlatformFault> {
-    let header = &record.header;
-    to_json(&NoteJson {
-        number: header.number.0,
-        id: header.id,
-        prev: header.prev,
-        body: header.body,
-        config: header.config,
-        author: header.author.clone(),
-        text: record.text.clone(),
-    })
+pub fn encode_note(note: &StoredNote) -> Result<Vec<u8>, PlatformFault> {
+    to_json(&NoteJson::from(note))
 }
 
 /// Reads a claim.
--- a/crates/agatehold-wire/tests/platform_codec.rs
+++ b/crates/agatehold-wire/tests/platform_codec.rs
@@ -10,11 +10,12 @@
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::NoteId;
 use agatehold_core::ids::NoteNumber;
+use agatehold_core::note::HeadRecord;
 use agatehold_core::note::NoteHeader;
+use agatehold_core::note::StoredNote;
+use agatehold_core::note::body_digest;
 use agatehold_core::units::DurationMs;
 use agatehold_wire::platform;
-use agatehold_wire::platform::HeadRecord;
-use agatehold_wire::platform::NoteRecord;
 use agatehold_wire::platform::PlatformAnswer;
 use agatehold_wire::platform::PlatformFault;
 use agatehold_wire::platform::PlatformKey;
@@ -149,7 +150,7 @@
         number: NoteNumber(1),
         id: NoteId([1; 16]),
         prev: Digest::default(),
-        body: platform::note_body_hash(text),
+        body: body_digest(text),
         config: Digest([2; 32]),
         author: "ana".into(),
     };
@@ -160,7 +161,7 @@
     };
     let bytes = platform::encode_head(&head).unwrap();
     assert_eq!(platform::decode_head(&bytes), Ok(head));
-    let note = NoteRecord {
+    let note = StoredNote {
         header,
         text: text.into(),
     };
--- a/crates/agatehold/src/platform/notes.rs
+++ b/crates/agatehold/src/platform/notes.rs
@@ -2,6 +2,7 @@
 
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::NoteNumber;
+use agatehold_core::note::HeadRecord;
 use agatehold_core::note::NoteHeader;
 use agatehold_core::spread::NoteRecord;
 use agatehold_core::spread::NotesAnswer;
@@ -9,7 +10,6 @@
 use agatehold_core::spread::SnapshotChunk;
 use agatehold_core::spread::WriteBack;
 use agatehold_core::spread::split_chunks;
-use agatehold_wire::platform::HeadRecord;
 use agatehold_wire::platform::PlatformAnswer;
 use agatehold_wire::platform::PlatformKey;
 use agatehold_wire::platform::PlatformRequest;
@@ -161,7 +161,7 @@
 }
 
 fn write_note(caller: &PlatformCaller, record: &NoteRecord) -> Option<()> {
-    let note = agatehold_wire::platform::NoteRecord {
+    let note = agatehold_core::note::StoredNote {
         header: record.header.clone(),
         text: record.body.clone(),
     };
--- a/crates/agateholdctl/src/commands/release.rs
+++ b/crates/agateholdctl/src/commands/release.rs
@@ -12,6 +12,7 @@
 use agatehold_core::note::HeadRecord;
 use agatehold_core::note::NoteHeader;
 use agatehold_core::note::StoredNote;
+use agatehold_core::note::body_digest;
 use agatehold_core::note::release::ChainNote;
 use agatehold_core::note::release::Release;
 use agatehold_core::note::release::ReleaseAnswer;
@@ -27,7 +28,6 @@
 use agatehold_settings::note::ParsedNote;
 use agatehold_settings::process::OperatorSettings;
 use agatehold_wire::platform;
-use agatehold_wire::platform::NoteRecord;
 use agatehold_wire::platform::PlatformAnswer;
 use agatehold_wire::platform::PlatformRequest;
 use agatehold_wire::platform::VALUE_MAX_BYTES;
@@ -208,11 +208,7 @@
 }
 
 fn create_body(calls: &mut Calls<'_>, stored: &StoredNote) -> ReleaseAnswer {
-    let record = NoteRecord {
-        header: stored.header.clone(),
-        text: stored.text.clone(),
-    };
-    let value = match platform::encode_note(&record) {
+    let value = match platform::encode_note(stored) {
         Ok(value) => value,
         Err(fault) => return not_sent(calls, fault.to_string()),
     };
@@ -231,12 +227,7 @@
 }
 
 fn swap_head(calls: &mut Calls<'_>, expected: ValueVersion, record: &HeadRecord) -> ReleaseAnswer {
-    let head = platform::HeadRecord {
-        head: record.head,
-        id: record.id,
-        config: record.config,
-    };
-    let value = match platform::encode_head(&head) {
+    let value = match platform::encode_head(record) {
         Ok(value) => value,
         Err(fault) => return not_sent(calls, fault.to_string()),
     };
@@ -331,11 +322,11 @@
         number: NoteNumber(u64::MAX),
         id: release.id(),
         prev: HeadRecord::default().head.hash,
-        body: platform::note_body_hash(text),
+        body: body_digest(text),
         config: HeadRecord::default().config,
         author: release.author().into(),
     };
-    let record = NoteRecord {
+    let record = StoredNote {
         header,
         text: text.into(),
     };
