--- a/crates/agatehold-core/src/control/state.rs
+++ b/crates/agatehold-core/src/control/state.rs
@@ -11,7 +11,6 @@
 use crate::ids::TargetName;
 use crate::membership::HostPhase;
 use crate::membership::Membership;
-use crate::note::Head;
 use crate::outcome::OutcomeReport;
 use crate::poison::CrashMark;
 use crate::routing::Preference;
@@ -77,8 +76,6 @@
     pub logged: Table<TargetName, Preference>,
     /// The phase that was last published.
     pub published_phase: Option<HostPhase>,
-    /// The head that was last logged.
-    pub logged_head: Option<Head>,
     /// The planned stop.
     pub stop: StopRow,
 }
@@ -105,7 +102,6 @@
             marks: Vec::new(),
             logged: Table::new(),
             published_phase: None,
-            logged_head: None,
             stop: StopRow::default(),
         }
     }
--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -9,6 +9,7 @@
 use crate::health::refresh_baselines;
 use crate::health::write_verdicts;
 use crate::membership;
+use crate::note::Head;
 use crate::outcome::OutcomeReport;
 use crate::poison::PoisonTable;
 use crate::poison::is_blamed;
@@ -131,7 +132,9 @@
     for command in spread::run(&mut tables.spread, &mut tables.membership, now, rng) {
         if let SpreadCommand::PublishConfig { head } = &command {
             tables.entries_outdated = true;
-            commands.push(Command::Log(StateChange::Note(*head)));
+            if *head != Head::default() {
+                commands.push(Command::Log(StateChange::Note(*head)));
+            }
         }
         commands.push(Command::Spread(command));
     }
--- a/crates/agatehold/src/control/apply.rs
+++ b/crates/agatehold/src/control/apply.rs
@@ -1,9 +1,11 @@
 //! Carries out the commands of the control systems.
 
 use agatehold_core::control::Command;
+use agatehold_core::control::StateChange;
 use agatehold_core::ids::HostId;
 use agatehold_core::membership;
 use agatehold_core::membership::HostPhase;
+use agatehold_core::membership::PeerChange;
 use agatehold_core::spread;
 use agatehold_core::spread::NoteSource;
 use agatehold_core::spread::SpreadCommand;
@@ -35,7 +37,12 @@
             Command::PublishEntries => self.publish_entries(),
             Command::PublishPhase(phase) => self.publish_phase(phase),
             Command::PublishSlowBounds => self.publish_slow_bounds(),
-            Command::Log(change) => log::info!("{change}"),
+            Command::Log(change) => {
+                if let StateChange::Peer(PeerChange::OwnIncarnationRaised(later)) = &change {
+                    self.shared.raise_incarnation(*later);
+                }
+                log::info!("{change}");
+            }
         }
     }
 
--- a/crates/agatehold/src/control/mod.rs
+++ b/crates/agatehold/src/control/mod.rs
@@ -108,7 +108,7 @@
         failure_domain: settings.host.failure_domain.clone(),
         peer_address: settings.listen.peers,
         caller_address: settings.listen.callers,
-        incarnation: shared.incarnation,
+        incarnation: shared.incarnation(),
         heartbeat: Default::default(),
         phase: membership::HostPhase::Starting,
     };
--- a/crates/agatehold/src/daemon/mod.rs
+++ b/crates/agatehold/src/daemon/mod.rs
@@ -99,7 +99,7 @@
     log::info!(
         "daemon started: host={} incarnation={} callers={}",
         shared.host,
-        shared.incarnation,
+        shared.incarnation(),
         traffic.address()
     );
 
--- a/crates/agatehold/src/peers/client.rs
+++ b/crates/agatehold/src/peers/client.rs
@@ -14,7 +14,6 @@
 use tonic::transport::Endpoint;
 
 use agatehold_core::ids::HostId;
-use agatehold_core::ids::Incarnation;
 use agatehold_core::membership::PeerDigest;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
@@ -50,8 +49,7 @@
 
 /// What the tasks of the client share.
 struct Client {
-    own: HostId,
-    incarnation: Incarnation,
+    shared: Arc<Shared>,
     key: PeerKey,
     inputs: Sender<Input>,
     channels: RefCell<HashMap<SocketAddr, Channel>>,
@@ -66,8 +64,7 @@
     mut jobs: mpsc::Receiver<PeerJob>,
 ) {
     let client = Rc::new(Client {
-        own: shared.host.clone(),
-        incarnation: shared.incarnation,
+        shared: Arc::clone(shared),
         key,
         inputs,
         channels: RefCell::default(),
@@ -182,9 +179,9 @@
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
         let header = EnvelopeHeader {
-            sender: self.own.clone(),
+            sender: self.shared.host.clone(),
             receiver: host.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.shared.incarnation(),
             sequence,
             answers: None,
         };
--- a/crates/agatehold/src/peers/server.rs
+++ b/crates/agatehold/src/peers/server.rs
@@ -16,8 +16,6 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
-use agatehold_core::ids::HostId;
-use agatehold_core::ids::Incarnation;
 use agatehold_wire::generated::Envelope;
 use agatehold_wire::generated::peers_server::Peers;
 use agatehold_wire::generated::peers_server::PeersServer;
@@ -44,8 +42,7 @@
 
 /// Answers messages through the control thread.
 struct PeersService {
-    own: HostId,
-    incarnation: Incarnation,
+    shared: Arc<Shared>,
     key: PeerKey,
     inputs: Sender<Input>,
     seen: Mutex<ReplayTable>,
@@ -62,8 +59,7 @@
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let service = PeersService {
-        own: shared.host.clone(),
-        incarnation: shared.incarnation,
+        shared: Arc::clone(shared),
         key,
         inputs,
         seen: Mutex::default(),
@@ -80,7 +76,7 @@
 impl PeersService {
     fn open(&self, method: Method, envelope: Envelope) -> Result<Opened, Status> {
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        open_request(&self.key, method, &self.own, envelope, &mut seen).map_err(|error| {
+        open_request(&self.key, method, &self.shared.host, envelope, &mut seen).map_err(|error| {
             metrics::counter!("agatehold_envelopes_refused_total").increment(1);
             Status::permission_denied(error.to_string())
         })
@@ -88,9 +84,9 @@
 
     fn seal(&self, method: Method, asked: &EnvelopeHeader, body: Vec<u8>) -> Response<Envelope> {
         let header = EnvelopeHeader {
-            sender: self.own.clone(),
+            sender: self.shared.host.clone(),
             receiver: asked.sender.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.shared.incarnation(),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             answers: Some((asked.incarnation, asked.sequence)),
         };
--- a/crates/agatehold/src/shared/mod.rs
+++ b/crates/agatehold/src/shared/mod.rs
@@ -99,8 +99,9 @@
     pub(crate) clock: Clock,
     /// This daemon's host.
     pub(crate) host: HostId,
-    /// This start of the daemon.
-    pub(crate) incarnation: Incarnation,
+    /// This start of the daemon; raised if another one is known under a later
+    /// one.
+    incarnation: AtomicU64,
     /// The settings of the process.
     pub(crate) settings: DaemonSettings,
     /// The routing table in force.
@@ -153,7 +154,7 @@
         Self {
             clock,
             host: settings.host.id.clone(),
-            incarnation,
+            incarnation: AtomicU64::new(incarnation.0),
             settings,
             published: ArcSwap::default(),
             poison: Mutex::default(),
@@ -168,6 +169,23 @@
         }
     }
 
+    /// Returns this start of the daemon.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation(self.incarnation.load(Ordering::Acquire))
+    }
+
+    /// Takes a later incarnation and forgets the keys of the earlier one,
+    /// which are refused from now on, since another process may own them.
+    pub(crate) fn raise_incarnation(&self, incarnation: Incarnation) {
+        let owner = KeyOwner {
+            host: self.host.clone(),
+            incarnation,
+        };
+        let mut keys = self.keys();
+        *keys = KeyTable::new(owner, KeyLimits::default(), self.clock.now());
+        self.incarnation.store(incarnation.0, Ordering::Release);
+    }
+
     /// Locks the table of idempotency keys. A claim that a panic left behind
     /// stays in progress, which refuses its key and never runs it again.
     pub(crate) fn keys(&self) -> MutexGuard<'_, KeyTable> {
