--- /dev/null
+++ b/crates/agatehold/tests/recovery.rs
@@ -0,0 +1,265 @@
+//! Guards release notes and service through losses of daemons and of the
+//! platform.
+
+use std::path::Path;
+
+use serde_json::json;
+
+use agatehold_core::ids::NoteNumber;
+use agatehold_core::note::Head;
+use agatehold_testing::caller;
+use agatehold_testing::caller::CallerOptions;
+use agatehold_testing::caller::KeyMode;
+use agatehold_testing::common::call_platform;
+use agatehold_testing::common::read_control;
+use agatehold_testing::common::switch_control;
+use agatehold_testing::fleet::Fleet;
+use agatehold_testing::fleet::FleetOptions;
+use agatehold_testing::fleet::Signal;
+use agatehold_testing::fleet::wait_until;
+use agatehold_testing::history;
+use agatehold_testing::history::CallRecord;
+use agatehold_testing::history::HeadObservation;
+use agatehold_wire::admin::HostState;
+use agatehold_wire::platform::PlatformAnswer;
+use agatehold_wire::platform::PlatformRequest;
+use agatehold_wire::platform::decode_head;
+use agatehold_wire::platform::head_key;
+
+/// A change of policy that any number of notes can repeat.
+const CHANGE: &str = "[service certificates]\naction = change\nqueue_limit = ";
+
+fn start(daemons: usize) -> Fleet {
+    let binary = Path::new(env!("CARGO_BIN_EXE_agatehold"));
+    let options = FleetOptions {
+        daemons,
+        ..FleetOptions::default()
+    };
+    Fleet::start(binary, options).unwrap()
+}
+
+fn lookups(fleet: &Fleet, count: u64) -> CallerOptions {
+    let service = "certificates".parse().unwrap();
+    let tenant = "exporter".parse().unwrap();
+    let mut options = CallerOptions::new(fleet.callers(), service, tenant);
+    options.shape.method = http::Method::GET;
+    options.shape.keys = KeyMode::None;
+    options.shape.is_non_idempotent = false;
+    options.count = count;
+    options
+}
+
+fn succeeded(records: &[CallRecord]) -> usize {
+    records.iter().filter(|record| record.is_success()).count()
+}
+
+fn observe(fleet: &Fleet, observations: &mut Vec<HeadObservation>) {
+    for daemon in &fleet.daemons {
+        let Some(head) = daemon.status().and_then(|status| status.head) else {
+            continue;
+        };
+        observations.push(HeadObservation {
+            daemon: daemon.host.clone(),
+            head: Head {
+                number: NoteNumber(head.number),
+                hash: head.hash,
+            },
+        });
+    }
+}
+
+fn platform_head(fleet: &Fleet) -> Option<Head> {
+    let request = PlatformRequest::Get { key: head_key() };
+    match call_platform(fleet.platform.platform, &request) {
+        Ok(PlatformAnswer::Value { value, .. }) => Some(decode_head(&value).unwrap().head),
+        _ => None,
+    }
+}
+
+/// A daemon that loses touch with its peers or its routing table during the
+/// platform's outage would refuse, and a fresh one would never start.
+#[test]
+fn the_fleet_serves_and_a_fresh_daemon_starts_while_the_platform_is_down() {
+    let fleet = start(5);
+    switch_control(fleet.platform.control, &json!({ "down": true })).unwrap();
+    fleet.daemons[2].signal(Signal::Kill).unwrap();
+    fleet.daemons[2].wait().unwrap();
+    fleet.daemons[2].restart().unwrap();
+    wait_until("the fresh daemon to serve", || {
+        fleet.daemons[2]
+            .status()
+            .is_some_and(|status| status.state == HostState::Serving && status.head.is_some())
+    })
+    .unwrap();
+
+    let mut options = lookups(&fleet, 50);
+    options.daemons = vec![fleet.daemons[2].callers];
+    options.asks_addresses = false;
+    let records = caller::start(options).unwrap().join();
+    assert_eq!(succeeded(&records), 50);
+    let mut options = CallerOptions::new(
+        fleet.callers(),
+        "certificates".parse().unwrap(),
+        "exporter".parse().unwrap(),
+    );
+    options.name = "issues".into();
+    options.count = 30;
+    let records = caller::start(options).unwrap().join();
+    assert_eq!(
+        succeeded(&records),
+        30,
+        "keys with a prefix need no platform"
+    );
+    let runs = fleet.runs().unwrap();
+    assert_eq!(history::check_at_most_once(&records, &runs), Vec::new());
+    fleet.close().unwrap();
+}
+
+/// Without a configuration from anybody a daemon has nothing to serve by, and
+/// an invented one would route requests wrongly.
+#[test]
+fn a_fleet_that_starts_without_the_platform_refuses_until_it_returns() {
+    let fleet = start(3);
+    switch_control(fleet.platform.control, &json!({ "down": true })).unwrap();
+    for daemon in &fleet.daemons {
+        daemon.signal(Signal::Kill).unwrap();
+        daemon.wait().unwrap();
+    }
+    for daemon in &fleet.daemons {
+        daemon.restart().unwrap();
+    }
+    wait_until("the daemons to answer", || {
+        fleet.daemons.iter().all(|daemon| daemon.status().is_some())
+    })
+    .unwrap();
+    let mut options = lookups(&fleet, 10);
+    options.asks_addresses = false;
+    options.attempts = 1;
+    let records = caller::start(options).unwrap().join();
+    assert_eq!(succeeded(&records), 0);
+    assert!(records.iter().all(CallRecord::is_not_run), "{records:?}");
+
+    switch_control(fleet.platform.control, &json!({ "down": false })).unwrap();
+    fleet.wait_for_note(NoteNumber(1)).unwrap();
+    let records = caller::start(lookups(&fleet, 10)).unwrap().join();
+    assert_eq!(succeeded(&records), 10);
+    fleet.close().unwrap();
+}
+
+/// A platform that was restored from a backup offers an older note; a daemon
+/// that took it would undo what the operators had released.
+#[test]
+fn a_restored_platform_is_brought_up_to_date_and_turns_nobody_back() {
+    let mut fleet = start(3);
+    let control = fleet.platform.control;
+    let mut observations = Vec::new();
+    switch_control(control, &json!({ "save": "backup" })).unwrap();
+    for limit in [50, 51, 52] {
+        let number = fleet.notes.release(&format!("{CHANGE}{limit}\n")).unwrap();
+        fleet.wait_for_note(number).unwrap();
+        observe(&fleet, &mut observations);
+    }
+    let newest = fleet.notes.head();
+    switch_control(control, &json!({ "restore": "backup" })).unwrap();
+    assert_ne!(platform_head(&fleet), Some(newest));
+    wait_until("the platform to hold the newest head again", || {
+        platform_head(&fleet) == Some(newest)
+    })
+    .unwrap();
+    observe(&fleet, &mut observations);
+    for daemon in &fleet.daemons {
+        let head = daemon.status().unwrap().head.unwrap();
+        assert_eq!(head.number, newest.number.0, "{}", daemon.host);
+    }
+
+    // A fresh daemon gets the newest note from the repaired platform.
+    fleet.daemons[0].signal(Signal::Kill).unwrap();
+    fleet.daemons[0].wait().unwrap();
+    fleet.daemons[0].restart().unwrap();
+    fleet.wait_for_note(newest.number).unwrap();
+    observe(&fleet, &mut observations);
+    assert_eq!(history::check_heads(&observations), Vec::new());
+    fleet.close().unwrap();
+}
+
+/// A daemon that was frozen while a note was released has to take it and
+/// must not serve by its old note for longer than the isolation time.
+#[test]
+fn a_frozen_daemon_takes_the_note_that_it_missed() {
+    let mut fleet = start(4);
+    let mut observations = Vec::new();
+    observe(&fleet, &mut observations);
+    fleet.daemons[1].signal(Signal::Stop).unwrap();
+    let number = fleet.notes.release(&format!("{CHANGE}70\n")).unwrap();
+    let others = [0, 2, 3];
+    wait_until("the note on the other daemons", || {
+        others.iter().all(|index| {
+            let status = fleet.daemons[*index].status();
+            status.is_some_and(|s| s.head.is_some_and(|head| head.number == number.0))
+        })
+    })
+    .unwrap();
+    fleet.daemons[1].signal(Signal::Continue).unwrap();
+    fleet.wait_for_note(number).unwrap();
+    observe(&fleet, &mut observations);
+    assert_eq!(history::check_heads(&observations), Vec::new());
+    fleet.close().unwrap();
+}
+
+/// Callers that follow the address answers have to be served when one failure
+/// domain is lost, and the lost daemons have to leave the answers.
+#[test]
+fn callers_are_served_after_a_failure_domain_is_lost() {
+    let fleet = start(9);
+    let mut options = lookups(&fleet, 2_000);
+    options.load = agatehold_testing::caller::Load::Closed(4);
+    options.attempts = 6;
+    let running = caller::start(options).unwrap();
+    // Hosts 0, 3 and 6 are in the first failure domain.
+    for index in [0, 3, 6] {
+        fleet.daemons[index].signal(Signal::Kill).unwrap();
+    }
+    let records = running.join();
+    let runs = fleet.runs().unwrap();
+    assert_eq!(history::check_own_answer(&records), Vec::new());
+    assert_eq!(history::check_not_run(&records, &runs), Vec::new());
+    let lost: Vec<_> = [0, 3, 6]
+        .iter()
+        .map(|index| fleet.daemons[*index].callers)
+        .collect();
+    wait_until("the lost daemons to leave the address answers", || {
+        let records = caller::start(lookups(&fleet, 30)).unwrap().join();
+        succeeded(&records) == 30 && records.iter().all(|r| !lost.contains(&r.address))
+    })
+    .unwrap();
+    fleet.close().unwrap();
+}
+
+/// Platform calls that grow with the fleet or with the requests would take
+/// the users' service over its rates.
+#[test]
+fn requests_cause_no_platform_calls_but_claims() {
+    let fleet = start(3);
+    let calls = |kind: &str| {
+        let counts = read_control(fleet.platform.control, "calls").unwrap();
+        counts[kind].as_u64().unwrap_or(0)
+    };
+    let before = calls("create");
+    let records = caller::start(lookups(&fleet, 200)).unwrap().join();
+    assert_eq!(succeeded(&records), 200);
+    let mut options = CallerOptions::new(
+        fleet.callers(),
+        "certificates".parse().unwrap(),
+        "exporter".parse().unwrap(),
+    );
+    options.name = "prefixed".into();
+    options.count = 50;
+    caller::start(options.clone()).unwrap().join();
+    assert_eq!(calls("create"), before, "prefix keys claim nothing");
+    options.name = "own".into();
+    options.shape.keys = KeyMode::Own;
+    let records = caller::start(options).unwrap().join();
+    assert_eq!(succeeded(&records), 50);
+    assert_eq!(calls("create") - before, 50, "one claim for each own key");
+    fleet.close().unwrap();
+}
