Release no note on a platform that lacks the daemons' newest note

Cause: after a restore from a backup the platform's head is older than what daemons have in force. A note released before the daemons write the current state back forks the chain: daemons refuse the fork, and the write-back no longer applies, so no later note takes effect.

Change: Release takes the newest head that a daemon reports, waits while the platform is behind it and ends as Diverged where its chain lacks it. A lost write is repeated only over the same head record.

Conclusion: the tool makes no fork while one daemon answers.

--- a/crates/agatehold-core/src/note/release.rs
+++ b/crates/agatehold-core/src/note/release.rs
@@ -17,6 +17,7 @@
 
 use super::ApplyError;
 use super::EntityRef;
+use super::Head;
 use super::HeadRecord;
 use super::Note;
 use super::NoteHeader;
@@ -168,6 +169,17 @@
         /// The newest note.
         head: NoteNumber,
     },
+    /// The platform's chain lacks the note that daemons have in force.
+    ///
+    /// A platform that was restored to an older state is brought up to date by
+    /// the daemons; a note on top of the older state would be a fork, which
+    /// every daemon refuses for good.
+    Diverged {
+        /// The newest note that a daemon has in force.
+        held: NoteNumber,
+        /// The platform's newest note.
+        head: NoteNumber,
+    },
     /// The key of the body holds something else.
     BodyTaken(NoteNumber, NoteId),
     /// The platform did not answer in time; the note is not released.
@@ -184,7 +196,7 @@
     pub const fn exit_code(&self) -> u8 {
         match self {
             Self::Accepted { .. } => 0,
-            Self::Unavailable => 1,
+            Self::Unavailable | Self::Diverged { .. } => 1,
             Self::Invalid { .. } | Self::BaseOutOfRange { .. } => 3,
             Self::Conflict { .. } | Self::Superseded { .. } | Self::BodyTaken(_, _) => 4,
             Self::Unknown(_, _) => 5,
@@ -199,6 +211,9 @@
     /// The version that the write replaces; once it has passed, the write can
     /// no longer take effect.
     expected: HeadVersion,
+    /// The head under that version. A restored platform may give the version
+    /// to another head.
+    replaced: HeadRecord,
     /// The note that the write makes the head.
     stored: StoredNote,
 }
@@ -212,6 +227,8 @@
     /// The newest note that the author knew: from the note, or the head that
     /// this run read first.
     base: Option<NoteNumber>,
+    /// The newest note that a daemon has in force.
+    held: Head,
     deadline: TimeMs,
     /// The head as last read.
     version: HeadVersion,
@@ -230,14 +247,22 @@
     /// Prepares the release of `note`, written as `text`; no call is made
     /// after `deadline`.
     ///
-    /// `note.author` is the author that the header names.
-    pub fn new(note: Note, text: &str, base: Option<NoteNumber>, deadline: TimeMs) -> Self {
+    /// `note.author` is the author that the header names, and `held` the
+    /// newest note that a daemon reports.
+    pub fn new(
+        note: Note,
+        text: &str,
+        base: Option<NoteNumber>,
+        held: Head,
+        deadline: TimeMs,
+    ) -> Self {
         let id = note_id(text, &note.author, base);
         Self {
             note,
             text: text.into(),
             id,
             base,
+            held,
             deadline,
             version: HeadVersion(0),
             record: HeadRecord::default(),
@@ -268,6 +293,9 @@
 /// Returns the step that follows `answer`.
 pub fn advance(release: &mut Release, answer: ReleaseAnswer, now: TimeMs) -> ReleaseStep {
     let step = match answer {
+        ReleaseAnswer::Head(version, record) if record.head.number < release.held.number => {
+            return on_restored(release, version, record, now);
+        }
         ReleaseAnswer::Head(version, record) => on_head(release, version, record),
         ReleaseAnswer::Chain(config, notes) => on_chain(release, &config, &notes),
         ReleaseAnswer::BodyCreated => swap_head(release),
@@ -279,7 +307,9 @@
         ReleaseAnswer::HeadSwapped => on_swapped(release),
         ReleaseAnswer::HeadMoved => call(ReleaseCall::ReadHead),
         ReleaseAnswer::Lost => return on_lost(release, now),
-        ReleaseAnswer::NotSent => return retry(release, release.last.clone(), now),
+        ReleaseAnswer::NotSent => {
+            return retry(release, release.last.clone(), now, ReleaseEnd::Unavailable);
+        }
     };
     release.delay = RETRY_FIRST_MS;
     match step {
@@ -298,11 +328,28 @@
     ReleaseStep::Call(DurationMs(0), call)
 }
 
+/// Waits for the daemons to bring a restored platform up to date.
+fn on_restored(
+    release: &mut Release,
+    version: HeadVersion,
+    record: HeadRecord,
+    now: TimeMs,
+) -> ReleaseStep {
+    release.version = version;
+    release.record = record;
+    let end = ReleaseEnd::Diverged {
+        held: release.held.number,
+        head: record.head.number,
+    };
+    retry(release, ReleaseCall::ReadHead, now, end)
+}
+
 fn on_head(release: &mut Release, version: HeadVersion, record: HeadRecord) -> ReleaseStep {
     release.version = version;
     release.record = record;
     if let Some(pending) = &release.pending
         && pending.expected == version
+        && pending.replaced == record
     {
         return call(ReleaseCall::SwapHead {
             expected: pending.expected,
@@ -320,10 +367,11 @@
         }
         return ReleaseStep::End(ReleaseEnd::BaseOutOfRange { base, head });
     }
+    let needed = NoteNumber(base.0.min(release.held.number.0.saturating_sub(1)));
     call(ReleaseCall::ReadChain {
         record,
-        needed: base,
-        wanted: NoteNumber(base.0.min(head.0.saturating_sub(SEARCH_NOTES))),
+        needed,
+        wanted: NoteNumber(needed.0.min(head.0.saturating_sub(SEARCH_NOTES))),
     })
 }
 
@@ -332,6 +380,13 @@
     if let Some(own) = notes.iter().find(|note| note.header.id == release.id) {
         return ReleaseStep::End(found(release, own, notes, &ours));
     }
+    if release.held.number > NoteNumber(0) && !contains(notes, release.held) {
+        let end = ReleaseEnd::Diverged {
+            held: release.held.number,
+            head: release.record.head.number,
+        };
+        return give_up(release, end);
+    }
     // The head moved on without the note, so a lost write can't take effect.
     release.pending = None;
     let base = release.base.unwrap_or(release.record.head.number);
@@ -361,6 +416,10 @@
     call(ReleaseCall::CreateBody(stored))
 }
 
+fn contains(notes: &[ChainNote], held: Head) -> bool {
+    notes.iter().any(|note| note.header.head() == held)
+}
+
 /// Returns how a release ends whose note is in the chain.
 fn found(
     release: &Release,
@@ -435,6 +494,7 @@
             if let Some(stored) = &release.stored {
                 release.pending = Some(PendingSwap {
                     expected: *expected,
+                    replaced: release.record,
                     stored: stored.clone(),
                 });
             }
@@ -442,13 +502,14 @@
         }
         other => other.clone(),
     };
-    retry(release, next, now)
+    retry(release, next, now, ReleaseEnd::Unavailable)
 }
 
-/// Makes `next` after a delay that doubles with each lost answer in a row.
-fn retry(release: &mut Release, next: ReleaseCall, now: TimeMs) -> ReleaseStep {
+/// Makes `next` after a delay that doubles with each failure in a row, or ends
+/// the release as `end` where the time is over.
+fn retry(release: &mut Release, next: ReleaseCall, now: TimeMs, end: ReleaseEnd) -> ReleaseStep {
     if now + release.delay >= release.deadline {
-        return give_up(release, ReleaseEnd::Unavailable);
+        return give_up(release, end);
     }
     let delay = release.delay;
     release.delay = delay.times(2).min(RETRY_MAX_MS);
--- a/crates/agatehold-core/src/note/rollout.rs
+++ b/crates/agatehold-core/src/note/rollout.rs
@@ -141,3 +141,10 @@
     }
     Some((confirmed, all))
 }
+
+/// Returns the newest head that a daemon reports, the default head for none.
+pub fn newest_head(reports: &DaemonReports) -> Head {
+    let heads = reports.rows().filter_map(|(_, report)| report.as_ref());
+    let newest = heads.max_by_key(|report| report.head.number);
+    newest.map(|report| report.head).unwrap_or_default()
+}
--- a/crates/agatehold-core/tests/note_release.rs
+++ b/crates/agatehold-core/tests/note_release.rs
@@ -84,9 +84,19 @@
     }
 }
 
-fn operator(platform: &mut Platform, note: &Note, base: Option<u64>) -> Operator {
+fn operator(platform: &mut Platform, changes: &Note, base: Option<u64>) -> Operator {
+    operator_after(platform, changes, base, note::Head::default())
+}
+
+/// Returns an operator whose daemons report `held`.
+fn operator_after(
+    platform: &mut Platform,
+    note: &Note,
+    base: Option<u64>,
+    held: note::Head,
+) -> Operator {
     let text = format!("{} {:?}", note.author, note.changes);
-    let release = Release::new(note.clone(), &text, base.map(NoteNumber), DEADLINE);
+    let release = Release::new(note.clone(), &text, base.map(NoteNumber), held, DEADLINE);
     platform.notes.insert(release.id(), note.clone());
     Operator {
         id: release.id(),
@@ -364,3 +374,55 @@
         assert_eq!(end.exit_code(), code, "{author}: {end:?}");
     }
 }
+
+/// A note on top of a platform that was restored to an older state is a fork
+/// that every daemon refuses, so that no later note takes effect either.
+#[test]
+fn a_restored_platform_takes_no_note_before_it_is_brought_up_to_date() {
+    let mut platform = Platform::default();
+    let mut saved = Platform::default();
+    for (index, tenant) in ["a", "b"].iter().enumerate() {
+        if index == 1 {
+            saved = platform.clone();
+        }
+        let mut operator = operator(&mut platform, &note("ana", tenant), None);
+        while !matches!(operator.next, ReleaseStep::End(_)) {
+            make_call(&mut platform, &mut operator, Fault::None, TimeMs(0));
+        }
+    }
+    let held = platform.record.head;
+    for brought_up in [false, true] {
+        let mut restored = saved.clone();
+        let mut bruno = operator_after(&mut restored, &note("bruno", "c"), None, held);
+        let mut now = TimeMs(0);
+        while let ReleaseStep::Call(delay, _) = &bruno.next {
+            now = now + *delay;
+            if brought_up && now > TimeMs(0) {
+                restored.chain.clone_from(&platform.chain);
+                restored.notes.extend(platform.notes.clone());
+                restored.record = platform.record;
+            }
+            make_call(&mut restored, &mut bruno, Fault::None, now);
+        }
+        let ReleaseStep::End(end) = &bruno.next else {
+            panic!("{bruno:?}");
+        };
+        let accepted = matches!(end, ReleaseEnd::Accepted { .. });
+        assert_eq!(accepted, brought_up, "{end:?}");
+        check(&restored, &[bruno]);
+    }
+    let mut forked = saved.clone();
+    let mut carla = operator(&mut forked, &note("carla", "c"), None);
+    while !matches!(carla.next, ReleaseStep::End(_)) {
+        make_call(&mut forked, &mut carla, Fault::None, TimeMs(0));
+    }
+    let mut dora = operator_after(&mut forked, &note("dora", "d"), None, held);
+    while !matches!(dora.next, ReleaseStep::End(_)) {
+        make_call(&mut forked, &mut dora, Fault::None, TimeMs(0));
+    }
+    let diverged = ReleaseEnd::Diverged {
+        held: held.number,
+        head: held.number,
+    };
+    assert_eq!(dora.next, ReleaseStep::End(diverged));
+}
--- a/crates/agateholdctl/src/commands/release.rs
+++ b/crates/agateholdctl/src/commands/release.rs
@@ -92,7 +92,8 @@
     };
     let limit = settings.platform.timeout_ms.times(PLATFORM_LIMIT_TIMEOUTS);
     let deadline = TimeMs(limit.0);
-    let mut release = Release::new(parsed.note.clone(), &text, parsed.base, deadline);
+    let held = rollout::newest_head(&reports);
+    let mut release = Release::new(parsed.note.clone(), &text, parsed.base, held, deadline);
     check_size(&release, &text)?;
     let end = drive(&mut release, &mut calls);
     let ReleaseEnd::Accepted { header, repeated } = &end else {
@@ -406,6 +407,13 @@
                 "not released: base = {base} is above or too far below the newest note, {head}"
             )],
         ),
+        ReleaseEnd::Diverged { held, head } => (
+            "diverged",
+            vec![format!(
+                "not released: daemons have note {held} in force, which the platform's chain \
+                 up to note {head} lacks; was the platform restored from a backup?"
+            )],
+        ),
         ReleaseEnd::BodyTaken(number, id) => (
             "conflict",
             vec![format!(
--- a/crates/agateholdctl/src/commands/rollout.rs
+++ b/crates/agateholdctl/src/commands/rollout.rs
@@ -63,14 +63,14 @@
     let mut shown = String::new();
     loop {
         let progress = look(client, settings, accepted);
+        if progress.is_complete() || started.elapsed() + POLL > limit {
+            return progress;
+        }
         let line = describe(&progress);
         if line != shown {
             eprintln!("{line}");
             shown = line;
         }
-        if progress.is_complete() || started.elapsed() + POLL > limit {
-            return progress;
-        }
         thread::sleep(POLL);
     }
 }
--- a/crates/agateholdctl/src/fault/mod.rs
+++ b/crates/agateholdctl/src/fault/mod.rs
@@ -7,6 +7,8 @@
 
 use agatehold_settings::fault::SettingsError;
 
+use crate::output;
+
 quick_error! {
     /// Why a command failed.
     #[derive(Debug)]
@@ -58,6 +60,15 @@
 }
 
 impl ToolFault {
+    /// Returns the outcome in JSON.
+    fn outcome(&self) -> &'static str {
+        match self.exit_code() {
+            3 => "invalid",
+            5 => "unknown",
+            _ => "failed",
+        }
+    }
+
     /// Returns the exit code (section 2 of the design page).
     fn exit_code(&self) -> u8 {
         match self {
@@ -74,9 +85,17 @@
     }
 }
 
-/// Prints `fault` and returns its exit code.
-pub(crate) fn report(fault: &ToolFault) -> ExitCode {
+/// Prints `fault`, for programs also as JSON, and returns its exit code.
+pub(crate) fn report(fault: &ToolFault, json: bool) -> ExitCode {
     eprintln!("{fault}");
+    if json {
+        let text = fault.to_string();
+        let lines: Vec<&str> = text.lines().collect();
+        let value = serde_json::json!({"outcome": fault.outcome(), "detail": lines});
+        if let Err(error) = output::json(&value) {
+            eprintln!("{error}");
+        }
+    }
     ExitCode::from(fault.exit_code())
 }
 
--- a/crates/agateholdctl/src/main.rs
+++ b/crates/agateholdctl/src/main.rs
@@ -16,10 +16,10 @@
         Ok(Parsed::Help) => return output::finish(args::HELP),
         Ok(Parsed::Version) => return output::finish(args::VERSION),
         Ok(Parsed::Run(invocation)) => invocation,
-        Err(fault) => return fault::report(&fault),
+        Err(fault) => return fault::report(&fault, false),
     };
     match commands::run(&invocation) {
         Ok(code) => ExitCode::from(code),
-        Err(fault) => fault::report(&fault),
+        Err(fault) => fault::report(&fault, invocation.json),
     }
 }
--- a/crates/agateholdctl/src/output/mod.rs
+++ b/crates/agateholdctl/src/output/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) fn finish(text: &str) -> ExitCode {
     match line(text.trim_end()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => crate::fault::report(&fault),
+        Err(fault) => crate::fault::report(&fault, false),
     }
 }
 
--- a/crates/agateholdctl/tests/release.rs
+++ b/crates/agateholdctl/tests/release.rs
@@ -173,6 +173,21 @@
     assert!(history(&setup).is_empty());
 }
 
+/// A note on top of a restored platform is a fork that every daemon refuses.
+#[test]
+fn a_restored_platform_takes_no_note() {
+    let setup = start("restored", 2);
+    let control = setup.platform.control;
+    assert_eq!(release(&setup, "a").0, 0);
+    switch_control(control, &json!({"save": "old"})).unwrap();
+    assert_eq!(release(&setup, "b").0, 0);
+    switch_control(control, &json!({"restore": "old"})).unwrap();
+    setup.write_settings(setup.platform.platform, 100);
+    let (code, refused) = release(&setup, "c");
+    assert_eq!((code, &refused["outcome"]), (1, &json!("diverged")));
+    assert_eq!(history(&setup).len(), 1);
+}
+
 /// Two operators who start from the same note: the second is told by whom and
 /// where it was overtaken, or is rebased where nothing overlaps.
 #[test]
