--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -52,7 +52,7 @@
     /// The ejections and the capacity of the services.
     Ejections(Sender<agatehold_wire::admin::EjectionsAnswer>),
     /// Notes that the operators' tool pushes.
-    Notes(NotesAnswer, Sender<(Acceptance, Head)>),
+    Notes(Box<NotesAnswer>, Sender<(Acceptance, Head)>),
     /// A planned stop.
     Drain(Sender<agatehold_wire::admin::DrainAnswer>),
 }
@@ -197,7 +197,7 @@
             return;
         }
         metrics::counter!("agatehold_exchanges_failed_total").increment(1);
-        for change in membership::unreachable(&mut self.tables.membership, host, now) {
+        for change in membership::unreachable(&mut self.tables.membership, host, sent_at, now) {
             self.apply(vec![control::Command::Log(control::StateChange::Peer(
                 change,
             ))]);
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -190,6 +190,12 @@
 
     async fn send_until_answered(&mut self, slot: ClaimedSlot, caller: &mut Caller) -> Ended {
         let mut slot = slot;
+        if self.state.shared.clock.now() >= self.plan.deadline {
+            // The claim or the queue took the time, or the process was paused.
+            slot.close();
+            self.pump();
+            return self.refused(RefusalKind::DeadlinePassed);
+        }
         loop {
             let target = slot.entry().name.clone();
             self.tried.push(slot.target);
@@ -448,7 +454,7 @@
 /// has slots, divided among the threads.
 fn connections_max(state: &ThreadState, slots: u32) -> usize {
     let threads = state.shared.settings.limits.traffic_threads.0.max(1);
-    slots.div_ceil(u32::from(threads)).max(1) as usize
+    slots.div_ceil(threads).max(1) as usize
 }
 
 /// Reads `<in flight>/<slots>`.
