Replay accepted notes without checking the whole configuration

Change: note::replay makes the changes in place; the digest in the header proves the result, as before. note::apply keeps its checks.

--- a/crates/agatehold-core/src/note/apply.rs
+++ b/crates/agatehold-core/src/note/apply.rs
@@ -102,6 +102,29 @@
 /// effect.
 pub fn apply(config: &ConfigTables, note: &Note) -> Result<ConfigTables, Vec<ApplyError>> {
     let mut next = config.clone();
+    let mut errors = apply_changes(&mut next, note);
+    check_references(&next, &mut errors);
+    check_services(&next, &mut errors);
+    if errors.is_empty() {
+        return Ok(next);
+    }
+    Err(errors)
+}
+
+/// Makes the changes of an accepted note in `config`.
+///
+/// References between rows are not checked: that takes time in proportion to
+/// the whole configuration, and the digest that the note's header names
+/// proves the result. On an error `config` is left half changed.
+pub fn replay(config: &mut ConfigTables, note: &Note) -> Result<(), Vec<ApplyError>> {
+    let errors = apply_changes(config, note);
+    if errors.is_empty() {
+        return Ok(());
+    }
+    Err(errors)
+}
+
+fn apply_changes(config: &mut ConfigTables, note: &Note) -> Vec<ApplyError> {
     let mut errors = Vec::new();
     let mut touched = BTreeSet::new();
     for change in &note.changes {
@@ -110,17 +133,12 @@
             errors.push(ApplyError::Duplicate(entity));
             continue;
         }
-        if let Err(error) = apply_change(&mut next, change, &entity) {
+        if let Err(error) = apply_change(config, change, &entity) {
             errors.push(error);
         }
         touched.insert(entity);
     }
-    check_references(&next, &mut errors);
-    check_services(&next, &mut errors);
-    if errors.is_empty() {
-        return Ok(next);
-    }
-    Err(errors)
+    errors
 }
 
 fn apply_change(
--- a/crates/agatehold-core/src/note/mod.rs
+++ b/crates/agatehold-core/src/note/mod.rs
@@ -11,6 +11,7 @@
 
 pub use apply::ApplyError;
 pub use apply::apply;
+pub use apply::replay;
 pub use chain::ChainFault;
 pub use chain::Head;
 pub use chain::NoteHeader;
--- a/crates/agateholdctl/src/chain/read.rs
+++ b/crates/agateholdctl/src/chain/read.rs
@@ -84,7 +84,7 @@
     for stored in walk.notes().iter().rev() {
         let note = parse_stored(stored)?;
         if stored.header.number > start {
-            config = note::apply(&config, &note).map_err(|errors| {
+            note::replay(&mut config, &note).map_err(|errors| {
                 format!("note {} can't be applied: {errors:?}", stored.header.number)
             })?;
         }
