--- a/crates/agatehold-core/src/control/command.rs
+++ b/crates/agatehold-core/src/control/command.rs
@@ -29,6 +29,8 @@
     ReadPermit(ServiceName),
     /// Write the permit record of a service by compare-and-swap.
     WritePermit(Box<PermitWrite>),
+    /// Create the lease with which the platform ends this daemon's claims.
+    CreateClaimLease,
     /// Publish the entries of the services and the addresses of the hosts.
     PublishEntries,
     /// Publish the phase of this daemon.
--- a/crates/agatehold-core/src/control/mod.rs
+++ b/crates/agatehold-core/src/control/mod.rs
@@ -29,5 +29,6 @@
 pub use stop::TrafficCounts;
 pub use stop::begin_stop;
 pub use stop::next_stop_step;
+pub use tick::CLAIM_LEASE_TTL_MS;
 pub use tick::record_reports;
 pub use tick::tick;
--- a/crates/agatehold-core/src/control/state.rs
+++ b/crates/agatehold-core/src/control/state.rs
@@ -58,6 +58,10 @@
     pub listed_leaving: BTreeSet<TargetName>,
     /// When the host list was last asked for.
     pub hosts_asked_at: Option<TimeMs>,
+    /// When the lease for claims was last asked for.
+    pub claim_lease_asked_at: Option<TimeMs>,
+    /// When the lease for claims in use was created.
+    pub claim_lease_at: Option<TimeMs>,
     /// The verdicts of the last tick.
     pub judgement: Judgement,
     /// The entries of the services.
@@ -93,6 +97,8 @@
             cells: Table::new(),
             listed_leaving: BTreeSet::new(),
             hosts_asked_at: None,
+            claim_lease_asked_at: None,
+            claim_lease_at: None,
             judgement: Judgement::default(),
             entries: Table::new(),
             entries_outdated: true,
--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -8,6 +8,7 @@
 use crate::health::record_outcomes;
 use crate::health::refresh_baselines;
 use crate::health::write_verdicts;
+use crate::idempotency::CLAIM_RETENTION_MS;
 use crate::membership;
 use crate::note::Head;
 use crate::outcome::OutcomeReport;
@@ -34,6 +35,17 @@
 /// choice costs milliseconds, and changes of membership come in bursts.
 const ENTRIES_PERIOD_MS: DurationMs = DurationMs(500);
 
+/// The time after which claims get a new lease. One lease serves all claims of
+/// that time, so that a claim still costs one platform call.
+const CLAIM_LEASE_PERIOD_MS: DurationMs = DurationMs(3_600_000);
+
+/// The pause before a lease that could not be created is asked for again.
+const CLAIM_LEASE_RETRY_MS: DurationMs = DurationMs(5_000);
+
+/// How long the platform keeps the lease for claims.
+pub const CLAIM_LEASE_TTL_MS: DurationMs =
+    DurationMs(CLAIM_RETENTION_MS.0 + CLAIM_LEASE_PERIOD_MS.0);
+
 /// Runs every system once, in the order in which they depend on each other.
 pub fn tick(
     tables: &mut ControlTables,
@@ -46,6 +58,7 @@
     run_spread(tables, now, rng, &mut commands);
     run_membership(tables, now, rng, &mut commands);
     list_hosts(tables, now, &mut commands);
+    create_claim_lease(tables, now, &mut commands);
     permits::run(tables, now, rng, &mut commands);
     mark_leaving(tables, &mut commands);
     choose_entry_hosts(tables, now, &mut commands);
@@ -169,6 +182,20 @@
     commands.push(Command::ListHosts);
 }
 
+fn create_claim_lease(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
+    let is_fresh = tables
+        .claim_lease_at
+        .is_some_and(|at| now.since(at) < CLAIM_LEASE_PERIOD_MS);
+    let was_asked = tables
+        .claim_lease_asked_at
+        .is_some_and(|at| now.since(at) < CLAIM_LEASE_RETRY_MS);
+    if is_fresh || was_asked || !tables.spread.start.done {
+        return;
+    }
+    tables.claim_lease_asked_at = Some(now);
+    commands.push(Command::CreateClaimLease);
+}
+
 /// Marks the targets that take no new work: by the note, by the host list, or
 /// by the target's own answers, whichever says so first.
 fn mark_leaving(tables: &mut ControlTables, commands: &mut Vec<Command>) {
--- a/crates/agatehold/src/admin/mod.rs
+++ b/crates/agatehold/src/admin/mod.rs
@@ -139,26 +139,25 @@
             body: note.text,
         });
     }
-    let offered = offer.records.last().map(|record| record.header.head());
     let (reply, reply_seen) = bounded(1);
     let input = Input::Admin(AdminQuestion::Notes(Box::new(offer), reply));
     if state.inputs.send_timeout(input, ANSWER_TIMEOUT).is_err() {
         return busy();
     }
-    let Ok((acceptance, head)) = reply_seen.recv_timeout(ANSWER_TIMEOUT) else {
+    let Ok((acceptance, is_held, head)) = reply_seen.recv_timeout(ANSWER_TIMEOUT) else {
         return busy();
     };
-    let verdict = match offered {
-        Some(offered) if offered == head && acceptance.accepted > 0 => NoteVerdict::Taken,
-        Some(offered) if acceptance.fault.is_none() && head.number >= offered.number => {
-            NoteVerdict::Held
-        }
-        _ => NoteVerdict::Refused,
+    let verdict = if is_held && acceptance.accepted > 0 {
+        NoteVerdict::Taken
+    } else if is_held {
+        NoteVerdict::Held
+    } else {
+        NoteVerdict::Refused
     };
     json(&NotesAnswer {
         verdict,
         reason: acceptance.fault.map(|fault| fault.to_string().into()),
-        head: None,
+        head,
     })
 }
 
--- a/crates/agatehold/src/control/apply.rs
+++ b/crates/agatehold/src/control/apply.rs
@@ -34,6 +34,7 @@
                 self.push_platform(PlatformJob::ReadPermit(service));
             }
             Command::WritePermit(write) => self.push_platform(PlatformJob::WritePermit(write)),
+            Command::CreateClaimLease => self.push_platform(PlatformJob::CreateClaimLease),
             Command::PublishEntries => self.publish_entries(),
             Command::PublishPhase(phase) => self.publish_phase(phase),
             Command::PublishSlowBounds => self.publish_slow_bounds(),
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crossbeam::channel::Sender;
 use tokio::sync::oneshot;
@@ -31,7 +32,9 @@
 use agatehold_settings::note::parse_note;
 use agatehold_settings::note::snapshot_note;
 use agatehold_settings::note::write_note;
+use agatehold_wire::admin::HeadJson;
 use agatehold_wire::platform::HostListRow;
+use agatehold_wire::platform::LeaseId;
 use agatehold_wire::platform::ListedName;
 use agatehold_wire::platform::ListedState;
 
@@ -51,8 +54,12 @@
     Targets(Sender<agatehold_wire::admin::TargetsAnswer>),
     /// The ejections and the capacity of the services.
     Ejections(Sender<agatehold_wire::admin::EjectionsAnswer>),
-    /// Notes that the operators' tool pushes.
-    Notes(Box<NotesAnswer>, Sender<(Acceptance, Head)>),
+    /// Notes that the operators' tool pushes; the answer says what came of
+    /// the offer, whether the last note is held, and the note in force.
+    Notes(
+        Box<NotesAnswer>,
+        Sender<(Acceptance, bool, Option<HeadJson>)>,
+    ),
     /// A planned stop.
     Drain(Sender<agatehold_wire::admin::DrainAnswer>),
 }
@@ -95,6 +102,8 @@
         version: Option<PermitVersion>,
         sent_at: TimeMs,
     },
+    /// The lease for claims; `None` if it could not be created.
+    ClaimLease(Option<LeaseId>),
     /// A question of the admin address.
     Admin(AdminQuestion),
     /// A planned stop was asked for.
@@ -167,6 +176,12 @@
                 let commands = control::write_ended(tables, &write, version, sent_at, now);
                 self.apply(commands);
             }
+            Input::ClaimLease(lease) => {
+                if let Some(lease) = lease {
+                    self.tables.claim_lease_at = Some(now);
+                    self.shared.claim_lease.store(Some(Arc::new(lease)));
+                }
+            }
             Input::Admin(question) => self.answer_admin(question),
             Input::Stop => self.begin_stop(),
             Input::Close => {}
--- a/crates/agatehold/src/control/status.rs
+++ b/crates/agatehold/src/control/status.rs
@@ -68,9 +68,14 @@
             AdminQuestion::Ejections(reply) => {
                 let _ = reply.try_send(self.ejections());
             }
-            AdminQuestion::Notes(answer, reply) => {
-                let acceptance = self.offer_notes(&NoteSource::Tool, &answer);
-                let _ = reply.try_send((acceptance, self.tables.spread.log.head));
+            AdminQuestion::Notes(offer, reply) => {
+                let acceptance = self.offer_notes(&NoteSource::Tool, &offer);
+                let log = &self.tables.spread.log;
+                let is_held = offer
+                    .records
+                    .last()
+                    .is_some_and(|record| log.is_ancestor(record.header.head()));
+                let _ = reply.try_send((acceptance, is_held, self.head_json()));
             }
             AdminQuestion::Drain(reply) => {
                 let now = self.shared.clock.now();
--- a/crates/agatehold/src/platform/mod.rs
+++ b/crates/agatehold/src/platform/mod.rs
@@ -14,6 +14,7 @@
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
 
+use agatehold_core::control::CLAIM_LEASE_TTL_MS;
 use agatehold_core::control::PermitVersion;
 use agatehold_core::control::PermitWrite;
 use agatehold_core::ejection::PermitRecord;
@@ -25,6 +26,7 @@
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 use agatehold_wire::platform::HostListRow;
+use agatehold_wire::platform::LeaseId;
 use agatehold_wire::platform::PlatformAnswer;
 use agatehold_wire::platform::PlatformRequest;
 use agatehold_wire::platform::ValueVersion;
@@ -67,6 +69,8 @@
     ReadPermit(ServiceName),
     /// Write a permit record.
     WritePermit(Box<PermitWrite>),
+    /// Create the lease for claims.
+    CreateClaimLease,
 }
 
 /// Hands jobs to the platform threads.
@@ -190,6 +194,7 @@
             service,
             sent_at,
         },
+        PlatformJob::CreateClaimLease => Input::ClaimLease(create_claim_lease(caller)),
         PlatformJob::WritePermit(write) => Input::PermitWritten {
             version: write_permit(caller, &write),
             write,
@@ -249,6 +254,16 @@
     }
 }
 
+fn create_claim_lease(caller: &PlatformCaller) -> Option<LeaseId> {
+    let request = PlatformRequest::CreateLease {
+        ttl_ms: CLAIM_LEASE_TTL_MS,
+    };
+    match caller.call(&request)? {
+        PlatformAnswer::LeaseCreated(lease) => Some(lease),
+        _ => None,
+    }
+}
+
 fn list_hosts(caller: &PlatformCaller) -> Option<Vec<HostListRow>> {
     match caller.call(&PlatformRequest::ListHosts)? {
         PlatformAnswer::Hosts(rows) => Some(rows),
--- a/crates/agatehold/src/platform/notes.rs
+++ b/crates/agatehold/src/platform/notes.rs
@@ -1,15 +1,23 @@
 //! Reads and writes release notes in the platform.
 
-use agatehold_core::ids::Digest;
+use agatehold_core::config::ConfigTables;
+use agatehold_core::config::config_digest;
 use agatehold_core::ids::NoteNumber;
+use agatehold_core::note::ChainWalk;
 use agatehold_core::note::HeadRecord;
 use agatehold_core::note::NoteHeader;
+use agatehold_core::note::StoredNote;
+use agatehold_core::note::WalkStep;
+use agatehold_core::note::apply;
+use agatehold_core::note::snapshot_before;
+use agatehold_core::note::snapshot_due;
 use agatehold_core::spread::NoteRecord;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::Snapshot;
 use agatehold_core::spread::SnapshotChunk;
 use agatehold_core::spread::WriteBack;
 use agatehold_core::spread::split_chunks;
+use agatehold_settings::note::parse_note;
 use agatehold_wire::platform::PlatformAnswer;
 use agatehold_wire::platform::PlatformKey;
 use agatehold_wire::platform::PlatformRequest;
@@ -20,47 +28,64 @@
 use agatehold_wire::platform::head_key;
 use agatehold_wire::platform::note_key;
 use agatehold_wire::platform::note_prefix;
+use agatehold_wire::platform::parse_note_key;
 use agatehold_wire::platform::snapshot_key;
 use agatehold_wire::platform::snapshot_prefix;
 
 use super::call::PlatformCaller;
 
-/// Snapshots are written with every note whose number this divides.
-const SNAPSHOT_PERIOD: u64 = 32;
-
-/// The notes that are read one by one; a daemon that is further behind asks
-/// again after these have taken effect.
-const NOTES_MAX: u64 = 256;
+/// The notes that a daemon with a configuration is ready to catch up on; one
+/// that is further behind gets a snapshot from its peers.
+const NOTES_MAX: u64 = 1_024;
 
 /// Reads the notes after `after`, with a snapshot for a daemon that has none.
 pub(super) fn read_notes(caller: &PlatformCaller, after: NoteNumber) -> Option<NotesAnswer> {
-    let head = read_head_record(caller)?;
-    let mut answer = NotesAnswer::default();
-    let mut from = after;
-    let snapshot_at = NoteNumber(head.head.number.0 / SNAPSHOT_PERIOD * SNAPSHOT_PERIOD);
-    let mut wanted = head.head.hash;
-    let mut number = head.head.number;
-    let use_snapshot = after == NoteNumber(0) && snapshot_at > NoteNumber(0);
-    if use_snapshot {
-        from = snapshot_at;
-    }
-    if number.0.saturating_sub(from.0) > NOTES_MAX {
-        return None;
+    let record = read_head_record(caller)?;
+    let head = record.head.number;
+    let mut walk = ChainWalk::new(&record, head);
+    if after > NoteNumber(0) {
+        if head.0.saturating_sub(after.0) > NOTES_MAX {
+            return None;
+        }
+        walk.extend(after);
+        finish_walk(caller, &mut walk)?;
+        return Some(answer_of(&walk, None));
     }
-    // The chain is read backwards, since only the hash in a header tells the
-    // accepted note from others that were written under the same number.
-    while number > from {
-        let record = read_note(caller, number, wanted)?;
-        wanted = record.header.prev;
-        answer.records.push(record);
-        number = NoteNumber(number.0 - 1);
+    // A snapshot may be missing or incomplete, since its writer may have
+    // failed after the note was accepted; then the one before it serves.
+    let mut due = snapshot_due(head);
+    while due > NoteNumber(0) {
+        walk.extend(NoteNumber(due.0 - 1));
+        finish_walk(caller, &mut walk)?;
+        let header = walk.notes().last()?.header.clone();
+        if let Some(chunk) = read_snapshot(caller, header) {
+            return Some(answer_of(&walk, Some(chunk)));
+        }
+        due = snapshot_before(due);
     }
-    answer.records.reverse();
-    if use_snapshot {
-        let header = read_note(caller, snapshot_at, wanted)?.header;
-        answer.chunk = Some(read_snapshot(caller, header)?);
+    walk.extend(NoteNumber(0));
+    finish_walk(caller, &mut walk)?;
+    Some(answer_of(&walk, None))
+}
+
+/// Builds the answer; notes that a snapshot includes are left out.
+fn answer_of(walk: &ChainWalk, chunk: Option<SnapshotChunk>) -> NotesAnswer {
+    let included = chunk
+        .as_ref()
+        .map_or(NoteNumber(0), |chunk| chunk.header.number);
+    let mut answer = NotesAnswer {
+        chunk,
+        ..NotesAnswer::default()
+    };
+    for note in walk.notes().iter().rev() {
+        if note.header.number > included {
+            answer.records.push(NoteRecord {
+                header: note.header.clone(),
+                body: note.text.clone(),
+            });
+        }
     }
-    Some(answer)
+    answer
 }
 
 fn read_head_record(caller: &PlatformCaller) -> Option<HeadRecord> {
@@ -70,32 +95,36 @@
     }
 }
 
-/// Reads the note whose header has the hash `wanted`.
-fn read_note(caller: &PlatformCaller, number: NoteNumber, wanted: Digest) -> Option<NoteRecord> {
-    let request = PlatformRequest::ListKeys {
-        prefix: note_prefix(number),
-    };
-    let PlatformAnswer::Keys(keys) = caller.call(&request)? else {
-        return None;
-    };
-    for (key, _) in keys {
-        let PlatformAnswer::Value { value, .. } = caller.call(&PlatformRequest::Get { key })?
-        else {
-            continue;
-        };
-        let Ok(note) = decode_note(&value) else {
-            continue;
-        };
-        if note.header.hash() == wanted {
-            return Some(NoteRecord {
-                header: note.header,
-                body: note.text,
-            });
+/// Reads notes until the walk is at its end.
+fn finish_walk(caller: &PlatformCaller, walk: &mut ChainWalk) -> Option<()> {
+    loop {
+        match walk.step() {
+            WalkStep::Done => return Some(()),
+            WalkStep::Broken(_) => return None,
+            WalkStep::ReadBody(number, id) => {
+                let key = note_key(number, id);
+                let found = match caller.call(&PlatformRequest::Get { key })? {
+                    PlatformAnswer::Value { value, .. } => decode_note(&value).ok(),
+                    _ => None,
+                };
+                walk.body(found);
+            }
+            WalkStep::ListBodies(number) => {
+                let prefix = note_prefix(number);
+                let PlatformAnswer::Keys(keys) =
+                    caller.call(&PlatformRequest::ListKeys { prefix })?
+                else {
+                    return None;
+                };
+                let ids = keys.iter().filter_map(|(key, _)| parse_note_key(key));
+                walk.listed(ids.map(|(_, id)| id).collect());
+            }
         }
     }
-    None
 }
 
+/// Reads the snapshot of a note; `None` if it is missing, incomplete or not
+/// the configuration that the note's header names.
 fn read_snapshot(caller: &PlatformCaller, header: NoteHeader) -> Option<SnapshotChunk> {
     let request = PlatformRequest::ListKeys {
         prefix: snapshot_prefix(header.number),
@@ -113,6 +142,11 @@
         };
         text.push_str(std::str::from_utf8(&value).ok()?);
     }
+    let note = parse_note("snapshot", &text).ok()?.note;
+    let config = apply(&ConfigTables::default(), &note).ok()?;
+    if config_digest(&config) != header.config {
+        return None;
+    }
     Some(SnapshotChunk {
         header,
         index: 0,
@@ -161,7 +195,7 @@
 }
 
 fn write_note(caller: &PlatformCaller, record: &NoteRecord) -> Option<()> {
-    let note = agatehold_core::note::StoredNote {
+    let note = StoredNote {
         header: record.header.clone(),
         text: record.body.clone(),
     };
@@ -170,7 +204,8 @@
 }
 
 fn write_snapshot(caller: &PlatformCaller, snapshot: &Snapshot) -> Option<()> {
-    for (chunk, text) in split_chunks(&snapshot.text).into_iter().enumerate() {
+    // The first chunk comes last and stands for the whole.
+    for (chunk, text) in split_chunks(&snapshot.text).into_iter().enumerate().rev() {
         let key = snapshot_key(snapshot.header.number, u32::try_from(chunk).ok()?);
         create(caller, key, text.as_bytes().to_vec())?;
     }
--- a/crates/agatehold/src/shared/mod.rs
+++ b/crates/agatehold/src/shared/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use crossbeam::channel::Sender;
 
 use agatehold_core::addresses;
@@ -30,6 +31,7 @@
 use agatehold_core::routing::ServiceIndex;
 use agatehold_core::units::TimeMs;
 use agatehold_settings::process::DaemonSettings;
+use agatehold_wire::platform::LeaseId;
 
 use crate::clock::Clock;
 use crate::gate::ServiceGate;
@@ -108,6 +110,9 @@
     pub(crate) published: ArcSwap<Published>,
     /// The addresses of the fleet.
     pub(crate) entries: ArcSwap<EntryBook>,
+    /// The lease that ends this daemon's claims, seven days or more from now;
+    /// without it claims are kept for ever.
+    pub(crate) claim_lease: ArcSwapOption<LeaseId>,
     /// Reports of attempts; full means that reports are dropped and counted.
     pub(crate) reports: Sender<TrafficReport>,
     /// The idempotency keys that this start of the daemon owns.
@@ -157,6 +162,7 @@
             incarnation: AtomicU64::new(incarnation.0),
             settings,
             published: ArcSwap::default(),
+            claim_lease: ArcSwapOption::empty(),
             poison: Mutex::default(),
             entries: ArcSwap::default(),
             reports,
--- a/crates/agatehold/src/traffic/keys.rs
+++ b/crates/agatehold/src/traffic/keys.rs
@@ -134,6 +134,7 @@
     create: bool,
     deadline: TimeMs,
 ) -> ClaimAnswer {
+    let lease = state.shared.claim_lease.load_full();
     let request = if create {
         let Ok(value) = encode_claim(record) else {
             return ClaimAnswer::Unavailable;
@@ -141,7 +142,7 @@
         PlatformRequest::Create {
             key: key.clone(),
             value,
-            lease: None,
+            lease: lease.as_deref().cloned(),
         }
     } else {
         PlatformRequest::Get { key: key.clone() }
--- a/crates/agatehold/tests/recovery.rs
+++ b/crates/agatehold/tests/recovery.rs
@@ -1,6 +1,11 @@
 //! Guards release notes and service through losses of daemons and of the
 //! platform.
 
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that fails has to fail the test"
+)]
+
 use std::path::Path;
 
 use serde_json::json;
