Tell peers of leaving targets

Cause: only the watchers of the platform (two in a failure domain) read the host list every 2 s; the other daemons read it once in 30 to 48 s, so that a leaving target got new work from 42 of 48 daemons for that long. A target's own word stayed with the daemon that heard it, and lasted 10 minutes even if the target had started again.

Ruled out: every daemon reading the list every 2 s (24 calls a second at 48 daemons, 440 at 880).

Change: digests carry leaving targets with the age of the last reason; a new one is pushed to four neighbours at once. Marks end 30 s after their last reason, and a target's own word ends when the host list, 30 s later, still calls it live.

--- a/crates/agatehold-core/src/control/exchange.rs
+++ b/crates/agatehold-core/src/control/exchange.rs
@@ -1,7 +1,5 @@
 //! Builds and merges what daemons tell each other.
 
-use std::collections::BTreeSet;
-
 use crate::ejection::confirm_record;
 use crate::health::LogLikelihood;
 use crate::health::PeerEvidence;
@@ -18,16 +16,18 @@
 use crate::membership::PoisonNews;
 use crate::poison::CrashMark;
 use crate::spread;
+use crate::table::Table;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
 use super::Command;
 use super::ControlTables;
 use super::StateChange;
+use super::leaving;
 
 /// The most rows of each kind that a digest carries beside the hosts, so that
 /// a digest stays within the bandwidth of a daemon (2 KB/s).
-const NEWS_MAX: usize = 8;
+pub(super) const NEWS_MAX: usize = 8;
 
 /// How long a crash mark is told to peers; by then gossip has spread it.
 const MARK_NEWS_MS: DurationMs = DurationMs(30_000);
@@ -40,6 +40,7 @@
     digest.permits = permit_news(tables, now);
     digest.evidence = evidence_news(tables, now);
     digest.poisoned = poison_news(tables, now);
+    digest.leaving = leaving::news(tables, now);
     digest
 }
 
@@ -123,6 +124,7 @@
         merge_permits(tables, digest, round_trip, now, &mut commands);
     }
     merge_evidence(tables, digest, now);
+    leaving::merge(tables, &digest.leaving, now);
     let marks = merge_marks(tables, digest, now);
     (commands, marks)
 }
@@ -213,7 +215,7 @@
 pub fn merge_hosts(
     tables: &mut ControlTables,
     hosts: &[ListedHost],
-    leaving: BTreeSet<TargetName>,
+    targets: Table<TargetName, bool>,
     now: TimeMs,
 ) -> Vec<Command> {
     let mut commands = Vec::new();
@@ -221,6 +223,6 @@
         note_peer_change(tables, change, &mut commands);
     }
     tables.entries_outdated = true;
-    tables.listed_leaving = leaving;
+    tables.listed_targets = targets;
     commands
 }
--- a/crates/agatehold-core/src/control/mod.rs
+++ b/crates/agatehold-core/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod command;
 mod exchange;
+mod leaving;
 mod permits;
 mod state;
 mod stop;
--- a/crates/agatehold-core/src/control/permits.rs
+++ b/crates/agatehold-core/src/control/permits.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::config::ConfigTables;
 use crate::config::TargetState;
 use crate::ejection;
 use crate::ejection::PermitChange;
@@ -15,11 +16,13 @@
 use crate::ejection::confirm_record;
 use crate::ejection::next_record;
 use crate::ejection::returned_record;
+use crate::health::Judgement;
 use crate::health::Wish;
 use crate::ids::ParseIdError;
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
 use crate::spread::watcher_rank;
+use crate::table::Table;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
@@ -91,17 +94,17 @@
     let permits = &tables.permits;
     let health = &tables.judgement;
     let config = &tables.spread.log.config;
-    let listed = &tables.listed_leaving;
+    let leaving = &tables.leaving;
     ejection::write_exclusions(permits, config, &tables.cells, now, |service| {
-        live_targets(config, health, listed, service)
+        live_targets(config, health, leaving, service)
     });
 }
 
 /// Returns the targets of a service that count as capacity.
 fn live_targets(
-    config: &crate::config::ConfigTables,
-    judgement: &crate::health::Judgement,
-    listed_leaving: &BTreeSet<TargetName>,
+    config: &ConfigTables,
+    judgement: &Judgement,
+    leaving: &Table<TargetName, TimeMs>,
     service: &ServiceName,
 ) -> BTreeSet<TargetName> {
     let mut live = BTreeSet::new();
@@ -109,7 +112,7 @@
         if target.service != *service || target.state == TargetState::Leaving {
             continue;
         }
-        if listed_leaving.contains(name) {
+        if leaving.contains(name) {
             continue;
         }
         let capable = judgement
@@ -260,7 +263,7 @@
         let live = live_targets(
             &tables.spread.log.config,
             &tables.judgement,
-            &tables.listed_leaving,
+            &tables.leaving,
             &service,
         );
         let held = tables.permits.records.get(&service);
--- a/crates/agatehold-core/src/control/state.rs
+++ b/crates/agatehold-core/src/control/state.rs
@@ -1,6 +1,5 @@
 //! The tables of the control thread.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::addresses::EntryRow;
@@ -54,8 +53,11 @@
     pub permits_listed_at: Option<TimeMs>,
     /// The live state of the targets, shared with the traffic threads.
     pub cells: Table<TargetName, Arc<TargetCell>>,
-    /// The targets that the platform's host list marks as leaving.
-    pub listed_leaving: BTreeSet<TargetName>,
+    /// The targets in the platform's host list, and whether they are leaving.
+    pub listed_targets: Table<TargetName, bool>,
+    /// The targets that are leaving, and when the list or an answer, here or
+    /// at a peer, last said so.
+    pub leaving: Table<TargetName, TimeMs>,
     /// When the host list was last asked for.
     pub hosts_asked_at: Option<TimeMs>,
     /// When the lease for claims was last asked for.
@@ -78,6 +80,8 @@
     pub marks: Vec<CrashMark>,
     /// The orders of choice that were last logged.
     pub logged: Table<TargetName, Preference>,
+    /// The targets that were last logged as leaving.
+    pub logged_leaving: Table<TargetName, ()>,
     /// The phase that was last published.
     pub published_phase: Option<HostPhase>,
     /// The planned stop.
@@ -95,7 +99,8 @@
             permit_work: Table::new(),
             permits_listed_at: None,
             cells: Table::new(),
-            listed_leaving: BTreeSet::new(),
+            listed_targets: Table::new(),
+            leaving: Table::new(),
             hosts_asked_at: None,
             claim_lease_asked_at: None,
             claim_lease_at: None,
@@ -107,6 +112,7 @@
             reports: Vec::new(),
             marks: Vec::new(),
             logged: Table::new(),
+            logged_leaving: Table::new(),
             published_phase: None,
             stop: StopRow::default(),
         }
--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -3,7 +3,6 @@
 use rand::Rng;
 
 use crate::addresses::choose_entries;
-use crate::config::TargetState;
 use crate::health;
 use crate::health::record_outcomes;
 use crate::health::refresh_baselines;
@@ -26,6 +25,7 @@
 use super::StateChange;
 use super::exchange::answer_digest;
 use super::exchange::note_peer_change;
+use super::leaving;
 use super::permits;
 
 /// The time between two refreshes of what is normal for the services.
@@ -59,8 +59,8 @@
     run_membership(tables, now, rng, &mut commands);
     list_hosts(tables, now, &mut commands);
     create_claim_lease(tables, now, &mut commands);
+    leaving::run(tables, now, rng, &mut commands);
     permits::run(tables, now, rng, &mut commands);
-    mark_leaving(tables, &mut commands);
     choose_entry_hosts(tables, now, &mut commands);
     publish_phase(tables, &mut commands);
     commands
@@ -196,32 +196,6 @@
     commands.push(Command::CreateClaimLease);
 }
 
-/// Marks the targets that take no new work: by the note, by the host list, or
-/// by the target's own answers, whichever says so first.
-fn mark_leaving(tables: &mut ControlTables, commands: &mut Vec<Command>) {
-    for (name, cell) in tables.cells.rows() {
-        let by_note = tables
-            .spread
-            .log
-            .config
-            .targets
-            .get(name)
-            .is_some_and(|target| target.state == TargetState::Leaving);
-        let by_itself = tables
-            .judgement
-            .verdicts
-            .get(name)
-            .is_some_and(|verdict| verdict.leaving);
-        let leaving = by_note || by_itself || tables.listed_leaving.contains(name);
-        if cell.is_leaving() == leaving {
-            continue;
-        }
-        cell.set_leaving(leaving);
-        let change = StateChange::Leaving(name.clone(), leaving);
-        commands.push(Command::Log(change));
-    }
-}
-
 fn choose_entry_hosts(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
     let waits = tables
         .entries_at
--- a/crates/agatehold-core/src/membership/digest.rs
+++ b/crates/agatehold-core/src/membership/digest.rs
@@ -42,6 +42,8 @@
     pub evidence: Vec<EvidenceNews>,
     /// Fingerprints of poisoned requests.
     pub poisoned: Vec<PoisonNews>,
+    /// Targets that are leaving.
+    pub leaving: Vec<LeavingNews>,
 }
 
 /// A host's row as a digest carries it.
@@ -129,3 +131,12 @@
     /// How long ago the crash was seen.
     pub age: DurationMs,
 }
+
+/// A target that is leaving by the host list or by its own answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingNews {
+    /// The target.
+    pub target: TargetName,
+    /// How long ago the list or an answer last said so.
+    pub age: DurationMs,
+}
--- a/crates/agatehold-core/src/membership/merge.rs
+++ b/crates/agatehold-core/src/membership/merge.rs
@@ -57,6 +57,7 @@
         permits: Vec::new(),
         evidence: Vec::new(),
         poisoned: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/agatehold-core/src/membership/mod.rs
+++ b/crates/agatehold-core/src/membership/mod.rs
@@ -15,6 +15,7 @@
 pub use digest::EvidenceNews;
 pub use digest::HeadNews;
 pub use digest::JOIN_ROWS_MAX;
+pub use digest::LeavingNews;
 pub use digest::PeerDigest;
 pub use digest::PermitNews;
 pub use digest::PoisonNews;
--- a/crates/agatehold-wire/src/peers/digest.rs
+++ b/crates/agatehold-wire/src/peers/digest.rs
@@ -13,6 +13,7 @@
 use agatehold_core::membership::Heartbeat;
 use agatehold_core::membership::HostPhase;
 use agatehold_core::membership::JOIN_ROWS_MAX;
+use agatehold_core::membership::LeavingNews;
 use agatehold_core::membership::PeerDigest;
 use agatehold_core::membership::PermitNews;
 use agatehold_core::membership::PoisonNews;
@@ -66,6 +67,13 @@
             age_ms: news.age.0,
         });
     }
+    let mut leaving = Vec::new();
+    for news in &digest.leaving {
+        leaving.push(generated::Leaving {
+            target: news.target.to_string(),
+            age_ms: news.age.0,
+        });
+    }
     let message = generated::Digest {
         sender: Some(encode_row(&digest.sender)),
         rows,
@@ -78,6 +86,7 @@
         evidence,
         poisoned,
         turn: digest.turn,
+        leaving,
     };
     message.encode_to_vec()
 }
@@ -144,6 +153,7 @@
     fields::at_most(&message.permits, PERMITS_MAX, "permits")?;
     fields::at_most(&message.evidence, NEWS_MAX, "evidence")?;
     fields::at_most(&message.poisoned, NEWS_MAX, "poisoned")?;
+    fields::at_most(&message.leaving, NEWS_MAX, "leaving")?;
     let sender = decode_row(&fields::required(message.sender, "sender")?)?;
     if sender.incarnation == Incarnation(0) || sender.standing != StandingNews::Alive {
         return Err(PeerMessageError::Field("sender"));
@@ -179,6 +189,13 @@
             age: fields::age(news.age_ms),
         });
     }
+    let mut leaving = Vec::new();
+    for news in &message.leaving {
+        leaving.push(LeavingNews {
+            target: fields::name(&news.target, "target")?,
+            age: fields::age(news.age_ms),
+        });
+    }
     Ok(PeerDigest {
         sender,
         turn: message.turn,
@@ -193,6 +210,7 @@
         permits,
         evidence,
         poisoned,
+        leaving,
     })
 }
 
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -1,6 +1,5 @@
 //! What other threads tell the control thread.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -28,6 +27,7 @@
 use agatehold_core::spread::NoteSource;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
+use agatehold_core::table::Table;
 use agatehold_core::units::TimeMs;
 use agatehold_settings::note::parse_note;
 use agatehold_settings::note::snapshot_note;
@@ -282,7 +282,7 @@
             return;
         };
         let mut hosts = Vec::new();
-        let mut leaving = BTreeSet::new();
+        let mut targets = Table::new();
         for row in rows {
             match row.name {
                 ListedName::Entry(id) => hosts.push(ListedHost {
@@ -292,13 +292,12 @@
                     caller_address: Some(row.address),
                     leaving: row.state == ListedState::Leaving,
                 }),
-                ListedName::Target(name) if row.state == ListedState::Leaving => {
-                    leaving.insert(name);
+                ListedName::Target(name) => {
+                    targets.insert(name, row.state == ListedState::Leaving);
                 }
-                ListedName::Target(_) => {}
             }
         }
-        let commands = control::merge_hosts(&mut self.tables, &hosts, leaving, now);
+        let commands = control::merge_hosts(&mut self.tables, &hosts, targets, now);
         self.apply(commands);
     }
 
--- a/crates/agatehold/src/traffic/keys.rs
+++ b/crates/agatehold/src/traffic/keys.rs
@@ -157,17 +157,18 @@
         return ClaimAnswer::Unavailable;
     };
     let (mut sender, closer) = connection.into_parts();
-    let answer = tokio::time::timeout_at(until, exchange(&mut sender, platform.address, &request));
+    let answer = tokio::time::timeout_at(until, exchange(state, &mut sender, &request));
     let answer = answer.await.unwrap_or(ClaimAnswer::Lost);
     closer.close();
     answer
 }
 
 async fn exchange(
+    state: &Rc<ThreadState>,
     sender: &mut hyper::client::conn::http1::SendRequest<Full<Bytes>>,
-    address: std::net::SocketAddr,
     request: &PlatformRequest,
 ) -> ClaimAnswer {
+    let address = state.shared.settings.platform.address;
     let Ok(encoded) = encode_request(request, address) else {
         return ClaimAnswer::Unavailable;
     };
@@ -192,6 +193,11 @@
             Err(_) => ClaimAnswer::Lost,
         },
         Ok(PlatformAnswer::Missing) => ClaimAnswer::Absent,
+        Ok(PlatformAnswer::LeaseGone) => {
+            // Nothing was written; the next create goes without the lease.
+            state.shared.claim_lease.store(None);
+            ClaimAnswer::Absent
+        }
         // The value of the record that is in the way has to be read.
         Ok(_) | Err(_) => ClaimAnswer::Lost,
     }
