Add measurements of load, retries, keys and tenants with their bounds

Ruled out: figures from wall-clock runs (differ from run to run); a counting allocator for the memory of keys (needs unsafe code; the resident size is taken instead).

Change: package agatehold-measure-load with the subcommands load, retries, keys and tenants in virtual time with fixed seeds, bounds as tests, benches of single decisions, docs/MEASUREMENTS-LOAD.md. The new row size let the test under memory pressure hold four keys instead of three, and it no longer saw a forwarded arrival run a row without its own record. Its bound is back at three keys, and a scripted test shows the fault as well.

Caller-made keys need one platform write each, so that the platform's rate bounds them fleet-wide.

--- a/crates/agatehold-core/src/idempotency/table.rs
+++ b/crates/agatehold-core/src/idempotency/table.rs
@@ -21,8 +21,8 @@
 use super::KeyState;
 
 /// The bytes that one key takes beside its answer, from the resident size of
-/// a table of 100,000 keys (docs/MEASUREMENTS-LOAD.md), rounded up.
-const KEY_ROW_BYTES: u64 = 192;
+/// a table of 300,000 keys (docs/MEASUREMENTS-LOAD.md), rounded up.
+const KEY_ROW_BYTES: u64 = 144;
 
 /// The bytes that a stored answer takes beside its headers and body.
 const ANSWER_ROW_BYTES: u64 = 128;
--- a/crates/agatehold-core/src/limits/queue.rs
+++ b/crates/agatehold-core/src/limits/queue.rs
@@ -19,9 +19,9 @@
 
 /// How many slots go to better classes before a waiting class has a turn.
 ///
-/// One slot in 21 keeps batch requests moving and costs urgent ones less than
-/// 5% of the capacity.
-pub const LANE_TURN_SLOTS: u32 = 20;
+/// One slot in 31 keeps batch requests moving. With one in 21 urgent requests
+/// got 94.5% of the capacity under overload, below the aim of 95%.
+pub const LANE_TURN_SLOTS: u32 = 30;
 
 /// The share of the queue that other classes can't take from a class.
 const LANE_RESERVE_DIVISOR: usize = 16;
@@ -29,8 +29,12 @@
 /// The weight of the newest run time in the moving average.
 const NEWEST_RUN_WEIGHT: f64 = 0.05;
 
-/// The share of the mean run time that a request needs to be worth sending.
-const RUN_SHARE_NEEDED: f64 = 0.5;
+/// How many mean run times a request needs to be worth sending.
+///
+/// With callers that wait for three mean run times, under overload, 54% to 70%
+/// of the capacity was answered in time at 0.5, 80% to 86% at 1 and 90% to 93%
+/// at 1.5. At 2 requests were refused that 0.8 times the capacity could run.
+const RUN_TIMES_NEEDED: f64 = 1.5;
 
 /// A request in an admission queue.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -354,7 +358,7 @@
     }
 
     fn needed_run(&self) -> DurationMs {
-        DurationMs((self.mean_run_ms * RUN_SHARE_NEEDED) as u64)
+        DurationMs((self.mean_run_ms * RUN_TIMES_NEEDED) as u64)
     }
 
     fn reserve(&self) -> usize {
--- a/crates/agatehold-core/tests/at_most_once.rs
+++ b/crates/agatehold-core/tests/at_most_once.rs
@@ -458,7 +458,30 @@
 /// Rows that are dropped for memory must not let their keys run again.
 #[test]
 fn no_key_runs_twice_under_memory_pressure() {
-    check_interleavings(3 * 192 + 150);
+    check_interleavings(3 * 144 + 140);
+}
+
+/// The record that a forwarding daemon saw may be that of a dropped row whose
+/// request ran; a newer row of the same key must not run on its account.
+#[test]
+fn forwarded_arrival_does_not_run_a_row_without_its_own_record() {
+    let mut world = World::new(1 << 20);
+    let key: IdempotencyKey = "a".parse().unwrap();
+    let arrive = |world: &mut World, daemon| {
+        world.arrive(daemon, key.clone(), 0, Digest::default(), Arrival::Direct);
+    };
+    arrive(&mut world, 0);
+    world.apply(Op::Ask(0, Fault::None));
+    world.apply(Op::Send(0, End::Unknown));
+    world.apply(Op::Pass(2 * 60 * 60_000));
+    // The row is gone. The next arrival can't reach the platform, and the one
+    // after it comes by way of another daemon, which sees the first record.
+    arrive(&mut world, 0);
+    world.apply(Op::Ask(0, Fault::Unavailable));
+    arrive(&mut world, 1);
+    world.apply(Op::Ask(0, Fault::None));
+    world.apply(Op::Send(0, End::Unknown));
+    assert_eq!(world.runs.values().sum::<u32>(), 1);
 }
 
 /// A flood of keys must neither exceed the memory bound nor refuse a new key
--- a/crates/agatehold-core/tests/retry.rs
+++ b/crates/agatehold-core/tests/retry.rs
@@ -204,7 +204,8 @@
                 })
             };
             let (requests, retries) = since(u64::MAX);
-            let most = 0.2 * f64::from(requests) + 1.0;
+            // At most 1.2 times the requests from the tenth request on.
+            let most = 0.1 * f64::from(requests) + 1.0;
             assert!(f64::from(retries) <= most, "{retries} for {requests}");
             let (requests, retries) = (since(2_100).0, since(1_000).1);
             let most = 0.1 * f64::from(requests) + 1.0;
--- /dev/null
+++ b/crates/agatehold-measure-load/benches/decisions.rs
@@ -0,0 +1,241 @@
+//! The time of one decision on the traffic path.
+
+use std::error::Error;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use criterion::BatchSize;
+use criterion::Criterion;
+use rand_pcg::Pcg64;
+
+use agatehold_core::config::ConfigTables;
+use agatehold_core::config::Idempotence;
+use agatehold_core::config::RouteRow;
+use agatehold_core::config::ServiceRow;
+use agatehold_core::config::TargetRow;
+use agatehold_core::config::TargetState;
+use agatehold_core::config::TrafficClass;
+use agatehold_core::idempotency::Arrival;
+use agatehold_core::idempotency::Claim;
+use agatehold_core::idempotency::IdempotencyKey;
+use agatehold_core::idempotency::KeyLimits;
+use agatehold_core::idempotency::KeyOwner;
+use agatehold_core::idempotency::KeyTable;
+use agatehold_core::ids::Digest;
+use agatehold_core::ids::Incarnation;
+use agatehold_core::ids::TenantName;
+use agatehold_core::limits::AdmissionQueue;
+use agatehold_core::limits::Offer;
+use agatehold_core::limits::QueueLimits;
+use agatehold_core::note::Head;
+use agatehold_core::routing::RoutingTable;
+use agatehold_core::routing::build;
+use agatehold_core::routing::match_route;
+use agatehold_core::routing::pick_target;
+use agatehold_core::table::Table;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::SlotCount;
+use agatehold_core::units::TimeMs;
+
+/// Name, services, targets, routes, and keys of an epoch in one daemon: 140
+/// requests a second for 10 min at the design size, a tenth of that today.
+const SIZES: [(&str, usize, usize, usize, u32); 2] = [
+    ("today", 3, 34, 9, 8_400),
+    ("design", 340, 9_900, 3_800, 84_000),
+];
+
+fn routing_table(
+    services: usize,
+    targets: usize,
+    routes: usize,
+) -> Result<RoutingTable, Box<dyn Error>> {
+    let mut config = ConfigTables::default();
+    for number in 0..services {
+        let name = format!("service-{number}").parse()?;
+        config.services.insert(name, ServiceRow::default());
+    }
+    for number in 0..targets {
+        let address = SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 80));
+        let row = TargetRow {
+            service: format!("service-{}", number % services).parse()?,
+            address,
+            failure_domain: format!("zone-{}", number % 3).parse()?,
+            slots: SlotCount(4),
+            max_connections: 400,
+            state: TargetState::Serving,
+        };
+        config
+            .targets
+            .insert(format!("target-{number}").parse()?, row);
+    }
+    for number in 0..routes {
+        let row = RouteRow {
+            service: format!("service-{}", number % services).parse()?,
+            path_prefix: format!("/v1/route-{number}").into(),
+            host: None,
+            methods: vec!["GET".into(), "POST".into()],
+            idempotence: Idempotence::ByMethod,
+            require_key: true,
+            tenants: Vec::new(),
+        };
+        config
+            .routes
+            .insert(format!("route-{number}").parse()?, row);
+    }
+    Ok(build(Head::default(), &config, &mut Table::new()))
+}
+
+fn bench_routing(criterion: &mut Criterion) -> Result<(), Box<dyn Error>> {
+    for (name, services, targets, routes, _) in SIZES {
+        let table = routing_table(services, targets, routes)?;
+        let path = format!("/v1/route-{}/farms/17/documents", routes / 2);
+        criterion.bench_function(&format!("match_route/{name}"), |bencher| {
+            bencher.iter(|| match_route(&table, "api.example", black_box(&path), "GET"));
+        });
+        let route = match_route(&table, "api.example", &path, "GET").ok_or("no route")?;
+        let service = route.service;
+        let mut rng = Pcg64::new(5, 4);
+        criterion.bench_function(&format!("pick_target/{name}"), |bencher| {
+            bencher.iter(|| {
+                let picked = pick_target(&table, service, &[], TimeMs(1), &mut rng);
+                if let Some(target) = picked {
+                    table.targets[target.position()].cell.release();
+                }
+                picked
+            });
+        });
+    }
+    Ok(())
+}
+
+fn filled_table(keys: u32) -> Result<KeyTable, Box<dyn Error>> {
+    let owner = KeyOwner {
+        host: "entry-0".parse()?,
+        incarnation: Incarnation(1),
+    };
+    let limits = KeyLimits {
+        retention_ms: DurationMs(u64::MAX / 2),
+        ..KeyLimits::default()
+    };
+    let mut table = KeyTable::new(owner, limits, TimeMs(0));
+    let tenant: TenantName = "cauca".parse()?;
+    // Seven open epochs, as with 10 min epochs that are kept for 1 h.
+    for epoch in 0..7_u64 {
+        let now = TimeMs(epoch * limits.epoch_ms.0);
+        let prefix = table.mint_prefix(now);
+        for number in 0..keys {
+            let key = format!("{prefix}.{number}").parse()?;
+            if let Claim::Run(claim) =
+                table.claim(&key, &tenant, Digest::default(), Arrival::Direct, now)
+            {
+                table.finish_unknown(claim);
+            }
+        }
+    }
+    Ok(table)
+}
+
+fn bench_claims(criterion: &mut Criterion) -> Result<(), Box<dyn Error>> {
+    let tenant: TenantName = "cauca".parse()?;
+    let now = TimeMs(6 * KeyLimits::default().epoch_ms.0 + 1);
+    for (name, _, _, _, keys) in SIZES {
+        let mut table = filled_table(keys)?;
+        let prefix = table.mint_prefix(now);
+        let new_key: IdempotencyKey = format!("{prefix}.new").parse()?;
+        criterion.bench_function(&format!("claim_and_release/{name}"), |bencher| {
+            bencher.iter(|| {
+                let claim = table.claim(&new_key, &tenant, Digest::default(), Arrival::Direct, now);
+                if let Claim::Run(claim) = claim {
+                    table.release_not_run(claim);
+                }
+            });
+        });
+        let made: IdempotencyKey = "made-by-the-caller".parse()?;
+        criterion.bench_function(&format!("claim_caller_made/{name}"), |bencher| {
+            bencher.iter(|| {
+                let claim = table.claim(&made, &tenant, Digest::default(), Arrival::Direct, now);
+                if let Claim::AskPlatform(claim, _) = claim {
+                    table.forget(claim);
+                }
+            });
+        });
+        let end = TimeMs(u64::MAX / 2 + 10 * KeyLimits::default().epoch_ms.0);
+        criterion.bench_function(&format!("close_epoch/{name}"), |bencher| {
+            bencher.iter_batched(
+                || epoch_to_close(keys),
+                |table| table.map(|mut table| table.advance(end)),
+                BatchSize::PerIteration,
+            );
+        });
+    }
+    Ok(())
+}
+
+/// Returns a table with one epoch of `keys` that ends within its retention.
+fn epoch_to_close(keys: u32) -> Option<KeyTable> {
+    let owner = KeyOwner {
+        host: "entry-0".parse().ok()?,
+        incarnation: Incarnation(1),
+    };
+    let limits = KeyLimits {
+        epoch_ms: DurationMs(u64::MAX / 2),
+        retention_ms: DurationMs(0),
+        ..KeyLimits::default()
+    };
+    let mut table = KeyTable::new(owner, limits, TimeMs(0));
+    let tenant: TenantName = "cauca".parse().ok()?;
+    let prefix = table.mint_prefix(TimeMs(0));
+    for number in 0..keys {
+        let key = format!("{prefix}.{number}").parse().ok()?;
+        let claim = table.claim(&key, &tenant, Digest::default(), Arrival::Direct, TimeMs(0));
+        if let Claim::Run(claim) = claim {
+            table.finish_unknown(claim);
+        }
+    }
+    Some(table)
+}
+
+fn bench_admission(criterion: &mut Criterion) -> Result<(), Box<dyn Error>> {
+    for (name, places) in [("today", 64), ("design", 1_024)] {
+        let limits = QueueLimits {
+            places,
+            wait_ms: DurationMs(1_000),
+        };
+        let mut queue = AdmissionQueue::new(limits);
+        let mut offers = Vec::new();
+        for number in 0..places {
+            offers.push(Offer {
+                tenant: format!("tenant-{}", number % 32).parse()?,
+                class: TrafficClass::Urgent,
+                deadline: TimeMs(10_000),
+            });
+        }
+        for offer in &offers[1..] {
+            queue.offer(offer.clone(), false, TimeMs(0));
+        }
+        let mut next = 0;
+        criterion.bench_function(&format!("offer_and_slot_free/{name}"), |bencher| {
+            bencher.iter(|| {
+                next = (next + 1) % offers.len();
+                let admission = queue.offer(offers[next].clone(), false, TimeMs(1));
+                (admission, queue.slot_free(TimeMs(1)))
+            });
+        });
+    }
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut criterion = Criterion::default()
+        .without_plots()
+        .sample_size(20)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(1))
+        .configure_from_args();
+    bench_routing(&mut criterion)?;
+    bench_claims(&mut criterion)?;
+    bench_admission(&mut criterion)?;
+    criterion.final_summary();
+    Ok(())
+}
--- /dev/null
+++ b/crates/agatehold-measure-load/src/retries.rs
@@ -0,0 +1,192 @@
+//! Attempts while targets fail, with and without the retry budget.
+
+use rand::RngExt;
+use rand_pcg::Pcg64;
+
+use agatehold_core::idempotency::KeyState;
+use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::refusal::RefusalOutcome;
+use agatehold_core::retry::Attempts;
+use agatehold_core::retry::Next;
+use agatehold_core::retry::RequestFacts;
+use agatehold_core::retry::RetryBudget;
+use agatehold_core::retry::next_step;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::Percent;
+use agatehold_core::units::TimeMs;
+
+use crate::table_text::markdown;
+use crate::table_text::percent;
+
+/// The seed of the runs.
+pub const SEED: u64 = 23;
+
+/// The targets of the service.
+const TARGETS: usize = 6;
+
+/// The length of one run.
+const RUN_S: u64 = 120;
+
+/// A fault of some targets.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    /// Words for the report.
+    pub name: &'static str,
+    /// How many of the targets have it.
+    pub targets: usize,
+    /// How attempts at them end.
+    pub outcome: AttemptOutcome,
+}
+
+/// The faults of the report.
+pub const FAULTS: [Fault; 5] = [
+    Fault {
+        name: "one of 6 loses connections",
+        targets: 1,
+        outcome: AttemptOutcome::ConnectionLost,
+    },
+    Fault {
+        name: "one of 6 refuses connections",
+        targets: 1,
+        outcome: AttemptOutcome::ConnectFailed,
+    },
+    Fault {
+        name: "all lose connections",
+        targets: TARGETS,
+        outcome: AttemptOutcome::ConnectionLost,
+    },
+    Fault {
+        name: "all shed",
+        targets: TARGETS,
+        outcome: AttemptOutcome::Shed,
+    },
+    Fault {
+        name: "all refuse connections",
+        targets: TARGETS,
+        outcome: AttemptOutcome::ConnectFailed,
+    },
+];
+
+/// What one run brought.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RetryResult {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Attempts at targets.
+    pub attempts: u32,
+    /// The most attempts to requests of any one second.
+    pub worst_second: f64,
+    /// Requests with an answer of a target.
+    pub answered: u32,
+    /// Requests refused as not run.
+    pub not_run: u32,
+    /// Requests refused as unknown.
+    pub unknown: u32,
+}
+
+impl RetryResult {
+    /// Returns the attempts to each request.
+    pub fn ratio(&self) -> f64 {
+        f64::from(self.attempts) / f64::from(self.requests)
+    }
+}
+
+/// Runs idempotent requests at `rate_per_s`, evenly spaced, against targets of
+/// which some have `fault` all the time and none is avoided.
+pub fn measure(fault: &Fault, rate_per_s: u64, limited: bool) -> RetryResult {
+    let mut rng = Pcg64::new(u128::from(SEED), 2);
+    let mut budget = RetryBudget::new(Percent::TEN, TimeMs(0));
+    let mut result = RetryResult::default();
+    for second in 0..RUN_S {
+        let before = result.attempts;
+        for number in 0..rate_per_s {
+            let now = TimeMs(second * 1_000 + number * 1_000 / rate_per_s);
+            budget.record_request(now);
+            result.requests += 1;
+            run_request(fault, limited, now, &mut budget, &mut rng, &mut result);
+        }
+        let of_second = f64::from(result.attempts - before) / rate_per_s as f64;
+        result.worst_second = result.worst_second.max(of_second);
+    }
+    result
+}
+
+fn run_request(
+    fault: &Fault,
+    limited: bool,
+    now: TimeMs,
+    budget: &mut RetryBudget,
+    rng: &mut Pcg64,
+    result: &mut RetryResult,
+) {
+    let facts = RequestFacts {
+        idempotent: true,
+        key: KeyState::NoKey,
+        crashed: false,
+        crashes: 0,
+        passed_on: false,
+        remaining_ms: DurationMs(1_000),
+    };
+    let mut attempts = Attempts::default();
+    let mut untried: Vec<usize> = (0..TARGETS).collect();
+    loop {
+        let target = untried.swap_remove(rng.random_range(0..untried.len()));
+        let outcome = if target < fault.targets {
+            fault.outcome
+        } else {
+            AttemptOutcome::Answered
+        };
+        result.attempts += 1;
+        let next = if limited {
+            next_step(outcome, &facts, &mut attempts, budget, now)
+        } else {
+            // A new budget for each attempt always has its floor.
+            let mut fresh = RetryBudget::new(Percent::TEN, now);
+            next_step(outcome, &facts, &mut attempts, &mut fresh, now)
+        };
+        match next {
+            Next::SendAgain => continue,
+            Next::Refuse {
+                outcome: RefusalOutcome::NotRun,
+                ..
+            } => result.not_run += 1,
+            Next::Refuse { .. } => result.unknown += 1,
+            _ => result.answered += 1,
+        }
+        return;
+    }
+}
+
+/// Returns the report.
+pub fn report() -> String {
+    let mut rows = Vec::new();
+    for fault in FAULTS {
+        for rate_per_s in [1, 140] {
+            for limited in [true, false] {
+                let result = measure(&fault, rate_per_s, limited);
+                let requests = f64::from(result.requests);
+                rows.push(vec![
+                    fault.name.to_owned(),
+                    format!("{rate_per_s}/s"),
+                    if limited { "10%" } else { "none" }.to_owned(),
+                    format!("{:.3}", result.ratio()),
+                    format!("{:.3}", result.worst_second),
+                    percent(f64::from(result.answered), requests),
+                    percent(f64::from(result.not_run), requests),
+                    percent(f64::from(result.unknown), requests),
+                ]);
+            }
+        }
+    }
+    let header = [
+        "fault",
+        "requests",
+        "budget",
+        "attempts to requests",
+        "worst second",
+        "answered",
+        "refused not-run",
+        "refused unknown",
+    ];
+    format!("Seed {SEED}, {RUN_S} s, no target is avoided.\n\n") + &markdown(&header, &rows)
+}
--- /dev/null
+++ b/crates/agatehold-measure-load/src/table_text.rs
@@ -0,0 +1,22 @@
+//! Tables in Markdown.
+
+/// Returns a Markdown table.
+pub fn markdown(header: &[&str], rows: &[Vec<String>]) -> String {
+    let mut text = format!(
+        "| {} |\n|{}\n",
+        header.join(" | "),
+        " --- |".repeat(header.len())
+    );
+    for row in rows {
+        text.push_str(&format!("| {} |\n", row.join(" | ")));
+    }
+    text
+}
+
+/// Returns `part` of `whole` in per cent.
+pub fn percent(part: f64, whole: f64) -> String {
+    if whole == 0.0 {
+        return "-".to_owned();
+    }
+    format!("{:.1}%", 100.0 * part / whole)
+}
--- /dev/null
+++ b/crates/agatehold-measure-load/src/tenants.rs
@@ -0,0 +1,142 @@
+//! Fairness between tenants, and the memory of their buckets.
+
+use agatehold_core::config::TenantRow;
+use agatehold_core::config::TrafficClass;
+use agatehold_core::ids::ParseIdError;
+use agatehold_core::ids::TenantName;
+use agatehold_core::limits::TenantBuckets;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::RequestsPerSecond;
+use agatehold_core::units::TimeMs;
+
+use crate::load::LIMITS;
+use crate::load::USERS;
+use crate::load::capacity_per_s;
+use crate::memory::resident_bytes;
+use crate::simulation::Policy;
+use crate::simulation::Stream;
+use crate::simulation::StreamResult;
+use crate::simulation::run;
+use crate::table_text::markdown;
+use crate::table_text::percent;
+
+/// The seed of the runs.
+pub const SEED: u64 = 31;
+
+/// The tenants of the fairness run.
+const TENANTS: usize = 20;
+
+/// The load of a quiet tenant as a share of its fair share.
+const QUIET_LOAD: f64 = 0.9;
+
+/// The load of the loud tenant as a multiple of its fair share.
+const LOUD_LOAD: f64 = 10.0;
+
+/// The tenants to design for.
+pub const DESIGN_TENANTS: u32 = 63_000;
+
+/// Returns what the loud tenant and all quiet ones got.
+pub fn measure(policy: Policy) -> Result<(StreamResult, StreamResult), ParseIdError> {
+    let user = USERS[0];
+    let fair_per_s = capacity_per_s(&user) / TENANTS as f64;
+    let mut streams = Vec::new();
+    for number in 0..TENANTS {
+        let load = if number == 0 { LOUD_LOAD } else { QUIET_LOAD };
+        streams.push(Stream {
+            tenant: format!("tenant-{number}").parse()?,
+            class: TrafficClass::Urgent,
+            rate_per_s: load * fair_per_s,
+            timeout_ms: DurationMs(2_000),
+        });
+    }
+    let results = run(&streams, user.slots, policy, SEED);
+    let mut quiet = StreamResult::default();
+    for result in &results[1..] {
+        quiet.add(result);
+    }
+    Ok((results[0].clone(), quiet))
+}
+
+/// The rows and bytes of a bucket table.
+#[derive(Clone, Copy, Debug)]
+pub struct BucketResult {
+    /// Rows after one request of each tenant.
+    pub rows: usize,
+    /// The growth of the resident size.
+    pub bytes: u64,
+    /// Rows a minute later, with one tenant still sending.
+    pub rows_later: usize,
+}
+
+/// Sends one request of each of `tenants` within 10 ms.
+pub fn measure_buckets(tenants: u32) -> Result<BucketResult, ParseIdError> {
+    let policy = TenantRow {
+        class: TrafficClass::Normal,
+        rate_per_s: RequestsPerSecond::new(2.0).unwrap_or_default(),
+        burst: 5,
+    };
+    let mut buckets = TenantBuckets::new();
+    let before = resident_bytes();
+    for number in 0..tenants {
+        let tenant: TenantName = format!("tenant-{number:06}").parse()?;
+        let now = TimeMs(1_000 + u64::from(number) * 10 / u64::from(tenants));
+        let taken = buckets.take(&tenant, &policy, now);
+        debug_assert!(taken.is_ok(), "a full bucket has a token");
+    }
+    let rows = buckets.len();
+    let bytes = resident_bytes().saturating_sub(before);
+    let active: TenantName = "tenant-000000".parse()?;
+    for second in 0..600_u64 {
+        // Every request may find a token or not; only the rows are of interest.
+        let _taken = buckets.take(&active, &policy, TimeMs(2_000 + second * 100));
+    }
+    Ok(BucketResult {
+        rows,
+        bytes,
+        rows_later: buckets.len(),
+    })
+}
+
+/// Returns the report.
+pub fn report() -> Result<String, ParseIdError> {
+    let buckets = measure_buckets(DESIGN_TENANTS)?;
+    let mut rows = Vec::new();
+    for (name, policy) in [
+        ("admission", Policy::Admission(LIMITS)),
+        ("one queue", Policy::Unlimited),
+    ] {
+        let (loud, quiet) = measure(policy)?;
+        for (tenant, result) in [("10x its share", &loud), ("19 at 0.9x", &quiet)] {
+            rows.push(vec![
+                name.to_owned(),
+                tenant.to_owned(),
+                percent(f64::from(result.good), f64::from(result.offered)),
+                format!("{} ms", result.p99_wait_ms()),
+                percent(
+                    f64::from(result.refused + result.dropped),
+                    f64::from(result.offered),
+                ),
+                percent(f64::from(result.late), f64::from(result.offered)),
+            ]);
+        }
+    }
+    let header = [
+        "rule",
+        "tenant",
+        "answered in time",
+        "p99 wait",
+        "refused or dropped",
+        "ran, too late",
+    ];
+    let text = format!(
+        "Seed {SEED}, one service with 24 slots, token buckets off.\n\n{}\n\
+         Buckets: {} rows after one request of each of {DESIGN_TENANTS} tenants, {:.1} MB resident \
+         ({} bytes a tenant); {} row(s) a minute later.\n",
+        markdown(&header, &rows),
+        buckets.rows,
+        buckets.bytes as f64 / 1e6,
+        buckets.bytes / u64::from(DESIGN_TENANTS),
+        buckets.rows_later,
+    );
+    Ok(text)
+}
