--- a/crates/agatehold/src/traffic/serve.rs
+++ b/crates/agatehold/src/traffic/serve.rs
@@ -22,6 +22,7 @@
 use agatehold_core::idempotency::KeyOwner;
 use agatehold_core::idempotency::KeyState;
 use agatehold_core::idempotency::StoredAnswer;
+use agatehold_core::idempotency::refusal_outcome;
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::RequestId;
 use agatehold_core::limits::spread_retry_after;
