Measure admission behind several daemons; list the missed aim

Cause: the load figures had one daemon with all slots of a service, while every service has at least six entry daemons that don't see each other's requests.

Conclusion: classes and fairness hold in one daemon only, until the choice of targets gives each daemon targets or slots of its own.

--- /dev/null
+++ b/crates/agatehold-measure-load/src/fleet.rs
@@ -0,0 +1,465 @@
+//! Several daemons in front of the same targets, none of which sees the
+//! others' requests.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::error::Error;
+use std::net::SocketAddr;
+
+use rand::RngExt;
+use rand_pcg::Pcg64;
+
+use agatehold_core::config::ConfigTables;
+use agatehold_core::config::ServiceRow;
+use agatehold_core::config::TargetRow;
+use agatehold_core::config::TargetState;
+use agatehold_core::config::TrafficClass;
+use agatehold_core::idempotency::KeyState;
+use agatehold_core::ids::ServiceName;
+use agatehold_core::ids::TenantName;
+use agatehold_core::limits::Admission;
+use agatehold_core::limits::AdmissionQueue;
+use agatehold_core::limits::Offer;
+use agatehold_core::limits::WaiterId;
+use agatehold_core::note::Head;
+use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::retry::Attempts;
+use agatehold_core::retry::Next;
+use agatehold_core::retry::RequestFacts;
+use agatehold_core::retry::RetryBudget;
+use agatehold_core::retry::next_step;
+use agatehold_core::routing::RoutingTable;
+use agatehold_core::routing::ServiceIndex;
+use agatehold_core::routing::TargetIndex;
+use agatehold_core::routing::build;
+use agatehold_core::routing::pick_target;
+use agatehold_core::table::Table;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::Percent;
+use agatehold_core::units::SlotCount;
+use agatehold_core::units::TimeMs;
+
+use crate::load::LIMITS;
+use crate::load::LOADS;
+use crate::simulation::MEAN_RUN_MS;
+use crate::simulation::RUN_MS;
+use crate::simulation::StreamResult;
+use crate::simulation::WARM_UP_MS;
+use crate::simulation::exponential;
+use crate::table_text::markdown;
+use crate::table_text::percent;
+
+/// The seed of the runs.
+pub const SEED: u64 = 53;
+
+/// The daemons; two in each of three failure domains.
+const DAEMONS: usize = 6;
+
+/// The targets of certificates, with 4 slots each.
+const TARGETS: usize = 6;
+
+const SLOTS: SlotCount = SlotCount(4);
+
+/// From sending to the target, and back.
+const ROUND_TRIP_MS: u64 = 3;
+
+/// The batch load as a multiple of the capacity.
+const BATCH_LOAD: f64 = 0.5;
+
+/// The tenants of each class.
+const TENANTS: usize = 10;
+
+/// What one run brought.
+#[derive(Clone, Debug, Default)]
+pub struct FleetResult {
+    /// Urgent requests.
+    pub urgent: StreamResult,
+    /// Batch requests.
+    pub batch: StreamResult,
+    /// Attempts at targets.
+    pub attempts: u32,
+    /// Attempts that were shed.
+    pub shed: u32,
+}
+
+/// Which slots a daemon uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sharing {
+    /// All slots it believes free, as `pick_target` does.
+    All,
+    /// Those of one target that no other daemon uses.
+    Own,
+}
+
+/// The ways of sharing in the report.
+pub const SHARINGS: [(&str, Sharing); 2] = [
+    ("all it believes free", Sharing::All),
+    ("those of its own target", Sharing::Own),
+];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive {
+        class: TrafficClass,
+    },
+    /// A target has finished a request.
+    Free {
+        target: usize,
+    },
+    /// The daemon has the target's answer.
+    Answer {
+        request: usize,
+        shed: bool,
+        run_ms: u64,
+    },
+}
+
+struct Request {
+    daemon: usize,
+    offer: Offer,
+    arrived: TimeMs,
+    attempts: Attempts,
+    tried: Vec<TargetIndex>,
+    target: Option<TargetIndex>,
+}
+
+struct Daemon {
+    table: RoutingTable,
+    queue: AdmissionQueue,
+    budget: RetryBudget,
+    in_flight: u32,
+    waiting: BTreeMap<WaiterId, usize>,
+}
+
+struct Fleet {
+    sharing: Sharing,
+    load: f64,
+    rng: Pcg64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    scheduled: u64,
+    daemons: Vec<Daemon>,
+    running: [u32; TARGETS],
+    requests: Vec<Request>,
+    result: FleetResult,
+}
+
+/// Runs urgent requests at `load` times the capacity beside batch requests.
+///
+/// There are as many daemons as targets, so that each has one for its own.
+pub fn measure(load: f64, sharing: Sharing) -> Result<FleetResult, Box<dyn Error>> {
+    let mut fleet = Fleet {
+        sharing,
+        load,
+        rng: Pcg64::new(u128::from(SEED), 6),
+        events: BinaryHeap::new(),
+        scheduled: 0,
+        daemons: Vec::new(),
+        running: [0; TARGETS],
+        requests: Vec::new(),
+        result: FleetResult::default(),
+    };
+    for own in 0..DAEMONS {
+        fleet.daemons.push(daemon(own, sharing)?);
+    }
+    for class in [TrafficClass::Urgent, TrafficClass::Batch] {
+        fleet.schedule(0, Event::Arrive { class });
+    }
+    while let Some(Reverse((at, _, event))) = fleet.events.pop() {
+        let now = TimeMs(at);
+        match event {
+            Event::Arrive { class } => fleet.arrive(class, now)?,
+            Event::Free { target } => fleet.running[target] -= 1,
+            Event::Answer {
+                request,
+                shed,
+                run_ms,
+            } => fleet.answer(request, shed, run_ms, now),
+        }
+    }
+    Ok(fleet.result)
+}
+
+fn daemon(own: usize, sharing: Sharing) -> Result<Daemon, Box<dyn Error>> {
+    let service: ServiceName = "certificates".parse()?;
+    let mut config = ConfigTables::default();
+    config
+        .services
+        .insert(service.clone(), ServiceRow::default());
+    for number in 0..TARGETS {
+        let row = TargetRow {
+            service: service.clone(),
+            address: SocketAddr::from(([10, 0, 0, number as u8], 80)),
+            failure_domain: "zone-1".parse()?,
+            slots: SLOTS,
+            max_connections: 400,
+            state: TargetState::Serving,
+        };
+        config
+            .targets
+            .insert(format!("target-{number}").parse()?, row);
+    }
+    let table = build(Head::default(), &config, &mut Table::new());
+    for (position, target) in table.targets.iter().enumerate() {
+        if position == own {
+            continue;
+        }
+        target.cell.set_leaving(sharing == Sharing::Own);
+    }
+    Ok(Daemon {
+        table,
+        queue: AdmissionQueue::new(LIMITS),
+        budget: RetryBudget::new(Percent::TEN, TimeMs(0)),
+        in_flight: 0,
+        waiting: BTreeMap::new(),
+    })
+}
+
+impl Fleet {
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.events.push(Reverse((at, self.scheduled, event)));
+        self.scheduled += 1;
+    }
+
+    fn arrive(&mut self, class: TrafficClass, now: TimeMs) -> Result<(), Box<dyn Error>> {
+        let capacity_per_ms = f64::from(SLOTS.0) * TARGETS as f64 / MEAN_RUN_MS;
+        let (share, timeout_ms) = match class {
+            TrafficClass::Urgent => (self.load, DurationMs(2_000)),
+            _ => (BATCH_LOAD, DurationMs(10_000)),
+        };
+        // Pauses are drawn in steps of 1 ms; the fraction is kept on average.
+        let pause_us = (exponential(&mut self.rng, 1_000.0 / (share * capacity_per_ms))) as u64;
+        let extra = u64::from(self.rng.random_range(0..1_000) < pause_us % 1_000);
+        let next = now.0 + pause_us / 1_000 + extra;
+        if next < RUN_MS {
+            self.schedule(next, Event::Arrive { class });
+        }
+        let number = self.rng.random_range(0..TENANTS);
+        let tenant: TenantName = format!("{class}-{number}").parse()?;
+        let daemon = self.rng.random_range(0..DAEMONS);
+        let offer = Offer {
+            tenant,
+            class,
+            deadline: now + timeout_ms,
+        };
+        let request = self.requests.len();
+        self.requests.push(Request {
+            daemon,
+            offer: offer.clone(),
+            arrived: now,
+            attempts: Attempts::default(),
+            tried: Vec::new(),
+            target: None,
+        });
+        if let Some(result) = self.result_of(request) {
+            result.offered += 1;
+        }
+        self.drop_expired(daemon, now);
+        self.daemons[daemon].budget.record_request(now);
+        let has_free_slot = self.has_free_slot(daemon);
+        match self.daemons[daemon].queue.offer(offer, has_free_slot, now) {
+            Admission::Admitted => self.send(request, now),
+            Admission::Queued { waiter, displaced } => {
+                self.daemons[daemon].waiting.insert(waiter, request);
+                if let Some(displaced) = displaced {
+                    self.drop_waiter(daemon, displaced.waiter);
+                }
+            }
+            Admission::Refused { .. } => {
+                if let Some(result) = self.result_of(request) {
+                    result.refused += 1;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn has_free_slot(&self, daemon: usize) -> bool {
+        let daemon = &self.daemons[daemon];
+        match self.sharing {
+            Sharing::All => daemon.in_flight < SLOTS.0 * TARGETS as u32,
+            Sharing::Own => daemon.in_flight < SLOTS.0,
+        }
+    }
+
+    fn send(&mut self, request: usize, now: TimeMs) {
+        let row = &mut self.requests[request];
+        let daemon = &mut self.daemons[row.daemon];
+        let service = ServiceIndex(0);
+        let Some(index) = pick_target(&daemon.table, service, &row.tried, now, &mut self.rng)
+        else {
+            row.tried.clear();
+            let waiter = daemon.queue.put_back(row.offer.clone(), row.arrived, now);
+            daemon.waiting.insert(waiter, request);
+            return;
+        };
+        row.tried.push(index);
+        row.target = Some(index);
+        daemon.in_flight += 1;
+        self.result.attempts += 1;
+        let target = index.position();
+        if self.running[target] >= SLOTS.0 {
+            self.result.shed += 1;
+            let answer = Event::Answer {
+                request,
+                shed: true,
+                run_ms: 0,
+            };
+            self.schedule(now.0 + ROUND_TRIP_MS, answer);
+            return;
+        }
+        self.running[target] += 1;
+        if row.arrived.0 >= WARM_UP_MS {
+            let waited = now.since(row.arrived).0;
+            match row.offer.class {
+                TrafficClass::Urgent => self.result.urgent.waits_ms.push(waited),
+                _ => self.result.batch.waits_ms.push(waited),
+            }
+        }
+        let run_ms = MEAN_RUN_MS / 2.0 + exponential(&mut self.rng, MEAN_RUN_MS / 2.0);
+        let run_ms = run_ms.round() as u64;
+        self.schedule(now.0 + run_ms, Event::Free { target });
+        let answer = Event::Answer {
+            request,
+            shed: false,
+            run_ms,
+        };
+        self.schedule(now.0 + run_ms + ROUND_TRIP_MS, answer);
+    }
+
+    fn answer(&mut self, request: usize, shed: bool, run_ms: u64, now: TimeMs) {
+        let row = &mut self.requests[request];
+        let index = row.daemon;
+        let daemon = &mut self.daemons[index];
+        let Some(target) = row.target.take() else {
+            return;
+        };
+        let cell = &daemon.table.targets[target.position()].cell;
+        cell.release();
+        cell.report_load(self.running[target.position()], now);
+        daemon.in_flight -= 1;
+        if shed {
+            self.after_shed(request, now);
+        } else {
+            daemon.queue.record_run(DurationMs(run_ms));
+            let good = now <= row.offer.deadline;
+            if let Some(result) = self.result_of(request) {
+                result.good += u32::from(good);
+                result.late += u32::from(!good);
+            }
+        }
+        while self.has_free_slot(index) {
+            let next = self.daemons[index].queue.slot_free(now);
+            let Some(waiter) = next else {
+                break;
+            };
+            if let Some(next) = self.daemons[index].waiting.remove(&waiter) {
+                let before = self.daemons[index].in_flight;
+                self.send(next, now);
+                if self.daemons[index].in_flight == before {
+                    break;
+                }
+            }
+        }
+        self.drop_expired(index, now);
+    }
+
+    fn after_shed(&mut self, request: usize, now: TimeMs) {
+        let row = &mut self.requests[request];
+        let daemon = &mut self.daemons[row.daemon];
+        let facts = RequestFacts {
+            idempotent: false,
+            key: KeyState::NeverRun,
+            crashed: false,
+            crashes: 0,
+            passed_on: false,
+            remaining_ms: row.offer.deadline.since(now),
+        };
+        let next = next_step(
+            AttemptOutcome::Shed,
+            &facts,
+            &mut row.attempts,
+            &mut daemon.budget,
+            now,
+        );
+        if next == Next::SendAgain {
+            // The request keeps its place before its tenant's others.
+            let waiter = daemon.queue.put_back(row.offer.clone(), row.arrived, now);
+            daemon.waiting.insert(waiter, request);
+        } else if let Some(result) = self.result_of(request) {
+            result.dropped += 1;
+        }
+    }
+
+    fn drop_expired(&mut self, daemon: usize, now: TimeMs) {
+        for dropped in self.daemons[daemon].queue.expire(now) {
+            self.drop_waiter(daemon, dropped.waiter);
+        }
+    }
+
+    fn drop_waiter(&mut self, daemon: usize, waiter: WaiterId) {
+        if let Some(request) = self.daemons[daemon].waiting.remove(&waiter)
+            && let Some(result) = self.result_of(request)
+        {
+            result.dropped += 1;
+        }
+    }
+
+    /// Returns the counts for a request that arrived after the warm-up.
+    fn result_of(&mut self, request: usize) -> Option<&mut StreamResult> {
+        let row = &self.requests[request];
+        if row.arrived.0 < WARM_UP_MS {
+            return None;
+        }
+        match row.offer.class {
+            TrafficClass::Urgent => Some(&mut self.result.urgent),
+            _ => Some(&mut self.result.batch),
+        }
+    }
+}
+
+/// Returns the urgent requests answered in time as a share of what fits.
+pub fn urgent_share(load: f64, result: &FleetResult) -> f64 {
+    let runnable = f64::from(result.urgent.offered) * load.recip().min(1.0);
+    f64::from(result.urgent.good) / runnable
+}
+
+/// Returns the report.
+pub fn report() -> Result<String, Box<dyn Error>> {
+    let mut rows = Vec::new();
+    for load in LOADS {
+        for (name, sharing) in SHARINGS {
+            let result = measure(load, sharing)?;
+            let batch = &result.batch;
+            rows.push(vec![
+                format!("{load}x + {BATCH_LOAD}x"),
+                name.to_owned(),
+                percent(urgent_share(load, &result), 1.0),
+                format!("{} ms", result.urgent.p99_wait_ms()),
+                percent(f64::from(batch.good), f64::from(batch.offered)),
+                percent(f64::from(result.shed), f64::from(result.attempts)),
+                format!("{:.3}", f64::from(result.attempts) / result.requests_sent()),
+            ]);
+        }
+    }
+    let header = [
+        "load",
+        "slots a daemon uses",
+        "urgent answered in time, of what fits",
+        "urgent p99 wait",
+        "batch answered in time",
+        "attempts shed",
+        "attempts to requests offered",
+    ];
+    Ok(format!(
+        "Seed {SEED}, {DAEMONS} daemons before {TARGETS} targets with {SLOTS} slots, round trip {ROUND_TRIP_MS} ms, non-idempotent requests.\n\n"
+    ) + &markdown(&header, &rows))
+}
+
+impl FleetResult {
+    /// Returns the requests of the whole run, warm-up included on average.
+    fn requests_sent(&self) -> f64 {
+        let counted = f64::from(self.urgent.offered + self.batch.offered);
+        counted * RUN_MS as f64 / (RUN_MS - WARM_UP_MS) as f64
+    }
+}
--- a/crates/agatehold-measure-load/src/main.rs
+++ b/crates/agatehold-measure-load/src/main.rs
@@ -6,12 +6,13 @@
 use lexopt::Arg;
 use lexopt::Parser;
 
+use agatehold_measure_load::fleet;
 use agatehold_measure_load::keys;
 use agatehold_measure_load::load;
 use agatehold_measure_load::retries;
 use agatehold_measure_load::tenants;
 
-const USAGE: &str = "usage: agatehold-measure-load load|retries|keys|tenants";
+const USAGE: &str = "usage: agatehold-measure-load load|fleet|retries|keys|tenants";
 
 fn main() -> ExitCode {
     match report() {
@@ -33,6 +34,7 @@
     };
     match argument {
         Arg::Value(name) if name == "load" => Ok(load::report()?),
+        Arg::Value(name) if name == "fleet" => fleet::report(),
         Arg::Value(name) if name == "retries" => Ok(retries::report()),
         Arg::Value(name) if name == "keys" => Ok(keys::report()?),
         Arg::Value(name) if name == "tenants" => Ok(tenants::report()?),
--- a/crates/agatehold-measure-load/src/simulation.rs
+++ b/crates/agatehold-measure-load/src/simulation.rs
@@ -22,7 +22,7 @@
 pub const RUN_MS: u64 = 60_000;
 
 /// Requests that arrive before this time are not counted.
-const WARM_UP_MS: u64 = 5_000;
+pub const WARM_UP_MS: u64 = 5_000;
 
 /// The mean time that a target needs for a request.
 pub const MEAN_RUN_MS: f64 = 50.0;
@@ -250,7 +250,8 @@
     }
 }
 
-fn exponential(rng: &mut Pcg64, mean: f64) -> f64 {
+/// Draws from the exponential distribution.
+pub fn exponential(rng: &mut Pcg64, mean: f64) -> f64 {
     let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
     -mean * uniform.ln()
 }
--- a/crates/agatehold-measure-load/tests/bounds.rs
+++ b/crates/agatehold-measure-load/tests/bounds.rs
@@ -3,6 +3,8 @@
 use std::error::Error;
 
 use agatehold_core::units::ByteCount;
+use agatehold_measure_load::fleet;
+use agatehold_measure_load::fleet::Sharing;
 use agatehold_measure_load::keys;
 use agatehold_measure_load::load;
 use agatehold_measure_load::load::LIMITS;
@@ -38,6 +40,23 @@
     Ok(())
 }
 
+/// Daemons that take each other's slots have their requests shed in any order,
+/// so that batch work gets as much as urgent work. The aim is the same 95% as
+/// behind one daemon; see `KNOWN-RED.txt`.
+#[test]
+fn urgent_requests_keep_95_percent_behind_six_daemons() -> Result<(), Box<dyn Error>> {
+    let mut misses = String::new();
+    for load in LOADS {
+        let result = fleet::measure(load, Sharing::All)?;
+        let share = fleet::urgent_share(load, &result);
+        if share < 0.95 {
+            misses.push_str(&format!(" {share:.3} at {load}x"));
+        }
+    }
+    assert!(misses.is_empty(), "answered in time:{misses}");
+    Ok(())
+}
+
 /// Retries above 1.2 times the load keep a failing service down.
 #[test]
 fn attempts_stay_below_1_2_times_the_load() {
