--- a/crates/agatehold-core/src/ejection/next.rs
+++ b/crates/agatehold-core/src/ejection/next.rs
@@ -1,13 +1,12 @@
 //! The next version of a permit record.
 
-use std::collections::BTreeSet;
-
 use crate::ids::TargetName;
 use crate::units::DurationMs;
 use crate::units::TargetCount;
 use crate::units::TimeMs;
 
 use super::HeldRecord;
+use super::LiveView;
 use super::PermitEntry;
 use super::PermitRecord;
 use super::PermitState;
@@ -38,25 +37,27 @@
 
 /// Returns the record with `change` made, or `None` if it may not be made.
 ///
-/// `live` holds the targets that the daemon counts as capacity: in force,
-/// live, warm, not leaving and not withdrawn, ejected ones included. The
-/// record never gets more entries than `live` less `floor`, where an entry in
-/// either state counts.
+/// The record never gets more entries than `view` has targets above `floor`,
+/// where an entry in either state counts, whether its target is live or not.
+/// A daemon ejects only after it has followed the record for as long as an
+/// exclusion may last, so that a record which the platform has lost has no
+/// effect any more.
 pub fn next_record(
-    record: &PermitRecord,
+    held: &HeldRecord,
     change: &PermitChange,
-    live: &BTreeSet<TargetName>,
+    view: &LiveView,
     floor: TargetCount,
+    now: TimeMs,
 ) -> Option<PermitRecord> {
-    let number = record.number.next();
-    let mut next = record.clone();
-    next.number = number;
+    let mut next = held.record.clone();
+    next.number = held.record.number.next();
+    let number = next.number;
     match change {
         PermitChange::Eject { target, hold_ms } => {
-            if !live.contains(target) {
+            if !view.targets.contains(target) || now.since(held.followed_since) < RETURN_WAIT_MS {
                 return None;
             }
-            let added = match record.entries.get(target) {
+            let added = match held.record.entries.get(target) {
                 Some(entry) if entry.state == PermitState::Ejected => return None,
                 Some(entry) => entry.added,
                 None => number,
@@ -68,7 +69,7 @@
                 hold_ms: *hold_ms,
             };
             next.entries.insert(target.clone(), entry);
-            if next.entries.len() > spare_targets(live.len(), floor) {
+            if next.entries.len() > spare_targets(view, floor) {
                 return None;
             }
         }
@@ -103,7 +104,30 @@
     Some(next)
 }
 
+/// Returns the record to write when the platform returned `read`, a version
+/// older than the held one, because it was restored from a backup.
+///
+/// Entries that only the platform has may be in use by daemons that lag, so
+/// they return like any other.
+pub fn restored_record(held: &HeldRecord, read: &PermitRecord) -> Option<PermitRecord> {
+    if read.number >= held.record.number {
+        return None;
+    }
+    let mut next = held.record.clone();
+    next.number = held.record.number.next();
+    let number = next.number;
+    for (target, entry) in read.entries.rows() {
+        next.entries.get_or_insert(target.clone(), || PermitEntry {
+            state: PermitState::Returning,
+            since: number,
+            ..*entry
+        });
+    }
+    Some(next)
+}
+
 /// Returns the number of targets that may be excluded.
-pub(super) fn spare_targets(live: usize, floor: TargetCount) -> usize {
-    live.saturating_sub(usize::try_from(floor.0).unwrap_or(usize::MAX))
+pub(super) fn spare_targets(view: &LiveView, floor: TargetCount) -> usize {
+    let floor = usize::try_from(floor.0).unwrap_or(usize::MAX);
+    view.targets.len().saturating_sub(floor)
 }
--- a/crates/agatehold-core/src/ejection/rows.rs
+++ b/crates/agatehold-core/src/ejection/rows.rs
@@ -1,5 +1,6 @@
 //! Permit records and what a daemon knows about them.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::str::FromStr;
 
@@ -91,6 +92,16 @@
     pub entries: Table<TargetName, PermitEntry>,
 }
 
+/// The targets of a service that a daemon counts as capacity.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LiveView {
+    /// Targets in force that are live, warm, reachable, not leaving and not
+    /// withdrawn, ejected ones included.
+    pub targets: BTreeSet<TargetName>,
+    /// The start of the read of the host list that the view rests on.
+    pub as_of: TimeMs,
+}
+
 /// What a daemon knows about the record of one service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HeldRecord {
