Keep overloads, cold starts and parallel copies from misleading the detector

Change: the share of slow samples moves over 16 samples; suspicion counts in the own-path rule; holds from before it are taken back; a single request adds at most one doubling; a target that was unreachable counts as cold; an ejection needs 3 s of avoidance, three thresholds and 24 nats, and no evidence against most targets of the service; a stuck trial blocks the next for 1 s only; the second attempt of a crashing request waits 50 ms.

--- a/crates/agatehold-core/src/health/judge.rs
+++ b/crates/agatehold-core/src/health/judge.rs
@@ -49,9 +49,26 @@
 /// The hold while the daemon suspects its own path; it leaves no memory.
 const SUSPECT_HOLD_MS: DurationMs = DurationMs(1_000);
 
+/// How long an overdue trial keeps others from being sent.
+const OPEN_TRIAL_MS: DurationMs = DurationMs(1_000);
+
 /// The failure domains whose daemons have to agree on an ejection.
 const LEAST_DOMAINS: usize = 2;
 
+/// The daemons with full evidence that an ejection needs. In an overload two of
+/// twelve wish a false ejection 2.5 times for each million observations, three
+/// once (`docs/MEASUREMENTS.md`).
+const LEAST_REPORTERS: f64 = 3.0;
+
+/// The least sum of evidence in nats for an ejection. With the low threshold of
+/// `detection-first` three daemons are too few: at 1% background errors they
+/// agree by chance.
+const LEAST_EJECTION_NATS: f64 = 24.0;
+
+/// The share of the threshold from which a target counts as suspicious for
+/// the own-path rule; waiting for alarms would come after the first holds.
+const SUSPICIOUS_SHARE: f64 = 0.35;
+
 /// What a daemon wants changed in the permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wish {
@@ -119,6 +136,7 @@
         .collect();
     let least_domains = domains.len().min(LEAST_DOMAINS);
     suspect_own_path(tables, config, &mut judgement, now);
+    let troubled = troubled_services(tables, config, now);
     for name in names_to_judge(tables, permits) {
         let Some(target) = config.targets.get(&name) else {
             continue;
@@ -138,12 +156,14 @@
             Some(PermitState::Ejected) => {
                 (!matches!(row.standing, Standing::Held { .. })).then_some(Wish::Return)
             }
-            _ if suspected || target.state == TargetState::Leaving => None,
+            _ if suspected || troubled.contains(&target.service) => None,
+            _ if target.state == TargetState::Leaving => None,
             _ => {
                 let hold_ms = row.holds.last_hold();
                 let (nats, domains) =
                     fleet_evidence(tables, &name, threshold, own, now, &domain_of);
-                let agreed = nats >= 2.0 * threshold.get() && domains >= least_domains;
+                let needed = (LEAST_REPORTERS * threshold.get()).max(LEAST_EJECTION_NATS);
+                let agreed = nats >= needed && domains >= least_domains;
                 agreed.then_some(Wish::Eject { hold_ms })
             }
         };
@@ -194,12 +214,13 @@
         if row.leaving_at.is_some() || row.observed_at.is_none() {
             continue;
         }
+        let suspicious = alarm_threshold(&service.detection).scaled(SUSPICIOUS_SHARE);
+        count.0 += usize::from(is_bad(row, service) || row.evidence() >= suspicious);
         count.1 += 1;
         if !is_bad(row, service) {
             row.bad_since = None;
             continue;
         }
-        count.0 += 1;
         let since = *row.bad_since.get_or_insert(now);
         if now.since(since) <= OBSERVED_WINDOW_MS {
             onsets.push((since, &target.service, &target.failure_domain));
@@ -214,6 +235,34 @@
         judgement.suspect_services.len() >= 2 || spans_services_and_domains(&mut onsets);
 }
 
+/// Returns the services of which most targets look suspicious to some daemon:
+/// an overload of the whole service, which ejections would make worse.
+fn troubled_services(
+    tables: &HealthTables,
+    config: &ConfigTables,
+    now: TimeMs,
+) -> BTreeSet<ServiceName> {
+    let mut suspicious: BTreeSet<&TargetName> = BTreeSet::new();
+    for ((target, _), peer) in tables.peers.rows() {
+        if now.since(peer.at) <= EVIDENCE_LIFETIME_MS {
+            suspicious.insert(target);
+        }
+    }
+    let mut counts: BTreeMap<&ServiceName, (usize, usize)> = BTreeMap::new();
+    for (name, row) in tables.targets.rows() {
+        let Some(service) = config.services.get(&row.service) else {
+            continue;
+        };
+        let threshold = alarm_threshold(&service.detection).scaled(SUSPICIOUS_SHARE);
+        let count = counts.entry(&row.service).or_default();
+        let is_suspicious = row.evidence() >= threshold || suspicious.contains(name);
+        count.0 += usize::from(is_suspicious);
+        count.1 += 1;
+    }
+    let most = counts.into_iter().filter(|(_, (bad, all))| bad * 2 > *all);
+    most.map(|(service, _)| service.clone()).collect()
+}
+
 fn spans_services_and_domains(onsets: &mut [(TimeMs, &ServiceName, &FailureDomain)]) -> bool {
     onsets.sort();
     for (position, (start, service, domain)) in onsets.iter().enumerate() {
@@ -246,21 +295,30 @@
     {
         row.leaving_at = None;
     }
-    let alarmed = row.evidence() >= threshold;
+    let failed = std::mem::take(&mut row.trial_failed) || row.evidence() >= threshold;
+    let ejected = permit == Some(PermitState::Ejected);
     match row.standing {
         Standing::Held { until } if now >= until => {
             row.standing = Standing::OnTrial { passed: 0 };
             row.overdue = 0;
-            row.reset_evidence(threshold.scaled(HEAD_START));
+            let head_start = if row.hold_counted { HEAD_START } else { 0.0 };
+            row.reset_evidence(threshold.scaled(head_start));
+        }
+        Standing::Held { until } if suspected && row.hold_counted && is_recent(row, now) => {
+            // The hold began before the daemon suspected its own path.
+            row.holds.undo();
+            row.hold_counted = false;
+            let until = until.min(now + SUSPECT_HOLD_MS);
+            row.standing = Standing::Held { until };
         }
         Standing::Held { .. } => {}
-        _ if alarmed && suspected => {
+        _ if failed && suspected => {
+            row.hold_counted = false;
             let until = now + SUSPECT_HOLD_MS;
             row.standing = Standing::Held { until };
         }
-        _ if alarmed
-            || (permit == Some(PermitState::Ejected) && row.standing == Standing::Serving) =>
-        {
+        _ if failed || (ejected && row.standing == Standing::Serving) => {
+            row.hold_counted = true;
             let hold = row.holds.begin(now);
             row.standing = Standing::Held { until: now + hold };
         }
@@ -277,11 +335,17 @@
     }
 }
 
+fn is_recent(row: &TargetHealth, now: TimeMs) -> bool {
+    row.bad_since
+        .is_some_and(|since| now.since(since) <= OBSERVED_WINDOW_MS)
+}
+
 /// Returns the sum of the evidence of all daemons in nats and the number of
-/// failure domains it comes from; 0 where this daemon does not avoid the target.
+/// failure domains it comes from; 0 where this daemon does not avoid the target,
+/// or has not for the time in which an overload or its own path would show.
 ///
-/// Each daemon counts up to the threshold, so that twice the threshold takes
-/// at least two daemons, whatever one of them saw.
+/// Each daemon counts up to the threshold, so that a sum above it takes several
+/// daemons, whatever one of them saw.
 fn fleet_evidence(
     tables: &HealthTables,
     target: &TargetName,
@@ -294,7 +358,10 @@
         return (0.0, 0);
     };
     let is_fresh = |at: TimeMs| now.since(at) <= EVIDENCE_LIFETIME_MS;
-    if !row.observed_at.is_some_and(is_fresh) || row.evidence() < threshold {
+    let lasted = row
+        .bad_since
+        .is_some_and(|since| now.since(since) >= ONSET_WINDOW_MS);
+    if !lasted || !row.observed_at.is_some_and(is_fresh) || row.evidence() < threshold {
         return (0.0, 0);
     }
     let mut nats = threshold.get();
@@ -309,6 +376,13 @@
     (nats, domains.len())
 }
 
+/// Returns whether a trial is overdue, for as long as that is news: its end may
+/// go unreported when a channel is full.
+fn is_trial_open(row: &TargetHealth, now: TimeMs) -> bool {
+    let recent = |at: TimeMs| now.since(at) < OPEN_TRIAL_MS;
+    row.overdue > 0 && row.observed_at.is_some_and(recent)
+}
+
 fn verdict(row: &TargetHealth, wish: Option<Wish>, now: TimeMs) -> Verdict {
     let (preference, share) = match row.standing {
         Standing::Serving => (Preference::Preferred, Percent::HUNDRED),
@@ -320,7 +394,7 @@
     Verdict {
         preference,
         share,
-        trial: matches!(row.standing, Standing::OnTrial { .. }) && row.overdue == 0,
+        trial: matches!(row.standing, Standing::OnTrial { .. }) && !is_trial_open(row, now),
         leaving: row.leaving_at.is_some(),
         capable: row.leaving_at.is_none() && !row.warming && row.connects_failed == 0,
         evidence: row.evidence(),
--- a/crates/agatehold-core/src/health/median.rs
+++ b/crates/agatehold-core/src/health/median.rs
@@ -3,7 +3,7 @@
 use crate::units::DurationMs;
 
 /// The relative step of the estimate once it has settled.
-const SETTLED_STEP: f64 = 0.02;
+const SETTLED_STEP: f64 = 0.05;
 
 /// The relative step of the first samples, divided by their number.
 const FIRST_STEP: f64 = 0.7;
--- a/crates/agatehold-core/src/health/record.rs
+++ b/crates/agatehold-core/src/health/record.rs
@@ -14,16 +14,17 @@
 use super::baseline::LEAST_SLOW_RATE;
 
 /// The failure rates of a failing target that the statistics look for.
-const FAILING_RATES: [f64; 3] = [0.2, 0.5, 0.95];
+const FAILING_RATES: [f64; 3] = [0.2, 0.5, 0.99];
 
 /// The share of slow samples of a slow target.
 const SLOW_TARGET_RATE: f64 = 0.6;
 
-/// The evidence of each doubling of the slow bound beyond the first.
-///
-/// Of the slow samples of a healthy target about one in ten passes the next
-/// doubling, of those of a target that hangs nine in ten: ln 9.
-const DOUBLING_NATS: f64 = 2.197;
+/// The share of a hanging target's slow requests that pass the doubled bound.
+const DOUBLED_TARGET_RATE: f64 = 0.9;
+
+/// The share of a healthy target's slow requests that pass the doubled bound,
+/// as a multiple of its share of slow requests.
+const DOUBLED_FACTOR: f64 = 2.0;
 
 /// Connections lost within this time are one crash and one observation.
 const CRASH_WINDOW_MS: DurationMs = DurationMs(200);
@@ -31,8 +32,13 @@
 /// How long a silent connection waits for a new connection to fail.
 const SILENT_WINDOW_MS: DurationMs = DurationMs(5_000);
 
-/// The weight of one sample in the recent shares.
-const SHARE_WEIGHT: f64 = 1.0 / 64.0;
+/// The weight of one sample in the recent share of failures.
+const FAILURE_WEIGHT: f64 = 1.0 / 64.0;
+
+/// The weight of one sample in the recent share of slow samples. It is larger,
+/// so that an overload of the whole service changes what is normal before it
+/// raises alarms.
+const SLOW_WEIGHT: f64 = 1.0 / 16.0;
 
 /// The trials that a target passes before its ramp.
 const TRIALS: u32 = 5;
@@ -41,6 +47,10 @@
 /// fails; a restart takes seconds.
 const UNREACHABLE_HOLD_MS: DurationMs = DurationMs(1_000);
 
+/// How long a target that was unreachable is taken to start cold, unless it
+/// answers and says otherwise; its first requests are overdue before that.
+const COLD_START_MS: DurationMs = DurationMs(30_000);
+
 /// The longest hold of an unreachable target.
 const LONGEST_UNREACHABLE_HOLD_MS: DurationMs = DurationMs(10_000);
 
@@ -92,6 +102,7 @@
         AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::Shed
     ) {
         row.warming = report.warming;
+        row.cold_until = None;
     }
 }
 
@@ -102,7 +113,8 @@
     report: &OutcomeReport,
     baseline: &ServiceBaseline,
 ) -> Option<bool> {
-    let excused = row.warming || row.leaving_at.is_some();
+    let is_cold = row.warming || row.cold_until.is_some_and(|until| report.at < until);
+    let excused = is_cold || row.leaving_at.is_some();
     match report.outcome {
         AttemptOutcome::Shed | AttemptOutcome::Cancelled | AttemptOutcome::NotWritten => {
             end_overdue(row, report, baseline);
@@ -159,11 +171,10 @@
                 row.lost_at = Some(report.at);
             }
             end_overdue(row, report, baseline);
-            if excused {
-                return None;
+            if !excused {
+                row.observed_at = Some(report.at);
+                add_failure(row, true, baseline);
             }
-            row.observed_at = Some(report.at);
-            add_failure(row, true, baseline);
             Some(false)
         }
     }
@@ -177,34 +188,36 @@
     for (statistic, rate) in row.failures.iter_mut().zip(FAILING_RATES) {
         statistic.add(failed, rate, baseline.failure_rate);
     }
-    move_share(&mut row.failure_share, failed);
+    move_share(&mut row.failure_share, failed, FAILURE_WEIGHT);
 }
 
 fn add_slow_sample(row: &mut TargetHealth, slow: bool, baseline: &ServiceBaseline) {
     row.slowness.add(slow, SLOW_TARGET_RATE, baseline.slow_rate);
-    move_share(&mut row.slow_share, slow);
+    move_share(&mut row.slow_share, slow, SLOW_WEIGHT);
 }
 
-fn move_share(share: &mut f64, hit: bool) {
+fn move_share(share: &mut f64, hit: bool, weight: f64) {
     let sample = if hit { 1.0 } else { 0.0 };
-    *share += (sample - *share) * SHARE_WEIGHT;
+    *share += (sample - *share) * weight;
 }
 
-/// Counts a request that has passed the slow bound, or a doubling of it.
+/// Counts a request that has passed the slow bound, or twice the slow bound.
+///
+/// Further doublings add nothing, so that a single request, however long it
+/// takes, never suffices to avoid a target.
 fn add_overdue(row: &mut TargetHealth, report: &OutcomeReport, baseline: &ServiceBaseline) {
     let bound_ms = baseline.slow_bound_ms.0.max(1);
     let doublings = (report.elapsed_ms.0 / bound_ms).max(1).ilog2();
-    if report.outcome == AttemptOutcome::Overdue {
-        if doublings == 0 {
-            row.overdue = row.overdue.saturating_add(1);
-            add_slow_sample(row, true, baseline);
-        } else {
-            row.slowness.add_nats(DOUBLING_NATS);
-        }
-        return;
+    let in_flight = report.outcome == AttemptOutcome::Overdue;
+    if doublings == 0 || !in_flight {
+        row.overdue = row.overdue.saturating_add(u32::from(in_flight));
+        add_slow_sample(row, true, baseline);
+    }
+    if doublings == 1 || (doublings > 1 && !in_flight) {
+        let healthy_rate = (baseline.slow_rate * DOUBLED_FACTOR).min(DOUBLED_TARGET_RATE);
+        row.slowness
+            .add_nats((DOUBLED_TARGET_RATE / healthy_rate).ln());
     }
-    add_slow_sample(row, true, baseline);
-    row.slowness.add_nats(DOUBLING_NATS * f64::from(doublings));
 }
 
 /// Ends a request that may have been reported overdue; returns whether it was.
@@ -228,6 +241,8 @@
         .times(factor)
         .min(LONGEST_UNREACHABLE_HOLD_MS);
     row.connects_failed = row.connects_failed.saturating_add(1);
+    row.cold_until = Some(now + COLD_START_MS);
+    row.hold_counted = false;
     let until = match row.standing {
         Standing::Held { until } => until.max(now + hold),
         _ => now + hold,
@@ -235,18 +250,15 @@
     row.standing = Standing::Held { until };
 }
 
-/// Passes or fails a target on trial.
+/// Passes a target on trial, or notes that it failed for `judge` to decide.
 fn settle_trial(row: &mut TargetHealth, good: Option<bool>, now: TimeMs) {
     let Standing::OnTrial { passed } = row.standing else {
         return;
     };
     match good {
         None => {}
+        Some(false) => row.trial_failed = true,
         Some(true) if passed + 1 >= TRIALS => row.standing = Standing::Ramping { since: now },
         Some(true) => row.standing = Standing::OnTrial { passed: passed + 1 },
-        Some(false) => {
-            let hold = row.holds.begin(now);
-            row.standing = Standing::Held { until: now + hold };
-        }
     }
 }
--- a/crates/agatehold-core/src/health/rows.rs
+++ b/crates/agatehold-core/src/health/rows.rs
@@ -117,6 +117,11 @@
         FIRST_HOLD_MS.times(factor).min(LONGEST_HOLD_MS)
     }
 
+    /// Forgets the hold that began last.
+    pub fn undo(&mut self) {
+        self.count = self.count.saturating_sub(1);
+    }
+
     /// Notes a hold that begins at `now` and returns its length.
     pub fn begin(&mut self, now: TimeMs) -> DurationMs {
         let hold = self.hold_at(now);
@@ -146,8 +151,12 @@
     pub slow_share: f64,
     /// Where the target stands.
     pub standing: Standing,
+    /// Whether the target failed a trial since the last tick.
+    pub trial_failed: bool,
     /// The holds within the last hour.
     pub holds: HoldMemory,
+    /// Whether the present hold is among them.
+    pub hold_counted: bool,
     /// When the last evidence came, `None` before the first.
     pub observed_at: Option<TimeMs>,
     /// When the target became bad, `None` while it is not.
@@ -164,6 +173,8 @@
     pub leaving_at: Option<TimeMs>,
     /// Whether the last answer said that the target is warming up.
     pub warming: bool,
+    /// Until when a target that was unreachable is taken to start cold.
+    pub cold_until: Option<TimeMs>,
 }
 
 impl TargetHealth {
@@ -177,7 +188,9 @@
             failure_share: 0.0,
             slow_share: 0.0,
             standing: Standing::Serving,
+            trial_failed: false,
             holds: HoldMemory::default(),
+            hold_counted: false,
             observed_at: None,
             bad_since: None,
             connects_failed: 0,
@@ -186,6 +199,7 @@
             silent_at: None,
             leaving_at: None,
             warming: false,
+            cold_until: None,
         }
     }
 
--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -23,6 +23,12 @@
 /// report it.
 const SAME_CRASH_MS: DurationMs = DurationMs(2_000);
 
+/// How long a daemon waits after a crash before it sends the request again, so
+/// that marks of crashes at the same time arrive first. Pushed marks take 1 to
+/// 3 ms; without the wait, a request sent to three daemons at once crashes six
+/// targets instead of three.
+const TRIAL_DELAY_MS: DurationMs = DurationMs(50);
+
 /// How long a daemon waits for the outcome of a further attempt.
 const TRIAL_LIFETIME_MS: DurationMs = DurationMs(30_000);
 
@@ -34,7 +40,8 @@
     /// The request may be sent once more, to a target that it did not crash,
     /// if it is idempotent.
     AdmittedOnTrial,
-    /// The request crashed a target, and the daemon that saw it decides first.
+    /// The request crashed a target, and the daemon that saw it sends it again
+    /// first, after a short wait.
     Deferred,
     /// The request crashed two targets.
     Refused,
@@ -66,7 +73,8 @@
     let on_trial = row
         .trial_since
         .is_some_and(|since| now.since(since) <= TRIAL_LIFETIME_MS);
-    if mark.reporter != *own || on_trial {
+    let too_early = now.since(mark.at) < TRIAL_DELAY_MS;
+    if mark.reporter != *own || on_trial || too_early {
         return Admission::Deferred;
     }
     row.trial_since = Some(now);
