Pick the least loaded target, the longest unchosen of equal ones

Cause: two random choices meet a full target while another has a free slot more often than round robin.

Change: pick_target takes the least estimated load among all candidates.

--- a/crates/agatehold-core/src/routing/cell.rs
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -39,6 +39,8 @@
     reported_others: AtomicU32,
     /// When the report came, in milliseconds.
     reported_at_ms: AtomicU64,
+    /// When this daemon last chose the target, in milliseconds.
+    chosen_at_ms: AtomicU64,
     /// A [`Preference`] as a number.
     preference: AtomicU8,
     /// The share of its work that a ramping target gets, in hundredths.
@@ -89,6 +91,16 @@
         f64::from(self.in_flight()) + others * weight
     }
 
+    /// Notes that the target was chosen.
+    pub fn note_choice(&self, now: TimeMs) {
+        self.chosen_at_ms.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Returns when this daemon last chose the target.
+    pub fn chosen_at(&self) -> TimeMs {
+        TimeMs(self.chosen_at_ms.load(Ordering::Relaxed))
+    }
+
     /// Sets the order of choice.
     pub fn set_preference(&self, preference: Preference) {
         self.preference.store(preference as u8, Ordering::Release);
--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -13,10 +13,12 @@
 
 /// Chooses a target with a free slot and claims the slot.
 ///
-/// Of the targets that take new work, two are drawn at random from the best
-/// preference that has a free slot and the less loaded one is taken (power of
-/// two choices, Mitzenmacher 2001). A ramping target joins the preferred ones
-/// with the probability of its share. Targets in `tried` are passed over.
+/// Of the targets that take new work, the one with the least estimated load is
+/// taken from the best preference that has a free slot, and of equal ones that
+/// which was not chosen for longest. Two random choices by the same load, and
+/// round robin, meet a full target more often (`docs/MEASUREMENTS.md`). A
+/// ramping target joins the preferred ones with the probability of its share.
+/// Targets in `tried` are passed over.
 /// Returns `None` when no target has a free slot.
 pub fn pick_target(
     table: &RoutingTable,
@@ -45,7 +47,7 @@
             }
             candidates.push(*index);
         }
-        if let Some(index) = claim_less_loaded(table, &mut candidates, now, rng) {
+        if let Some(index) = claim_least_loaded(table, &mut candidates, now, rng) {
             return Some(index);
         }
     }
@@ -88,29 +90,31 @@
     !target.withdrawn && !target.cell.is_leaving() && !target.cell.is_excluded(now)
 }
 
-/// Claims a slot of the less loaded of two random candidates, until one of
-/// them still has a free slot or none is left.
-fn claim_less_loaded(
+/// Claims a slot of the least loaded candidate, or of the next one if another
+/// thread took its last slot.
+fn claim_least_loaded(
     table: &RoutingTable,
     candidates: &mut Vec<TargetIndex>,
     now: TimeMs,
     rng: &mut impl Rng,
 ) -> Option<TargetIndex> {
     while !candidates.is_empty() {
-        let first = rng.random_range(0..candidates.len());
-        let second = rng.random_range(0..candidates.len());
-        let load = |position: usize| {
+        // The random start decides between targets that are equal throughout.
+        let start = rng.random_range(0..candidates.len());
+        let mut chosen = (f64::INFINITY, TimeMs(u64::MAX), start);
+        for offset in 0..candidates.len() {
+            let position = (start + offset) % candidates.len();
             let target = &table.targets[candidates[position].position()];
-            target.cell.estimated_load(now) / f64::from(target.slots.0)
-        };
-        let chosen = if load(first) <= load(second) {
-            first
-        } else {
-            second
-        };
-        let index = candidates.swap_remove(chosen);
+            let load = target.cell.estimated_load(now) / f64::from(target.slots.0);
+            let rank = (load, target.cell.chosen_at(), position);
+            if (rank.0, rank.1) < (chosen.0, chosen.1) {
+                chosen = rank;
+            }
+        }
+        let index = candidates.swap_remove(chosen.2);
         let target = &table.targets[index.position()];
         if target.cell.try_claim(target.slots) {
+            target.cell.note_choice(now);
             return Some(index);
         }
     }
