Measure detection, mistakes, poisoned requests, flapping and balance

Cause: the constants of section 8 were chosen without figures.

Ruled out: wall-clock runs (not the same on each machine).

--- /dev/null
+++ b/crates/agatehold-measure/src/main.rs
@@ -0,0 +1,64 @@
+//! Prints a measurement as a Markdown table.
+
+use std::process::ExitCode;
+
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+use agatehold_measure::balance;
+use agatehold_measure::detection;
+use agatehold_measure::false_ejection;
+use agatehold_measure::flapping;
+use agatehold_measure::poison;
+
+const USAGE: &str = "\
+usage: agatehold-measure [--trials N] \
+detection|false-ejections|poison|flapping|balance";
+
+/// The trials of each figure where the command line names no number.
+const DEFAULT_TRIALS: u32 = 4_000;
+
+struct Arguments {
+    subcommand: String,
+    trials: u32,
+}
+
+fn parse_arguments() -> Result<Arguments, lexopt::Error> {
+    let mut subcommand = None;
+    let mut trials = DEFAULT_TRIALS;
+    let mut parser = Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("trials") => trials = parser.value()?.parse()?,
+            Arg::Value(value) if subcommand.is_none() => subcommand = Some(value.string()?),
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let subcommand = subcommand.ok_or("a subcommand is missing")?;
+    Ok(Arguments { subcommand, trials })
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse_arguments() {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("agatehold-measure: {error}\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    let trials = arguments.trials;
+    let text = match arguments.subcommand.as_str() {
+        "detection" => detection::print(trials),
+        "false-ejections" => false_ejection::print(),
+        "poison" => poison::print(trials),
+        "flapping" => flapping::print(trials),
+        "balance" => balance::print(),
+        other => {
+            eprintln!("agatehold-measure: unknown subcommand {other}\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    print!("{text}");
+    ExitCode::SUCCESS
+}
