Count the bytes of envelopes between daemons

Cause: the budget of 2 KB/s of control traffic per daemon had no figure from a running daemon; /proc counts no socket bytes per process.

Ruled out: the size of a digest times the messages, which misses answers, notes and envelopes that are refused.

Change: agatehold_peer_bytes_total{direction} counts encoded envelopes in the client and the server of the peers thread, without the framing of HTTP/2.

Conclusion: the counter is the source of the control traffic per daemon.

--- a/crates/agatehold-wire/src/peers/envelope.rs
+++ b/crates/agatehold-wire/src/peers/envelope.rs
@@ -3,12 +3,14 @@
 use hmac::Hmac;
 use hmac::KeyInit as _;
 use hmac::Mac as _;
+use prost::Message as _;
 use quick_error::quick_error;
 use sha2::Sha256;
 
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::table::Table;
+use agatehold_core::units::ByteCount;
 
 use crate::generated::Envelope;
 
@@ -167,6 +169,11 @@
     envelope
 }
 
+/// Returns the size of an envelope as it is sent, without the framing of HTTP.
+pub fn envelope_bytes(envelope: &Envelope) -> ByteCount {
+    ByteCount(u64::try_from(envelope.encoded_len()).unwrap_or(u64::MAX))
+}
+
 /// Opens the envelope of a request to `own`.
 ///
 /// Nothing of a refused envelope is remembered, so that a stranger can't make
--- a/crates/agatehold-wire/src/peers/mod.rs
+++ b/crates/agatehold-wire/src/peers/mod.rs
@@ -18,6 +18,7 @@
 pub use envelope::ReplayRow;
 pub use envelope::ReplayTable;
 pub use envelope::SECRET_MIN_CHARS;
+pub use envelope::envelope_bytes;
 pub use envelope::open_answer;
 pub use envelope::open_request;
 pub use envelope::seal;
--- a/crates/agatehold/src/peers/client.rs
+++ b/crates/agatehold/src/peers/client.rs
@@ -33,6 +33,7 @@
 use crate::shared::Shared;
 
 use super::PeerJob;
+use super::count_bytes;
 
 /// How long an exchange may take; hosts are a few milliseconds apart.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -186,9 +187,11 @@
             answers: None,
         };
         let envelope = seal(&self.key, method, &header, body.to_vec());
+        count_bytes("sent", &envelope);
         let answer = tokio::time::timeout(timeout, send(channel, method, envelope))
             .await
             .ok()??;
+        count_bytes("received", &answer);
         match open_answer(&self.key, method, &header, answer) {
             Ok(opened) => Some(opened.body),
             Err(error) => {
--- a/crates/agatehold/src/peers/mod.rs
+++ b/crates/agatehold/src/peers/mod.rs
@@ -16,7 +16,9 @@
 use agatehold_core::ids::HostId;
 use agatehold_core::membership::PeerDigest;
 use agatehold_core::spread::NotesRequest;
+use agatehold_wire::generated::Envelope;
 use agatehold_wire::peers::PeerKey;
+use agatehold_wire::peers::envelope_bytes;
 
 use crate::control::Input;
 use crate::shared::Shared;
@@ -101,6 +103,13 @@
     }
 }
 
+/// Counts an envelope in the control traffic of this daemon. An envelope that
+/// is refused counts as well, since it came over the same network.
+fn count_bytes(direction: &'static str, envelope: &Envelope) {
+    let bytes = envelope_bytes(envelope).0;
+    metrics::counter!("agatehold_peer_bytes_total", "direction" => direction).increment(bytes);
+}
+
 fn run_thread(
     shared: Arc<Shared>,
     key: PeerKey,
--- a/crates/agatehold/src/peers/server.rs
+++ b/crates/agatehold/src/peers/server.rs
@@ -34,6 +34,8 @@
 use crate::control::Input;
 use crate::shared::Shared;
 
+use super::count_bytes;
+
 /// How long the control thread may take for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -75,6 +77,7 @@
 
 impl PeersService {
     fn open(&self, method: Method, envelope: Envelope) -> Result<Opened, Status> {
+        count_bytes("received", &envelope);
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
         open_request(&self.key, method, &self.shared.host, envelope, &mut seen).map_err(|error| {
             metrics::counter!("agatehold_envelopes_refused_total").increment(1);
@@ -90,7 +93,9 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             answers: Some((asked.incarnation, asked.sequence)),
         };
-        Response::new(seal(&self.key, method, &header, body))
+        let envelope = seal(&self.key, method, &header, body);
+        count_bytes("sent", &envelope);
+        Response::new(envelope)
     }
 
     /// Asks the control thread and waits for its answer.
