Add measure-fleet-processes

Cause: the figures of fleets so far came from trials; the aims for platform calls, idle cost, spread, recovery and large configurations had no run of real processes behind them.

Ruled out: one table per run of a fleet built by hand; fleets of more than 48 processes, which the machine does not hold beside other work.

Processor time and memory come from /proc, bytes from agatehold_peer_bytes_total.

--- /dev/null
+++ b/crates/agatehold-testing/src/bin/measure_fleet_processes/sample.rs
@@ -0,0 +1,103 @@
+//! What a daemon process has used so far.
+
+use std::fs;
+
+use agatehold_core::ids::HostId;
+use agatehold_core::table::Table;
+use agatehold_core::units::ByteCount;
+use agatehold_core::units::DurationMs;
+use agatehold_testing::fleet::DaemonProcess;
+
+/// One tick of the times in `/proc/<pid>/stat`: Linux gives them in 1/100 s
+/// to user space on every machine that this runs on.
+const CPU_TICK_MS: u64 = 10;
+
+/// What one process has used since its start.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ProcessSample {
+    /// Processor time of all threads.
+    pub(crate) cpu_ms: DurationMs,
+    /// Processor time of the thread that owns the tables.
+    pub(crate) control_cpu_ms: DurationMs,
+    /// Resident memory.
+    pub(crate) resident_bytes: ByteCount,
+    /// Encoded envelopes sent to other daemons.
+    pub(crate) sent_bytes: ByteCount,
+    /// Encoded envelopes received from other daemons.
+    pub(crate) received_bytes: ByteCount,
+}
+
+/// Returns what the running daemons have used.
+pub(crate) fn read_all(daemons: &[DaemonProcess]) -> Table<HostId, ProcessSample> {
+    let mut samples = Table::new();
+    for daemon in daemons {
+        if let Some(sample) = read(daemon) {
+            samples.insert(daemon.host.clone(), sample);
+        }
+    }
+    samples
+}
+
+/// Returns what one daemon has used, `None` if it does not run.
+pub(crate) fn read(daemon: &DaemonProcess) -> Option<ProcessSample> {
+    let id = daemon.process_id()?;
+    let page = daemon.read_admin("/metrics")?;
+    let page = String::from_utf8_lossy(&page);
+    let bytes = |direction: &str| {
+        let series = format!("agatehold_peer_bytes_total{{direction=\"{direction}\"}} ");
+        let value = page.lines().find_map(|line| line.strip_prefix(&series));
+        ByteCount(value.and_then(|value| value.parse().ok()).unwrap_or(0))
+    };
+    Some(ProcessSample {
+        cpu_ms: cpu_time(&format!("/proc/{id}/stat"))?,
+        control_cpu_ms: thread_cpu(id, "control")?,
+        resident_bytes: resident(id)?,
+        sent_bytes: bytes("sent"),
+        received_bytes: bytes("received"),
+    })
+}
+
+/// Returns the processor time in a `stat` file.
+fn cpu_time(file: &str) -> Option<DurationMs> {
+    let text = fs::read_to_string(file).ok()?;
+    // The name in parentheses may hold spaces; user and system time are the
+    // 12th and 13th fields after it.
+    let (_, fields) = text.rsplit_once(") ")?;
+    let mut fields = fields.split_whitespace().skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(DurationMs((user + system) * CPU_TICK_MS))
+}
+
+fn thread_cpu(process: u32, name: &str) -> Option<DurationMs> {
+    for entry in fs::read_dir(format!("/proc/{process}/task")).ok()? {
+        let path = entry.ok()?.path();
+        // A thread may end between the listing and the reading.
+        let Ok(found) = fs::read_to_string(path.join("comm")) else {
+            continue;
+        };
+        if found.trim_end() == name {
+            return cpu_time(path.join("stat").to_str()?);
+        }
+    }
+    None
+}
+
+fn resident(process: u32) -> Option<ByteCount> {
+    let text = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kibibytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(ByteCount(kibibytes * 1_024))
+}
+
+/// Returns the load averages of the machine.
+pub(crate) fn load_average() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let fields: Vec<&str> = text.split_whitespace().take(3).collect();
+    fields.join(" ")
+}
+
+/// Returns a size in megabytes of 10^6 bytes.
+pub(crate) fn megabytes(size: ByteCount) -> f64 {
+    size.0 as f64 / 1e6
+}
--- a/crates/agatehold-testing/src/fleet/daemon.rs
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -140,6 +140,11 @@
         Ok(())
     }
 
+    /// Returns the id of the process, `None` once it has ended.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.borrow().as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let child = self.child.borrow();
