Rest exclusions on a fresh view of the host list; follow records before ejecting

Cause: the proof of the floor showed that an exclusion needs a view of the live targets as young as the permit record, that a daemon must have followed a record for 20 s before it ejects, and that a restored platform may offer an older record. The control loop did none of this.

Ruled out: reading the host list every 4 s on every daemon (220 calls a second at 880 daemons while anything is ejected); only the entries of a service with ejected targets do.

Change: control keeps the start of the last read of the host list, lists the permit records once after the start and while it wishes a change, holds an empty record for services without one, and writes a newer record back.

--- a/crates/agatehold-core/src/control/exchange.rs
+++ b/crates/agatehold-core/src/control/exchange.rs
@@ -216,6 +216,7 @@
     tables: &mut ControlTables,
     hosts: &[ListedHost],
     targets: Table<TargetName, bool>,
+    read_started_at: TimeMs,
     now: TimeMs,
 ) -> Vec<Command> {
     let mut commands = Vec::new();
@@ -224,5 +225,6 @@
     }
     tables.entries_outdated = true;
     tables.listed_targets = targets;
+    tables.hosts_as_of = tables.hosts_as_of.max(Some(read_started_at));
     commands
 }
--- a/crates/agatehold-core/src/control/permits.rs
+++ b/crates/agatehold-core/src/control/permits.rs
@@ -7,22 +7,20 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::config::ConfigTables;
 use crate::config::TargetState;
 use crate::ejection;
+use crate::ejection::LiveView;
 use crate::ejection::PermitChange;
 use crate::ejection::PermitRecord;
 use crate::ejection::PermitState;
 use crate::ejection::confirm_record;
 use crate::ejection::next_record;
+use crate::ejection::restored_record;
 use crate::ejection::returned_record;
-use crate::health::Judgement;
 use crate::health::Wish;
 use crate::ids::ParseIdError;
 use crate::ids::ServiceName;
-use crate::ids::TargetName;
 use crate::spread::watcher_rank;
-use crate::table::Table;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
@@ -92,38 +90,51 @@
     list_records(tables, now, commands);
     make_changes(tables, now, rng, commands);
     let permits = &tables.permits;
-    let health = &tables.judgement;
     let config = &tables.spread.log.config;
-    let leaving = &tables.leaving;
     ejection::write_exclusions(permits, config, &tables.cells, now, |service| {
-        live_targets(config, health, leaving, service)
+        live_view(tables, service)
     });
 }
 
-/// Returns the targets of a service that count as capacity.
-fn live_targets(
-    config: &ConfigTables,
-    judgement: &Judgement,
-    leaving: &Table<TargetName, TimeMs>,
-    service: &ServiceName,
-) -> BTreeSet<TargetName> {
-    let mut live = BTreeSet::new();
-    for (name, target) in config.targets.rows() {
+/// Returns the targets of a service that count as capacity; `None` before the
+/// host list was read.
+///
+/// Where the host list names targets, one that it does not name is gone.
+fn live_view(tables: &ControlTables, service: &ServiceName) -> Option<LiveView> {
+    let as_of = tables.hosts_as_of?;
+    let mut targets = BTreeSet::new();
+    for (name, target) in tables.spread.log.config.targets.rows() {
         if target.service != *service || target.state == TargetState::Leaving {
             continue;
         }
-        if leaving.contains(name) {
+        let is_gone = !tables.listed_targets.is_empty() && !tables.listed_targets.contains(name);
+        if is_gone || tables.leaving.contains(name) {
             continue;
         }
-        let capable = judgement
+        let capable = tables
+            .judgement
             .verdicts
             .get(name)
             .is_none_or(|verdict| verdict.capable);
         if capable {
-            live.insert(name.clone());
+            targets.insert(name.clone());
         }
     }
-    live
+    Some(LiveView { targets, as_of })
+}
+
+/// Returns whether a service that callers enter through this daemon has
+/// ejected targets. Other daemons avoid such targets and exclude none, so that
+/// the reads of the host list do not grow with the fleet.
+pub(super) fn is_entry_of_ejection(tables: &ControlTables) -> bool {
+    let own = &tables.membership.own.id;
+    tables.permits.records.rows().any(|(service, held)| {
+        let is_entry = tables
+            .entries
+            .get(service)
+            .is_some_and(|row| row.hosts.iter().any(|entry| entry.host == *own));
+        is_entry && !held.record.entries.is_empty()
+    })
 }
 
 fn list_records(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
@@ -138,7 +149,15 @@
     let outdated = tables.permits.records.rows().any(|(_, held)| {
         !held.record.entries.is_empty() && now.since(held.confirmed_at) >= CONFIRM_AGE_MS
     });
-    if !is_watcher && !outdated {
+    let wishes = tables
+        .judgement
+        .verdicts
+        .rows()
+        .any(|(_, verdict)| verdict.wish.is_some());
+    // Every daemon lists the records once, since it may eject only after it
+    // has followed them for a while.
+    let is_first = tables.permits_listed_at.is_none();
+    if !is_watcher && !outdated && !wishes && !is_first {
         return;
     }
     tables.permits_listed_at = Some(now);
@@ -172,9 +191,41 @@
         }
         request_read(work, service, now, &mut commands);
     }
+    take_unlisted(tables, listed, read_started_at, now, &mut commands);
     commands
 }
 
+/// Takes the services that the list does not name: they have no record, or a
+/// platform that was restored has lost it.
+fn take_unlisted(
+    tables: &mut ControlTables,
+    listed: &[(ServiceName, PermitVersion)],
+    read_started_at: TimeMs,
+    now: TimeMs,
+    commands: &mut Vec<Command>,
+) {
+    let named: BTreeSet<&ServiceName> = listed.iter().map(|(service, _)| service).collect();
+    for service in tables.spread.log.config.services.keys() {
+        if named.contains(service) {
+            continue;
+        }
+        let is_lost = tables
+            .permits
+            .records
+            .get(service)
+            .is_some_and(|held| held.record != PermitRecord::default());
+        if !is_lost {
+            let empty = PermitRecord::default();
+            confirm_record(&mut tables.permits, service, &empty, read_started_at, now);
+            continue;
+        }
+        let work = tables
+            .permit_work
+            .get_or_insert(service.clone(), PermitWork::default);
+        request_read(work, service, now, commands);
+    }
+}
+
 /// Notes that the records could not be listed.
 pub fn list_failed(tables: &mut ControlTables, now: TimeMs) {
     tables.permits_listed_at = Some(now);
@@ -217,6 +268,17 @@
         return commands;
     };
     work.version = version;
+    if let Some(held) = tables.permits.records.get(service)
+        && let Some(restored) = restored_record(held, &record)
+    {
+        work.writing_since = Some(now);
+        commands.push(Command::WritePermit(Box::new(PermitWrite {
+            service: service.clone(),
+            version,
+            record: restored,
+        })));
+        return commands;
+    }
     if confirm_record(&mut tables.permits, service, &record, read_started_at, now) {
         let change = StateChange::Permits(service.clone(), record.entries.len());
         commands.push(Command::Log(change));
@@ -260,18 +322,16 @@
             continue;
         };
         let floor = policy.floor;
-        let live = live_targets(
-            &tables.spread.log.config,
-            &tables.judgement,
-            &tables.leaving,
-            &service,
-        );
-        let held = tables.permits.records.get(&service);
-        let record = held.map(|held| held.record.clone()).unwrap_or_default();
+        let Some(view) = live_view(tables, &service) else {
+            continue;
+        };
+        let Some(held) = tables.permits.records.get(&service) else {
+            continue;
+        };
         let next = changes
             .iter()
-            .find_map(|change| next_record(&record, change, &live, floor))
-            .or_else(|| held.and_then(|held| returned_record(held, now)));
+            .find_map(|change| next_record(held, change, &view, floor, now))
+            .or_else(|| returned_record(held, now));
         let work = tables
             .permit_work
             .get_or_insert(service.clone(), PermitWork::default);
--- a/crates/agatehold-core/src/control/state.rs
+++ b/crates/agatehold-core/src/control/state.rs
@@ -58,6 +58,8 @@
     /// The targets that are leaving, and when the list or an answer, here or
     /// at a peer, last said so.
     pub leaving: Table<TargetName, TimeMs>,
+    /// The start of the last read of the host list that was answered.
+    pub hosts_as_of: Option<TimeMs>,
     /// When the host list was last asked for.
     pub hosts_asked_at: Option<TimeMs>,
     /// When the lease for claims was last asked for.
@@ -101,6 +103,7 @@
             cells: Table::new(),
             listed_targets: Table::new(),
             leaving: Table::new(),
+            hosts_as_of: None,
             hosts_asked_at: None,
             claim_lease_asked_at: None,
             claim_lease_at: None,
--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -46,6 +46,10 @@
 pub const CLAIM_LEASE_TTL_MS: DurationMs =
     DurationMs(CLAIM_RETENTION_MS.0 + CLAIM_LEASE_PERIOD_MS.0);
 
+/// The time between two reads of the host list by a daemon that excludes
+/// targets; an exclusion rests on a list that is at most 15 s old.
+const EJECTION_LIST_PERIOD_MS: DurationMs = DurationMs(4_000);
+
 /// Runs every system once, in the order in which they depend on each other.
 pub fn tick(
     tables: &mut ControlTables,
@@ -171,7 +175,10 @@
 
 fn list_hosts(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
     let is_watcher = watcher_rank(&tables.membership).is_some();
-    let period = membership::host_list_period(&tables.membership, is_watcher);
+    let mut period = membership::host_list_period(&tables.membership, is_watcher);
+    if permits::is_entry_of_ejection(tables) {
+        period = period.min(EJECTION_LIST_PERIOD_MS);
+    }
     let due = tables
         .hosts_asked_at
         .is_none_or(|at| now.since(at) >= period);
--- a/crates/agatehold-core/tests/control_leaving.rs
+++ b/crates/agatehold-core/tests/control_leaving.rs
@@ -128,7 +128,7 @@
 
     let listed = Table::from_iter([(target(), true)]);
     let now = START + DurationMs(10_000);
-    control::merge_hosts(&mut fleet[17], &[], listed, now);
+    control::merge_hosts(&mut fleet[17], &[], listed, now, now);
     run_fleet(&mut fleet, now, 10, &mut rng);
     // One second of the three is left for the list to be read, at most 2 s.
     assert_eq!(leaving_count(&fleet), 48);
@@ -141,13 +141,13 @@
     let mut rng = Pcg64Mcg::seed_from_u64(2);
     let mut fleet: Vec<ControlTables> = (0..12).map(|number| tables(number, 12)).collect();
     let listed = Table::from_iter([(target(), true)]);
-    control::merge_hosts(&mut fleet[3], &[], listed, START);
+    control::merge_hosts(&mut fleet[3], &[], listed, START, START);
     run_fleet(&mut fleet, START, 20, &mut rng);
     assert_eq!(leaving_count(&fleet), 12);
 
     let now = START + DurationMs(2_000);
     let listed = Table::from_iter([(target(), false)]);
-    control::merge_hosts(&mut fleet[3], &[], listed, now);
+    control::merge_hosts(&mut fleet[3], &[], listed, now, now);
     run_fleet(&mut fleet, now, 320, &mut rng);
     assert_eq!(leaving_count(&fleet), 0);
 }
--- a/crates/agatehold-wire/tests/peers.rs
+++ b/crates/agatehold-wire/tests/peers.rs
@@ -8,6 +8,10 @@
 use proptest::test_runner::RngSeed;
 use prost::Message as _;
 
+use agatehold_core::ejection::PermitEntry;
+use agatehold_core::ejection::PermitNumber;
+use agatehold_core::ejection::PermitRecord;
+use agatehold_core::ejection::PermitState;
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
@@ -17,8 +21,8 @@
 use agatehold_core::membership::HeadNews;
 use agatehold_core::membership::Heartbeat;
 use agatehold_core::membership::HostPhase;
+use agatehold_core::membership::LeavingNews;
 use agatehold_core::membership::PeerDigest;
-use agatehold_core::membership::PermitEntry;
 use agatehold_core::membership::PermitNews;
 use agatehold_core::membership::PoisonNews;
 use agatehold_core::membership::RowNews;
@@ -29,6 +33,7 @@
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
 use agatehold_core::spread::SnapshotChunk;
+use agatehold_core::table::Table;
 use agatehold_core::units::DurationMs;
 use agatehold_wire::generated;
 use agatehold_wire::peers;
@@ -110,13 +115,30 @@
 }
 
 fn permit((version, returning, age): (u64, bool, DurationMs)) -> PermitNews {
+    let state = if returning {
+        PermitState::Returning
+    } else {
+        PermitState::Ejected
+    };
+    let entry = PermitEntry {
+        state,
+        added: PermitNumber(version),
+        since: PermitNumber(version),
+        hold_ms: age,
+    };
     PermitNews {
         service: "closures".parse().expect("a valid name"),
-        version,
-        entries: vec![PermitEntry {
-            target: "closures-1".parse().expect("a valid name"),
-            returning,
-        }],
+        record: PermitRecord {
+            number: PermitNumber(version),
+            entries: Table::from_iter([("closures-1".parse().expect("a valid name"), entry)]),
+        },
+        age,
+    }
+}
+
+fn leaving(age: DurationMs) -> LeavingNews {
+    LeavingNews {
+        target: "closures-4".parse().expect("a valid name"),
         age,
     }
 }
@@ -134,14 +156,19 @@
     let head = (any::<u64>(), any::<[u8; 32]>(), prop::option::of(age()));
     let permits = prop::collection::vec((any::<u64>(), any::<bool>(), age()), 0..4);
     let measured = prop::collection::vec((-1e6..1e6, age()), 0..4);
-    let poisoned = prop::collection::vec((any::<[u8; 32]>(), any::<u8>(), age()), 0..4);
+    let poisoned = prop::collection::vec((any::<[u8; 32]>(), any::<bool>(), age()), 0..4);
+    let ages = prop::collection::vec(age(), 0..4);
     let rows = prop::collection::vec(row(), 0..9);
-    (row(), rows, any::<u64>(), head, permits, measured, poisoned).prop_map(
-        |(mut sender, rows, turn, (number, hash, confirmed_age), permits, measured, poisoned)| {
+    let news = (permits, measured, poisoned, ages);
+    (row(), rows, any::<u64>(), head, news).prop_map(
+        |(mut sender, rows, turn, (number, hash, confirmed_age), news)| {
+            let (permits, measured, poisoned, ages) = news;
             sender.standing = StandingNews::Alive;
-            let poison = |(fingerprint, crashes, age)| PoisonNews {
+            let poison = |(fingerprint, cleared, age)| PoisonNews {
                 fingerprint: Digest(fingerprint),
-                crashes,
+                target: "closures-3".parse().expect("a valid name"),
+                reporter: host(2),
+                cleared,
                 age,
             };
             PeerDigest {
@@ -158,6 +185,7 @@
                 permits: permits.into_iter().map(permit).collect(),
                 evidence: measured.into_iter().map(evidence).collect(),
                 poisoned: poisoned.into_iter().map(poison).collect(),
+                leaving: ages.into_iter().map(leaving).collect(),
             }
         },
     )
@@ -356,6 +384,7 @@
         permits: Vec::new(),
         evidence: Vec::new(),
         poisoned: Vec::new(),
+        leaving: Vec::new(),
     };
     let body = peers::encode_digest(&digest);
     let mut message = generated::Digest::decode(body.as_slice()).expect("a digest");
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -84,7 +84,10 @@
     /// The end of a read or watch of the platform's head.
     HeadRead { head: Option<Head>, sent_at: TimeMs },
     /// The platform's host list.
-    HostsRead(Option<Vec<HostListRow>>),
+    HostsRead {
+        rows: Option<Vec<HostListRow>>,
+        sent_at: TimeMs,
+    },
     /// The permit records with their versions.
     PermitsListed {
         listed: Option<Vec<(ServiceName, PermitVersion)>>,
@@ -149,7 +152,7 @@
                 ),
                 None => spread::platform_failed(&mut self.tables.spread),
             },
-            Input::HostsRead(rows) => self.take_hosts(rows, now),
+            Input::HostsRead { rows, sent_at } => self.take_hosts(rows, sent_at, now),
             Input::PermitsListed { listed, sent_at } => match listed {
                 Some(listed) => {
                     let tables = &mut self.tables;
@@ -283,7 +286,7 @@
         acceptance
     }
 
-    fn take_hosts(&mut self, rows: Option<Vec<HostListRow>>, now: TimeMs) {
+    fn take_hosts(&mut self, rows: Option<Vec<HostListRow>>, sent_at: TimeMs, now: TimeMs) {
         let Some(rows) = rows else {
             return;
         };
@@ -303,7 +306,7 @@
                 }
             }
         }
-        let commands = control::merge_hosts(&mut self.tables, &hosts, targets, now);
+        let commands = control::merge_hosts(&mut self.tables, &hosts, targets, sent_at, now);
         self.apply(commands);
     }
 
--- a/crates/agatehold/src/platform/mod.rs
+++ b/crates/agatehold/src/platform/mod.rs
@@ -184,7 +184,10 @@
                 sent_at,
             }
         }
-        PlatformJob::ListHosts => Input::HostsRead(list_hosts(caller)),
+        PlatformJob::ListHosts => Input::HostsRead {
+            rows: list_hosts(caller),
+            sent_at,
+        },
         PlatformJob::ListPermits => Input::PermitsListed {
             listed: list_permits(caller),
             sent_at,
