Divide the slots of a service among its entries

Every daemon used all slots that it believed free, so that its queue drained into full targets, and what a target sheds has no order.

Change: slots are dealt in turn among the entries of a service; a daemon goes beyond its own only by as many as lie at targets that are avoided or take no new work. A daemon that the service is not entered through uses free slots.

Property test: over 256 random services every slot has one home and shares differ by at most one.

--- a/crates/agatehold-core/src/routing/cell.rs
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -37,6 +37,8 @@
     in_flight: AtomicU32,
     /// Requests in the target by its last report, less this daemon's own.
     reported_others: AtomicU32,
+    /// Slots that this daemon uses before others do; at most the slots.
+    home_slots: AtomicU32,
     /// When the report came, in milliseconds.
     reported_at_ms: AtomicU64,
     /// When this daemon last chose the target, in milliseconds.
@@ -74,6 +76,16 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Sets the slots that this daemon uses before others do.
+    pub fn set_home_slots(&self, slots: SlotCount) {
+        self.home_slots.store(slots.0, Ordering::Release);
+    }
+
+    /// Returns the slots that this daemon uses before others do.
+    pub fn home_slots(&self) -> SlotCount {
+        SlotCount(self.home_slots.load(Ordering::Acquire))
+    }
+
     /// Stores the target's load report.
     pub fn report_load(&self, in_target: u32, now: TimeMs) {
         let others = in_target.saturating_sub(self.in_flight());
--- a/crates/agatehold-core/src/routing/mod.rs
+++ b/crates/agatehold-core/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod build;
 mod cell;
+mod home;
 mod matching;
 mod pick;
 
@@ -14,6 +15,7 @@
 pub use build::build;
 pub use cell::Preference;
 pub use cell::TargetCell;
+pub use home::write_home_slots;
 pub use matching::is_idempotent;
 pub use matching::match_route;
 pub use pick::pick_target;
--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -13,12 +13,14 @@
 
 /// Chooses a target with a free slot and claims the slot.
 ///
-/// Of the targets that take new work, the one with the least estimated load is
-/// taken from the best preference that has a free slot, and of equal ones that
-/// which was not chosen for longest. Two random choices by the same load, and
-/// round robin, meet a full target more often (`docs/MEASUREMENTS.md`). A
-/// ramping target joins the preferred ones with the probability of its share.
-/// Targets in `tried` are passed over.
+/// Of the targets that take new work, those of the best preference that has a
+/// free slot are considered: first those with a free home slot of this daemon,
+/// then, as far as its [`Borrowing`] lets it, those with any free slot. The one
+/// with the least estimated load is taken, and of equal ones that which was not
+/// chosen for longest. Two random choices by the same load, and round robin,
+/// meet a full target more often (`docs/MEASUREMENTS.md`). A ramping target
+/// joins the preferred ones with the probability of its share. Targets in
+/// `tried` are passed over.
 /// Returns `None` when no target has a free slot.
 pub fn pick_target(
     table: &RoutingTable,
@@ -28,12 +30,14 @@
     rng: &mut impl Rng,
 ) -> Option<TargetIndex> {
     let entry = table.services.get(service.position())?;
+    let may_borrow = Borrowing::of(table, service, now).is_allowed();
     for preference in [
         Preference::Preferred,
         Preference::Ramping,
         Preference::Avoided,
     ] {
-        let mut candidates: Vec<TargetIndex> = Vec::with_capacity(entry.targets.len());
+        let mut own: Vec<TargetIndex> = Vec::with_capacity(entry.targets.len());
+        let mut others: Vec<TargetIndex> = Vec::with_capacity(entry.targets.len());
         for index in &entry.targets {
             let target = &table.targets[index.position()];
             if tried.contains(index) || !takes_new_work(target, now) {
@@ -42,18 +46,63 @@
             if !joins(target, preference, rng) {
                 continue;
             }
-            if target.cell.in_flight() >= target.slots.0 {
-                continue;
+            let in_flight = target.cell.in_flight();
+            if in_flight < target.cell.home_slots().0 {
+                own.push(*index);
+            } else if may_borrow && in_flight < target.slots.0 {
+                others.push(*index);
             }
-            candidates.push(*index);
         }
-        if let Some(index) = claim_least_loaded(table, &mut candidates, now, rng) {
-            return Some(index);
+        for mut candidates in [own, others] {
+            if let Some(index) = claim_least_loaded(table, &mut candidates, now, rng) {
+                return Some(index);
+            }
         }
     }
     None
 }
 
+/// How many slots a daemon uses beyond its home slots.
+///
+/// A daemon replaces home slots at targets that are avoided or take no new
+/// work by as many slots elsewhere, so that its requests in flight stay within
+/// its share. One that borrowed freely would take the home slots of others,
+/// whose requests the targets would shed (`docs/MEASUREMENTS-LOAD.md`).
+#[derive(Clone, Copy, Debug, Default)]
+struct Borrowing {
+    /// The home slots.
+    home: u32,
+    /// Of these, the ones at targets that are not avoided.
+    usable: u32,
+    /// Requests in flight beyond the home slots of their targets.
+    borrowed: u32,
+}
+
+impl Borrowing {
+    fn of(table: &RoutingTable, service: ServiceIndex, now: TimeMs) -> Self {
+        let mut borrowing = Self::default();
+        let Some(entry) = table.services.get(service.position()) else {
+            return borrowing;
+        };
+        for index in &entry.targets {
+            let target = &table.targets[index.position()];
+            let home = target.cell.home_slots().0;
+            borrowing.home += home;
+            if takes_new_work(target, now) && target.cell.preference() != Preference::Avoided {
+                borrowing.usable += home;
+            }
+            borrowing.borrowed += target.cell.in_flight().saturating_sub(home);
+        }
+        borrowing
+    }
+
+    /// A daemon that the service is not entered through has no home slots and
+    /// serves callers with old addresses as it can.
+    const fn is_allowed(self) -> bool {
+        self.home == 0 || self.borrowed < self.home - self.usable
+    }
+}
+
 /// Chooses an avoided target that an idempotent request may try.
 ///
 /// Claims a slot of it. Each grant of the control thread lets one request
--- /dev/null
+++ b/crates/agatehold-core/tests/home_slots.rs
@@ -0,0 +1,127 @@
+//! Guards the division of a service's slots among its entries.
+
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use agatehold_core::config::ConfigTables;
+use agatehold_core::config::ServiceRow;
+use agatehold_core::config::TargetRow;
+use agatehold_core::config::TargetState;
+use agatehold_core::note::Head;
+use agatehold_core::routing::Preference;
+use agatehold_core::routing::RoutingTable;
+use agatehold_core::routing::ServiceIndex;
+use agatehold_core::routing::build;
+use agatehold_core::routing::pick_target;
+use agatehold_core::routing::write_home_slots;
+use agatehold_core::table::Table;
+use agatehold_core::units::SlotCount;
+use agatehold_core::units::TimeMs;
+
+const SERVICE: ServiceIndex = ServiceIndex(0);
+
+/// Returns a routing table with one service and a target for each of `slots`.
+fn routing_table(slots: &[u32]) -> RoutingTable {
+    let service: agatehold_core::ids::ServiceName = "dispatch".parse().expect("a valid name");
+    let mut config = ConfigTables::default();
+    config
+        .services
+        .insert(service.clone(), ServiceRow::default());
+    for (number, slots) in slots.iter().enumerate() {
+        let row = TargetRow {
+            service: service.clone(),
+            address: SocketAddr::from(([127, 0, 0, 1], 80)),
+            failure_domain: "domain-1".parse().expect("a valid name"),
+            slots: SlotCount(*slots),
+            max_connections: 350,
+            state: TargetState::Serving,
+        };
+        let name = format!("target-{number:03}");
+        config
+            .targets
+            .insert(name.parse().expect("a valid name"), row);
+    }
+    build(Head::default(), &config, &mut Table::new())
+}
+
+/// Claims slots until none is left and returns how many there were.
+fn claim_all(table: &RoutingTable) -> u32 {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let mut claimed = 0;
+    while pick_target(table, SERVICE, &[], TimeMs(1), &mut rng).is_some() {
+        claimed += 1;
+    }
+    claimed
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(61),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// A slot that two daemons count as theirs is overcommitted; one that
+    /// nobody counts is lost.
+    #[test]
+    fn every_slot_has_exactly_one_home(
+        slots in prop::collection::vec(1_u32..9, 1..40),
+        entries in 1_u32..50,
+    ) {
+        let mut dealt = vec![0; slots.len()];
+        let mut shares = Vec::new();
+        for rank in 0..entries {
+            let table = routing_table(&slots);
+            write_home_slots(&table, SERVICE, Some(rank), entries);
+            let mut share = 0;
+            for (position, target) in table.targets.iter().enumerate() {
+                dealt[position] += target.cell.home_slots().0;
+                share += target.cell.home_slots().0;
+            }
+            shares.push(share);
+        }
+        prop_assert_eq!(&dealt, &slots);
+        let least = shares.iter().min().copied().unwrap_or(0);
+        let most = shares.iter().max().copied().unwrap_or(0);
+        prop_assert!(most - least <= 1, "{:?}", shares);
+    }
+}
+
+/// A daemon that goes beyond its share takes slots of others, whose requests
+/// are then shed.
+#[test]
+fn a_daemon_stays_within_its_share() {
+    let table = routing_table(&[4; 6]);
+    write_home_slots(&table, SERVICE, Some(2), 6);
+    assert_eq!(claim_all(&table), 4);
+}
+
+/// Home slots at a target that is avoided have to be made up for elsewhere, or
+/// one sick target takes a part of the daemon's capacity.
+#[test]
+fn home_slots_at_an_avoided_target_are_replaced() {
+    let table = routing_table(&[4; 6]);
+    write_home_slots(&table, SERVICE, Some(0), 3);
+    let sick = &table.targets[0].cell;
+    sick.set_preference(Preference::Avoided);
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    for _ in 0..8 {
+        let index = pick_target(&table, SERVICE, &[], TimeMs(1), &mut rng);
+        assert!(index.is_some_and(|index| index.position() != 0));
+    }
+}
+
+/// Callers with old addresses reach daemons that the service is no longer
+/// entered through; these have to serve them all the same.
+#[test]
+fn a_daemon_without_home_slots_uses_free_ones() {
+    let table = routing_table(&[4; 6]);
+    write_home_slots(&table, SERVICE, None, 6);
+    assert_eq!(claim_all(&table), 24);
+}
--- a/crates/agatehold/src/control/publish.rs
+++ b/crates/agatehold/src/control/publish.rs
@@ -43,6 +43,23 @@
             slow_bounds,
         }));
         self.publish_slow_bounds();
+        self.write_home_slots();
+    }
+
+    /// Writes this daemon's shares of the services' slots by its place among
+    /// their entries.
+    fn write_home_slots(&self) {
+        let published = self.shared.published.load();
+        let own = &self.tables.membership.own.id;
+        for (service, row) in self.tables.entries.rows() {
+            let Some(index) = published.service_index(service) else {
+                continue;
+            };
+            let place = row.hosts.iter().position(|entry| entry.host == *own);
+            let rank = place.and_then(|place| u32::try_from(place).ok());
+            let entries = u32::try_from(row.hosts.len()).unwrap_or(u32::MAX);
+            routing::write_home_slots(&published.table, index, rank, entries);
+        }
     }
 
     /// Publishes when an answer of each service counts as slow.
@@ -78,6 +95,7 @@
             by_service,
             by_host,
         }));
+        self.write_home_slots();
     }
 
     /// Publishes the gauges of the control thread.
