Let the view of live targets come from a peer

Cause: most daemons read the host list seldom, so a view that has to come from their own read would let exclusions lapse between reads.

Ruled out: a view without an age (a daemon that resumes excludes on the targets from before its pause; exclusions_keep_the_floor goes red).

Conclusion: as_of follows the same rule as the age of a confirmation.

--- a/crates/agatehold-core/src/ejection/rows.rs
+++ b/crates/agatehold-core/src/ejection/rows.rs
@@ -98,7 +98,8 @@
     /// Targets in force that are live, warm, reachable, not leaving and not
     /// withdrawn, ejected ones included.
     pub targets: BTreeSet<TargetName>,
-    /// The start of the read of the host list that the view rests on.
+    /// The start of the read of the host list that the view rests on, or of the
+    /// exchange by which it came, less the age that the peer gives for it.
     pub as_of: TimeMs,
 }
 
