Follow the detector's rules in the control loop and the traffic path

Cause: the detector was measured with baselines refreshed each tick, overdue reports at the bound and at each doubling, and a pause of 50 ms before a request that crashed a target is sent again; the daemon refreshed once a second and did not pause.

Change: baselines each tick, slow bounds published twice a second, overdue reports at the times of health::next_overdue_at, the pause, and a log line when a target without a verdict is plainly preferred again.

--- a/crates/agatehold-core/src/control/state.rs
+++ b/crates/agatehold-core/src/control/state.rs
@@ -74,8 +74,8 @@
     pub entries_outdated: bool,
     /// When the entries were last chosen.
     pub entries_at: Option<TimeMs>,
-    /// When the baselines were last refreshed.
-    pub baselines_at: Option<TimeMs>,
+    /// When the slow bounds were last published.
+    pub slow_bounds_at: Option<TimeMs>,
     /// Reports that wait for the next tick.
     pub reports: Vec<OutcomeReport>,
     /// Crash marks to tell peers, newest last.
@@ -111,7 +111,7 @@
             entries: Table::new(),
             entries_outdated: true,
             entries_at: None,
-            baselines_at: None,
+            slow_bounds_at: None,
             reports: Vec::new(),
             marks: Vec::new(),
             logged: Table::new(),
--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -28,8 +28,8 @@
 use super::leaving;
 use super::permits;
 
-/// The time between two refreshes of what is normal for the services.
-const BASELINE_PERIOD_MS: DurationMs = DurationMs(1_000);
+/// The time between two publications of the slow bounds.
+const SLOW_BOUNDS_PERIOD_MS: DurationMs = DurationMs(500);
 
 /// The least time between two choices of the entries. At the design size one
 /// choice costs milliseconds, and changes of membership come in bursts.
@@ -89,12 +89,12 @@
     record_outcomes(&mut tables.health, config, &reports, |report| {
         is_blamed(poison, &report.fingerprint, &report.target)
     });
-    let refresh_due = tables
-        .baselines_at
-        .is_none_or(|at| now.since(at) >= BASELINE_PERIOD_MS);
-    if refresh_due {
-        tables.baselines_at = Some(now);
-        refresh_baselines(&mut tables.health, config);
+    refresh_baselines(&mut tables.health, config);
+    let publish_due = tables
+        .slow_bounds_at
+        .is_none_or(|at| now.since(at) >= SLOW_BOUNDS_PERIOD_MS);
+    if publish_due {
+        tables.slow_bounds_at = Some(now);
         commands.push(Command::PublishSlowBounds);
     }
     let membership = &tables.membership;
@@ -122,17 +122,24 @@
     log_preferences(tables, commands);
 }
 
+/// A target without a verdict is plainly preferred.
 fn log_preferences(tables: &mut ControlTables, commands: &mut Vec<Command>) {
-    for (name, verdict) in tables.judgement.verdicts.rows() {
-        let logged = tables
-            .logged
-            .get_or_insert(name.clone(), || Preference::Preferred);
-        if *logged == verdict.preference {
-            continue;
+    let verdicts = &tables.judgement.verdicts;
+    let mut changed = Vec::new();
+    for (name, verdict) in verdicts.rows() {
+        let logged = tables.logged.get(name).copied();
+        if logged.unwrap_or(Preference::Preferred) != verdict.preference {
+            changed.push((name.clone(), verdict.preference));
         }
-        *logged = verdict.preference;
-        let change = StateChange::Target(name.clone(), verdict.preference);
-        commands.push(Command::Log(change));
+    }
+    for (name, logged) in tables.logged.rows() {
+        if *logged != Preference::Preferred && !verdicts.contains(name) {
+            changed.push((name.clone(), Preference::Preferred));
+        }
+    }
+    for (name, preference) in changed {
+        tables.logged.insert(name.clone(), preference);
+        commands.push(Command::Log(StateChange::Target(name, preference)));
     }
     let config = &tables.spread.log.config;
     tables
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
+use agatehold_core::health::next_overdue_at;
 use agatehold_core::idempotency::KeyState;
 use agatehold_core::idempotency::refusal_outcome;
 use agatehold_core::ids::TargetName;
@@ -65,6 +66,10 @@
 /// to show that it did not crash.
 const CRASH_PROBE: Duration = Duration::from_millis(200);
 
+/// The pause before a request that crashed a target is sent again, in which
+/// the marks of other daemons arrive.
+const AFTER_CRASH: Duration = Duration::from_millis(50);
+
 /// How the dispatch of a request ended.
 pub(crate) enum Ended {
     /// With the answer of a target.
@@ -211,8 +216,11 @@
                         None => self.refused(RefusalKind::Internal),
                     };
                 }
-                Next::SendAgain if crashed && !self.is_admitted_by_poison() => {
-                    return self.refused(RefusalKind::Poisoned);
+                Next::SendAgain if crashed => {
+                    tokio::time::sleep(AFTER_CRASH).await;
+                    if !self.is_admitted_by_poison() {
+                        return self.refused(RefusalKind::Poisoned);
+                    }
                 }
                 Next::SendAgain => {}
                 Next::Refuse { kind, outcome } => {
@@ -277,11 +285,12 @@
         if bound_ms == 0 {
             return std::future::pending().await;
         }
-        let mut wait = duration(DurationMs(bound_ms));
+        let bound = DurationMs(bound_ms);
+        let mut due = next_overdue_at(DurationMs(0), bound);
         loop {
-            tokio::time::sleep_until((sent_at + wait).into()).await;
+            tokio::time::sleep_until((sent_at + duration(due)).into()).await;
             self.report(slot, AttemptOutcome::Overdue, sent_at.elapsed(), None);
-            wait *= 2;
+            due = next_overdue_at(due, bound);
         }
     }
 
