Prove that a minority without the platform refuses

Cause: isolation was proved on virtual time only.

Change: recovery.rs kills three of five daemons while the platform is down; the other two refuse with isolated, not-run, and serve again once the platform is back.

Seen to fail: with the phase always serving the test waits in vain for the isolation.

--- a/crates/agatehold/tests/recovery.rs
+++ b/crates/agatehold/tests/recovery.rs
@@ -12,6 +12,7 @@
 
 use agatehold_core::ids::NoteNumber;
 use agatehold_core::note::Head;
+use agatehold_core::refusal::RefusalKind;
 use agatehold_testing::caller;
 use agatehold_testing::caller::CallerOptions;
 use agatehold_testing::caller::KeyMode;
@@ -268,3 +269,44 @@
     assert_eq!(calls("create") - before, 50, "one claim for each own key");
     fleet.close().unwrap();
 }
+
+/// A daemon cut off from the platform and from most of the fleet can't know
+/// whether a newer note is in force, and serving by an old one would undo it.
+#[test]
+fn a_minority_without_the_platform_refuses_and_returns() {
+    let fleet = start(5);
+    switch_control(fleet.platform.control, &json!({ "down": true })).unwrap();
+    for index in [0, 1, 2] {
+        fleet.daemons[index].signal(Signal::Kill).unwrap();
+    }
+    let left = [3, 4];
+    wait_until("the rest of the fleet to be isolated", || {
+        left.iter().all(|index| {
+            let status = fleet.daemons[*index].status();
+            status.is_some_and(|status| status.isolated)
+        })
+    })
+    .unwrap();
+    let mut options = lookups(&fleet, 10);
+    options.daemons = left.iter().map(|i| fleet.daemons[*i].callers).collect();
+    options.asks_addresses = false;
+    options.attempts = 1;
+    let records = caller::start(options.clone()).unwrap().join();
+    for record in &records {
+        assert_eq!(record.refusal, Some(RefusalKind::Isolated));
+        assert!(record.is_not_run());
+    }
+
+    switch_control(fleet.platform.control, &json!({ "down": false })).unwrap();
+    wait_until("the rest of the fleet to serve again", || {
+        left.iter().all(|index| {
+            let status = fleet.daemons[*index].status();
+            status.is_some_and(|status| !status.isolated)
+        })
+    })
+    .unwrap();
+    options.name = "again".into();
+    let records = caller::start(options).unwrap().join();
+    assert_eq!(succeeded(&records), 10);
+    fleet.close().unwrap();
+}
