--- a/crates/agatehold-testing/src/fleet/daemon.rs
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -30,7 +30,10 @@
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The token of every admin address.
-const TOKEN: &str = "token-of-the-test-fleet";
+pub const ADMIN_TOKEN: &str = "token-of-the-test-fleet";
+
+/// The secret that the daemons of a fleet share.
+pub const PEER_SECRET: &str = "secret-of-the-test-fleet";
 
 /// A signal to a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +55,8 @@
     pub host: HostId,
     /// Where callers connect.
     pub callers: SocketAddr,
+    /// Where other daemons connect.
+    pub peers: SocketAddr,
     /// Where operators connect.
     pub admin: SocketAddr,
     binary: PathBuf,
@@ -73,9 +78,9 @@
         "[host]\nid = host-{number}\nfailure_domain = domain-{}\n\n\
          [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\n\
          [platform]\naddress = {platform}\n\n\
-         [admin]\ntoken = {TOKEN}\n\n\
+         [admin]\ntoken = {ADMIN_TOKEN}\n\n\
          [limits]\nquiet_ms = {}\n\n\
-         [peers]\nsecret = secret-of-the-test-fleet\n",
+         [peers]\nsecret = {PEER_SECRET}\n",
         number % 3,
         row.callers,
         row.peers,
@@ -113,6 +118,7 @@
         let daemon = Self {
             host,
             callers: row.callers,
+            peers: row.peers,
             admin: row.admin,
             binary: binary.to_owned(),
             settings_file,
--- a/crates/agatehold-testing/src/fleet/mod.rs
+++ b/crates/agatehold-testing/src/fleet/mod.rs
@@ -29,7 +29,9 @@
 use crate::target_standin::RunningTargets;
 use crate::target_standin::TargetOptions;
 
+pub use daemon::ADMIN_TOKEN;
 pub use daemon::DaemonProcess;
+pub use daemon::PEER_SECRET;
 pub use daemon::Signal;
 pub use notes::NoteWriter;
 
