Mark leaving targets without three look-ups for each target

Cause: an idle daemon with the configuration of the design size (340 services, 9,900 targets, 3,800 routes, 63,000 tenants) used 7.38% of a core in its control thread, over the budget of 4.2%. Each tick looked each target up in three tables, and put each target's failure domain into a set to learn whether there are two of them.

Ruled out: the publication of gauges and the queues, which grow with the 340 services only; a longer tick, which would delay verdicts.

Change: mark_leaving collects the few names that leave and then walks the cells once; judge stops counting failure domains at the two it asks for.

--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -1,5 +1,7 @@
 //! Runs the systems over the tables.
 
+use std::collections::BTreeSet;
+
 use rand::Rng;
 
 use crate::addresses::choose_entries;
@@ -9,6 +11,7 @@
 use crate::health::refresh_baselines;
 use crate::health::write_verdicts;
 use crate::idempotency::CLAIM_RETENTION_MS;
+use crate::ids::TargetName;
 use crate::membership;
 use crate::note::Head;
 use crate::outcome::OutcomeReport;
@@ -199,20 +202,21 @@
 /// Marks the targets that take no new work: by the note, by the host list, or
 /// by the target's own answers, whichever says so first.
 fn mark_leaving(tables: &mut ControlTables, commands: &mut Vec<Command>) {
+    // Few targets leave at one time. Looking each of 9,900 targets up in three
+    // tables took more time than the rest of the tick.
+    let mut names: BTreeSet<&TargetName> = tables.listed_leaving.iter().collect();
+    for (name, target) in tables.spread.log.config.targets.rows() {
+        if target.state == TargetState::Leaving {
+            names.insert(name);
+        }
+    }
+    for (name, verdict) in tables.judgement.verdicts.rows() {
+        if verdict.leaving {
+            names.insert(name);
+        }
+    }
     for (name, cell) in tables.cells.rows() {
-        let by_note = tables
-            .spread
-            .log
-            .config
-            .targets
-            .get(name)
-            .is_some_and(|target| target.state == TargetState::Leaving);
-        let by_itself = tables
-            .judgement
-            .verdicts
-            .get(name)
-            .is_some_and(|verdict| verdict.leaving);
-        let leaving = by_note || by_itself || tables.listed_leaving.contains(name);
+        let leaving = names.contains(name);
         if cell.is_leaving() == leaving {
             continue;
         }
--- a/crates/agatehold-core/src/health/judge.rs
+++ b/crates/agatehold-core/src/health/judge.rs
@@ -112,12 +112,7 @@
     domain_of: impl Fn(&HostId) -> Option<FailureDomain>,
 ) -> Judgement {
     let mut judgement = Judgement::default();
-    let domains: BTreeSet<_> = config
-        .targets
-        .rows()
-        .map(|(_, target)| &target.failure_domain)
-        .collect();
-    let least_domains = domains.len().min(LEAST_DOMAINS);
+    let least_domains = least_domains(config);
     suspect_own_path(tables, config, &mut judgement, now);
     for name in names_to_judge(tables, permits) {
         let Some(target) = config.targets.get(&name) else {
@@ -155,6 +150,19 @@
     judgement
 }
 
+/// Returns the failure domains whose daemons have to agree on an ejection:
+/// `LEAST_DOMAINS`, or fewer where the targets have fewer.
+fn least_domains(config: &ConfigTables) -> usize {
+    let mut domains = BTreeSet::new();
+    for (_, target) in config.targets.rows() {
+        domains.insert(&target.failure_domain);
+        if domains.len() >= LEAST_DOMAINS {
+            break;
+        }
+    }
+    domains.len()
+}
+
 fn names_to_judge(tables: &HealthTables, permits: &PermitTables) -> BTreeSet<TargetName> {
     let mut names: BTreeSet<TargetName> = tables.targets.keys().cloned().collect();
     for (_, held) in permits.records.rows() {
