Serve for the lifetime of the last address answer before a stop ends

Cause: a daemon that stopped after 2 s of quiet took its key prefix with it, while callers keep it for 30 s: 1 to 8 requests in 3 stops were refused with owner-gone, outcome unknown, although they had never run.

Change: [limits] address_ttl_ms (default 30000); a stopping daemon serves for at least so long and refuses new keys after it.

The test of the settings lists the new key among the known ones.

--- a/crates/agatehold-core/src/control/stop.rs
+++ b/crates/agatehold-core/src/control/stop.rs
@@ -41,6 +41,9 @@
 /// The times of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopTimes {
+    /// How long the daemon serves at least: callers that were given its address
+    /// and key prefix just before keep them for so long.
+    pub serve_ms: DurationMs,
     /// How long no connection has to come before the listener closes.
     pub quiet_ms: DurationMs,
     /// How long the whole stop may take.
@@ -77,10 +80,9 @@
     if passed.0 >= times.limit_ms.0 / 2 {
         return StopStep::Close;
     }
-    // The quiet time also runs from the start of the stop, so that callers
-    // that were just given this address are still served.
     let quiet_since = counts.last_connection_at.max(since);
-    if counts.in_flight == 0 && now.since(quiet_since) >= times.quiet_ms {
+    let is_quiet = counts.in_flight == 0 && now.since(quiet_since) >= times.quiet_ms;
+    if is_quiet && passed >= times.serve_ms {
         return StopStep::Close;
     }
     StopStep::Drain
--- a/crates/agatehold-settings/src/process/daemon.rs
+++ b/crates/agatehold-settings/src/process/daemon.rs
@@ -128,6 +128,9 @@
     pub body_timeout_ms: DurationMs,
     /// The number of callers' connections.
     pub caller_connections: ConnectionCount,
+    /// How long callers keep an address answer; a stopping daemon serves at
+    /// least as long.
+    pub address_ttl_ms: DurationMs,
     /// How long a stopping daemon waits for further connections.
     pub quiet_ms: DurationMs,
     /// How long a stop may take before requests are aborted.
@@ -144,6 +147,7 @@
             head_timeout_ms: DurationMs(5_000),
             body_timeout_ms: DurationMs(10_000),
             caller_connections: ConnectionCount(4_096),
+            address_ttl_ms: DurationMs(30_000),
             quiet_ms: DurationMs(2_000),
             stop_limit_ms: DurationMs(60_000),
         }
@@ -372,6 +376,9 @@
         caller_connections: reader
             .optional("caller_connections", str::parse)
             .unwrap_or(base.caller_connections),
+        address_ttl_ms: reader
+            .optional("address_ttl_ms", parse_duration)
+            .unwrap_or(base.address_ttl_ms),
         quiet_ms: reader
             .optional("quiet_ms", parse_duration)
             .unwrap_or(base.quiet_ms),
--- a/crates/agatehold-settings/tests/process.rs
+++ b/crates/agatehold-settings/tests/process.rs
@@ -81,7 +81,7 @@
         "d.ini:8: [platform] address = localhost:7800: expected IP:port of another process",
         "d.ini:9: [pears]: unknown section, expected host, listen, platform, peers, admin, limits, log",
         "d.ini:11: [limits] traffic_threads = 0: expected a number of threads from 1 to 64",
-        "d.ini:12: [limits] speed: unknown key, expected traffic_threads, head_bytes, body_bytes, answer_bytes, head_timeout_ms, body_timeout_ms, caller_connections, quiet_ms, stop_limit_ms",
+        "d.ini:12: [limits] speed: unknown key, expected traffic_threads, head_bytes, body_bytes, answer_bytes, head_timeout_ms, body_timeout_ms, caller_connections, address_ttl_ms, quiet_ms, stop_limit_ms",
         "d.ini:13: [limits]: expected [section], key = value, or a comment that begins with ;",
         "d.ini:14: [host]: the section is in line 2 already, expected it once",
         "d.ini: [peers] secret: the key is missing",
--- a/crates/agatehold-testing/src/fleet/daemon.rs
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -79,12 +79,13 @@
          [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\n\
          [platform]\naddress = {platform}\n\n\
          [admin]\ntoken = {ADMIN_TOKEN}\n\n\
-         [limits]\nquiet_ms = {}\n{}\n\
+         [limits]\naddress_ttl_ms = {}\nquiet_ms = {}\n{}\n\
          [peers]\nsecret = {PEER_SECRET}\n",
         number % 3,
         row.callers,
         row.peers,
         row.admin,
+        options.address_ttl_ms.0,
         options.quiet_ms.0,
         options.limits,
     );
--- a/crates/agatehold-testing/src/fleet/mod.rs
+++ b/crates/agatehold-testing/src/fleet/mod.rs
@@ -62,6 +62,8 @@
     pub seed: u64,
     /// How long the platform's host list lags.
     pub host_lag_ms: DurationMs,
+    /// How long callers keep an address answer.
+    pub address_ttl_ms: DurationMs,
     /// How long a stopping daemon waits for further connections.
     pub quiet_ms: DurationMs,
     /// Further lines of the daemons' section `[limits]`, each with its end.
@@ -77,6 +79,7 @@
             floor: TargetCount(4),
             seed: 1,
             host_lag_ms: DurationMs(10_000),
+            address_ttl_ms: DurationMs(2_000),
             quiet_ms: DurationMs(500),
             limits: "",
         }
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -337,6 +337,7 @@
             last_connection_at: self.shared.last_connection_at(),
         };
         let times = StopTimes {
+            serve_ms: limits.address_ttl_ms,
             quiet_ms: limits.quiet_ms,
             limit_ms: limits.stop_limit_ms,
         };
--- a/crates/agatehold/src/control/mod.rs
+++ b/crates/agatehold/src/control/mod.rs
@@ -189,7 +189,20 @@
         }
     }
 
+    /// Refuses keys that are new once callers that follow the address answers
+    /// have another prefix; the end of the process would lose their records.
+    fn end_own_prefix(&self) {
+        let Some(since) = self.tables.stop.since else {
+            return;
+        };
+        let passed = self.shared.clock.now().since(since);
+        if passed >= self.shared.settings.limits.address_ttl_ms {
+            self.shared.keys().stop_new_keys();
+        }
+    }
+
     fn report_stop(&self, stop_steps: &Sender<StopStep>) {
+        self.end_own_prefix();
         let step = self.next_stop_step();
         if step != StopStep::None {
             // The main thread needs the latest step only.
--- a/crates/agatehold/src/traffic/addresses.rs
+++ b/crates/agatehold/src/traffic/addresses.rs
@@ -13,7 +13,6 @@
 
 use agatehold_core::ids::ServiceName;
 use agatehold_core::refusal::RefusalKind;
-use agatehold_core::units::DurationMs;
 use agatehold_wire::addresses::AddressAnswer;
 use agatehold_wire::addresses::encode;
 
@@ -25,10 +24,6 @@
 use super::intake::Arrival;
 use super::refusal::Refusal;
 
-/// How long callers keep an address answer. A daemon that leaves serves for
-/// at least as long.
-pub(crate) const ADDRESS_TTL_MS: DurationMs = DurationMs(30_000);
-
 /// Returns addresses for a service, in different failure domains.
 pub(crate) fn choose(state: &ThreadState, service: &ServiceName) -> Vec<SocketAddr> {
     let entries = state.shared.entries.load();
@@ -70,7 +65,7 @@
     let body = encode(&AddressAnswer {
         service: service.to_string().into(),
         addresses,
-        ttl_ms: ADDRESS_TTL_MS.0,
+        ttl_ms: state.shared.settings.limits.address_ttl_ms.0,
         key_prefix,
     });
     let mut fields = HeaderMap::new();
