Measure each kind of entity alone, and the peak of memory

Cause: the configuration table grew targets, routes and tenants together and could not tell which of them costs what; the peak while notes are applied was not seen.

Ruled out: a fit over the proportional sizes, where the kinds move together.

Change: four more sizes with one kind at its design size, and VmHWM beside VmRSS.

--- a/crates/agatehold-testing/src/bin/measure_fleet_processes/configuration.rs
+++ b/crates/agatehold-testing/src/bin/measure_fleet_processes/configuration.rs
@@ -25,6 +25,15 @@
 /// The parts of the design size that are measured.
 const DIVISORS: [usize; 4] = [27, 9, 3, 1];
 
+/// The fewest entities with which the services of the design size are valid:
+/// each has two targets and a route.
+const LEAST: ConfigurationSize = ConfigurationSize {
+    services: 340,
+    targets: 680,
+    routes: 340,
+    tenants: 340,
+};
+
 /// The size at which a note is closed and another begun: JSON escapes each
 /// line end, and a value of the platform holds 1 MB.
 const NOTE_BYTES: usize = 700_000;
@@ -66,12 +75,31 @@
     println!(
         "| services | targets | routes | tenants | notes | all notes applied, s | control CPU for \
          them, s | one change in force, median s | slowest s | control CPU for one change, ms | \
-         idle control CPU % | idle CPU % | resident MB |"
+         idle control CPU % | idle CPU % | resident MB | peak MB |"
     );
-    println!("|{}", " --- |".repeat(13));
+    println!("|{}", " --- |".repeat(14));
     for divisor in DIVISORS {
         measure(daemon, FULL.divided_by(divisor))?;
     }
+    // One kind at a time, to tell what each of them costs.
+    let alone = [
+        LEAST,
+        ConfigurationSize {
+            targets: FULL.targets,
+            ..LEAST
+        },
+        ConfigurationSize {
+            routes: FULL.routes,
+            ..LEAST
+        },
+        ConfigurationSize {
+            tenants: FULL.tenants,
+            ..LEAST
+        },
+    ];
+    for size in alone {
+        measure(daemon, size)?;
+    }
     Ok(())
 }
 
@@ -112,7 +140,7 @@
     let percent =
         |after: u64, before: u64| after.saturating_sub(before) as f64 / IDLE.as_secs_f64() / 10.0;
     println!(
-        "| {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.2} | {:.2} | {} | {:.2} | {:.2} | {:.1} |",
+        "| {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.2} | {:.2} | {} | {:.2} | {:.2} | {:.1} | {:.1} |",
         size.services,
         size.targets,
         size.routes,
@@ -134,6 +162,7 @@
         percent(idle.control_cpu_ms.0, changed.control_cpu_ms.0),
         percent(idle.cpu_ms.0, changed.cpu_ms.0),
         sample::megabytes(idle.resident_bytes),
+        sample::megabytes(idle.peak_bytes),
     );
     Ok(())
 }
--- a/crates/agatehold-testing/src/bin/measure_fleet_processes/sample.rs
+++ b/crates/agatehold-testing/src/bin/measure_fleet_processes/sample.rs
@@ -21,6 +21,8 @@
     pub(crate) control_cpu_ms: DurationMs,
     /// Resident memory.
     pub(crate) resident_bytes: ByteCount,
+    /// The most resident memory since the start.
+    pub(crate) peak_bytes: ByteCount,
     /// Encoded envelopes sent to other daemons.
     pub(crate) sent_bytes: ByteCount,
     /// Encoded envelopes received from other daemons.
@@ -51,7 +53,8 @@
     Some(ProcessSample {
         cpu_ms: cpu_time(&format!("/proc/{id}/stat"))?,
         control_cpu_ms: thread_cpu(id, "control")?,
-        resident_bytes: resident(id)?,
+        resident_bytes: memory(id, "VmRSS:")?,
+        peak_bytes: memory(id, "VmHWM:")?,
         sent_bytes: bytes("sent"),
         received_bytes: bytes("received"),
     })
@@ -83,9 +86,10 @@
     None
 }
 
-fn resident(process: u32) -> Option<ByteCount> {
+/// Returns a size in the `status` file of a process.
+fn memory(process: u32, field: &str) -> Option<ByteCount> {
     let text = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix(field))?;
     let kibibytes: u64 = line.split_whitespace().next()?.parse().ok()?;
     Some(ByteCount(kibibytes * 1_024))
 }
