--- a/crates/agatehold-core/src/control/state.rs
+++ b/crates/agatehold-core/src/control/state.rs
@@ -1,6 +1,5 @@
 //! The tables of the control thread.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::addresses::EntryRow;
@@ -54,8 +53,13 @@
     pub permits_listed_at: Option<TimeMs>,
     /// The live state of the targets, shared with the traffic threads.
     pub cells: Table<TargetName, Arc<TargetCell>>,
-    /// The targets that the platform's host list marks as leaving.
-    pub listed_leaving: BTreeSet<TargetName>,
+    /// The targets in the platform's host list, and whether they are leaving.
+    pub listed_targets: Table<TargetName, bool>,
+    /// The targets that are leaving, and when the list or an answer, here or
+    /// at a peer, last said so.
+    pub leaving: Table<TargetName, TimeMs>,
+    /// The start of the last read of the host list that was answered.
+    pub hosts_as_of: Option<TimeMs>,
     /// When the host list was last asked for.
     pub hosts_asked_at: Option<TimeMs>,
     /// When the lease for claims was last asked for.
@@ -70,14 +74,16 @@
     pub entries_outdated: bool,
     /// When the entries were last chosen.
     pub entries_at: Option<TimeMs>,
-    /// When the baselines were last refreshed.
-    pub baselines_at: Option<TimeMs>,
+    /// When the slow bounds were last published.
+    pub slow_bounds_at: Option<TimeMs>,
     /// Reports that wait for the next tick.
     pub reports: Vec<OutcomeReport>,
     /// Crash marks to tell peers, newest last.
     pub marks: Vec<CrashMark>,
     /// The orders of choice that were last logged.
     pub logged: Table<TargetName, Preference>,
+    /// The targets that were last logged as leaving.
+    pub logged_leaving: Table<TargetName, ()>,
     /// The phase that was last published.
     pub published_phase: Option<HostPhase>,
     /// The planned stop.
@@ -95,7 +101,9 @@
             permit_work: Table::new(),
             permits_listed_at: None,
             cells: Table::new(),
-            listed_leaving: BTreeSet::new(),
+            listed_targets: Table::new(),
+            leaving: Table::new(),
+            hosts_as_of: None,
             hosts_asked_at: None,
             claim_lease_asked_at: None,
             claim_lease_at: None,
@@ -103,10 +111,11 @@
             entries: Table::new(),
             entries_outdated: true,
             entries_at: None,
-            baselines_at: None,
+            slow_bounds_at: None,
             reports: Vec::new(),
             marks: Vec::new(),
             logged: Table::new(),
+            logged_leaving: Table::new(),
             published_phase: None,
             stop: StopRow::default(),
         }
--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -1,17 +1,13 @@
 //! Runs the systems over the tables.
 
-use std::collections::BTreeSet;
-
 use rand::Rng;
 
 use crate::addresses::choose_entries;
-use crate::config::TargetState;
 use crate::health;
 use crate::health::record_outcomes;
 use crate::health::refresh_baselines;
 use crate::health::write_verdicts;
 use crate::idempotency::CLAIM_RETENTION_MS;
-use crate::ids::TargetName;
 use crate::membership;
 use crate::note::Head;
 use crate::outcome::OutcomeReport;
@@ -29,10 +25,11 @@
 use super::StateChange;
 use super::exchange::answer_digest;
 use super::exchange::note_peer_change;
+use super::leaving;
 use super::permits;
 
-/// The time between two refreshes of what is normal for the services.
-const BASELINE_PERIOD_MS: DurationMs = DurationMs(1_000);
+/// The time between two publications of the slow bounds.
+const SLOW_BOUNDS_PERIOD_MS: DurationMs = DurationMs(500);
 
 /// The least time between two choices of the entries. At the design size one
 /// choice costs milliseconds, and changes of membership come in bursts.
@@ -49,6 +46,10 @@
 pub const CLAIM_LEASE_TTL_MS: DurationMs =
     DurationMs(CLAIM_RETENTION_MS.0 + CLAIM_LEASE_PERIOD_MS.0);
 
+/// The time between two reads of the host list by a daemon that excludes
+/// targets; an exclusion rests on a list that is at most 15 s old.
+const EJECTION_LIST_PERIOD_MS: DurationMs = DurationMs(4_000);
+
 /// Runs every system once, in the order in which they depend on each other.
 pub fn tick(
     tables: &mut ControlTables,
@@ -62,8 +63,8 @@
     run_membership(tables, now, rng, &mut commands);
     list_hosts(tables, now, &mut commands);
     create_claim_lease(tables, now, &mut commands);
+    leaving::run(tables, now, rng, &mut commands);
     permits::run(tables, now, rng, &mut commands);
-    mark_leaving(tables, &mut commands);
     choose_entry_hosts(tables, now, &mut commands);
     publish_phase(tables, &mut commands);
     commands
@@ -88,12 +89,12 @@
     record_outcomes(&mut tables.health, config, &reports, |report| {
         is_blamed(poison, &report.fingerprint, &report.target)
     });
-    let refresh_due = tables
-        .baselines_at
-        .is_none_or(|at| now.since(at) >= BASELINE_PERIOD_MS);
-    if refresh_due {
-        tables.baselines_at = Some(now);
-        refresh_baselines(&mut tables.health, config);
+    refresh_baselines(&mut tables.health, config);
+    let publish_due = tables
+        .slow_bounds_at
+        .is_none_or(|at| now.since(at) >= SLOW_BOUNDS_PERIOD_MS);
+    if publish_due {
+        tables.slow_bounds_at = Some(now);
         commands.push(Command::PublishSlowBounds);
     }
     let membership = &tables.membership;
@@ -121,17 +122,24 @@
     log_preferences(tables, commands);
 }
 
+/// A target without a verdict is plainly preferred.
 fn log_preferences(tables: &mut ControlTables, commands: &mut Vec<Command>) {
-    for (name, verdict) in tables.judgement.verdicts.rows() {
-        let logged = tables
-            .logged
-            .get_or_insert(name.clone(), || Preference::Preferred);
-        if *logged == verdict.preference {
-            continue;
+    let verdicts = &tables.judgement.verdicts;
+    let mut changed = Vec::new();
+    for (name, verdict) in verdicts.rows() {
+        let logged = tables.logged.get(name).copied();
+        if logged.unwrap_or(Preference::Preferred) != verdict.preference {
+            changed.push((name.clone(), verdict.preference));
         }
-        *logged = verdict.preference;
-        let change = StateChange::Target(name.clone(), verdict.preference);
-        commands.push(Command::Log(change));
+    }
+    for (name, logged) in tables.logged.rows() {
+        if *logged != Preference::Preferred && !verdicts.contains(name) {
+            changed.push((name.clone(), Preference::Preferred));
+        }
+    }
+    for (name, preference) in changed {
+        tables.logged.insert(name.clone(), preference);
+        commands.push(Command::Log(StateChange::Target(name, preference)));
     }
     let config = &tables.spread.log.config;
     tables
@@ -174,7 +182,10 @@
 
 fn list_hosts(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
     let is_watcher = watcher_rank(&tables.membership).is_some();
-    let period = membership::host_list_period(&tables.membership, is_watcher);
+    let mut period = membership::host_list_period(&tables.membership, is_watcher);
+    if permits::is_entry_of_ejection(tables) {
+        period = period.min(EJECTION_LIST_PERIOD_MS);
+    }
     let due = tables
         .hosts_asked_at
         .is_none_or(|at| now.since(at) >= period);
@@ -199,33 +210,6 @@
     commands.push(Command::CreateClaimLease);
 }
 
-/// Marks the targets that take no new work: by the note, by the host list, or
-/// by the target's own answers, whichever says so first.
-fn mark_leaving(tables: &mut ControlTables, commands: &mut Vec<Command>) {
-    // Few targets leave at one time. Looking each of 9,900 targets up in three
-    // tables took more time than the rest of the tick.
-    let mut names: BTreeSet<&TargetName> = tables.listed_leaving.iter().collect();
-    for (name, target) in tables.spread.log.config.targets.rows() {
-        if target.state == TargetState::Leaving {
-            names.insert(name);
-        }
-    }
-    for (name, verdict) in tables.judgement.verdicts.rows() {
-        if verdict.leaving {
-            names.insert(name);
-        }
-    }
-    for (name, cell) in tables.cells.rows() {
-        let leaving = names.contains(name);
-        if cell.is_leaving() == leaving {
-            continue;
-        }
-        cell.set_leaving(leaving);
-        let change = StateChange::Leaving(name.clone(), leaving);
-        commands.push(Command::Log(change));
-    }
-}
-
 fn choose_entry_hosts(tables: &mut ControlTables, now: TimeMs, commands: &mut Vec<Command>) {
     let waits = tables
         .entries_at
--- a/crates/agatehold-core/src/routing/cell.rs
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -37,8 +37,12 @@
     in_flight: AtomicU32,
     /// Requests in the target by its last report, less this daemon's own.
     reported_others: AtomicU32,
+    /// Slots that this daemon uses before others do; at most the slots.
+    home_slots: AtomicU32,
     /// When the report came, in milliseconds.
     reported_at_ms: AtomicU64,
+    /// When this daemon last chose the target, in milliseconds.
+    chosen_at_ms: AtomicU64,
     /// A [`Preference`] as a number.
     preference: AtomicU8,
     /// The share of its work that a ramping target gets, in hundredths.
@@ -72,6 +76,16 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Sets the slots that this daemon uses before others do.
+    pub fn set_home_slots(&self, slots: SlotCount) {
+        self.home_slots.store(slots.0, Ordering::Release);
+    }
+
+    /// Returns the slots that this daemon uses before others do.
+    pub fn home_slots(&self) -> SlotCount {
+        SlotCount(self.home_slots.load(Ordering::Acquire))
+    }
+
     /// Stores the target's load report.
     pub fn report_load(&self, in_target: u32, now: TimeMs) {
         let others = in_target.saturating_sub(self.in_flight());
@@ -100,6 +114,16 @@
         f64::from(self.in_flight()) + others * weight
     }
 
+    /// Notes that the target was chosen.
+    pub fn note_choice(&self, now: TimeMs) {
+        self.chosen_at_ms.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Returns when this daemon last chose the target.
+    pub fn chosen_at(&self) -> TimeMs {
+        TimeMs(self.chosen_at_ms.load(Ordering::Relaxed))
+    }
+
     /// Sets the order of choice.
     pub fn set_preference(&self, preference: Preference) {
         self.preference.store(preference as u8, Ordering::Release);
--- a/crates/agatehold-testing/src/fleet/daemon.rs
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -79,13 +79,14 @@
          [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\n\
          [platform]\naddress = {platform}\n\n\
          [admin]\ntoken = {ADMIN_TOKEN}\n\n\
-         [limits]\nquiet_ms = {}\n\n\
+         [limits]\nquiet_ms = {}\n{}\n\
          [peers]\nsecret = {PEER_SECRET}\n",
         number % 3,
         row.callers,
         row.peers,
         row.admin,
         options.quiet_ms.0,
+        options.limits,
     );
     for row in rows {
         // Writing to a string does not fail.
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -1,6 +1,5 @@
 //! What other threads tell the control thread.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -28,6 +27,7 @@
 use agatehold_core::spread::NoteSource;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
+use agatehold_core::table::Table;
 use agatehold_core::units::TimeMs;
 use agatehold_settings::note::parse_note;
 use agatehold_settings::note::snapshot_note;
@@ -84,7 +84,10 @@
     /// The end of a read or watch of the platform's head.
     HeadRead { head: Option<Head>, sent_at: TimeMs },
     /// The platform's host list.
-    HostsRead(Option<Vec<HostListRow>>),
+    HostsRead {
+        rows: Option<Vec<HostListRow>>,
+        sent_at: TimeMs,
+    },
     /// The permit records with their versions.
     PermitsListed {
         listed: Option<Vec<(ServiceName, PermitVersion)>>,
@@ -149,7 +152,7 @@
                 ),
                 None => spread::platform_failed(&mut self.tables.spread),
             },
-            Input::HostsRead(rows) => self.take_hosts(rows, now),
+            Input::HostsRead { rows, sent_at } => self.take_hosts(rows, sent_at, now),
             Input::PermitsListed { listed, sent_at } => match listed {
                 Some(listed) => {
                     let tables = &mut self.tables;
@@ -232,8 +235,14 @@
                 mark_crash(&mut poison, mark.clone(), now);
             }
         }
-        // A request that crashes targets may be sent again at once.
+        self.tell_neighbours();
+    }
+
+    /// Tells neighbours at once, since a caller may already be sending a
+    /// request that crashes targets to another daemon.
+    fn tell_neighbours(&mut self) {
         membership::push_urgently(&mut self.tables.membership, MARK_PUSHES, &mut self.rng);
+        self.tick();
     }
 
     /// Tells peers at once of crash marks that this daemon made.
@@ -249,7 +258,7 @@
                 None => self.tables.marks.push(mark),
             }
         }
-        membership::push_urgently(&mut self.tables.membership, MARK_PUSHES, &mut self.rng);
+        self.tell_neighbours();
     }
 
     fn take_notes(&mut self, source: &NoteSource, answer: Option<NotesAnswer>) {
@@ -277,12 +286,12 @@
         acceptance
     }
 
-    fn take_hosts(&mut self, rows: Option<Vec<HostListRow>>, now: TimeMs) {
+    fn take_hosts(&mut self, rows: Option<Vec<HostListRow>>, sent_at: TimeMs, now: TimeMs) {
         let Some(rows) = rows else {
             return;
         };
         let mut hosts = Vec::new();
-        let mut leaving = BTreeSet::new();
+        let mut targets = Table::new();
         for row in rows {
             match row.name {
                 ListedName::Entry(id) => hosts.push(ListedHost {
@@ -292,13 +301,12 @@
                     caller_address: Some(row.address),
                     leaving: row.state == ListedState::Leaving,
                 }),
-                ListedName::Target(name) if row.state == ListedState::Leaving => {
-                    leaving.insert(name);
+                ListedName::Target(name) => {
+                    targets.insert(name, row.state == ListedState::Leaving);
                 }
-                ListedName::Target(_) => {}
             }
         }
-        let commands = control::merge_hosts(&mut self.tables, &hosts, leaving, now);
+        let commands = control::merge_hosts(&mut self.tables, &hosts, targets, sent_at, now);
         self.apply(commands);
     }
 
