Test that daemons tell each other which targets say that they leave

A test sends through one daemon until it knows, waits for the bound, and sends through the others, so that the fault shows in every run.

--- a/crates/agatehold/tests/leaving_targets.rs
+++ b/crates/agatehold/tests/leaving_targets.rs
@@ -169,3 +169,43 @@
         unix_now()
     });
 }
+
+/// A daemon that has sent nothing to the target since it leaves learns it only
+/// from the daemon that has, and must not find out by a request of its own.
+#[test]
+fn target_of_which_one_daemon_knows_that_it_is_leaving() {
+    let fleet = start_fleet();
+    let ask = |name: &str, daemon: usize| {
+        let mut options = fleet.caller(name).unwrap();
+        options.daemons = vec![fleet.daemons[daemon].callers];
+        options.asks_addresses = false;
+        options.count = 60;
+        options.shape.method = http::Method::GET;
+        options.shape.keys = KeyMode::None;
+        options.shape.is_non_idempotent = false;
+        caller::start(options).unwrap().join()
+    };
+    fleet
+        .switch_targets(&json!({"targets": [LEAVING], "set": {"leaving": "serve"}}))
+        .unwrap();
+    let mut calls = ask("first", 0);
+    let known_at = fleet
+        .runs()
+        .unwrap()
+        .iter()
+        .filter(|run| run.target == LEAVING)
+        .map(|run| TimeMs(run.started_ms))
+        .min()
+        .expect("daemon 0 has used the target");
+    let wait = (known_at + BOUND_MS).since(unix_now());
+    thread::sleep(Duration::from_millis(wait.0));
+    calls.extend(ask("second", 1));
+    calls.extend(ask("third", 2));
+    let runs = fleet.runs().unwrap();
+    let late = runs
+        .iter()
+        .filter(|run| run.target == LEAVING && TimeMs(run.started_ms) > known_at + BOUND_MS);
+    assert_eq!(late.count(), 0);
+    assert!(calls.iter().all(|call| call.is_success()));
+    fleet.close().unwrap();
+}
