--- a/crates/agatehold-core/src/addresses/entries.rs
+++ b/crates/agatehold-core/src/addresses/entries.rs
@@ -66,6 +66,11 @@
     let total: f64 = slots.rows().map(|(_, count)| *count).sum();
     let mut domains = candidates(membership);
     let daemons: usize = domains.rows().map(|(_, hosts)| hosts.len()).sum();
+    let largest = domains
+        .rows()
+        .map(|(_, hosts)| hosts.len())
+        .max()
+        .unwrap_or(0);
     let mut entries = Table::new();
     if daemons == 0 || total <= 0.0 {
         return entries;
@@ -87,7 +92,14 @@
         let mut chosen = Vec::new();
         for (domain, count) in counts {
             if let Some(hosts) = domains.get_mut(&domain) {
-                chosen.push(take_entries(service, hosts, count, piece, limit));
+                // A domain that lost most of its daemons would be overloaded
+                // if the few that are left had to take every service.
+                let fewest = if hosts.len() * 2 >= largest {
+                    ENTRIES_PER_DOMAIN_MIN
+                } else {
+                    0
+                };
+                chosen.push(take_entries(service, hosts, count, fewest, piece, limit));
             }
         }
         entries.insert(service.clone(), interleave(chosen));
@@ -156,6 +168,7 @@
     service: &ServiceName,
     hosts: &mut [Candidate],
     count: usize,
+    fewest: usize,
     piece: f64,
     limit: f64,
 ) -> Vec<EntryHost> {
@@ -177,10 +190,11 @@
         host.share += piece;
         taken.push(host.entry.clone());
     }
-    // Where too few daemons have room, the least loaded ones take more.
+    // Where too few daemons have room, the least loaded ones take more, up to
+    // the fewest entries that the domain must have.
     full.sort_by(|a, b| a.share.total_cmp(&b.share));
     for host in full {
-        if taken.len() == count {
+        if taken.len() >= fewest {
             break;
         }
         host.share += piece;
--- a/crates/agatehold-core/src/membership/merge.rs
+++ b/crates/agatehold-core/src/membership/merge.rs
@@ -23,6 +23,10 @@
 /// The hosts that a suspected daemon sends its heartbeat to at once.
 const REFUTATION_HEARERS: usize = 4;
 
+/// Every fourth message carries a row in turn. A row that every news of it
+/// missed is repaired by any peer within minutes.
+const REPAIR_EACH: u64 = 4;
+
 /// The most corrections that wait for an exchange.
 const CORRECTIONS_MAX: usize = 32;
 
@@ -149,7 +153,8 @@
     let limit = if starting {
         JOIN_ROWS_MAX
     } else {
-        DIGEST_ROWS_MAX.min(rows.len() + 1)
+        let repair = membership.own.heartbeat.0.is_multiple_of(REPAIR_EACH);
+        DIGEST_ROWS_MAX.min(rows.len() + usize::from(repair))
     };
     push_repairs(membership, to, limit, now, &mut rows);
     rows
@@ -293,10 +298,13 @@
     }
     let was = row.standing.clone();
     let changed = merge_same_start(row, news, direct, now, changes);
+    let is = row.standing.clone();
     if changed {
-        row.sends_left = quota;
+        // One accusation concerns the neighbours of the host, who get it
+        // first; flooding each lost message would exceed the bandwidth.
+        let minor = is != was && was.rank().max(is.rank()) <= 1;
+        row.sends_left = row.sends_left.max(if minor { quota / 4 } else { quota });
     }
-    let is = row.standing.clone();
     if is != was {
         membership.ring_changed |= was.rank().max(is.rank()) == 3;
         react(membership, &news.host, &was, &is, direct, now);
@@ -387,6 +395,7 @@
                 // Callers must stop using the host; waiting for the regular
                 // exchanges takes seconds longer.
                 neighbours::push_next(membership);
+                neighbours::push_next(membership);
             }
             let tried = membership.peers.get(host).is_some_and(|row| {
                 row.own_failure
--- a/crates/agatehold-core/src/membership/neighbours.rs
+++ b/crates/agatehold-core/src/membership/neighbours.rs
@@ -26,9 +26,16 @@
 /// a partition find each other again when it ends.
 const GONE_TURN: u64 = 8;
 
-/// The most urgent exchanges in one tick, so that many suspicions at once
-/// do not exceed the bandwidth of a daemon.
-const URGENT_PER_TICK: usize = 4;
+/// The time after which one more urgent exchange may begin. Many suspicions
+/// at once, as in a partition, must not exceed the bandwidth of a daemon.
+const URGENT_PERIOD: DurationMs = DurationMs(250);
+
+/// The most urgent exchanges that begin together.
+const URGENT_BURST: u64 = 8;
+
+/// The most urgent exchanges that wait; news that come later are passed on by
+/// the regular exchanges.
+const URGENT_MAX: usize = 32;
 
 /// Returns the place of a host in the ring of neighbours.
 pub fn ring_position(host: &HostId) -> u64 {
@@ -89,12 +96,22 @@
     at_offsets(membership, host, |place, offset| place + count - offset)
 }
 
-/// Adds an exchange with `host` to the next tick.
+/// Adds an exchange with `host` before all that wait.
 pub(super) fn push_to(membership: &mut Membership, host: &HostId) {
-    if *host == membership.own.id || membership.plan.urgent.contains(host) {
+    let waiting = &mut membership.plan.urgent;
+    if *host == membership.own.id || waiting.contains(host) {
         return;
     }
-    membership.plan.urgent.push(host.clone());
+    waiting.truncate(URGENT_MAX - 1);
+    waiting.insert(0, host.clone());
+}
+
+/// Adds an exchange with `host` after all that wait.
+fn push_after(membership: &mut Membership, host: &HostId) {
+    let waiting = &mut membership.plan.urgent;
+    if waiting.len() < URGENT_MAX && !waiting.contains(host) {
+        waiting.push(host.clone());
+    }
 }
 
 /// Adds exchanges with `count` neighbours to the next tick, for news that
@@ -115,7 +132,7 @@
     let turn = membership.plan.push_turn;
     membership.plan.push_turn = turn.wrapping_add(1);
     if let Some(host) = next_neighbour(membership, turn) {
-        push_to(membership, &host);
+        push_after(membership, &host);
     }
 }
 
@@ -135,11 +152,7 @@
         rebuild_ring(membership);
     }
 
-    let waiting = membership
-        .plan
-        .urgent
-        .split_off(membership.plan.urgent.len().min(URGENT_PER_TICK));
-    let mut partners = std::mem::replace(&mut membership.plan.urgent, waiting);
+    let mut partners = take_urgent(membership, now);
     partners.retain(|host| membership.peers.contains(host));
     if now < membership.plan.next_at {
         return (partners, changes);
@@ -166,6 +179,20 @@
     (partners, changes)
 }
 
+/// Takes as many urgent exchanges as there is credit for, oldest first.
+fn take_urgent(membership: &mut Membership, now: TimeMs) -> Vec<HostId> {
+    let plan = &mut membership.plan;
+    let earned = now.since(plan.credit_at).0 / URGENT_PERIOD.0;
+    plan.credit_at = plan.credit_at + URGENT_PERIOD.times(earned);
+    plan.urgent_credit = plan.urgent_credit.saturating_add(earned).min(URGENT_BURST);
+    let mut taken = Vec::new();
+    while plan.urgent_credit > 0 && !plan.urgent.is_empty() {
+        taken.push(plan.urgent.remove(0));
+        plan.urgent_credit -= 1;
+    }
+    taken
+}
+
 fn regular_partner(membership: &mut Membership, rng: &mut impl Rng) -> Option<HostId> {
     let turn = next_turn(membership);
     if turn % GONE_TURN == GONE_TURN - 1
--- a/crates/agatehold-core/src/membership/rows.rs
+++ b/crates/agatehold-core/src/membership/rows.rs
@@ -208,8 +208,12 @@
     pub start_turn: u64,
     /// Counts exchanges for news; selects the next neighbour for them.
     pub push_turn: u64,
-    /// Hosts to exchange with at the next tick, beside the regular one.
+    /// Hosts to exchange with soon, beside the regular one.
     pub urgent: Vec<HostId>,
+    /// How many urgent exchanges may begin now.
+    pub urgent_credit: u64,
+    /// When the credit was last raised.
+    pub credit_at: TimeMs,
     /// Pairs of a host and another one of which it holds something refuted.
     pub corrections: Vec<(HostId, HostId)>,
     /// The last row that a digest carried for repair, not as news.
--- a/crates/agatehold-core/src/membership/suspicion.rs
+++ b/crates/agatehold-core/src/membership/suspicion.rs
@@ -15,7 +15,7 @@
 pub(super) const ACCUSATION_WINDOW: DurationMs = DurationMs(3_000);
 
 /// The time that a suspected host has to refute.
-const REFUTATION_TIME: DurationMs = DurationMs(4_000);
+const REFUTATION_TIME: DurationMs = DurationMs(5_000);
 
 /// The time after which a host that made no observation of its own removes a
 /// suspected host. News of a refutation reach the whole fleet in this time.
@@ -54,7 +54,7 @@
     if !adopt(row, accusation) {
         return changes;
     }
-    row.sends_left = quota;
+    row.sends_left = if was_alive { quota / 4 } else { quota };
     changes.push(PeerChange::Standing(host.clone(), row.standing.clone()));
     if was_alive {
         neighbours::push_to(membership, host);
--- a/crates/agatehold-core/src/spread/start.rs
+++ b/crates/agatehold-core/src/spread/start.rs
@@ -54,8 +54,6 @@
         let peers = self.highest().number;
         match platform.head {
             Some(head) => Some(head.number.max(peers)),
-            // Peers that hold no note can't tell whether there is one.
-            None if peers == NoteNumber(0) => None,
             None => Some(peers),
         }
     }
--- a/crates/agatehold-core/src/spread/watch.rs
+++ b/crates/agatehold-core/src/spread/watch.rs
@@ -6,6 +6,7 @@
 use crate::membership::HostPhase;
 use crate::membership::Membership;
 use crate::membership::Standing;
+use crate::membership::ring_position;
 use crate::note::Head;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
@@ -109,11 +110,11 @@
     } else {
         WATCH_WAIT
     };
-    if spread
-        .platform
-        .asked_at
-        .is_none_or(|at| now.since(at) >= period)
-    {
+    // The slots of daemons differ, so that an outage makes no burst of reads.
+    let phase = ring_position(&membership.own.id) % period.0;
+    let slot = |at: TimeMs| at.0.saturating_add(phase) / period.0;
+    let last = *spread.platform.asked_at.get_or_insert(now);
+    if slot(now) != slot(last) {
         ask(spread, now, SpreadCommand::ReadHead, commands);
     }
 }
--- /dev/null
+++ b/crates/agatehold-core/tests/fresh_start.rs
@@ -0,0 +1,132 @@
+//! Guards with which configuration a daemon without any begins to serve.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use agatehold_core::ids::HostId;
+use agatehold_core::membership::HostPhase;
+use agatehold_core::units::DurationMs;
+use agatehold_measure_fleet::configs;
+use agatehold_measure_fleet::fleet;
+use agatehold_measure_fleet::fleet::Fleet;
+use agatehold_measure_fleet::fleet::FleetPlan;
+
+fn settings(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        failure_persistence: None,
+        max_shrink_iters: 64,
+        ..ProptestConfig::default()
+    }
+}
+
+fn fleet_of_48(seed: u64) -> Fleet {
+    fleet::warm(FleetPlan {
+        daemons: 48,
+        domains: 3,
+        loss: 0.0,
+        seed,
+    })
+}
+
+fn wait(fleet: &mut Fleet, ms: u64) {
+    let end = fleet.now + DurationMs(ms);
+    fleet::advance(fleet, end);
+}
+
+fn serving(fleet: &Fleet) -> usize {
+    let rows = fleet.daemons.rows();
+    rows.filter(|(_, row)| row.membership.own.phase == HostPhase::Serving)
+        .count()
+}
+
+/// Cuts `hosts` off from all but `friend`, and from the platform.
+fn cut_off(fleet: &mut Fleet, hosts: &[HostId], friend: &HostId) {
+    let all: Vec<HostId> = fleet.daemons.keys().cloned().collect();
+    for host in hosts {
+        fleet.faults.platform_cut.insert(host.clone());
+        for other in &all {
+            if other != friend && other != host {
+                fleet.faults.cut.insert((host.clone(), other.clone()));
+                fleet.faults.cut.insert((other.clone(), host.clone()));
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(settings(6))]
+
+    /// Without the platform, a fresh daemon that asked only stragglers would
+    /// serve a state that was replaced.
+    #[test]
+    fn finds_the_newest_note_among_stragglers(seed in any::<u64>(), count in 1_usize..22, restored in any::<bool>()) {
+        let mut fleet = fleet_of_48(seed);
+        let fresh = configs::host(47);
+        let stragglers: Vec<HostId> = fleet.daemons.keys().take(count).cloned().collect();
+        cut_off(&mut fleet, &stragglers, &fresh);
+        // The fresh daemon is down while the note is released.
+        fleet::kill(&mut fleet, &fresh);
+        let record = fleet::release(&mut fleet, "tenant 900", configs::tenant_note(900));
+        wait(&mut fleet, 9_000);
+        if restored {
+            // It must not believe a platform that lost the note either.
+            fleet.platform.records.truncate(1);
+            fleet.faults.platform_cut = fleet.daemons.keys().cloned().collect();
+            fleet.faults.platform_cut.remove(&fresh);
+        } else {
+            fleet.platform.up = false;
+        }
+        fleet::restart(&mut fleet, &fresh);
+        for _ in 0..100 {
+            wait(&mut fleet, 100);
+            let row = fleet.daemons.get(&fresh).unwrap();
+            if row.spread.start.done {
+                prop_assert_eq!(row.spread.log.head, record.header.head());
+            }
+        }
+        prop_assert!(fleet.daemons.get(&fresh).unwrap().spread.start.done);
+    }
+
+    /// Half of the fleet or less may lack a note that the rest holds.
+    #[test]
+    fn does_not_start_on_a_minority(seed in any::<u64>()) {
+        let mut fleet = fleet_of_48(seed);
+        fleet.platform.up = false;
+        for number in 0..24 {
+            fleet.faults.apart.insert(configs::host(number));
+        }
+        fleet::restart(&mut fleet, &configs::host(3));
+        wait(&mut fleet, 30_000);
+        let row = fleet.daemons.get(&configs::host(3)).unwrap();
+        prop_assert_eq!(row.membership.own.phase, HostPhase::Starting);
+    }
+
+    /// While most hosts are fresh, the rest may be the stragglers.
+    #[test]
+    fn does_not_start_while_most_are_fresh(seed in any::<u64>()) {
+        let mut fleet = fleet_of_48(seed);
+        fleet.platform.up = false;
+        for number in 0..26 {
+            fleet::restart(&mut fleet, &configs::host(number));
+        }
+        wait(&mut fleet, 20_000);
+        prop_assert_eq!(serving(&fleet), 22);
+    }
+
+    /// When nobody holds a configuration, nobody may serve an empty one.
+    #[test]
+    fn waits_for_the_platform_when_all_are_fresh(seed in any::<u64>()) {
+        let mut fleet = fleet_of_48(seed);
+        fleet.platform.up = false;
+        for number in 0..48 {
+            fleet::restart(&mut fleet, &configs::host(number));
+        }
+        wait(&mut fleet, 20_000);
+        prop_assert_eq!(serving(&fleet), 0);
+        fleet.platform.up = true;
+        wait(&mut fleet, 10_000);
+        prop_assert_eq!(serving(&fleet), 48);
+    }
+}
--- a/crates/agatehold-core/tests/membership_fleet.rs
+++ b/crates/agatehold-core/tests/membership_fleet.rs
@@ -17,6 +17,7 @@
         cases,
         rng_seed: RngSeed::Fixed(0x5eed),
         failure_persistence: None,
+        max_shrink_iters: 64,
         ..ProptestConfig::default()
     }
 }
@@ -74,7 +75,7 @@
 }
 
 proptest! {
-    #![proptest_config(settings(4))]
+    #![proptest_config(settings(10))]
 
     /// Lost messages and one-way partitions must not remove a healthy host.
     #[test]
@@ -185,3 +186,25 @@
         }
     }
 }
+
+/// In a large fleet a daemon that is cut off sees too few accusations to
+/// miss the majority; it must notice that nobody sends to it.
+#[test]
+fn isolates_a_daemon_cut_off_from_a_large_fleet() {
+    let plan = FleetPlan {
+        daemons: 200,
+        domains: 7,
+        loss: 0.0,
+        seed: 11,
+    };
+    let mut fleet = fleet::warm(plan);
+    fleet.platform.up = false;
+    fleet.faults.apart.insert(configs::host(7));
+    wait(&mut fleet, 13_000);
+    let phases = fleet.daemons.rows();
+    let isolated: Vec<&HostId> = phases
+        .filter(|(_, row)| row.membership.own.phase == HostPhase::Isolated)
+        .map(|(id, _)| id)
+        .collect();
+    assert_eq!(isolated, vec![&configs::host(7)]);
+}
--- a/crates/agatehold-core/tests/membership_rows.rs
+++ b/crates/agatehold-core/tests/membership_rows.rs
@@ -63,7 +63,10 @@
     membership::merge(&mut table, &digest_of(&own(1, 7), 0), TimeMs(10));
     let changes = membership::merge(&mut table, &digest_of(&own(1, 9), 0), TimeMs(20));
     assert_eq!(changes, vec![PeerChange::Restarted(configs::host(1))]);
-    assert!(membership::merge(&mut table, &digest_of(&own(1, 7), 0), TimeMs(30)).is_empty());
+    let mut former = own(1, 7);
+    former.heartbeat = Heartbeat(900);
+    former.phase = HostPhase::Leaving;
+    assert!(membership::merge(&mut table, &digest_of(&former, 0), TimeMs(30)).is_empty());
     let row = table.peers.get(&configs::host(1)).unwrap();
     assert_eq!(row.incarnation, Incarnation(9));
 }
@@ -124,6 +127,19 @@
     }
 }
 
+/// A host with a broken path fails again and again; its second failure must
+/// not count as a second accuser.
+#[test]
+fn counts_an_accuser_once() {
+    let mut table = table_of(0);
+    membership::merge(&mut table, &digest_of(&own(1, 7), 0), TimeMs(10));
+    for at in [TimeMs(100_000), TimeMs(100_600), TimeMs(102_000)] {
+        membership::unreachable(&mut table, &configs::host(1), at, at);
+        let host = table.peers.get(&configs::host(1)).unwrap();
+        assert!(matches!(host.standing, Standing::Accused { .. }));
+    }
+}
+
 /// The platform's list lags: it must not remove a host that sends
 /// heartbeats, nor keep one that is gone for ever.
 #[test]
@@ -157,6 +173,7 @@
     let mut table = table_of(0);
     let row = table.peers.get_mut(&configs::host(1)).unwrap();
     row.standing = Standing::Gone { since: TimeMs(30) };
+    row.listed = false;
     membership::run(&mut table, TimeMs(24 * 3_600_000), &mut rng);
     assert_eq!(membership::contact(&table, TimeMs(0)).known, 3);
 }
--- a/crates/agatehold-core/tests/note_spread.rs
+++ b/crates/agatehold-core/tests/note_spread.rs
@@ -17,6 +17,7 @@
         cases,
         rng_seed: RngSeed::Fixed(0x5eed),
         failure_persistence: None,
+        max_shrink_iters: 64,
         ..ProptestConfig::default()
     }
 }
