--- a/crates/agatehold-core/src/membership/suspicion.rs
+++ b/crates/agatehold-core/src/membership/suspicion.rs
@@ -54,7 +54,7 @@
     if !adopt(row, accusation) {
         return changes;
     }
-    row.sends_left = quota;
+    row.sends_left = if was_alive { quota / 4 } else { quota };
     changes.push(PeerChange::Standing(host.clone(), row.standing.clone()));
     if was_alive {
         neighbours::push_to(membership, host);
