Measure the fleet's control work and set it against the aims

Ruled out: a 30 s watch of the head (unconfirmed for longer than the isolation time); reads of the head by every unconfirmed daemon at its own time (880 daemons: 14.4 calls a second in the first minute, 3.6 in slots).

--- a/crates/agatehold-measure-fleet/src/fleet/drive.rs
+++ b/crates/agatehold-measure-fleet/src/fleet/drive.rs
@@ -30,6 +30,7 @@
 use super::rows::Fleet;
 use super::rows::Happening;
 use super::rows::WaitingWatch;
+use super::setup;
 
 /// The time a message takes one way, rounded up from 1.5 ms.
 const LATENCY: DurationMs = DurationMs(2);
@@ -40,6 +41,9 @@
 /// How long a daemon waits for the platform.
 const PLATFORM_TIMEOUT: DurationMs = DurationMs(1_000);
 
+/// How far the platform's host list lags.
+const HOST_LIST_LAG: DurationMs = DurationMs(10_000);
+
 /// The period of a daemon's ticker.
 const TICK: DurationMs = DurationMs(100);
 
@@ -165,6 +169,7 @@
     let commands = spread::run(&mut row.spread, &mut row.membership, now, &mut fleet.rng);
     let (partners, _) = membership::run(&mut row.membership, now, &mut fleet.rng);
     schedule(fleet, now + TICK, Happening::Tick(host.clone(), start));
+    read_host_list(fleet, host, start);
     for partner in partners {
         exchange(fleet, host, start, &partner);
     }
@@ -173,6 +178,32 @@
     }
 }
 
+/// Reads the host list where this is due.
+fn read_host_list(fleet: &mut Fleet, host: &HostId, start: u32) {
+    let now = fleet.now;
+    let Some(row) = running(fleet, host, start) else {
+        return;
+    };
+    if now < row.host_list_at {
+        return;
+    }
+    let watcher = spread::watcher_rank(&row.membership).is_some();
+    row.host_list_at = now + membership::host_list_period(&row.membership, watcher);
+    if !fleet.platform.up || fleet.faults.platform_cut.contains(host) {
+        return;
+    }
+    fleet.platform.calls.read_hosts += 1;
+    let mut list = Vec::new();
+    for (_, row) in fleet.daemons.rows() {
+        if row.running || now.since(row.stopped_at) < HOST_LIST_LAG {
+            list.push(setup::listed(&row.membership.own));
+        }
+    }
+    if let Some(row) = running(fleet, host, start) {
+        membership::merge_host_list(&mut row.membership, &list, now);
+    }
+}
+
 fn exchange(fleet: &mut Fleet, host: &HostId, start: u32, partner: &HostId) {
     let now = fleet.now;
     let Some(row) = running(fleet, host, start) else {
@@ -197,7 +228,7 @@
         Happening::TimedOut(call.clone()),
     );
     if arrives(fleet, host, partner) {
-        count_bytes(fleet, host, partner, &digest);
+        count_bytes(fleet, host, partner, &digest, false);
         let what = Happening::Request(call, Box::new(digest));
         schedule(fleet, now + LATENCY, what);
     }
@@ -215,7 +246,13 @@
 }
 
 /// Counts the size of a sealed message, whose names and tag are real.
-fn count_bytes(fleet: &mut Fleet, from: &HostId, to: &HostId, digest: &PeerDigest) {
+fn count_bytes(
+    fleet: &mut Fleet,
+    from: &HostId,
+    to: &HostId,
+    digest: &PeerDigest,
+    is_answer: bool,
+) {
     if !fleet.measure_bytes {
         return;
     }
@@ -228,7 +265,7 @@
         incarnation: digest.sender.incarnation,
         // A week of messages, as for the size of a long-running daemon.
         sequence: 1_200_000,
-        answers: Some((digest.sender.incarnation, 1_200_000)),
+        answers: is_answer.then_some((digest.sender.incarnation, 1_200_000)),
     };
     let body = peers::encode_digest(digest);
     let envelope = peers::seal(&key, Method::Exchange, &header, body);
@@ -252,7 +289,7 @@
     let confirmed = row.spread.confirmed_at();
     let answer = membership::digest(&mut row.membership, &call.from, head, confirmed, now);
     if arrives(fleet, &call.to, &call.from) {
-        count_bytes(fleet, &call.to.clone(), &call.from.clone(), &answer);
+        count_bytes(fleet, &call.to, &call.from, &answer, true);
         schedule(
             fleet,
             now + LATENCY,
--- a/crates/agatehold-measure-fleet/src/fleet/rows.rs
+++ b/crates/agatehold-measure-fleet/src/fleet/rows.rs
@@ -45,6 +45,10 @@
     pub running: bool,
     /// Counts the starts of the process; messages to an earlier one are lost.
     pub start: u32,
+    /// When the process ended, if it does not run.
+    pub stopped_at: TimeMs,
+    /// When it next reads the host list.
+    pub host_list_at: TimeMs,
     /// The bytes of the bodies that it sent, if they are measured.
     pub sent_bytes: u64,
     /// The bytes of the bodies that it received.
--- a/crates/agatehold-measure-fleet/src/fleet/setup.rs
+++ b/crates/agatehold-measure-fleet/src/fleet/setup.rs
@@ -154,11 +154,15 @@
 
 fn add_daemon(fleet: &mut Fleet, membership: Membership, spread: Spread, start: u32) {
     let id = membership.own.id.clone();
+    // Daemons are at any place of the period in which they read the list.
+    let period = membership::host_list_period(&membership, false).0;
     let row = DaemonRow {
         membership,
         spread,
         running: true,
         start,
+        stopped_at: TimeMs(0),
+        host_list_at: fleet.now + DurationMs(fleet.rng.random_range(0..period)),
         sent_bytes: 0,
         received_bytes: 0,
         exchanges: 0,
@@ -171,7 +175,9 @@
 
 /// Ends the process of a daemon; what was sent to it is lost.
 pub fn kill(fleet: &mut Fleet, host: &HostId) {
+    let now = fleet.now;
     if let Some(row) = fleet.daemons.get_mut(host) {
+        row.stopped_at = now;
         row.running = false;
         row.start += 1;
     }
--- a/crates/agatehold-measure-fleet/src/lib.rs
+++ b/crates/agatehold-measure-fleet/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod configs;
 pub mod fleet;
+pub mod measure;
