Add tests of gray targets, ejection, silent connections and crash markers

Cause: avoidance, ejection and the poisoned-request rule had no test with real processes.

Ruled out: an ejection that never comes for want of a rule's condition.

Change: 8 tests. A target of six fails all, fails half, hangs or is 10 times slower; three failing targets with a floor of 4; the platform down before and during an ejection; idle connections that go silent; a request that crashes its target and is sent again through every daemon nine times.

--- /dev/null
+++ b/crates/agatehold/tests/gray_targets.rs
@@ -0,0 +1,363 @@
+//! Guards that work is kept from targets that fail in part, that the others
+//! stay in use, and that ejection keeps to the floor and to the platform.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::RequestsPerSecond;
+use agatehold_testing::caller;
+use agatehold_testing::caller::CallerOptions;
+use agatehold_testing::caller::KeyMode;
+use agatehold_testing::caller::Load;
+use agatehold_testing::caller::RunningCaller;
+use agatehold_testing::common::read_control;
+use agatehold_testing::common::unix_now;
+use agatehold_testing::fleet::Fleet;
+use agatehold_testing::fleet::FleetOptions;
+use agatehold_testing::fleet::wait_until;
+use agatehold_testing::history;
+use agatehold_testing::history::CallRecord;
+use agatehold_wire::admin::EjectionsAnswer;
+use agatehold_wire::admin::TargetEntry;
+use agatehold_wire::admin::TargetRank;
+use agatehold_wire::admin::TargetsAnswer;
+
+/// The target that fails.
+const GRAY: usize = 1;
+
+/// The time in which the fleet has to find the target; it is a step of the
+/// test and no measure of detection.
+const DETECTION: Duration = Duration::from_secs(5);
+
+/// How long the share of requests is measured.
+const MEASURED: Duration = Duration::from_secs(4);
+
+fn start_fleet() -> Fleet {
+    start_fleet_of(3)
+}
+
+fn start_fleet_of(daemons: usize) -> Fleet {
+    let options = FleetOptions {
+        daemons,
+        host_lag_ms: DurationMs(0),
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start(Path::new(env!("CARGO_BIN_EXE_agatehold")), options).expect("a fleet");
+    fleet
+        .switch_targets(&json!({"set": {"delay": {"uniform_ms": [5, 15]}}}))
+        .expect("switched");
+    // Only targets that the host list shows as live may be ejected.
+    let rows = fleet.targets.targets.iter().enumerate();
+    let rows = rows.map(|(number, address)| {
+        json!({
+            "name": format!("certificates-{number}"),
+            "kind": "target",
+            "address": address,
+            "failure_domain": format!("domain-{}", number % 3),
+            "state": "live",
+        })
+    });
+    let hosts: Value = rows.collect();
+    fleet
+        .switch_platform(&json!({"hosts": hosts}))
+        .expect("switched");
+    fleet
+}
+
+fn lookups(fleet: &Fleet, name: &str) -> CallerOptions {
+    let mut options = fleet.caller(name).expect("valid names");
+    options.attempts = 1;
+    options.shape.method = http::Method::GET;
+    options.shape.keys = KeyMode::None;
+    options.shape.is_non_idempotent = false;
+    options
+}
+
+fn ejections(fleet: &Fleet, daemon: usize) -> EjectionsAnswer {
+    let bytes = fleet.daemons[daemon].read_admin("/v1/ejections");
+    serde_json::from_slice(&bytes.expect("an answer")).expect("ejections")
+}
+
+fn ejected_count(fleet: &Fleet) -> usize {
+    let counts = (0..fleet.daemons.len()).map(|daemon| ejections(fleet, daemon).ejections.len());
+    counts.max().unwrap_or(0)
+}
+
+/// Returns the targets as all daemons see them.
+fn target_rows(fleet: &Fleet) -> Vec<TargetEntry> {
+    let mut rows = Vec::new();
+    for daemon in &fleet.daemons {
+        let bytes = daemon.read_admin("/v1/targets").expect("an answer");
+        let answer: TargetsAnswer = serde_json::from_slice(&bytes).expect("targets");
+        rows.extend(answer.targets);
+    }
+    rows
+}
+
+/// Returns how many of the other targets any daemon avoids.
+fn avoided_others(fleet: &Fleet) -> usize {
+    let gray = format!("certificates-{GRAY}");
+    let rows = target_rows(fleet);
+    let others = rows.iter().filter(|row| row.name.as_str() != gray);
+    others.filter(|row| row.rank == TargetRank::Avoided).count()
+}
+
+/// Returns how many targets any daemon excludes.
+fn excluded_count(fleet: &Fleet) -> usize {
+    let rows = target_rows(fleet);
+    rows.iter()
+        .filter(|row| row.rank == TargetRank::Excluded)
+        .count()
+}
+
+/// Switches a fault of one target on under load and checks what reaches it
+/// after the time for detection; `failures_max` bounds the failures that
+/// callers see in that time.
+fn check_gray(what: &str, fault: &Value, failures_max: usize) {
+    let fleet = start_fleet();
+    let mut options = lookups(&fleet, "lookup");
+    options.count = u64::MAX;
+    options.load = Load::Open("90".parse::<RequestsPerSecond>().expect("a rate"));
+    options.shape.timeout_ms = Some(DurationMs(1_000));
+    let running = caller::start(options).expect("a caller");
+    thread::sleep(Duration::from_secs(2));
+    fleet
+        .switch_targets(&json!({"targets": [GRAY], "set": fault}))
+        .expect("switched");
+    thread::sleep(DETECTION);
+    let measured_from = unix_now();
+    thread::sleep(MEASURED);
+    let avoided = avoided_others(&fleet);
+    let ejected = ejected_count(&fleet);
+    running.stop();
+    let calls = running.join();
+    let runs = fleet.runs().expect("the targets' records");
+    let mut measured = 0;
+    let mut at_gray = 0;
+    for run in &runs {
+        if run.started_ms >= measured_from.0 {
+            measured += 1;
+            at_gray += usize::from(run.target == GRAY);
+        }
+    }
+    let failures = |call: &&CallRecord| !call.is_success();
+    let in_all = calls.iter().filter(failures).count();
+    let late = calls.iter().filter(|call| call.sent_at >= measured_from);
+    let late = late.filter(failures).count();
+    println!(
+        "{what}: {at_gray} of {measured} runs at the target after detection; \
+         {in_all} of {} requests failed, {late} of them after detection; ejected {ejected}; \
+         others avoided {avoided}",
+        calls.len()
+    );
+    assert!(measured > 200, "{measured}");
+    // A healthy target has one run in 6; what is left is for trials.
+    assert!(at_gray * 20 <= measured, "{at_gray} of {measured}");
+    assert!(in_all <= failures_max, "{in_all}");
+    assert_eq!(avoided, 0);
+    assert!(ejected <= 2, "{ejected}");
+    assert_eq!(history::check_own_answer(&calls), Vec::new());
+    fleet.close().expect("closed");
+}
+
+/// A target that fails everything, while its probes succeed, takes a sixth of
+/// the work for as long as it counts as healthy.
+#[test]
+fn target_that_fails_everything() {
+    check_gray("fails all", &json!({"fail_share": 1.0}), 30);
+}
+
+/// Half of the work that fails is a fault as well, though half succeeds.
+#[test]
+fn target_that_fails_half() {
+    check_gray("fails half", &json!({"fail_share": 0.5}), 30);
+}
+
+/// A target that hangs gives no failure before the deadline, and holds slots.
+#[test]
+fn target_that_hangs() {
+    check_gray("hangs", &json!({"hang": true}), 60);
+}
+
+/// A target that is 10 times slower fails nothing and delays a sixth.
+#[test]
+fn target_that_is_ten_times_slower() {
+    check_gray("slow", &json!({"delay": {"uniform_ms": [50, 150]}}), 10);
+}
+
+/// A daemon ejects nothing before it has followed the permit records for 20 s,
+/// since exclusions of before its start may still be in force.
+const FOLLOWED: Duration = Duration::from_secs(22);
+
+/// Starts a fleet that may eject, under load.
+fn start_ejecting() -> (Fleet, RunningCaller) {
+    let fleet = start_fleet_of(6);
+    let mut options = lookups(&fleet, "lookup");
+    options.count = u64::MAX;
+    options.duration_ms = DurationMs(120_000);
+    options.asks_addresses = false;
+    options.load = Load::Open("200".parse::<RequestsPerSecond>().expect("a rate"));
+    let running = caller::start(options).expect("a caller");
+    thread::sleep(FOLLOWED);
+    (fleet, running)
+}
+
+/// Ejecting every failing target leaves the rest without capacity: of 6
+/// targets with a floor of 4, at most 2 may be ejected.
+#[test]
+fn ejections_keep_to_the_floor() {
+    let (fleet, running) = start_ejecting();
+    let mut most = 0;
+    for failing in [vec![0], vec![0, 1], vec![0, 1, 2]] {
+        fleet
+            .switch_targets(&json!({"targets": failing, "set": {"fail_share": 1.0}}))
+            .unwrap();
+        for _ in 0..100 {
+            thread::sleep(Duration::from_millis(100));
+            most = ejected_count(&fleet).max(most);
+        }
+    }
+    running.stop();
+    let calls = running.join();
+    println!("floor: at most {most} ejected");
+    assert!(most >= 1, "nothing was ejected");
+    assert!(most <= 2, "{most}");
+    assert_eq!(history::check_own_answer(&calls), Vec::new());
+    fleet.close().unwrap();
+}
+
+/// A daemon that ejects without the platform breaks the floor together with
+/// others that it can't see.
+#[test]
+fn ejection_needs_the_platform_and_lapses_without_it() {
+    let (fleet, running) = start_ejecting();
+    fleet.switch_platform(&json!({"down": true})).unwrap();
+    fleet
+        .switch_targets(&json!({"targets": [GRAY], "set": {"fail_share": 1.0}}))
+        .unwrap();
+    for _ in 0..40 {
+        thread::sleep(Duration::from_millis(100));
+        assert_eq!(ejected_count(&fleet), 0);
+        assert_eq!(excluded_count(&fleet), 0);
+    }
+    fleet.switch_platform(&json!({"down": false})).unwrap();
+    fleet
+        .switch_targets(&json!({"targets": [GRAY + 1], "set": {"fail_share": 1.0}}))
+        .unwrap();
+    wait_until("an exclusion", || excluded_count(&fleet) > 0).unwrap();
+    fleet.switch_platform(&json!({"down": true})).unwrap();
+    // 15 s after the last confirmation the target counts as avoided again.
+    wait_until("its end", || excluded_count(&fleet) == 0).unwrap();
+    running.stop();
+    let calls = running.join();
+    assert_eq!(history::check_own_answer(&calls), Vec::new());
+    fleet.close().unwrap();
+}
+
+/// Returns the sum of a counter over all daemons.
+fn counter(fleet: &Fleet, name: &str) -> u64 {
+    let mut sum = 0;
+    for daemon in &fleet.daemons {
+        let bytes = daemon.read_admin("/metrics").expect("an answer");
+        for line in String::from_utf8_lossy(&bytes).lines() {
+            let Some((series, value)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            if series.split('{').next() == Some(name) {
+                sum += value.parse::<u64>().expect("a count");
+            }
+        }
+    }
+    sum
+}
+
+/// An idle connection that has gone silent takes a request that never comes
+/// back; an idempotent one is sent again once, any other never goes there.
+#[test]
+fn connections_that_go_silent_while_idle() {
+    let fleet = start_fleet();
+    let mut calls = Vec::new();
+    let mut silenced = 0;
+    for round in 0..4 {
+        let mut options = lookups(&fleet, &format!("warm-{round}"));
+        options.count = 60;
+        options.load = Load::Closed(9);
+        calls.extend(caller::start(options).unwrap().join());
+        let connections: u64 =
+            read_control(fleet.targets.control, "runs?rows=0").unwrap()["counts"]
+                .as_array()
+                .unwrap()
+                .iter()
+                .filter_map(|counts| counts["connections"].as_u64())
+                .sum();
+        silenced = connections;
+        fleet
+            .switch_targets(&json!({"targets": [round], "silence_existing": "both"}))
+            .unwrap();
+        thread::sleep(Duration::from_millis(700));
+        let mut issues = fleet.caller(&format!("issue-{round}")).unwrap();
+        issues.count = 10;
+        issues.attempts = 1;
+        let issues = caller::start(issues).unwrap();
+        let mut options = lookups(&fleet, &format!("silent-{round}"));
+        options.count = 30;
+        options.load = Load::Closed(6);
+        calls.extend(caller::start(options).unwrap().join());
+        calls.extend(issues.join());
+        // A retry must not meet what an earlier round has left silent.
+        fleet
+            .switch_targets(&json!({"reset_existing": true}))
+            .unwrap();
+    }
+    let runs = fleet.runs().unwrap();
+    let counts = history::count_requests(&calls, &runs);
+    let retries = counter(&fleet, "agatehold_retries_total");
+    println!(
+        "silent: {counts:?} {:?}; {retries} retries, {silenced} connections silenced",
+        history::count_refusals(&calls)
+    );
+    assert_eq!(counts.requests, 400);
+    assert_eq!(counts.succeeded, 400);
+    assert!(retries > 0, "no silent connection was met");
+    assert!(retries <= silenced, "{retries} of {silenced}");
+    assert_eq!(history::check_at_most_once(&calls, &runs), Vec::new());
+    fleet.close().unwrap();
+}
+
+/// A request that crashes its target, and that its caller sends again through
+/// every daemon, takes the whole service down.
+#[test]
+fn request_that_crashes_targets_and_is_resent() {
+    let fleet = start_fleet();
+    let fault = json!({"crash_marker": "boom", "crash_down_ms": 500});
+    fleet.switch_targets(&json!({"set": fault})).unwrap();
+    let mut calls = Vec::new();
+    for round in 0..9 {
+        // The same name makes the same request.
+        let mut options = lookups(&fleet, "crash");
+        options.daemons = vec![fleet.daemons[round % 3].callers];
+        options.asks_addresses = false;
+        options.shape.method = http::Method::PUT;
+        options.shape.body_text = "boom".into();
+        calls.extend(caller::start(options).unwrap().join());
+        thread::sleep(Duration::from_millis(200));
+    }
+    let crashed = fleet.runs().unwrap();
+    println!(
+        "crash marker: {} runs; {:?}",
+        crashed.len(),
+        history::count_refusals(&calls)
+    );
+    assert!(!crashed.is_empty());
+    assert!(crashed.len() <= 2, "{}", crashed.len());
+    let mut options = lookups(&fleet, "afterwards");
+    options.count = 30;
+    let after = caller::start(options).unwrap().join();
+    assert!(after.iter().all(|call| call.is_success()));
+    fleet.close().unwrap();
+}
