Start test fleets again when a port was taken, and end them when a test panics

Cause: one of four runs of command_line.rs failed because a daemon could not bind its reserved port, and wait_for_note passed over ended daemons; a test that panicked left its daemons running (33 were found).

Ruled out: holding the ports until the daemon binds them (a second bind of the same address fails while the first listens).

Change: a fleet starts on other ports, up to three times, if a daemon ends before it answers; DaemonProcess ends its process when it is dropped, beside its explicit close, for tests that panic.

--- a/crates/agatehold-testing/src/fleet/daemon.rs
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -210,10 +210,21 @@
 
     /// Ends the process at once.
     pub fn close(self) {
-        if let Some(mut child) = self.child.into_inner() {
+        self.end();
+    }
+
+    fn end(&self) {
+        if let Some(mut child) = self.child.borrow_mut().take() {
             // The process may have ended already.
             let _ = child.kill();
             let _ = child.wait();
         }
     }
 }
+
+impl Drop for DaemonProcess {
+    /// Ends the process of a test that panics before it can close the fleet.
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- a/crates/agatehold-testing/src/fleet/mod.rs
+++ b/crates/agatehold-testing/src/fleet/mod.rs
@@ -44,6 +44,9 @@
 /// and is no measure of speed.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// How often the daemons of a fleet are started.
+const START_TRIES: u32 = 3;
+
 /// The pause between two looks at a condition.
 const WAIT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -127,17 +130,7 @@
             ..TargetOptions::default()
         })?;
         let dir = ports::scratch_dir()?;
-        let rows = ports::reserve(options.daemons)?;
-        let mut daemons = Vec::new();
-        for number in 0..options.daemons {
-            let settings = daemon::settings(&rows, number, platform.platform, &options);
-            daemons.push(DaemonProcess::start(
-                binary,
-                &dir,
-                &rows[number],
-                &settings,
-            )?);
-        }
+        let daemons = start_daemons(binary, &dir, platform.platform, &options)?;
         let notes = NoteWriter::new(platform.platform);
         Ok(Self {
             daemons,
@@ -204,6 +197,40 @@
     }
 }
 
+/// Starts the daemons and waits until all of them answer.
+///
+/// A port may be taken between its reservation and its use, which happened in
+/// one of some hundred starts; then all daemons start again on other ports.
+fn start_daemons(
+    binary: &Path,
+    dir: &Path,
+    platform: SocketAddr,
+    options: &FleetOptions,
+) -> io::Result<Vec<DaemonProcess>> {
+    let mut log = String::new();
+    for _ in 0..START_TRIES {
+        let rows = ports::reserve(options.daemons)?;
+        let mut daemons = Vec::new();
+        for (number, row) in rows.iter().enumerate() {
+            let settings = daemon::settings(&rows, number, platform, options);
+            daemons.push(DaemonProcess::start(binary, dir, row, &settings)?);
+        }
+        wait_until("every daemon to answer or end", || {
+            daemons
+                .iter()
+                .all(|daemon| !daemon.is_running() || daemon.status().is_some())
+        })?;
+        let Some(ended) = daemons.iter().find(|daemon| !daemon.is_running()) else {
+            return Ok(daemons);
+        };
+        log = ended.log();
+        for daemon in daemons {
+            daemon.close();
+        }
+    }
+    Err(io::Error::other(format!("a daemon does not start: {log}")))
+}
+
 /// Waits until a condition holds, or fails after the wait limit.
 pub fn wait_until(what: &str, holds: impl Fn() -> bool) -> io::Result<()> {
     let until = Instant::now() + WAIT_LIMIT;
