Run the ejection tests one fleet at a time

Cause: in one run of three of the whole daemon suite both ejection tests saw no ejection. Eight fleets ran at once; late answers look like an overload, in which a daemon suspects most of a service and ejects nothing.

Change: the two tests have a file of their own and a lock; targets take 15 to 25 ms in place of 5 to 15, so that the slow bound is 50 ms and not 25.

--- /dev/null
+++ b/crates/agatehold/tests/ejection.rs
@@ -0,0 +1,176 @@
+//! Guards that ejection keeps to the floor and to the platform.
+
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::RequestsPerSecond;
+use agatehold_testing::caller;
+use agatehold_testing::caller::CallerOptions;
+use agatehold_testing::caller::KeyMode;
+use agatehold_testing::caller::Load;
+use agatehold_testing::caller::RunningCaller;
+use agatehold_testing::fleet::Fleet;
+use agatehold_testing::fleet::FleetOptions;
+use agatehold_testing::fleet::wait_until;
+use agatehold_testing::history;
+use agatehold_wire::admin::EjectionsAnswer;
+use agatehold_wire::admin::TargetEntry;
+use agatehold_wire::admin::TargetRank;
+use agatehold_wire::admin::TargetsAnswer;
+
+/// The target that fails.
+const GRAY: usize = 1;
+
+/// The fleets of this file run one at a time: on a machine without a free core
+/// answers come late, which the daemons take for an overload, in which they
+/// rightly eject nothing.
+static ONE_FLEET: Mutex<()> = Mutex::new(());
+
+fn only_fleet() -> MutexGuard<'static, ()> {
+    ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn start_fleet() -> Fleet {
+    let options = FleetOptions {
+        daemons: 6,
+        host_lag_ms: DurationMs(0),
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start(Path::new(env!("CARGO_BIN_EXE_agatehold")), options).expect("a fleet");
+    fleet
+        .switch_targets(&json!({"set": {"delay": {"uniform_ms": [15, 25]}}}))
+        .expect("switched");
+    // Only targets that the host list shows as live may be ejected.
+    let rows = fleet.targets.targets.iter().enumerate();
+    let rows = rows.map(|(number, address)| {
+        json!({
+            "name": format!("certificates-{number}"),
+            "kind": "target",
+            "address": address,
+            "failure_domain": format!("domain-{}", number % 3),
+            "state": "live",
+        })
+    });
+    let hosts: Value = rows.collect();
+    fleet
+        .switch_platform(&json!({"hosts": hosts}))
+        .expect("switched");
+    fleet
+}
+
+fn lookups(fleet: &Fleet, name: &str) -> CallerOptions {
+    let mut options = fleet.caller(name).expect("valid names");
+    options.attempts = 1;
+    options.shape.method = http::Method::GET;
+    options.shape.keys = KeyMode::None;
+    options.shape.is_non_idempotent = false;
+    options
+}
+
+fn ejections(fleet: &Fleet, daemon: usize) -> EjectionsAnswer {
+    let bytes = fleet.daemons[daemon].read_admin("/v1/ejections");
+    serde_json::from_slice(&bytes.expect("an answer")).expect("ejections")
+}
+
+fn ejected_count(fleet: &Fleet) -> usize {
+    let counts = (0..fleet.daemons.len()).map(|daemon| ejections(fleet, daemon).ejections.len());
+    counts.max().unwrap_or(0)
+}
+
+/// Returns the targets as all daemons see them.
+fn target_rows(fleet: &Fleet) -> Vec<TargetEntry> {
+    let mut rows = Vec::new();
+    for daemon in &fleet.daemons {
+        let bytes = daemon.read_admin("/v1/targets").expect("an answer");
+        let answer: TargetsAnswer = serde_json::from_slice(&bytes).expect("targets");
+        rows.extend(answer.targets);
+    }
+    rows
+}
+
+/// Returns how many targets any daemon excludes.
+fn excluded_count(fleet: &Fleet) -> usize {
+    let rows = target_rows(fleet);
+    rows.iter()
+        .filter(|row| row.rank == TargetRank::Excluded)
+        .count()
+}
+
+/// A daemon ejects nothing before it has followed the permit records for 20 s,
+/// since exclusions of before its start may still be in force.
+const FOLLOWED: Duration = Duration::from_secs(22);
+
+/// Starts a fleet that may eject, under load.
+fn start_ejecting() -> (Fleet, RunningCaller) {
+    let fleet = start_fleet();
+    let mut options = lookups(&fleet, "lookup");
+    options.count = u64::MAX;
+    options.duration_ms = DurationMs(120_000);
+    options.asks_addresses = false;
+    options.load = Load::Open("200".parse::<RequestsPerSecond>().expect("a rate"));
+    let running = caller::start(options).expect("a caller");
+    thread::sleep(FOLLOWED);
+    (fleet, running)
+}
+
+/// Ejecting every failing target leaves the rest without capacity: of 6
+/// targets with a floor of 4, at most 2 may be ejected.
+#[test]
+fn ejections_keep_to_the_floor() {
+    let _only = only_fleet();
+    let (fleet, running) = start_ejecting();
+    let mut most = 0;
+    for failing in [vec![0], vec![0, 1], vec![0, 1, 2]] {
+        fleet
+            .switch_targets(&json!({"targets": failing, "set": {"fail_share": 1.0}}))
+            .unwrap();
+        for _ in 0..100 {
+            thread::sleep(Duration::from_millis(100));
+            most = ejected_count(&fleet).max(most);
+        }
+    }
+    running.stop();
+    let calls = running.join();
+    println!("floor: at most {most} ejected");
+    assert!(most >= 1, "nothing was ejected");
+    assert!(most <= 2, "{most}");
+    assert_eq!(history::check_own_answer(&calls), Vec::new());
+    fleet.close().unwrap();
+}
+
+/// A daemon that ejects without the platform breaks the floor together with
+/// others that it can't see.
+#[test]
+fn ejection_needs_the_platform_and_lapses_without_it() {
+    let _only = only_fleet();
+    let (fleet, running) = start_ejecting();
+    fleet.switch_platform(&json!({"down": true})).unwrap();
+    fleet
+        .switch_targets(&json!({"targets": [GRAY], "set": {"fail_share": 1.0}}))
+        .unwrap();
+    for _ in 0..40 {
+        thread::sleep(Duration::from_millis(100));
+        assert_eq!(ejected_count(&fleet), 0);
+        assert_eq!(excluded_count(&fleet), 0);
+    }
+    fleet.switch_platform(&json!({"down": false})).unwrap();
+    fleet
+        .switch_targets(&json!({"targets": [GRAY + 1], "set": {"fail_share": 1.0}}))
+        .unwrap();
+    wait_until("an exclusion", || excluded_count(&fleet) > 0).unwrap();
+    fleet.switch_platform(&json!({"down": true})).unwrap();
+    // 15 s after the last confirmation the target counts as avoided again.
+    wait_until("its end", || excluded_count(&fleet) == 0).unwrap();
+    running.stop();
+    let calls = running.join();
+    assert_eq!(history::check_own_answer(&calls), Vec::new());
+    fleet.close().unwrap();
+}
