--- a/crates/agatehold-core/src/spread/log.rs
+++ b/crates/agatehold-core/src/spread/log.rs
@@ -6,13 +6,14 @@
 
 use crate::config::ConfigTables;
 use crate::config::config_digest;
-use crate::ids::Digest;
 use crate::ids::NoteNumber;
 use crate::note::ChainFault;
 use crate::note::Head;
 use crate::note::Note;
 use crate::note::NoteHeader;
+use crate::note::StoredNote;
 use crate::note::apply;
+use crate::note::body_digest;
 use crate::note::verify_descendant;
 
 /// The headers that a daemon keeps; a day at the design size of 4,100 notes.
@@ -24,15 +25,6 @@
 /// The total size of the bodies that a daemon keeps.
 pub const BODIES_MAX_BYTES: usize = 4 << 20;
 
-/// A note with its text.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NoteRecord {
-    /// The header of the note.
-    pub header: NoteHeader,
-    /// The text of the note.
-    pub body: Box<str>,
-}
-
 /// The whole configuration as text, as of one note.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Snapshot {
@@ -119,11 +111,6 @@
     snapshot: Option<Snapshot>,
 }
 
-/// Returns the hash of a note's text, as its header carries it.
-pub fn body_digest(body: &str) -> Digest {
-    Digest::of_parts(&[body.as_bytes()])
-}
-
 impl NoteLog {
     /// Returns the header of the note `number`, if it is kept.
     pub fn header(&self, number: NoteNumber) -> Option<&NoteHeader> {
@@ -191,7 +178,7 @@
 /// head is passed over when it is on the chain.
 pub fn accept(
     log: &mut NoteLog,
-    records: &[NoteRecord],
+    records: &[StoredNote],
     parse: impl Fn(&str) -> Option<Note>,
 ) -> (usize, Option<NoteFault>) {
     let mut accepted = 0;
@@ -209,20 +196,20 @@
 
 fn accept_one(
     log: &mut NoteLog,
-    record: &NoteRecord,
+    record: &StoredNote,
     parse: impl Fn(&str) -> Option<Note>,
 ) -> Result<(), NoteFault> {
     verify_descendant(log.head, std::slice::from_ref(&record.header))?;
-    if body_digest(&record.body) != record.header.body {
+    if body_digest(&record.text) != record.header.body {
         return Err(NoteFault::BodyHash);
     }
-    let note = parse(&record.body).ok_or(NoteFault::Unreadable)?;
+    let note = parse(&record.text).ok_or(NoteFault::Unreadable)?;
     let next = apply(&log.config, &note).map_err(|_| NoteFault::Inapplicable)?;
     if config_digest(&next) != record.header.config {
         return Err(NoteFault::ConfigHash);
     }
     log.config = next;
-    log.push(record.header.clone(), Some(&record.body));
+    log.push(record.header.clone(), Some(&record.text));
     Ok(())
 }
 
@@ -299,7 +286,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NotesAnswer {
     /// The notes after the asked one, in order.
-    pub records: Vec<NoteRecord>,
+    pub records: Vec<StoredNote>,
     /// Headers without bodies that lead to the snapshot.
     pub headers: Vec<NoteHeader>,
     /// One chunk of a snapshot, where the asker is too far behind.
@@ -338,9 +325,9 @@
         if bytes > ANSWER_MAX_BYTES && !answer.records.is_empty() {
             break;
         }
-        answer.records.push(NoteRecord {
+        answer.records.push(StoredNote {
             header: header.clone(),
-            body: body.into(),
+            text: body.into(),
         });
         number = number.next();
     }
--- a/crates/agatehold-core/src/spread/state.rs
+++ b/crates/agatehold-core/src/spread/state.rs
@@ -10,10 +10,10 @@
 
 use super::NoteFault;
 use super::NoteLog;
-use super::NoteRecord;
 use super::NotesRequest;
 use super::Snapshot;
 use super::StartRow;
+use crate::note::StoredNote;
 
 /// Where notes come from.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -158,7 +158,7 @@
     /// The platform's head, which must still stand when it is replaced.
     pub expected: Head,
     /// The notes after it whose text is kept.
-    pub records: Vec<NoteRecord>,
+    pub records: Vec<StoredNote>,
     /// The configuration, where the text of some note is not kept.
     pub snapshot: Option<Snapshot>,
     /// The head to write.
--- a/crates/agatehold-core/src/spread/watch.rs
+++ b/crates/agatehold-core/src/spread/watch.rs
@@ -11,10 +11,10 @@
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
-use super::NoteRecord;
 use super::Spread;
 use super::SpreadCommand;
 use super::WriteBack;
+use crate::note::StoredNote;
 
 /// The daemons of a failure domain that watch the platform's head.
 const WATCHERS_PER_DOMAIN: usize = 2;
@@ -173,9 +173,9 @@
     let mut complete = true;
     while number <= log.head.number {
         match (log.header(number), log.body(number)) {
-            (Some(header), Some(body)) => records.push(NoteRecord {
+            (Some(header), Some(body)) => records.push(StoredNote {
                 header: header.clone(),
-                body: body.into(),
+                text: body.into(),
             }),
             _ => complete = false,
         }
--- a/crates/agatehold-core/tests/never_backwards.rs
+++ b/crates/agatehold-core/tests/never_backwards.rs
@@ -10,11 +10,12 @@
 use agatehold_core::note::Head;
 use agatehold_core::note::Note;
 use agatehold_core::note::NoteHeader;
+use agatehold_core::note::StoredNote;
 use agatehold_core::note::apply;
+use agatehold_core::note::body_digest;
 use agatehold_core::spread;
 use agatehold_core::spread::NoteFault;
 use agatehold_core::spread::NoteLog;
-use agatehold_core::spread::NoteRecord;
 use agatehold_core::spread::NotesRequest;
 use agatehold_core::spread::Snapshot;
 use agatehold_core::units::DurationMs;
@@ -60,20 +61,20 @@
 }
 
 /// Extends `log` by one note that adds `tenant`.
-fn extend(log: &mut NoteLog, tenant: u32) -> NoteRecord {
+fn extend(log: &mut NoteLog, tenant: u32) -> StoredNote {
     let body = tenant.to_string();
     let note = note_of(tenant).expect("a number");
     let config = apply(&log.config, &note).expect("a new tenant");
-    let record = NoteRecord {
+    let record = StoredNote {
         header: NoteHeader {
             number: log.head.number.next(),
             id: NoteId([7; 16]),
             prev: log.head.hash,
-            body: spread::body_digest(&body),
+            body: body_digest(&body),
             config: config_digest(&config),
             author: "ana".into(),
         },
-        body: body.into(),
+        text: body.into(),
     };
     let outcome = spread::accept(log, std::slice::from_ref(&record), parse);
     assert_eq!(outcome, (1, None));
@@ -82,7 +83,7 @@
 
 /// Returns the records of a chain that leaves the main one after `common`
 /// notes; tenants are numbered from `branch`.
-fn chain(common: u32, length: u32, branch: u32) -> Vec<NoteRecord> {
+fn chain(common: u32, length: u32, branch: u32) -> Vec<StoredNote> {
     let mut log = NoteLog::default();
     let mut records = Vec::new();
     for number in 0..length {
@@ -96,11 +97,11 @@
     records
 }
 
-fn snapshot_of(records: &[NoteRecord]) -> Option<Snapshot> {
+fn snapshot_of(records: &[StoredNote]) -> Option<Snapshot> {
     let mut text = String::from("snapshot");
     for record in records {
         text.push(' ');
-        text.push_str(&record.body);
+        text.push_str(&record.text);
     }
     Some(Snapshot {
         header: records.last()?.header.clone(),
@@ -159,7 +160,7 @@
             }
             // The head in force and every earlier one lie on one chain.
             held.push(log.head);
-            let on = |records: &[NoteRecord]| {
+            let on = |records: &[StoredNote]| {
                 held.iter().all(|head| {
                     head.number == NoteNumber(0) || records.iter().any(|record| record.header.head() == *head)
                 })
@@ -205,12 +206,12 @@
     let records = chain(3, 3, 0);
     let mut log = NoteLog::default();
     let mut altered = records[0].clone();
-    altered.body = "7".into();
+    altered.text = "7".into();
     let outcome = spread::accept(&mut log, &[altered], parse);
     assert_eq!(outcome, (0, Some(NoteFault::BodyHash)));
     let mut altered = records[0].clone();
-    altered.body = "7".into();
-    altered.header.body = spread::body_digest("7");
+    altered.text = "7".into();
+    altered.header.body = body_digest("7");
     let outcome = spread::accept(&mut log, &[altered], parse);
     assert_eq!(outcome, (0, Some(NoteFault::ConfigHash)));
     let mut snapshot = snapshot_of(&records).unwrap();
--- a/crates/agatehold-measure-fleet/src/fleet/drive.rs
+++ b/crates/agatehold-measure-fleet/src/fleet/drive.rs
@@ -10,9 +10,10 @@
 use agatehold_core::membership::PeerDigest;
 use agatehold_core::note::Note;
 use agatehold_core::note::NoteHeader;
+use agatehold_core::note::StoredNote;
 use agatehold_core::note::apply;
+use agatehold_core::note::body_digest;
 use agatehold_core::spread;
-use agatehold_core::spread::NoteRecord;
 use agatehold_core::spread::NoteSource;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
@@ -72,23 +73,23 @@
 /// # Panics
 ///
 /// Panics if the note can't take effect.
-pub fn release(fleet: &mut Fleet, text: &str, note: Note) -> NoteRecord {
+pub fn release(fleet: &mut Fleet, text: &str, note: Note) -> StoredNote {
     let platform = &mut fleet.platform;
     let next = match apply(&platform.config, &note) {
         Ok(next) => next,
         Err(errors) => panic!("{}", errors[0]),
     };
     let head = platform.head();
-    let record = NoteRecord {
+    let record = StoredNote {
         header: NoteHeader {
             number: head.number.next(),
             id: NoteId(fleet.rng.random()),
             prev: head.hash,
-            body: spread::body_digest(text),
+            body: body_digest(text),
             config: config_digest(&next),
             author: note.author.clone(),
         },
-        body: text.into(),
+        text: text.into(),
     };
     platform.config = next;
     platform.records.push(record.clone());
@@ -107,7 +108,7 @@
 }
 
 /// Hands an accepted note to a daemon, as the operators' tool does.
-pub fn push_note(fleet: &mut Fleet, host: &HostId, record: &NoteRecord) {
+pub fn push_note(fleet: &mut Fleet, host: &HostId, record: &StoredNote) {
     let Some(row) = fleet.daemons.get(host) else {
         return;
     };
--- a/crates/agatehold-measure-fleet/src/fleet/rows.rs
+++ b/crates/agatehold-measure-fleet/src/fleet/rows.rs
@@ -12,7 +12,7 @@
 use agatehold_core::membership::PeerDigest;
 use agatehold_core::note::Head;
 use agatehold_core::note::Note;
-use agatehold_core::spread::NoteRecord;
+use agatehold_core::note::StoredNote;
 use agatehold_core::spread::NoteSource;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
@@ -104,7 +104,7 @@
     /// Whether it answers.
     pub up: bool,
     /// The notes in order.
-    pub records: Vec<NoteRecord>,
+    pub records: Vec<StoredNote>,
     /// The configuration after the last note.
     pub config: ConfigTables,
     /// The watches that wait.
@@ -122,7 +122,7 @@
     }
 
     /// Returns the notes after `number`.
-    pub fn after(&self, number: NoteNumber) -> Vec<NoteRecord> {
+    pub fn after(&self, number: NoteNumber) -> Vec<StoredNote> {
         let mut records = Vec::new();
         for record in &self.records {
             if record.header.number > number {
--- a/crates/agatehold-wire/src/peers/notes.rs
+++ b/crates/agatehold-wire/src/peers/notes.rs
@@ -4,7 +4,7 @@
 
 use agatehold_core::ids::NoteNumber;
 use agatehold_core::note::NoteHeader;
-use agatehold_core::spread::NoteRecord;
+use agatehold_core::note::StoredNote;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
 use agatehold_core::spread::SnapshotChunk;
@@ -46,7 +46,7 @@
     for record in &answer.records {
         records.push(generated::NoteRecord {
             header: Some(encode_header(&record.header)),
-            body: record.body.to_string(),
+            body: record.text.to_string(),
         });
     }
     let message = generated::NotesAnswer {
@@ -81,9 +81,9 @@
     let mut records = Vec::new();
     for record in message.records {
         let header = fields::required(record.header, "header")?;
-        records.push(NoteRecord {
+        records.push(StoredNote {
             header: decode_header(&header)?,
-            body: record.body.into(),
+            text: record.body.into(),
         });
     }
     let mut headers = Vec::new();
--- a/crates/agatehold-wire/tests/peers.rs
+++ b/crates/agatehold-wire/tests/peers.rs
@@ -29,7 +29,7 @@
 use agatehold_core::membership::StandingNews;
 use agatehold_core::note::Head;
 use agatehold_core::note::NoteHeader;
-use agatehold_core::spread::NoteRecord;
+use agatehold_core::note::StoredNote;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::NotesRequest;
 use agatehold_core::spread::SnapshotChunk;
@@ -209,9 +209,9 @@
 }
 
 fn notes_answer() -> impl Strategy<Value = NotesAnswer> {
-    let record = (note_header(), ".{0,80}").prop_map(|(header, body)| NoteRecord {
+    let record = (note_header(), ".{0,80}").prop_map(|(header, body)| StoredNote {
         header,
-        body: body.into(),
+        text: body.into(),
     });
     let chunk =
         (note_header(), 0..9_u32, ".{0,80}").prop_map(|(header, index, text)| SnapshotChunk {
--- a/crates/agatehold/src/admin/mod.rs
+++ b/crates/agatehold/src/admin/mod.rs
@@ -16,7 +16,6 @@
 use serde::Serialize;
 use subtle::ConstantTimeEq;
 
-use agatehold_core::spread::NoteRecord;
 use agatehold_core::spread::NotesAnswer as NoteOffer;
 use agatehold_wire::admin::NoteVerdict;
 use agatehold_wire::admin::NotesAnswer;
@@ -132,13 +131,10 @@
         Ok(notes) => notes,
         Err(error) => return refusal(StatusCode::BAD_REQUEST, &error.to_string()),
     };
-    let mut offer = NoteOffer::default();
-    for note in notes {
-        offer.records.push(NoteRecord {
-            header: note.header,
-            body: note.text,
-        });
-    }
+    let offer = NoteOffer {
+        records: notes,
+        ..NoteOffer::default()
+    };
     let (reply, reply_seen) = bounded(1);
     let input = Input::Admin(AdminQuestion::Notes(Box::new(offer), reply));
     if state.inputs.send_timeout(input, ANSWER_TIMEOUT).is_err() {
--- a/crates/agatehold/src/control/mod.rs
+++ b/crates/agatehold/src/control/mod.rs
@@ -167,10 +167,10 @@
     fn tick(&mut self) {
         let started = std::time::Instant::now();
         let now = self.shared.clock.now();
-        let commands = {
-            let poison = self.shared.poison();
-            control::tick(&mut self.tables, &poison, now, &mut self.rng)
-        };
+        // A copy, which is empty as a rule: requests take the lock too, and
+        // would wait for the whole tick.
+        let poison = self.shared.poison().clone();
+        let commands = control::tick(&mut self.tables, &poison, now, &mut self.rng);
         self.apply(commands);
         self.pump_gates();
         self.publish_gauges();
--- a/crates/agatehold/src/daemon/mod.rs
+++ b/crates/agatehold/src/daemon/mod.rs
@@ -1,14 +1,17 @@
 //! Starts the threads of the daemon and stops them in order.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
+use crossbeam::channel::tick;
 use crossbeam::select;
 use log::LevelFilter;
+use metrics_exporter_prometheus::PrometheusHandle;
 use quick_error::quick_error;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
@@ -34,6 +37,9 @@
 use crate::traffic::AbortHandle;
 use crate::traffic::TrafficThreads;
 
+/// The time between two passes over the histograms' samples.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+
 quick_error! {
     /// Why the daemon does not start.
     #[derive(Debug)]
@@ -94,6 +100,7 @@
     .map_err(|error| StartError::Io("the control thread", error))?;
     let traffic = TrafficThreads::start(&shared)
         .map_err(|error| StartError::Io("[listen] callers", error))?;
+    let metrics_upkeep = metrics.clone();
     admin::start(&shared, inputs.clone(), metrics)
         .map_err(|error| StartError::Io("[listen] admin", error))?;
     log::info!(
@@ -103,6 +110,7 @@
         traffic.address()
     );
 
+    start_metrics_upkeep(metrics_upkeep);
     let signals = watch_signals(&inputs)?;
     let abort = traffic.abort_handle(&shared);
     if wait_for_stop(&stop_steps_seen, &signals) {
@@ -123,6 +131,21 @@
     })
 }
 
+/// Folds samples into the histograms from time to time; without it they are
+/// kept one by one until somebody reads the metrics.
+fn start_metrics_upkeep(metrics: PrometheusHandle) {
+    let spawned = std::thread::Builder::new()
+        .name("metrics".to_owned())
+        .spawn(move || {
+            for _ in tick(METRICS_UPKEEP) {
+                metrics.run_upkeep();
+            }
+        });
+    if let Err(error) = spawned {
+        log::warn!("starting the metrics thread failed: {error}");
+    }
+}
+
 fn level_filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Error => LevelFilter::Error,
--- a/crates/agatehold/src/platform/notes.rs
+++ b/crates/agatehold/src/platform/notes.rs
@@ -11,7 +11,6 @@
 use agatehold_core::note::apply;
 use agatehold_core::note::snapshot_before;
 use agatehold_core::note::snapshot_due;
-use agatehold_core::spread::NoteRecord;
 use agatehold_core::spread::NotesAnswer;
 use agatehold_core::spread::Snapshot;
 use agatehold_core::spread::SnapshotChunk;
@@ -79,10 +78,7 @@
     };
     for note in walk.notes().iter().rev() {
         if note.header.number > included {
-            answer.records.push(NoteRecord {
-                header: note.header.clone(),
-                body: note.text.clone(),
-            });
+            answer.records.push(note.clone());
         }
     }
     answer
@@ -194,13 +190,9 @@
     Some(())
 }
 
-fn write_note(caller: &PlatformCaller, record: &NoteRecord) -> Option<()> {
-    let note = StoredNote {
-        header: record.header.clone(),
-        text: record.body.clone(),
-    };
+fn write_note(caller: &PlatformCaller, note: &StoredNote) -> Option<()> {
     let key = note_key(note.header.number, note.header.id);
-    create(caller, key, encode_note(&note).ok()?)
+    create(caller, key, encode_note(note).ok()?)
 }
 
 fn write_snapshot(caller: &PlatformCaller, snapshot: &Snapshot) -> Option<()> {
