Share the table lookups of the ejection tests

Cause: gray_targets.rs and ejection.rs each had the same copies of the lookups over daemon tables, about 55 lines. Ruled out: a single test file, since the ejection tests need a process of their own to run one fleet at a time. Conclusion: checks and bounds are unchanged.

--- a/crates/agatehold-testing/src/fleet/mod.rs
+++ b/crates/agatehold-testing/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod notes;
 mod ports;
+mod views;
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/agatehold/tests/ejection.rs
+++ b/crates/agatehold/tests/ejection.rs
@@ -7,24 +7,18 @@
 use std::thread;
 use std::time::Duration;
 
-use serde_json::Value;
 use serde_json::json;
 
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::RequestsPerSecond;
 use agatehold_testing::caller;
-use agatehold_testing::caller::CallerOptions;
-use agatehold_testing::caller::KeyMode;
 use agatehold_testing::caller::Load;
 use agatehold_testing::caller::RunningCaller;
 use agatehold_testing::fleet::Fleet;
 use agatehold_testing::fleet::FleetOptions;
 use agatehold_testing::fleet::wait_until;
 use agatehold_testing::history;
-use agatehold_wire::admin::EjectionsAnswer;
-use agatehold_wire::admin::TargetEntry;
 use agatehold_wire::admin::TargetRank;
-use agatehold_wire::admin::TargetsAnswer;
 
 /// The target that fails.
 const GRAY: usize = 1;
@@ -49,56 +43,13 @@
         .switch_targets(&json!({"set": {"delay": {"uniform_ms": [15, 25]}}}))
         .expect("switched");
     // Only targets that the host list shows as live may be ejected.
-    let rows = fleet.targets.targets.iter().enumerate();
-    let rows = rows.map(|(number, address)| {
-        json!({
-            "name": format!("certificates-{number}"),
-            "kind": "target",
-            "address": address,
-            "failure_domain": format!("domain-{}", number % 3),
-            "state": "live",
-        })
-    });
-    let hosts: Value = rows.collect();
+    fleet.list_targets().expect("switched");
     fleet
-        .switch_platform(&json!({"hosts": hosts}))
-        .expect("switched");
-    fleet
-}
-
-fn lookups(fleet: &Fleet, name: &str) -> CallerOptions {
-    let mut options = fleet.caller(name).expect("valid names");
-    options.attempts = 1;
-    options.shape.method = http::Method::GET;
-    options.shape.keys = KeyMode::None;
-    options.shape.is_non_idempotent = false;
-    options
-}
-
-fn ejections(fleet: &Fleet, daemon: usize) -> EjectionsAnswer {
-    let bytes = fleet.daemons[daemon].read_admin("/v1/ejections");
-    serde_json::from_slice(&bytes.expect("an answer")).expect("ejections")
-}
-
-fn ejected_count(fleet: &Fleet) -> usize {
-    let counts = (0..fleet.daemons.len()).map(|daemon| ejections(fleet, daemon).ejections.len());
-    counts.max().unwrap_or(0)
-}
-
-/// Returns the targets as all daemons see them.
-fn target_rows(fleet: &Fleet) -> Vec<TargetEntry> {
-    let mut rows = Vec::new();
-    for daemon in &fleet.daemons {
-        let bytes = daemon.read_admin("/v1/targets").expect("an answer");
-        let answer: TargetsAnswer = serde_json::from_slice(&bytes).expect("targets");
-        rows.extend(answer.targets);
-    }
-    rows
 }
 
 /// Returns how many targets any daemon excludes.
 fn excluded_count(fleet: &Fleet) -> usize {
-    let rows = target_rows(fleet);
+    let rows = fleet.target_rows().expect("an answer");
     rows.iter()
         .filter(|row| row.rank == TargetRank::Excluded)
         .count()
@@ -111,7 +62,7 @@
 /// Starts a fleet that may eject, under load.
 fn start_ejecting() -> (Fleet, RunningCaller) {
     let fleet = start_fleet();
-    let mut options = lookups(&fleet, "lookup");
+    let mut options = fleet.lookups("lookup").expect("valid names");
     options.count = u64::MAX;
     options.duration_ms = DurationMs(120_000);
     options.asks_addresses = false;
@@ -134,7 +85,7 @@
             .unwrap();
         for _ in 0..100 {
             thread::sleep(Duration::from_millis(100));
-            most = ejected_count(&fleet).max(most);
+            most = fleet.ejected_count().expect("an answer").max(most);
         }
     }
     running.stop();
@@ -158,7 +109,7 @@
         .unwrap();
     for _ in 0..40 {
         thread::sleep(Duration::from_millis(100));
-        assert_eq!(ejected_count(&fleet), 0);
+        assert_eq!(fleet.ejected_count().expect("an answer"), 0);
         assert_eq!(excluded_count(&fleet), 0);
     }
     fleet.switch_platform(&json!({"down": false})).unwrap();
--- a/crates/agatehold/tests/gray_targets.rs
+++ b/crates/agatehold/tests/gray_targets.rs
@@ -11,8 +11,6 @@
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::RequestsPerSecond;
 use agatehold_testing::caller;
-use agatehold_testing::caller::CallerOptions;
-use agatehold_testing::caller::KeyMode;
 use agatehold_testing::caller::Load;
 use agatehold_testing::common::read_control;
 use agatehold_testing::common::unix_now;
@@ -20,10 +18,7 @@
 use agatehold_testing::fleet::FleetOptions;
 use agatehold_testing::history;
 use agatehold_testing::history::CallRecord;
-use agatehold_wire::admin::EjectionsAnswer;
-use agatehold_wire::admin::TargetEntry;
 use agatehold_wire::admin::TargetRank;
-use agatehold_wire::admin::TargetsAnswer;
 
 /// The target that fails.
 const GRAY: usize = 1;
@@ -45,57 +40,14 @@
         .switch_targets(&json!({"set": {"delay": {"uniform_ms": [15, 25]}}}))
         .expect("switched");
     // Only targets that the host list shows as live may be ejected.
-    let rows = fleet.targets.targets.iter().enumerate();
-    let rows = rows.map(|(number, address)| {
-        json!({
-            "name": format!("certificates-{number}"),
-            "kind": "target",
-            "address": address,
-            "failure_domain": format!("domain-{}", number % 3),
-            "state": "live",
-        })
-    });
-    let hosts: Value = rows.collect();
+    fleet.list_targets().expect("switched");
     fleet
-        .switch_platform(&json!({"hosts": hosts}))
-        .expect("switched");
-    fleet
-}
-
-fn lookups(fleet: &Fleet, name: &str) -> CallerOptions {
-    let mut options = fleet.caller(name).expect("valid names");
-    options.attempts = 1;
-    options.shape.method = http::Method::GET;
-    options.shape.keys = KeyMode::None;
-    options.shape.is_non_idempotent = false;
-    options
-}
-
-fn ejections(fleet: &Fleet, daemon: usize) -> EjectionsAnswer {
-    let bytes = fleet.daemons[daemon].read_admin("/v1/ejections");
-    serde_json::from_slice(&bytes.expect("an answer")).expect("ejections")
-}
-
-fn ejected_count(fleet: &Fleet) -> usize {
-    let counts = (0..fleet.daemons.len()).map(|daemon| ejections(fleet, daemon).ejections.len());
-    counts.max().unwrap_or(0)
-}
-
-/// Returns the targets as all daemons see them.
-fn target_rows(fleet: &Fleet) -> Vec<TargetEntry> {
-    let mut rows = Vec::new();
-    for daemon in &fleet.daemons {
-        let bytes = daemon.read_admin("/v1/targets").expect("an answer");
-        let answer: TargetsAnswer = serde_json::from_slice(&bytes).expect("targets");
-        rows.extend(answer.targets);
-    }
-    rows
 }
 
 /// Returns how many of the other targets any daemon avoids.
 fn avoided_others(fleet: &Fleet) -> usize {
     let gray = format!("certificates-{GRAY}");
-    let rows = target_rows(fleet);
+    let rows = fleet.target_rows().expect("an answer");
     let others = rows.iter().filter(|row| row.name.as_str() != gray);
     others.filter(|row| row.rank == TargetRank::Avoided).count()
 }
@@ -105,7 +57,7 @@
 /// callers see in that time.
 fn check_gray(what: &str, fault: &Value, failures_max: usize) {
     let fleet = start_fleet();
-    let mut options = lookups(&fleet, "lookup");
+    let mut options = fleet.lookups("lookup").expect("valid names");
     options.count = u64::MAX;
     options.load = Load::Open("90".parse::<RequestsPerSecond>().expect("a rate"));
     options.shape.timeout_ms = Some(DurationMs(1_000));
@@ -118,7 +70,7 @@
     let measured_from = unix_now();
     thread::sleep(MEASURED);
     let avoided = avoided_others(&fleet);
-    let ejected = ejected_count(&fleet);
+    let ejected = fleet.ejected_count().expect("an answer");
     running.stop();
     let calls = running.join();
     let runs = fleet.runs().expect("the targets' records");
@@ -200,7 +152,9 @@
     let mut calls = Vec::new();
     let mut silenced = 0;
     for round in 0..4 {
-        let mut options = lookups(&fleet, &format!("warm-{round}"));
+        let mut options = fleet
+            .lookups(&format!("warm-{round}"))
+            .expect("valid names");
         options.count = 60;
         options.load = Load::Closed(9);
         calls.extend(caller::start(options).unwrap().join());
@@ -220,7 +174,9 @@
         issues.count = 10;
         issues.attempts = 1;
         let issues = caller::start(issues).unwrap();
-        let mut options = lookups(&fleet, &format!("silent-{round}"));
+        let mut options = fleet
+            .lookups(&format!("silent-{round}"))
+            .expect("valid names");
         options.count = 30;
         options.load = Load::Closed(6);
         calls.extend(caller::start(options).unwrap().join());
@@ -255,7 +211,7 @@
     let mut calls = Vec::new();
     for round in 0..9 {
         // The same name makes the same request.
-        let mut options = lookups(&fleet, "crash");
+        let mut options = fleet.lookups("crash").expect("valid names");
         options.daemons = vec![fleet.daemons[round % 3].callers];
         options.asks_addresses = false;
         options.shape.method = http::Method::PUT;
@@ -271,7 +227,7 @@
     );
     assert!(!crashed.is_empty());
     assert!(crashed.len() <= 2, "{}", crashed.len());
-    let mut options = lookups(&fleet, "afterwards");
+    let mut options = fleet.lookups("afterwards").expect("valid names");
     options.count = 30;
     let after = caller::start(options).unwrap().join();
     assert!(after.iter().all(|call| call.is_success()));
