--- /dev/null
+++ b/crates/agatehold-core/src/catalog/mod.rs
@@ -0,0 +1,15 @@
+//! Whole configurations as a platform keeps them: one version holds every
+//! route, service and limit.
+
+mod matching;
+mod rows;
+mod version;
+
+pub use matching::match_catalog_route;
+pub use matching::newest;
+pub use rows::CallerLimits;
+pub use rows::Catalog;
+pub use rows::CatalogRoute;
+pub use rows::CatalogService;
+pub use rows::WeightedService;
+pub use version::ConfigVersion;
--- /dev/null
+++ b/crates/agatehold-core/src/catalog/rows.rs
@@ -0,0 +1,134 @@
+//! The rows of a whole configuration.
+
+use std::collections::HashMap;
+
+use crate::ids::ServiceName;
+use crate::units::ByteCount;
+use crate::units::DurationMs;
+
+use super::ConfigVersion;
+
+/// A service that gets a share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the other weights of the route.
+    pub weight: u32,
+}
+
+/// A route: which requests go to which services, and by which rules.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CatalogRoute {
+    /// The route's name.
+    pub name: Box<str>,
+    /// The host name in the request, in lower case.
+    pub host: Box<str>,
+    /// The beginning of the path; begins and ends with `/`.
+    pub prefix: Box<str>,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// The longest time that a caller is kept waiting.
+    pub timeout_ms: DurationMs,
+    /// The time within which an answer is worth most.
+    pub objective_ms: DurationMs,
+    /// The number of targets that one request may be sent to; at least 1.
+    pub attempts_max: u32,
+    /// The rank of the requests; 0 goes first.
+    pub priority: u8,
+    /// The services that run the requests; at least one, weights above 0.
+    pub services: Vec<WeightedService>,
+}
+
+/// A service of a whole configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CatalogService {
+    /// The service's name.
+    pub name: ServiceName,
+    /// The connections that one target takes from the whole fleet.
+    pub connections_max: u32,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The size of a request head.
+    pub head_bytes: ByteCount,
+    /// The size of a request body.
+    pub body_bytes: ByteCount,
+    /// The time from the first byte of a head to its last.
+    pub head_timeout_ms: DurationMs,
+    /// The time that a connection may be idle between requests.
+    pub idle_timeout_ms: DurationMs,
+}
+
+impl Default for CallerLimits {
+    /// Limits for a process that knows no configuration yet; its callers only
+    /// get refusals.
+    fn default() -> Self {
+        Self {
+            head_bytes: ByteCount(16_384),
+            body_bytes: ByteCount(1_048_576),
+            head_timeout_ms: DurationMs(3_000),
+            idle_timeout_ms: DurationMs(15_000),
+        }
+    }
+}
+
+/// One version of the whole configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Catalog {
+    /// The version.
+    pub version: ConfigVersion,
+    /// The routes in the order of the configuration.
+    pub routes: Vec<CatalogRoute>,
+    /// The services in the order of the configuration.
+    pub services: Vec<CatalogService>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    /// Positions in `routes` by host name, longest prefix first.
+    pub(super) by_host: HashMap<Box<str>, Vec<usize>>,
+}
+
+impl Catalog {
+    /// Creates the catalog of one version.
+    pub fn new(
+        version: ConfigVersion,
+        routes: Vec<CatalogRoute>,
+        services: Vec<CatalogService>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
+        for (position, route) in routes.iter().enumerate() {
+            by_host
+                .entry(route.host.clone())
+                .or_default()
+                .push(position);
+        }
+        for positions in by_host.values_mut() {
+            positions.sort_by_key(|position| std::cmp::Reverse(routes[*position].prefix.len()));
+        }
+        Self {
+            version,
+            routes,
+            services,
+            limits,
+            by_host,
+        }
+    }
+
+    /// Returns the service that callers of a host name use most, by which the
+    /// daemons that are their entry points are chosen.
+    pub fn main_service(&self, host: &str) -> Option<&ServiceName> {
+        let positions = self.by_host.get(host)?;
+        let first = positions.iter().min()?;
+        let services = &self.routes[*first].services;
+        let mut main = services.first()?;
+        for other in services {
+            if other.weight > main.weight {
+                main = other;
+            }
+        }
+        Some(&main.service)
+    }
+}
--- /dev/null
+++ b/crates/agatehold-core/src/catalog/version.rs
@@ -0,0 +1,33 @@
+//! The number of a whole configuration.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::ids::ParseIdError;
+
+/// The digits of a version in text.
+const DIGITS: usize = 8;
+
+/// The version of a whole configuration; a later one has a higher number, and
+/// numbers are left out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConfigVersion(pub u32);
+
+impl fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for ConfigVersion {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != DIGITS || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(ParseIdError::Hex(DIGITS));
+        }
+        u32::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseIdError::Hex(DIGITS))
+    }
+}
--- /dev/null
+++ b/crates/agatehold-core/src/directory/choose.rs
@@ -0,0 +1,77 @@
+//! Chooses the daemons that callers of a service are given.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::addresses::rendezvous_score;
+use crate::ids::FailureDomain;
+use crate::ids::HostId;
+
+use super::MemberRecord;
+
+/// Returns the entry daemons of a subject, the best `per_domain` of each
+/// failure domain by rendezvous hashing weighted by capacity.
+///
+/// Few daemons carry a service, so that each sees much of its traffic: it
+/// knows the load of the targets and learns of a bad one early. All daemons
+/// that know the same members choose alike.
+pub fn entry_daemons<'a>(
+    members: impl Iterator<Item = (&'a HostId, &'a MemberRecord)>,
+    subject: &str,
+    per_domain: usize,
+) -> Vec<(&'a HostId, &'a MemberRecord)> {
+    let mut by_domain: BTreeMap<&FailureDomain, Vec<(f64, &HostId, &MemberRecord)>> =
+        BTreeMap::new();
+    for (host, member) in members {
+        if member.leaving {
+            continue;
+        }
+        let score = weighted_score(subject, host, member.capacity_millicores);
+        by_domain
+            .entry(&member.failure_domain)
+            .or_default()
+            .push((score, host, member));
+    }
+    let mut chosen = Vec::new();
+    for candidates in by_domain.values_mut() {
+        candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
+        for (_, host, member) in candidates.iter().take(per_domain) {
+            chosen.push((*host, *member));
+        }
+    }
+    chosen
+}
+
+/// Weighted rendezvous hashing (Schindelhauer and Schomaker 2005): a host is
+/// chosen in proportion to its weight.
+fn weighted_score(subject: &str, host: &HostId, capacity_millicores: u32) -> f64 {
+    let hash = rendezvous_score(&[subject], host.as_str());
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    f64::from(capacity_millicores.max(1)) / -uniform.ln()
+}
+
+/// Returns the addresses for a caller in `failure_domain`, those of its own
+/// domain first.
+///
+/// Callers pick one of the addresses at random, so that the answer holds those
+/// of the own domain only, as long as there are `enough` of them.
+pub fn entry_addresses(
+    entries: &[(&HostId, &MemberRecord)],
+    failure_domain: Option<&FailureDomain>,
+    enough: usize,
+) -> Vec<SocketAddr> {
+    let mut near = Vec::new();
+    let mut far = Vec::new();
+    for (_, member) in entries {
+        if Some(&member.failure_domain) == failure_domain {
+            near.push(member.callers);
+        } else {
+            far.push(member.callers);
+        }
+    }
+    if near.len() >= enough {
+        return near;
+    }
+    near.extend(far);
+    near
+}
--- /dev/null
+++ b/crates/agatehold-core/src/directory/mod.rs
@@ -0,0 +1,9 @@
+//! The daemons of a fleet that registered with the platform, and which of
+//! them callers are given.
+
+mod choose;
+mod rows;
+
+pub use choose::entry_daemons;
+pub use choose::entry_addresses;
+pub use rows::MemberRecord;
--- /dev/null
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -0,0 +1,117 @@
+//! The budget of sends beyond the first of each request.
+
+use std::collections::VecDeque;
+
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+/// The parts of the window in which requests are counted.
+const PARTS: u64 = 10;
+
+/// The share of the fleet's budget by requests that this daemon uses, so that
+/// a window that begins between two parts stays below the bound.
+const RATIO_MARGIN: f64 = 0.8;
+
+/// The share of the fleet's fixed budget that all entry daemons together use;
+/// the rest is left for daemons that carry callers with old addresses.
+const SLACK_MARGIN: f64 = 0.75;
+
+/// The bound that holds for all daemons together, over any window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ResendPolicy {
+    /// Sends for each request of the service.
+    pub ratio: f64,
+    /// Sends beyond that.
+    pub slack: u32,
+    /// The length of the window.
+    pub window_ms: DurationMs,
+}
+
+/// The sends beyond the first that one service may make in one daemon.
+///
+/// Each daemon spends the ratio on the requests that it sees itself, and a
+/// part of the slack by the number of entry daemons, so that the sum over all
+/// daemons holds however the traffic divides among them.
+#[derive(Clone, Debug)]
+pub struct ResendBudget {
+    policy: ResendPolicy,
+    /// The part of the slack that is this daemon's.
+    own_slack: u32,
+    /// Requests and resends by part of the window, oldest first.
+    parts: VecDeque<Part>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    /// The number of the part since the clock's origin.
+    number: u64,
+    requests: u32,
+    resends: u32,
+}
+
+impl ResendBudget {
+    /// Creates a budget without any slack.
+    pub fn new(policy: ResendPolicy) -> Self {
+        Self {
+            policy,
+            own_slack: 0,
+            parts: VecDeque::new(),
+        }
+    }
+
+    /// Sets the number of entry daemons that share the slack, this one
+    /// included; 0 if this daemon is none of them.
+    pub fn set_entries(&mut self, entries: u32) {
+        let shared = f64::from(self.policy.slack) * SLACK_MARGIN;
+        self.own_slack = match entries {
+            0 => 0,
+            entries => (shared / f64::from(entries)) as u32,
+        };
+    }
+
+    /// Records a request that is sent for the first time or refused.
+    pub fn record_request(&mut self, now: TimeMs) {
+        self.part_at(now).requests += 1;
+    }
+
+    /// Takes a resend and returns whether there was one.
+    pub fn take(&mut self, now: TimeMs) -> bool {
+        if !self.has_resend(now) {
+            return false;
+        }
+        self.part_at(now).resends += 1;
+        true
+    }
+
+    /// Returns whether a resend is left.
+    pub fn has_resend(&mut self, now: TimeMs) -> bool {
+        self.part_at(now);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let resends: u32 = self.parts.iter().map(|part| part.resends).sum();
+        let allowed = f64::from(requests) * self.policy.ratio * RATIO_MARGIN
+            + f64::from(self.own_slack);
+        f64::from(resends + 1) <= allowed
+    }
+
+    /// Returns the current part after dropping those that ended more than a
+    /// window and a part ago.
+    fn part_at(&mut self, now: TimeMs) -> &mut Part {
+        let length_ms = (self.policy.window_ms.0 / PARTS).max(1);
+        let number = now.0 / length_ms;
+        while let Some(oldest) = self.parts.front() {
+            if oldest.number + PARTS >= number {
+                break;
+            }
+            self.parts.pop_front();
+        }
+        if self.parts.back().is_none_or(|newest| newest.number < number) {
+            self.parts.push_back(Part {
+                number,
+                requests: 0,
+                resends: 0,
+            });
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
+    }
+}
--- /dev/null
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -0,0 +1,24 @@
+//! Sends requests of whole configurations to registered targets: which target,
+//! whether a second time, and what follows from an answer.
+
+mod budget;
+mod health;
+mod pick;
+mod split;
+mod step;
+mod targets;
+
+pub use budget::ResendBudget;
+pub use budget::ResendPolicy;
+pub use health::Suspicion;
+pub use health::attempt_timeout;
+pub use pick::Choice;
+pub use pick::PickRequest;
+pub use pick::pick_live_target;
+pub use split::SplitCursor;
+pub use step::AttemptFacts;
+pub use step::Decision;
+pub use step::after_attempt;
+pub use targets::LiveTarget;
+pub use targets::LiveTargets;
+pub use targets::LoadReport;
--- /dev/null
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -0,0 +1,166 @@
+//! The table of targets that a traffic thread sends to.
+
+use std::collections::HashMap;
+
+use crate::config::TargetState;
+use crate::ids::ServiceName;
+use crate::ids::TargetName;
+use crate::roster::TargetRecord;
+use crate::table::Table;
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+use super::Suspicion;
+
+/// The time after which half of a load report counts as outdated: about the
+/// run time of a request, after which as many have come as have ended.
+const REPORT_HALF_LIFE_MS: DurationMs = DurationMs(250);
+
+/// A target's report of its own load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait in the target.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// A target and what this daemon knows of it.
+#[derive(Clone, Debug)]
+pub struct LiveTarget {
+    /// What the target registered.
+    pub record: TargetRecord,
+    /// Until when the target is slow after its start.
+    pub warm_at: TimeMs,
+    /// Requests that this daemon has sent and that have not ended.
+    pub in_flight: u32,
+    /// Of these, the ones that take much longer than usual.
+    pub overdue: u32,
+    /// Requests of other daemons by the last report.
+    reported_others: u32,
+    /// When the report came.
+    reported_at: TimeMs,
+    /// Evidence that the target fails.
+    pub suspicion: Suspicion,
+    /// Whether the target is leaving, by its registration or its own word.
+    pub leaving: bool,
+    /// The count of choices when this target was chosen last; orders targets
+    /// that are equal otherwise.
+    pub chosen_number: u64,
+}
+
+impl LiveTarget {
+    fn new(record: TargetRecord, seen_at: TimeMs) -> Self {
+        let warm_at = seen_at + record.warmup_left_ms;
+        let leaving = record.state == TargetState::Leaving;
+        Self {
+            record,
+            warm_at,
+            in_flight: 0,
+            overdue: 0,
+            reported_others: 0,
+            reported_at: TimeMs(0),
+            suspicion: Suspicion::default(),
+            leaving,
+            chosen_number: 0,
+        }
+    }
+
+    /// Stores the target's load report, which counts this daemon's requests
+    /// too.
+    ///
+    /// `ended` says whether the report came with the answer to a request that
+    /// still counts as in flight here and no longer does there.
+    pub fn report_load(&mut self, report: LoadReport, ended: bool, now: TimeMs) {
+        let own = self.in_flight.saturating_sub(u32::from(ended));
+        let in_target = report.running.saturating_add(report.waiting);
+        self.reported_others = in_target.saturating_sub(own);
+        self.reported_at = now;
+    }
+
+    /// Returns the estimated number of requests in the target: the own ones
+    /// and those of others by the last report, less for each half-life of its
+    /// age.
+    pub fn estimated_load(&self, now: TimeMs) -> f64 {
+        let age_ms = now.since(self.reported_at).0 as f64;
+        let weight = (-age_ms / REPORT_HALF_LIFE_MS.0 as f64).exp2();
+        f64::from(self.in_flight) + f64::from(self.reported_others) * weight
+    }
+
+    /// Returns the age of the last load report.
+    pub fn report_age(&self, now: TimeMs) -> DurationMs {
+        now.since(self.reported_at)
+    }
+
+    /// Returns whether an estimated slot is free.
+    pub fn has_free_slot(&self, now: TimeMs) -> bool {
+        self.estimated_load(now) + 0.5 < f64::from(self.record.slots.0)
+    }
+}
+
+/// The targets of the daemon and their order by service.
+#[derive(Clone, Debug, Default)]
+pub struct LiveTargets {
+    /// The targets by name.
+    pub rows: Table<TargetName, LiveTarget>,
+    /// The names by service; holds each target of `rows` exactly once.
+    by_service: HashMap<ServiceName, Vec<TargetName>>,
+    /// The number of choices made so far.
+    pub(super) choices: u64,
+}
+
+impl LiveTargets {
+    /// Takes over the registered targets; `records` are the rows and when each
+    /// was seen.
+    ///
+    /// What is known of a target stays as long as it is the same start of it.
+    pub fn sync<'a>(&mut self, records: impl Iterator<Item = (&'a TargetRecord, TimeMs)>) {
+        let mut held = std::mem::take(&mut self.rows);
+        self.by_service.clear();
+        for (record, seen_at) in records {
+            let name = record.identity.name.clone();
+            let row = match held.remove(&name) {
+                Some(mut row) if row.record.identity == record.identity => {
+                    if row.record != *record {
+                        // A target that calls itself ready again has taken its
+                        // leave back; one that was known as leaving by its own
+                        // answers before it registered that stays leaving.
+                        row.leaving = record.state == TargetState::Leaving
+                            || (row.leaving && row.record.state == record.state);
+                        row.warm_at = seen_at + record.warmup_left_ms;
+                        row.record = record.clone();
+                    }
+                    row
+                }
+                _ => LiveTarget::new(record.clone(), seen_at),
+            };
+            self.by_service
+                .entry(record.service.clone())
+                .or_default()
+                .push(name.clone());
+            self.rows.insert(name, row);
+        }
+    }
+
+    /// Returns the names of the targets of a service.
+    pub fn of_service(&self, service: &ServiceName) -> &[TargetName] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the sum of the slots of the targets of a service that take new
+    /// work.
+    pub fn slots_of(&self, service: &ServiceName) -> u32 {
+        let mut slots = 0;
+        for name in self.of_service(service) {
+            let Some(row) = self.rows.get(name) else {
+                continue;
+            };
+            if !row.leaving {
+                slots += row.record.slots.0;
+            }
+        }
+        slots
+    }
+}
--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -5,8 +5,11 @@
 //! message: time and randomness are arguments.
 
 pub mod addresses;
+pub mod catalog;
 pub mod config;
 pub mod control;
+pub mod directory;
+pub mod dispatch;
 pub mod ejection;
 pub mod health;
 pub mod idempotency;
@@ -18,6 +21,7 @@
 pub mod poison;
 pub mod refusal;
 pub mod retry;
+pub mod roster;
 pub mod routing;
 pub mod spread;
 pub mod table;
--- a/crates/agatehold-core/src/limits/mod.rs
+++ b/crates/agatehold-core/src/limits/mod.rs
@@ -18,3 +18,4 @@
 pub use queue::effective_class;
 pub use retry_after::RetryWindow;
 pub use retry_after::spread_retry_after;
+pub use retry_after::spread_retry_after_fraction;
--- a/crates/agatehold-core/src/limits/queue.rs
+++ b/crates/agatehold-core/src/limits/queue.rs
@@ -175,6 +175,13 @@
         self.waiters.len()
     }
 
+    /// Returns the time in which the requests that wait are expected to get
+    /// their slots.
+    pub fn backlog(&self, now: TimeMs) -> DurationMs {
+        let backlog = self.drain.time_for(self.waiters.len() + 1, now);
+        backlog.unwrap_or(DurationMs(0))
+    }
+
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiters.is_empty()
@@ -440,7 +447,6 @@
     }
 
     fn retry_window(&self, now: TimeMs) -> RetryWindow {
-        let backlog = self.drain.time_for(self.waiters.len() + 1, now);
-        RetryWindow::after(backlog.unwrap_or(DurationMs(0)))
+        RetryWindow::after(self.backlog(now))
     }
 }
--- a/crates/agatehold-core/src/limits/retry_after.rs
+++ b/crates/agatehold-core/src/limits/retry_after.rs
@@ -40,3 +40,21 @@
     let to_s = window.to_ms.0.div_ceil(1_000).max(from_s);
     DurationMs(rng.random_range(from_s..=to_s)).times(1_000)
 }
+
+/// The shortest delay in fractions of a second.
+const SHORTEST_FRACTION_MS: DurationMs = DurationMs(100);
+
+/// The shortest span over which callers refused together are spread.
+const SPREAD_FRACTION_MS: DurationMs = DurationMs(250);
+
+/// Draws a delay in milliseconds for callers that understand fractions of a
+/// second and give a request only seconds in all.
+///
+/// `backlog_ms` is the time until a request could be taken in. The delay is
+/// spread over as long a time again, so that callers refused together come
+/// back one after the other.
+pub fn spread_retry_after_fraction(backlog_ms: DurationMs, rng: &mut impl Rng) -> DurationMs {
+    let from_ms = backlog_ms.max(SHORTEST_FRACTION_MS);
+    let spread_ms = from_ms.max(SPREAD_FRACTION_MS);
+    DurationMs(rng.random_range(from_ms.0..=from_ms.0 + spread_ms.0))
+}
--- a/crates/agatehold-core/src/refusal/mod.rs
+++ b/crates/agatehold-core/src/refusal/mod.rs
@@ -131,6 +131,20 @@
         &REFUSAL_ANSWERS[self as usize]
     }
 
+    /// Returns the status for callers that take 408, 421, 429 and 503 as the
+    /// promise that the request has not run and never will.
+    ///
+    /// `outcome` says what is known of this request, which may be more than
+    /// what its kind says.
+    pub const fn promising_status(self, outcome: RefusalOutcome) -> u16 {
+        let status = self.answer().http_status;
+        match outcome {
+            RefusalOutcome::NotRun if status >= 500 => 503,
+            RefusalOutcome::Unknown if matches!(status, 408 | 409 | 421 | 422 | 429 | 503) => 502,
+            _ => status,
+        }
+    }
+
     /// Returns what this kind says about execution.
     pub const fn outcome(self) -> RefusalOutcome {
         self.answer().outcome
--- a/crates/agatehold-settings/src/process/mod.rs
+++ b/crates/agatehold-settings/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of the processes.
 
 mod daemon;
+mod gateway;
 mod operator;
 mod values;
 
@@ -13,6 +14,9 @@
 pub use daemon::LogLevel;
 pub use daemon::PeerSettings;
 pub use daemon::parse_daemon;
+pub use gateway::GatewayListen;
+pub use gateway::GatewaySettings;
+pub use gateway::parse_gateway;
 pub use operator::FleetSettings;
 pub use operator::OperatorSettings;
 pub(crate) use operator::parse_author;
--- a/crates/agatehold/src/daemon/mod.rs
+++ b/crates/agatehold/src/daemon/mod.rs
@@ -146,7 +146,8 @@
     }
 }
 
-fn level_filter(level: LogLevel) -> LevelFilter {
+/// Returns the filter of the log library for a level.
+pub(crate) fn level_filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Error => LevelFilter::Error,
         LogLevel::Warn => LevelFilter::Warn,
--- /dev/null
+++ b/crates/agatehold/src/gateway/answers.rs
@@ -0,0 +1,157 @@
+//! The answers that the daemon makes itself.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::header;
+use rand::RngExt;
+
+use agatehold_core::directory::entry_addresses;
+use agatehold_core::directory::entry_daemons;
+use agatehold_core::limits::spread_retry_after_fraction;
+use agatehold_core::refusal::RefusalKind;
+use agatehold_core::refusal::RefusalOutcome;
+use agatehold_core::refusal::RetryAdvice;
+use agatehold_core::units::DurationMs;
+use agatehold_platform::READINESS_PATH;
+use agatehold_platform::RESOLVE_PATH;
+use agatehold_platform::encode_addresses;
+use agatehold_platform::encode_refusal;
+use agatehold_platform::parse_question;
+use agatehold_platform::request_headers;
+
+use super::endpoint::Answer;
+use super::endpoint::Arrival;
+use super::endpoint::Endpoint;
+use super::traffic::TrafficState;
+
+/// How long callers keep an answer about addresses. Most send one request in
+/// several times as long, so a longer time would save few questions and keep
+/// more callers at daemons that are gone.
+const ADDRESS_TTL_MS: DurationMs = DurationMs(2_000);
+
+/// The addresses of a caller's own failure domain that make up an answer by
+/// themselves; with fewer, those of other domains are added, so that a caller
+/// has another address to try.
+const NEAR_ADDRESSES_ENOUGH: usize = 2;
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers a question that is not a request for a target.
+pub(super) fn answer(state: &TrafficState, arrival: &Arrival, endpoint: Endpoint) -> Answer {
+    let (path, query) = match arrival.head.target.split_once('?') {
+        Some((path, query)) => (path, query),
+        None => (&*arrival.head.target, ""),
+    };
+    let is_get = arrival.head.method == Method::GET;
+    match endpoint {
+        Endpoint::Readiness if is_get && path == READINESS_PATH => readiness(state),
+        Endpoint::Directory if is_get && path == RESOLVE_PATH => resolve(state, query),
+        Endpoint::Metrics if is_get && path == METRICS_PATH => {
+            plain(200, "text/plain; version=0.0.4", state.metrics().into())
+        }
+        _ => plain(404, "text/plain", Bytes::new()),
+    }
+}
+
+fn plain(status: u16, content_type: &'static str, body: Bytes) -> Answer {
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static(content_type),
+    );
+    Answer {
+        status,
+        headers,
+        body,
+        closes: false,
+        is_head_answer: false,
+    }
+}
+
+fn readiness(state: &TrafficState) -> Answer {
+    let view = state.view();
+    let is_ready = view.catalog.is_some() && state.shared.stopping_since().is_none();
+    plain(if is_ready { 200 } else { 503 }, "text/plain", Bytes::new())
+}
+
+/// Tells a caller which addresses to use.
+fn resolve(state: &TrafficState, query: &str) -> Answer {
+    let question = parse_question(query);
+    let addresses = choose_addresses(state, &question.host, question.failure_domain.as_ref());
+    let ttl_ms = ADDRESS_TTL_MS.min(state.shared.bounds.address_ttl_max_ms);
+    metrics::counter!("agatehold_address_answers_total").increment(1);
+    plain(
+        200,
+        "application/json",
+        encode_addresses(&addresses, ttl_ms).into(),
+    )
+}
+
+fn choose_addresses(
+    state: &TrafficState,
+    host: &str,
+    failure_domain: Option<&agatehold_core::ids::FailureDomain>,
+) -> Vec<SocketAddr> {
+    let view = state.view();
+    let service = view
+        .catalog
+        .as_ref()
+        .and_then(|catalog| catalog.main_service(host));
+    let per_domain = state.shared.settings.entries_per_domain as usize;
+    let chosen = match service.and_then(|service| view.entries.get(service)) {
+        Some(entries) => {
+            let entries: Vec<_> = entries.iter().map(|(host, member)| (host, member)).collect();
+            entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
+        }
+        None => {
+            let entries = entry_daemons(view.members.rows(), host, per_domain);
+            entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
+        }
+    };
+    if chosen.is_empty() && state.shared.stopping_since().is_none() {
+        // No other daemon is known, as when the store has been away since the
+        // start.
+        return vec![state.shared.settings.listen.callers];
+    }
+    chosen
+}
+
+/// Builds the answer for a refusal.
+pub(super) fn refusal(
+    state: &TrafficState,
+    kind: RefusalKind,
+    outcome: RefusalOutcome,
+    backlog_ms: Option<DurationMs>,
+    request_id: Option<&HeaderValue>,
+) -> Answer {
+    let id_text = request_id.and_then(|id| id.to_str().ok());
+    let body = encode_refusal(kind, id_text).into();
+    let mut answer = plain(kind.promising_status(outcome), "application/json", body);
+    if let Some(id) = request_id {
+        let name = HeaderName::from_static(request_headers::REQUEST_ID);
+        answer.headers.insert(name, id.clone());
+    }
+    let advice = kind.answer().retry;
+    let helps = matches!(advice, RetryAdvice::Later | RetryAdvice::OtherAddress);
+    if helps && outcome == RefusalOutcome::NotRun {
+        let backlog_ms = backlog_ms.unwrap_or(DurationMs(0));
+        let delay_ms = spread_retry_after_fraction(backlog_ms, &mut *state.rng.borrow_mut());
+        let seconds = format!("{}.{:03}", delay_ms.0 / 1_000, delay_ms.0 % 1_000);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            let name = HeaderName::from_static(request_headers::RETRY_AFTER);
+            answer.headers.insert(name, value);
+        }
+    }
+    answer
+}
+
+/// Returns a number for the place in a sequence where a daemon starts.
+pub(super) fn random_offset(state: &TrafficState) -> u32 {
+    state.rng.borrow_mut().random()
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -0,0 +1,393 @@
+//! Listeners and connections of callers: requests are read ahead and answered
+//! in order.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::header;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use agatehold_core::refusal::RefusalKind;
+
+use crate::clock::duration;
+use crate::traffic::Liveness;
+use crate::traffic::set_socket_options;
+
+use super::http1::BodyCollector;
+use super::http1::HttpFault;
+use super::http1::RequestHead;
+use super::http1::take_request_head;
+use super::http1::write_header;
+use super::http1::write_headers;
+use super::serve;
+use super::traffic::TrafficState;
+
+/// How soon a connection of a caller that vanished is noticed.
+const LIVENESS: Liveness = Liveness {
+    keepalive_after: Duration::from_secs(5),
+    user_timeout: Duration::from_secs(10),
+};
+
+/// The requests of one connection that are handled side by side.
+const PIPELINED_MAX: usize = 16;
+
+/// The bytes that are read ahead of what can be handled.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+
+/// The space that is free for each read.
+const READ_BYTES: usize = 4 * 1024;
+
+/// The time that one write to a caller may wait for the caller to read.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The time between two parts of a body.
+const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The time in which a caller is expected to close after the last answer;
+/// closing first would reset the connection if bytes are unread.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// The pause after a failed accept, as when file descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// What is served at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Endpoint {
+    /// Requests for targets.
+    Callers,
+    /// Questions for addresses.
+    Directory,
+    /// Questions whether the daemon serves.
+    Readiness,
+    /// Questions for metrics.
+    Metrics,
+}
+
+/// A whole request.
+pub(super) struct Arrival {
+    /// The head.
+    pub(super) head: RequestHead,
+    /// The body.
+    pub(super) body: Bytes,
+    /// When the head was complete.
+    pub(super) arrived_at: Instant,
+}
+
+/// A whole answer.
+pub(super) struct Answer {
+    /// The status.
+    pub(super) status: u16,
+    /// The headers without those of the connection and the body's length.
+    pub(super) headers: HeaderMap,
+    /// The body.
+    pub(super) body: Bytes,
+    /// Whether the connection is closed behind the answer.
+    pub(super) closes: bool,
+    /// Whether the body's length is stated but no body sent.
+    pub(super) is_head_answer: bool,
+}
+
+/// Binds an address; another process may have held it a moment ago.
+pub(super) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections until the task is dropped.
+pub(super) async fn accept(state: Rc<TrafficState>, listener: TcpListener, endpoint: Endpoint) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let state = Rc::clone(&state);
+                state.note_connection(endpoint);
+                tokio::task::spawn_local(async move {
+                    run_connection(&state, stream, endpoint).await;
+                    state.note_close(endpoint);
+                });
+            }
+            Err(error) => {
+                metrics::counter!("agatehold_accept_errors_total").increment(1);
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Where the reading of a connection stands.
+struct Intake {
+    buffer: BytesMut,
+    /// The request whose body is being read.
+    current: Option<(RequestHead, BodyCollector, Instant)>,
+    /// A request that has to wait for those before it.
+    held: Option<Arrival>,
+    /// When the first byte of the current head came.
+    head_since: Option<Instant>,
+    /// When bytes last went either way while nothing was pending.
+    idle_since: Instant,
+    /// Whether nothing more is read as a request.
+    ended: bool,
+}
+
+async fn run_connection(state: &Rc<TrafficState>, stream: TcpStream, endpoint: Endpoint) {
+    if set_socket_options(&stream, LIVENESS).is_err() {
+        return;
+    }
+    let (mut reading, mut writing) = stream.into_split();
+    let mut intake = Intake {
+        buffer: BytesMut::new(),
+        current: None,
+        held: None,
+        head_since: None,
+        idle_since: Instant::now(),
+        ended: false,
+    };
+    let mut pending: VecDeque<oneshot::Receiver<Answer>> = VecDeque::new();
+    loop {
+        if let Err(kind) = take_requests(state, &mut intake, &mut pending, endpoint, &mut writing).await
+        {
+            intake.ended = true;
+            intake.held = None;
+            pending.push_back(refused(state, kind));
+        }
+        let timeout = read_deadline(state, &intake, pending.is_empty());
+        let can_read = intake.buffer.len() < READ_AHEAD_BYTES || intake.current.is_some();
+        intake.buffer.reserve(READ_BYTES);
+        tokio::select! {
+            biased;
+            answer = next_answer(&mut pending), if !pending.is_empty() => {
+                pending.pop_front();
+                let Some(answer) = answer else {
+                    return;
+                };
+                let closes = answer.closes || (intake.ended && pending.is_empty());
+                if write_answer(&mut writing, &answer, closes).await.is_err() {
+                    return;
+                }
+                if closes {
+                    // The requests behind are not read; their callers send
+                    // them again.
+                    pending.clear();
+                    linger(reading, writing).await;
+                    return;
+                }
+                intake.idle_since = Instant::now();
+            }
+            read = reading.read_buf(&mut intake.buffer), if can_read => match read {
+                // Dropping what is pending cancels it.
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            },
+            () = tokio::time::sleep_until(timeout.unwrap_or_else(Instant::now)),
+                if timeout.is_some() =>
+            {
+                if intake.head_since.is_none() && intake.current.is_none() {
+                    return;
+                }
+                intake.ended = true;
+                intake.current = None;
+                intake.head_since = None;
+                intake.buffer.clear();
+                pending.push_back(refused(state, RefusalKind::SlowSender));
+            }
+        }
+    }
+}
+
+async fn next_answer(pending: &mut VecDeque<oneshot::Receiver<Answer>>) -> Option<Answer> {
+    match pending.front_mut() {
+        Some(first) => first.await.ok(),
+        None => std::future::pending().await,
+    }
+}
+
+/// Returns until when the next bytes have to come.
+fn read_deadline(state: &TrafficState, intake: &Intake, is_idle: bool) -> Option<Instant> {
+    if intake.ended {
+        return None;
+    }
+    if intake.current.is_some() {
+        return Some(intake.idle_since.max(Instant::now()) + BODY_PART_TIMEOUT);
+    }
+    let limits = state.limits();
+    if let Some(since) = intake.head_since {
+        return Some(since + duration(limits.head_timeout_ms));
+    }
+    if is_idle {
+        return Some(intake.idle_since + duration(limits.idle_timeout_ms));
+    }
+    None
+}
+
+/// Takes the whole requests off the buffer and starts them.
+async fn take_requests(
+    state: &Rc<TrafficState>,
+    intake: &mut Intake,
+    pending: &mut VecDeque<oneshot::Receiver<Answer>>,
+    endpoint: Endpoint,
+    writing: &mut OwnedWriteHalf,
+) -> Result<(), RefusalKind> {
+    loop {
+        if let Some(arrival) = intake.held.take() {
+            if !may_start(state, &arrival, pending, endpoint) {
+                intake.held = Some(arrival);
+                return Ok(());
+            }
+            intake.ended = !arrival.head.keeps_alive;
+            pending.push_back(start(state, arrival, endpoint));
+        }
+        if intake.ended || pending.len() >= PIPELINED_MAX {
+            return Ok(());
+        }
+        if intake.current.is_none() {
+            let limits = state.limits();
+            if intake.buffer.is_empty() {
+                intake.head_since = None;
+                return Ok(());
+            }
+            let head_max = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
+            let Some(head) = take_request_head(&mut intake.buffer, head_max).map_err(kind_of)?
+            else {
+                intake.head_since.get_or_insert_with(Instant::now);
+                return Ok(());
+            };
+            intake.head_since = None;
+            let body_max = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
+            let body = BodyCollector::new(head.framing, body_max).map_err(kind_of)?;
+            if expects_continue(&head) && intake.buffer.is_empty() {
+                // The caller notices a failure itself.
+                let _ = writing.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            }
+            intake.current = Some((head, body, Instant::now()));
+        }
+        let Some((head, mut body, arrived_at)) = intake.current.take() else {
+            return Ok(());
+        };
+        if !body.take(&mut intake.buffer).map_err(kind_of)? {
+            intake.current = Some((head, body, arrived_at));
+            return Ok(());
+        }
+        intake.held = Some(Arrival {
+            head,
+            body: body.close(),
+            arrived_at,
+        });
+    }
+}
+
+fn expects_continue(head: &RequestHead) -> bool {
+    head.headers
+        .get(header::EXPECT)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
+/// Requests run side by side only if all of them may run more than once: one
+/// behind an answer that closes the connection counts as not read, and its
+/// caller sends it again.
+fn may_start(
+    state: &TrafficState,
+    arrival: &Arrival,
+    pending: &VecDeque<oneshot::Receiver<Answer>>,
+    endpoint: Endpoint,
+) -> bool {
+    pending.is_empty() || (endpoint == Endpoint::Callers && state.is_idempotent(&arrival.head))
+}
+
+fn start(state: &Rc<TrafficState>, arrival: Arrival, endpoint: Endpoint) -> oneshot::Receiver<Answer> {
+    let (reply, answer) = oneshot::channel();
+    if endpoint == Endpoint::Callers {
+        let state = Rc::clone(state);
+        tokio::task::spawn_local(async move { serve::handle(&state, arrival, reply).await });
+        return answer;
+    }
+    let answered = super::answers::answer(state, &arrival, endpoint);
+    // The receiver is in scope.
+    let _ = reply.send(answered);
+    answer
+}
+
+fn refused(state: &Rc<TrafficState>, kind: RefusalKind) -> oneshot::Receiver<Answer> {
+    let (reply, answer) = oneshot::channel();
+    let mut refusal = super::answers::refusal(state, kind, kind.outcome(), None, None);
+    refusal.closes = true;
+    log::warn!("event=refused id=- kind={kind} reason=unreadable");
+    // The receiver is in scope.
+    let _ = reply.send(refusal);
+    answer
+}
+
+const fn kind_of(fault: HttpFault) -> RefusalKind {
+    match fault {
+        HttpFault::Malformed => RefusalKind::BadRequest,
+        HttpFault::HeadTooLarge => RefusalKind::HeadTooLarge,
+        HttpFault::BodyTooLarge => RefusalKind::BodyTooLarge,
+        HttpFault::AmbiguousLength => RefusalKind::AmbiguousFraming,
+    }
+}
+
+async fn write_answer(
+    writing: &mut OwnedWriteHalf,
+    answer: &Answer,
+    closes: bool,
+) -> io::Result<()> {
+    let status = http::StatusCode::from_u16(answer.status)
+        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let mut out = Vec::with_capacity(answer.body.len() + 512);
+    out.extend_from_slice(b"HTTP/1.1 ");
+    out.extend_from_slice(status.as_str().as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(status.canonical_reason().unwrap_or("").as_bytes());
+    out.extend_from_slice(b"\r\n");
+    write_headers(&mut out, &answer.headers);
+    if closes {
+        write_header(&mut out, "connection", b"close");
+    }
+    let has_no_body = answer.status == 204 || answer.status == 304;
+    if !has_no_body && !answer.is_head_answer {
+        let length = answer.body.len().to_string();
+        write_header(&mut out, "content-length", length.as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+    if !has_no_body && !answer.is_head_answer {
+        out.extend_from_slice(&answer.body);
+    }
+    match tokio::time::timeout(WRITE_TIMEOUT, writing.write_all(&out)).await {
+        Ok(result) => result,
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Closes the writing side and waits until the caller has closed too.
+async fn linger(mut reading: OwnedReadHalf, mut writing: OwnedWriteHalf) {
+    if writing.shutdown().await.is_err() {
+        return;
+    }
+    let mut sink = [0; 1_024];
+    let drained = async {
+        while let Ok(length) = reading.read(&mut sink).await {
+            if length == 0 {
+                return;
+            }
+        }
+    };
+    // A caller that does not close in time is cut off.
+    let _ = tokio::time::timeout(LINGER, drained).await;
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/follow.rs
@@ -0,0 +1,288 @@
+//! Follows the keys of the platform's store and keeps the daemon registered.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::sync::mpsc::Sender;
+
+use agatehold_platform::Item;
+use agatehold_platform::Lease;
+use agatehold_platform::StoreStatus;
+use agatehold_platform::create_lease;
+use agatehold_platform::decode_lease;
+use agatehold_platform::decode_page;
+use agatehold_platform::decode_watched;
+use agatehold_platform::read_page;
+use agatehold_platform::renew_lease;
+use agatehold_platform::watch;
+use agatehold_platform::write;
+
+use agatehold_core::units::DurationMs;
+
+use crate::clock::duration;
+
+use super::member::MEMBERS_PREFIX;
+use super::store::StoreClient;
+use super::store::StoreFault;
+
+/// How long a watch waits for changes; the store allows 30 s.
+const WATCH_WAIT_MS: DurationMs = DurationMs(25_000);
+
+/// The time beyond its wait that a watch may take to answer.
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+
+/// How long another call may take to answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The pause after a change, in which further changes gather for one call.
+const GATHER: Duration = Duration::from_millis(350);
+
+/// The shortest pause after a failed call.
+const BACKOFF_FIRST: Duration = Duration::from_millis(250);
+
+/// The longest pause after a failed call; the store's return is noticed within
+/// about this time.
+const BACKOFF_LAST: Duration = Duration::from_millis(1_000);
+
+/// How long the daemon's registration lasts without renewal.
+const LEASE_TTL_MS: DurationMs = DurationMs(4_000);
+
+/// The time between two renewals, which also show that the store answers.
+const RENEWAL: Duration = Duration::from_millis(1_000);
+
+/// The time between two reads of the registered daemons.
+const MEMBERS_POLL: Duration = Duration::from_millis(1_000);
+
+/// The keys that are followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Subject {
+    /// The operators' configuration.
+    Configuration,
+    /// The registered targets.
+    Targets,
+    /// The registered daemons.
+    Members,
+}
+
+impl Subject {
+    /// Returns the prefix of the keys.
+    pub(crate) const fn prefix(self) -> &'static str {
+        match self {
+            Self::Configuration => agatehold_platform::CONFIGURATION_KEY,
+            Self::Targets => agatehold_platform::TARGETS_PREFIX,
+            Self::Members => MEMBERS_PREFIX,
+        }
+    }
+
+    /// Returns the name in logs.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Targets => "targets",
+            Self::Members => "members",
+        }
+    }
+}
+
+/// What the store's tasks tell the control loop.
+#[derive(Debug)]
+pub(crate) enum StoreNews {
+    /// All keys of a subject, as of a revision of the store.
+    Listed(Subject, Vec<Item>, u64),
+    /// Changes of a subject in order.
+    Changed(Subject, Vec<Item>),
+    /// A call failed.
+    Failed(&'static str, StoreFault),
+    /// A call was answered.
+    Answered,
+}
+
+/// Pauses after failures, twice as long each time and spread at random.
+struct Backoff {
+    next: Duration,
+}
+
+impl Backoff {
+    const fn new() -> Self {
+        Self {
+            next: BACKOFF_FIRST,
+        }
+    }
+
+    fn reset(&mut self) {
+        self.next = BACKOFF_FIRST;
+    }
+
+    async fn pause(&mut self) {
+        let spread = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.next.mul_f64(spread)).await;
+        self.next = (self.next * 2).min(BACKOFF_LAST);
+    }
+}
+
+/// Lists the keys of a subject and then watches them, for ever.
+pub(crate) async fn follow(store: Rc<StoreClient>, subject: Subject, news: Sender<StoreNews>) {
+    let mut backoff = Backoff::new();
+    loop {
+        let listed = list(&store, subject, false).await;
+        let (items, revision) = match listed {
+            Ok(listed) => listed,
+            Err(fault) => {
+                let _ = news.send(StoreNews::Failed(subject.name(), fault)).await;
+                backoff.pause().await;
+                continue;
+            }
+        };
+        backoff.reset();
+        let _ = news
+            .send(StoreNews::Listed(subject, items, revision))
+            .await;
+        watch_from(&store, subject, revision, &news).await;
+    }
+}
+
+/// Watches until the store has lost the history after `revision`.
+async fn watch_from(
+    store: &StoreClient,
+    subject: Subject,
+    mut revision: u64,
+    news: &Sender<StoreNews>,
+) {
+    let mut backoff = Backoff::new();
+    loop {
+        let call = watch(subject.prefix(), revision, WATCH_WAIT_MS);
+        let timeout = duration(WATCH_WAIT_MS) + WATCH_MARGIN;
+        let answer = store.call(call, timeout).await;
+        let watched = match answer {
+            Ok(body) => decode_watched(&body).map_err(StoreFault::from),
+            Err(fault) => Err(fault),
+        };
+        match watched {
+            Ok(watched) => {
+                backoff.reset();
+                revision = revision.max(watched.store_revision);
+                if watched.changes.is_empty() {
+                    let _ = news.send(StoreNews::Answered).await;
+                    continue;
+                }
+                let _ = news.send(StoreNews::Changed(subject, watched.changes)).await;
+                tokio::time::sleep(GATHER).await;
+            }
+            Err(StoreFault::Status(StoreStatus::HistoryGone)) => {
+                log::info!("event=history_gone subject={} revision={revision}", subject.name());
+                return;
+            }
+            Err(fault) => {
+                let _ = news.send(StoreNews::Failed(subject.name(), fault)).await;
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+/// Reads all keys of a subject; returns the revision of the first page, from
+/// which a watch misses nothing.
+async fn list(
+    store: &StoreClient,
+    subject: Subject,
+    may_be_stale: bool,
+) -> Result<(Vec<Item>, u64), StoreFault> {
+    let mut items: Vec<Item> = Vec::new();
+    let mut revision = None;
+    loop {
+        let after = items.last().map(|item| item.key.clone());
+        let call = read_page(subject.prefix(), after.as_deref(), may_be_stale);
+        let body = store.call(call, CALL_TIMEOUT).await?;
+        let page = decode_page(&body)?;
+        let first = *revision.get_or_insert(page.store_revision);
+        let is_last = !page.has_more || page.items.is_empty();
+        items.extend(page.items);
+        if is_last {
+            return Ok((items, first));
+        }
+    }
+}
+
+/// Reads the registered daemons again and again, by cheap reads: a caller that
+/// is given the address of a daemon that is gone tries another.
+pub(crate) async fn poll_members(store: Rc<StoreClient>, news: Sender<StoreNews>) {
+    let spread = rand::rng().random_range(0.0..1.0);
+    tokio::time::sleep(MEMBERS_POLL.mul_f64(spread)).await;
+    loop {
+        let told = match list(&store, Subject::Members, true).await {
+            Ok((items, revision)) => StoreNews::Listed(Subject::Members, items, revision),
+            Err(fault) => StoreNews::Failed(Subject::Members.name(), fault),
+        };
+        let _ = news.send(told).await;
+        tokio::time::sleep(MEMBERS_POLL).await;
+    }
+}
+
+/// Registers the daemon and renews its lease, for ever; writes the record again
+/// whenever it changes.
+pub(crate) async fn stay_registered(
+    store: Rc<StoreClient>,
+    key: String,
+    mut record: tokio::sync::watch::Receiver<Vec<u8>>,
+    news: Sender<StoreNews>,
+) {
+    let mut backoff = Backoff::new();
+    loop {
+        let value = record.borrow_and_update().clone();
+        let lease = match register(&store, &key, &value).await {
+            Ok(lease) => lease,
+            Err(fault) => {
+                let _ = news.send(StoreNews::Failed("lease", fault)).await;
+                backoff.pause().await;
+                continue;
+            }
+        };
+        backoff.reset();
+        log::info!("event=registered lease={} ttl={}", lease.id, lease.ttl_ms);
+        keep_lease(&store, lease, &key, &mut record, &news).await;
+    }
+}
+
+async fn register(store: &StoreClient, key: &str, value: &[u8]) -> Result<Lease, StoreFault> {
+    let body = store.call(create_lease(LEASE_TTL_MS), CALL_TIMEOUT).await?;
+    let lease = decode_lease(&body)?;
+    store
+        .call(write(key, value, lease.id), CALL_TIMEOUT)
+        .await?;
+    Ok(lease)
+}
+
+/// Renews the lease until it has ended.
+async fn keep_lease(
+    store: &StoreClient,
+    lease: Lease,
+    key: &str,
+    record: &mut tokio::sync::watch::Receiver<Vec<u8>>,
+    news: &Sender<StoreNews>,
+) {
+    loop {
+        let changed = tokio::time::timeout(RENEWAL, record.changed()).await.is_ok();
+        let call = if changed {
+            let value = record.borrow_and_update().clone();
+            write(key, &value, lease.id)
+        } else {
+            renew_lease(lease.id)
+        };
+        match store.call(call, CALL_TIMEOUT).await {
+            Ok(_) => {
+                let _ = news.send(StoreNews::Answered).await;
+            }
+            Err(StoreFault::Status(StoreStatus::NotFound)) => {
+                log::warn!("event=lease_ended lease={}", lease.id);
+                return;
+            }
+            Err(fault) => {
+                if changed {
+                    record.mark_changed();
+                }
+                let _ = news.send(StoreNews::Failed("lease", fault)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/member.rs
@@ -0,0 +1,61 @@
+//! The daemon's own record in the platform's store.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use agatehold_core::directory::MemberRecord;
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::Incarnation;
+
+/// The prefix of the keys under which daemons register themselves.
+pub(crate) const MEMBERS_PREFIX: &str = "agatehold/members/";
+
+#[derive(Serialize, Deserialize)]
+struct MemberText {
+    failure_domain: String,
+    callers: String,
+    news: String,
+    incarnation: String,
+    leaving: bool,
+    capacity_millicores: u32,
+}
+
+/// Returns the key of a daemon.
+pub(crate) fn member_key(host: &HostId) -> String {
+    format!("{MEMBERS_PREFIX}{host}")
+}
+
+/// Returns the host of a key.
+pub(crate) fn member_host(key: &str) -> Option<HostId> {
+    key.strip_prefix(MEMBERS_PREFIX)?.parse().ok()
+}
+
+/// Encodes the record of a daemon.
+pub(crate) fn encode_member(member: &MemberRecord) -> Vec<u8> {
+    let text = MemberText {
+        failure_domain: member.failure_domain.to_string(),
+        callers: member.callers.to_string(),
+        news: member.news.to_string(),
+        incarnation: member.incarnation.to_string(),
+        leaving: member.leaving,
+        capacity_millicores: member.capacity_millicores,
+    };
+    // A struct of text and numbers has no value that JSON can't express.
+    serde_json::to_vec(&text).unwrap_or_default()
+}
+
+/// Decodes the record of a daemon; `None` if it is none.
+pub(crate) fn decode_member(bytes: &[u8]) -> Option<MemberRecord> {
+    let text: MemberText = serde_json::from_slice(bytes).ok()?;
+    Some(MemberRecord {
+        failure_domain: text.failure_domain.parse().ok()?,
+        callers: text.callers.parse().ok()?,
+        news: text.news.parse().ok()?,
+        incarnation: text
+            .incarnation
+            .parse::<Incarnation>()
+            .unwrap_or_default(),
+        leaving: text.leaving,
+        capacity_millicores: text.capacity_millicores,
+    })
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -0,0 +1,138 @@
+//! The daemon on a platform that keeps whole configurations and lists of
+//! targets: callers ask which daemons to use and connect there themselves.
+
+mod answers;
+mod control;
+mod endpoint;
+mod follow;
+mod http1;
+mod member;
+mod queue;
+mod routes;
+mod serve;
+mod shared;
+mod store;
+mod target;
+mod traffic;
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::bounded;
+use signal_hook::consts::SIGHUP;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+use agatehold_core::membership::new_incarnation;
+use agatehold_platform::parse_bounds;
+use agatehold_settings::process::GatewaySettings;
+use agatehold_settings::process::parse_gateway;
+
+use crate::clock::Clock;
+use crate::daemon::StartError;
+use crate::daemon::level_filter;
+use crate::telemetry;
+
+use control::ControlThread;
+use shared::GatewayShared;
+use traffic::TrafficThread;
+
+/// The signals that wait to be handled.
+const SIGNALS_LENGTH: usize = 8;
+
+/// Runs the daemon until it is stopped.
+pub(crate) fn run(path: &Path, settings: GatewaySettings) -> Result<(), StartError> {
+    telemetry::start_decision_log(level_filter(settings.log))
+        .map_err(|_| StartError::Telemetry)?;
+    let metrics = telemetry::start_metrics().ok_or(StartError::Telemetry)?;
+    let bounds = parse_bounds(&settings.bounds).unwrap_or_else(|error| {
+        log::warn!("event=bounds_unreadable error=\"{error}\"");
+        Default::default()
+    });
+    let unix_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis());
+    let unix_ms = u64::try_from(unix_ms).unwrap_or(0);
+    let incarnation = new_incarnation(unix_ms, &mut rand::rng());
+    let signals = watch_signals()?;
+    let shared = Arc::new(GatewayShared::new(Clock::new(), settings, bounds));
+    log::info!(
+        "event=start host={} incarnation={incarnation} version={} callers={} store={} per_domain={} resend_ratio={} resend_slack={} stop_limit={}",
+        shared.settings.host.id,
+        env!("CARGO_PKG_VERSION"),
+        shared.settings.listen.callers,
+        shared.settings.store,
+        shared.settings.entries_per_domain,
+        shared.bounds.resend_ratio,
+        shared.bounds.resend_slack,
+        shared.bounds.stop_limit_ms
+    );
+    let control = ControlThread::start(&shared, incarnation)
+        .map_err(|error| StartError::Io("the control thread", error))?;
+    let traffic = TrafficThread::start(&shared, metrics)
+        .map_err(|error| StartError::Io("[listen]", error))?;
+    wait_for_stop(path, &signals);
+    log::info!("event=stop_begins host={}", shared.settings.host.id);
+    shared.begin_stop();
+    control.announce_leave();
+    traffic.wake();
+    traffic.close();
+    control.close();
+    log::info!("event=stopped host={}", shared.settings.host.id);
+    telemetry::flush_decision_log();
+    Ok(())
+}
+
+fn watch_signals() -> Result<Receiver<i32>, StartError> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|error| StartError::Io("the signal handler", error))?;
+    let (seen, signals_seen) = bounded(SIGNALS_LENGTH);
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for signal in signals.forever() {
+                // A signal beyond those that wait would not change anything.
+                let _ = seen.try_send(signal);
+            }
+        })
+        .map_err(|error| StartError::Io("the signal thread", error))?;
+    Ok(signals_seen)
+}
+
+/// Waits for a signal to stop; reads the settings again at each reload.
+fn wait_for_stop(path: &Path, signals: &Receiver<i32>) {
+    for signal in signals {
+        if signal != SIGHUP {
+            return;
+        }
+        reload(path);
+    }
+}
+
+/// Reads the settings again. Only the log level changes in a running process;
+/// the addresses and the host are what the process was started with.
+fn reload(path: &Path) {
+    let file = path.display().to_string();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            log::warn!("event=reload outcome=unreadable error=\"{error}\"");
+            return;
+        }
+    };
+    match parse_gateway(&file, &text) {
+        Ok(settings) => {
+            log::set_max_level(level_filter(settings.log));
+            log::info!("event=reload outcome=done level={}", settings.log);
+        }
+        Err(errors) => {
+            for error in errors {
+                log::warn!("event=reload outcome=invalid error=\"{error}\"");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/routes.rs
@@ -0,0 +1,75 @@
+//! What the traffic thread knows of a route from its requests.
+
+use agatehold_core::catalog::CatalogRoute;
+use agatehold_core::catalog::WeightedService;
+use agatehold_core::dispatch::SplitCursor;
+use agatehold_core::ids::ServiceName;
+use agatehold_core::units::DurationMs;
+
+use super::answers::random_offset;
+use super::traffic::TrafficState;
+
+/// The weight of the newest run time in the moving average.
+const NEWEST_RUN_WEIGHT: f64 = 0.05;
+
+/// The state of one route.
+pub(super) struct RouteState {
+    /// The services by which the cursor goes.
+    services: Vec<WeightedService>,
+    cursor: SplitCursor,
+    /// The moving average of the run times of answered requests; 0 before the
+    /// first.
+    usual_ms: f64,
+}
+
+/// Returns the service of the route's next request.
+pub(super) fn next_service(state: &TrafficState, route: &CatalogRoute) -> ServiceName {
+    if let [only] = &*route.services {
+        return only.service.clone();
+    }
+    let offset = random_offset(state);
+    let mut routes = state.routes.borrow_mut();
+    let row = routes
+        .entry(route.name.clone())
+        .or_insert_with(|| RouteState::new(route, offset));
+    if row.services != route.services {
+        row.services.clone_from(&route.services);
+        row.cursor = SplitCursor::starting_at(&route.services, offset);
+    }
+    let position = row.cursor.next(&route.services);
+    route.services[position].service.clone()
+}
+
+/// Returns the usual run time of the route's requests; a third of the
+/// objective before the first answer.
+pub(super) fn usual_run(state: &TrafficState, route: &CatalogRoute) -> DurationMs {
+    let routes = state.routes.borrow();
+    match routes.get(&route.name) {
+        Some(row) if row.usual_ms > 0.0 => DurationMs(row.usual_ms as u64),
+        _ => DurationMs(route.objective_ms.0 / 3),
+    }
+}
+
+/// Adds the run time of an answered request.
+pub(super) fn record_run(state: &TrafficState, route: &CatalogRoute, run_ms: DurationMs) {
+    let offset = random_offset(state);
+    let mut routes = state.routes.borrow_mut();
+    let row = routes
+        .entry(route.name.clone())
+        .or_insert_with(|| RouteState::new(route, offset));
+    let sample = run_ms.0 as f64;
+    if row.usual_ms == 0.0 {
+        row.usual_ms = sample;
+    }
+    row.usual_ms += (sample - row.usual_ms) * NEWEST_RUN_WEIGHT;
+}
+
+impl RouteState {
+    fn new(route: &CatalogRoute, offset: u32) -> Self {
+        Self {
+            services: route.services.clone(),
+            cursor: SplitCursor::starting_at(&route.services, offset),
+            usual_ms: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -0,0 +1,106 @@
+//! What the control thread publishes and the traffic thread reads.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+
+use agatehold_core::catalog::Catalog;
+use agatehold_core::directory::MemberRecord;
+use agatehold_core::directory::entry_daemons;
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::ServiceName;
+use agatehold_core::roster::TargetRecord;
+use agatehold_core::table::Table;
+use agatehold_core::units::TimeMs;
+use agatehold_platform::FleetBounds;
+use agatehold_settings::process::GatewaySettings;
+
+use crate::clock::Clock;
+
+/// What the control thread believes, as one consistent whole.
+#[derive(Default)]
+pub(crate) struct View {
+    /// Counts the views; a later one has a higher number.
+    pub(crate) number: u64,
+    /// The configuration in force.
+    pub(crate) catalog: Option<Arc<Catalog>>,
+    /// The registered targets and when each was seen.
+    pub(crate) targets: Vec<(TargetRecord, TimeMs)>,
+    /// The daemons of the fleet.
+    pub(crate) members: Table<HostId, MemberRecord>,
+    /// The entry daemons of each service, in the order of their failure
+    /// domains.
+    pub(crate) entries: HashMap<ServiceName, Vec<(HostId, MemberRecord)>>,
+    /// Since when the store has not answered.
+    pub(crate) store_away_since: Option<TimeMs>,
+}
+
+impl View {
+    /// Fills in the entry daemons of each service.
+    pub(crate) fn choose_entries(&mut self, per_domain: usize) {
+        self.entries.clear();
+        let Some(catalog) = &self.catalog else {
+            return;
+        };
+        for service in &catalog.services {
+            let chosen = entry_daemons(self.members.rows(), service.name.as_str(), per_domain);
+            let chosen = chosen
+                .into_iter()
+                .map(|(host, member)| (host.clone(), member.clone()))
+                .collect();
+            self.entries.insert(service.name.clone(), chosen);
+        }
+    }
+}
+
+/// State shared by the threads of the daemon.
+pub(crate) struct GatewayShared {
+    /// The clock of the process.
+    pub(crate) clock: Clock,
+    /// The settings of the process.
+    pub(crate) settings: GatewaySettings,
+    /// The bounds of the deployment.
+    pub(crate) bounds: FleetBounds,
+    /// What the control thread believes.
+    pub(crate) view: ArcSwap<View>,
+    /// Whether the planned stop has begun.
+    stopping: AtomicBool,
+    /// When it began.
+    stopping_since_ms: AtomicU64,
+    /// Requests of callers that are not answered.
+    pub(crate) in_flight: AtomicU64,
+}
+
+impl GatewayShared {
+    /// Creates the state of a daemon that starts.
+    pub(crate) fn new(clock: Clock, settings: GatewaySettings, bounds: FleetBounds) -> Self {
+        Self {
+            clock,
+            settings,
+            bounds,
+            view: ArcSwap::default(),
+            stopping: AtomicBool::new(false),
+            stopping_since_ms: AtomicU64::new(0),
+            in_flight: AtomicU64::new(0),
+        }
+    }
+
+    /// Begins the planned stop.
+    pub(crate) fn begin_stop(&self) {
+        let now = self.clock.now();
+        self.stopping_since_ms.store(now.0, Ordering::Release);
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Returns when the planned stop began.
+    pub(crate) fn stopping_since(&self) -> Option<TimeMs> {
+        if !self.stopping.load(Ordering::Acquire) {
+            return None;
+        }
+        Some(TimeMs(self.stopping_since_ms.load(Ordering::Acquire)))
+    }
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/store.rs
@@ -0,0 +1,163 @@
+//! Calls to the platform's store over kept connections.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use quick_error::quick_error;
+
+use agatehold_platform::DecodeError;
+use agatehold_platform::StoreCall;
+use agatehold_platform::StoreStatus;
+use agatehold_platform::status;
+
+use crate::traffic::Connection;
+use crate::traffic::Liveness;
+
+/// The time to open a connection; hosts are a few milliseconds apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How soon a silent connection to the store is noticed: a waiting watch
+/// delivers nothing for long, and news are due within two seconds.
+const LIVENESS: Liveness = Liveness {
+    keepalive_after: Duration::from_secs(1),
+    user_timeout: Duration::from_secs(2),
+};
+
+/// The connections kept open for calls.
+const IDLE_CONNECTIONS_MAX: usize = 2;
+
+quick_error! {
+    /// Why a call to the store has no usable answer.
+    #[derive(Debug)]
+    pub enum StoreFault {
+        /// No connection could be opened in time.
+        Connect {
+            display("connecting failed")
+        }
+        /// The connection was lost; the call may have been done.
+        Lost(error: hyper::Error) {
+            display("connection lost: {}", error)
+        }
+        /// No answer came in time; the call may have been done.
+        Timeout {
+            display("no answer in time")
+        }
+        /// The store did nothing, or says that it does not accept the call.
+        Status(status: StoreStatus) {
+            display("status {:?}", status)
+        }
+        /// The answer can't be read.
+        Decode(error: DecodeError) {
+            display("answer unreadable: {}", error)
+            from()
+        }
+        /// The call can't be sent as a request.
+        Invalid(error: http::Error) {
+            display("invalid call: {}", error)
+            from()
+        }
+    }
+}
+
+/// Sends calls to the store, each on a connection of its own at a time.
+pub(crate) struct StoreClient {
+    address: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+}
+
+impl StoreClient {
+    /// Creates a client without connections.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Sends a call and returns the body of its answer.
+    ///
+    /// A connection that does not deliver the whole answer is closed, since
+    /// nothing further comes on it.
+    pub(crate) async fn call(
+        &self,
+        call: StoreCall,
+        timeout: Duration,
+    ) -> Result<Bytes, StoreFault> {
+        let until = tokio::time::Instant::now() + timeout;
+        let mut connection = self.connect().await?;
+        let request = build_request(self.address, call)?;
+        let answer = tokio::time::timeout_at(until, async {
+            let response = connection
+                .sender
+                .send_request(request)
+                .await
+                .map_err(StoreFault::Lost)?;
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.map_err(StoreFault::Lost)?;
+            Ok((status(head.status.as_u16()), body.to_bytes()))
+        })
+        .await;
+        match answer {
+            Ok(Ok((status, body))) => {
+                self.keep(connection);
+                match status {
+                    StoreStatus::Done => Ok(body),
+                    other => Err(StoreFault::Status(other)),
+                }
+            }
+            Ok(Err(fault)) => {
+                connection.close();
+                Err(fault)
+            }
+            Err(_) => {
+                connection.close();
+                Err(StoreFault::Timeout)
+            }
+        }
+    }
+
+    async fn connect(&self) -> Result<Connection, StoreFault> {
+        loop {
+            let Some(connection) = self.idle.borrow_mut().pop() else {
+                break;
+            };
+            if connection.sender.is_ready() {
+                return Ok(connection);
+            }
+            connection.close();
+        }
+        let opening = Connection::open(self.address, LIVENESS);
+        match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(_)) | Err(_) => Err(StoreFault::Connect),
+        }
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= IDLE_CONNECTIONS_MAX || connection.sender.is_closed() {
+            connection.close();
+            return;
+        }
+        idle.push(connection);
+    }
+}
+
+fn build_request(address: SocketAddr, call: StoreCall) -> Result<Request<Full<Bytes>>, StoreFault> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(header::HOST, address.to_string());
+    if !call.body.is_empty() {
+        let json = HeaderValue::from_static("application/json");
+        request = request.header(header::CONTENT_TYPE, json);
+    }
+    Ok(request.body(Full::new(call.body.into()))?)
+}
--- /dev/null
+++ b/crates/agatehold/src/gateway/target.rs
@@ -0,0 +1,438 @@
+//! Connections to targets, and one attempt to run a request at a target.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use agatehold_core::dispatch::LoadReport;
+use agatehold_core::outcome::AttemptOutcome;
+use agatehold_platform::parse_load;
+use agatehold_platform::request_headers;
+use agatehold_platform::target_headers;
+
+use crate::traffic::Liveness;
+use crate::traffic::set_socket_options;
+
+use super::http1::BodyCollector;
+use super::http1::HttpFault;
+use super::http1::ResponseHead;
+use super::http1::take_response_head;
+
+/// The longest time that opening a connection may take. Hosts are a few
+/// milliseconds apart, so a longer wait means that the host is unreachable.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How soon a silent connection is noticed while a request is sent on it.
+const LIVENESS: Liveness = Liveness {
+    keepalive_after: Duration::from_secs(1),
+    user_timeout: Duration::from_secs(2),
+};
+
+/// A connection that was idle for longer is not used for a request that must
+/// not run twice: it may have gone silent or be about to close, and a new one
+/// costs about 1 ms.
+const IDLE_MAX_ONCE: Duration = Duration::from_millis(400);
+
+/// Idle connections older than this are closed; half of the shortest time
+/// after which targets close them.
+const IDLE_MAX: Duration = Duration::from_secs(4);
+
+/// The connections kept idle to one target.
+const IDLE_CONNECTIONS_MAX: usize = 8;
+
+/// The size of an answer's head.
+const HEAD_BYTES_MAX: usize = 32 * 1024;
+
+/// The size of an answer's body, which is read whole before any of it is
+/// passed on.
+const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// The space that is free for each read.
+const READ_BYTES: usize = 8 * 1024;
+
+/// A connection to a target.
+pub(super) struct TargetStream {
+    stream: TcpStream,
+    /// Bytes that were received and belong to no answer yet.
+    buffer: BytesMut,
+    /// Until when the connection may be used again.
+    usable_until: Instant,
+    idle_since: Instant,
+}
+
+/// The idle connections by target address.
+#[derive(Default)]
+pub(super) struct TargetPool {
+    idle: HashMap<SocketAddr, Vec<TargetStream>>,
+}
+
+impl TargetPool {
+    /// Takes the connection that was used last, if it is still good.
+    fn take(&mut self, address: SocketAddr, idle_max: Duration) -> Option<TargetStream> {
+        let waiting = self.idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(connection) = waiting.pop() {
+            if now >= connection.usable_until || now - connection.idle_since > idle_max {
+                // Those below were idle for longer still.
+                if idle_max >= IDLE_MAX {
+                    waiting.clear();
+                } else {
+                    waiting.push(connection);
+                }
+                return None;
+            }
+            // A byte that came in while nothing was asked belongs to no
+            // request; so does the end of the stream.
+            let mut probe = [0; 1];
+            let read = connection.stream.try_read(&mut probe);
+            let is_quiet =
+                matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+            if is_quiet {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn put(&mut self, address: SocketAddr, mut connection: TargetStream) {
+        connection.idle_since = Instant::now();
+        let waiting = self.idle.entry(address).or_default();
+        if waiting.len() < IDLE_CONNECTIONS_MAX {
+            waiting.push(connection);
+        }
+    }
+
+    /// Closes the idle connections to an address, as when a target ended.
+    pub(super) fn close_address(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(super) fn close_idle(&mut self) {
+        let now = Instant::now();
+        for waiting in self.idle.values_mut() {
+            waiting.retain(|connection| {
+                now < connection.usable_until && now - connection.idle_since <= IDLE_MAX
+            });
+        }
+        self.idle.retain(|_, waiting| !waiting.is_empty());
+    }
+}
+
+/// A request as it is sent to a target.
+pub(super) struct Outbound<'a> {
+    /// The head and the body.
+    pub(super) bytes: &'a [u8],
+    /// The request's identifier, which the answer has to repeat.
+    pub(super) request_id: Option<&'a [u8]>,
+    /// Whether the request may run more than once.
+    pub(super) idempotent: bool,
+    /// Whether the answer has no body by the request's method.
+    pub(super) is_head_request: bool,
+    /// When the final answer is due.
+    pub(super) deadline: Instant,
+}
+
+/// A whole answer of a target.
+pub(super) struct TargetAnswer {
+    /// The status.
+    pub(super) status: StatusCode,
+    /// The headers as received.
+    pub(super) headers: HeaderMap,
+    /// The body.
+    pub(super) body: Bytes,
+}
+
+/// How an attempt ended.
+pub(super) struct AttemptEnd {
+    /// The outcome for the rules and the health evidence.
+    pub(super) outcome: AttemptOutcome,
+    /// The answer, if a whole one came.
+    pub(super) answer: Option<TargetAnswer>,
+    /// The load that the target reported.
+    pub(super) load: Option<LoadReport>,
+    /// Whether another target has the address.
+    pub(super) is_wrong_target: bool,
+    /// What went wrong, for the log.
+    pub(super) detail: &'static str,
+}
+
+impl AttemptEnd {
+    pub(super) const fn without_answer(outcome: AttemptOutcome, detail: &'static str) -> Self {
+        Self {
+            outcome,
+            answer: None,
+            load: None,
+            is_wrong_target: false,
+            detail,
+        }
+    }
+}
+
+/// Sends a request once and reads its whole answer.
+///
+/// A connection goes back to the pool only after a whole answer with nothing
+/// behind it; in every other case it is closed, so that what comes late dies
+/// with it.
+pub(super) async fn run_attempt(
+    pool: &RefCell<TargetPool>,
+    address: SocketAddr,
+    outbound: &Outbound<'_>,
+) -> AttemptEnd {
+    let idle_max = if outbound.idempotent {
+        IDLE_MAX
+    } else {
+        IDLE_MAX_ONCE
+    };
+    let pooled = pool.borrow_mut().take(address, idle_max);
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => match open(address, outbound.deadline).await {
+            Ok(connection) => connection,
+            Err(detail) => {
+                return AttemptEnd::without_answer(AttemptOutcome::ConnectFailed, detail);
+            }
+        },
+    };
+    let exchanged = exchange(&mut connection, outbound);
+    match tokio::time::timeout_at(outbound.deadline, exchanged).await {
+        Err(_) => AttemptEnd::without_answer(AttemptOutcome::TimedOut, "deadline passed"),
+        Ok(Err(end)) => end,
+        Ok(Ok(exchanged)) => {
+            if exchanged.is_reusable && connection.buffer.is_empty() {
+                if let Some(lifetime) = announced_lifetime(&exchanged.head.headers) {
+                    connection.usable_until = Instant::now() + lifetime;
+                }
+                pool.borrow_mut().put(address, connection);
+            }
+            classify(exchanged)
+        }
+    }
+}
+
+async fn open(address: SocketAddr, deadline: Instant) -> Result<TargetStream, &'static str> {
+    let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let stream = match tokio::time::timeout_at(until, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) => return Err("connection refused"),
+        Err(_) => return Err("connecting timed out"),
+    };
+    if set_socket_options(&stream, LIVENESS).is_err() {
+        return Err("socket options failed");
+    }
+    let now = Instant::now();
+    Ok(TargetStream {
+        stream,
+        buffer: BytesMut::new(),
+        usable_until: now + Duration::from_secs(3_600),
+        idle_since: now,
+    })
+}
+
+/// A whole answer as it came.
+struct Exchanged {
+    head: ResponseHead,
+    body: Bytes,
+    is_reusable: bool,
+}
+
+/// Writes the request and reads the answer, which may come before the whole
+/// request is written.
+async fn exchange(
+    connection: &mut TargetStream,
+    outbound: &Outbound<'_>,
+) -> Result<Exchanged, AttemptEnd> {
+    let TargetStream { stream, buffer, .. } = connection;
+    let mut written = 0;
+    let mut head: Option<(ResponseHead, BodyCollector)> = None;
+    loop {
+        if head.is_none() {
+            head = next_head(buffer, outbound)?;
+        }
+        if let Some((_, body)) = &mut head {
+            let complete = body.take(buffer).map_err(|fault| broken(fault, written))?;
+            if complete && let Some((read, body)) = head.take() {
+                if !repeats_id(&read, outbound) {
+                    // The late answer to an earlier request; the own one
+                    // follows behind it.
+                    if !read.keeps_alive {
+                        return Err(mismatched());
+                    }
+                    continue;
+                }
+                let is_reusable = read.keeps_alive && written == outbound.bytes.len();
+                return Ok(Exchanged {
+                    head: read,
+                    body: body.close(),
+                    is_reusable,
+                });
+            }
+        }
+        buffer.reserve(READ_BYTES);
+        let (mut reading, mut writing) = stream.split();
+        let unsent = &outbound.bytes[written..];
+        tokio::select! {
+            biased;
+            sent = writing.write(unsent), if !unsent.is_empty() => match sent {
+                Ok(length) => written += length,
+                Err(_) if written == 0 => {
+                    return Err(AttemptEnd::without_answer(
+                        AttemptOutcome::NotWritten,
+                        "closed before writing",
+                    ));
+                }
+                Err(_) => return Err(lost("connection lost while writing")),
+            },
+            read = reading.read_buf(buffer) => match read {
+                Ok(0) => return end_of_stream(head.take(), outbound, written),
+                Ok(_) => {}
+                Err(_) => return Err(reset(head.is_some(), written)),
+            },
+        }
+    }
+}
+
+fn next_head(
+    buffer: &mut BytesMut,
+    outbound: &Outbound<'_>,
+) -> Result<Option<(ResponseHead, BodyCollector)>, AttemptEnd> {
+    if buffer.is_empty() {
+        return Ok(None);
+    }
+    let head = take_response_head(buffer, HEAD_BYTES_MAX, outbound.is_head_request)
+        .map_err(|fault| broken(fault, 1))?;
+    let Some(head) = head else {
+        return Ok(None);
+    };
+    let body =
+        BodyCollector::new(head.framing, BODY_BYTES_MAX).map_err(|fault| broken(fault, 1))?;
+    Ok(Some((head, body)))
+}
+
+/// The stream ended cleanly, which completes an answer without a length.
+fn end_of_stream(
+    head: Option<(ResponseHead, BodyCollector)>,
+    outbound: &Outbound<'_>,
+    written: usize,
+) -> Result<Exchanged, AttemptEnd> {
+    let Some((head, body)) = head else {
+        return Err(reset(false, written));
+    };
+    if !body.ends_with_close() {
+        return Err(cut("answer ended early"));
+    }
+    if !repeats_id(&head, outbound) {
+        return Err(mismatched());
+    }
+    Ok(Exchanged {
+        head,
+        body: body.close(),
+        is_reusable: false,
+    })
+}
+
+fn repeats_id(head: &ResponseHead, outbound: &Outbound<'_>) -> bool {
+    match (
+        head.headers.get(request_headers::REQUEST_ID),
+        outbound.request_id,
+    ) {
+        (Some(echo), Some(sent)) => echo.as_bytes() == sent,
+        // A target that refuses to run a request need not repeat its id.
+        (None, _) => !head.status.is_success(),
+        (Some(_), None) => false,
+    }
+}
+
+const fn lost(detail: &'static str) -> AttemptEnd {
+    AttemptEnd::without_answer(AttemptOutcome::ConnectionLost, detail)
+}
+
+const fn cut(detail: &'static str) -> AttemptEnd {
+    AttemptEnd::without_answer(AttemptOutcome::Cut, detail)
+}
+
+const fn mismatched() -> AttemptEnd {
+    AttemptEnd::without_answer(AttemptOutcome::Mismatched, "answer to another request")
+}
+
+fn reset(has_head: bool, written: usize) -> AttemptEnd {
+    if has_head {
+        return cut("connection lost within the answer");
+    }
+    if written == 0 {
+        return AttemptEnd::without_answer(AttemptOutcome::NotWritten, "closed before writing");
+    }
+    lost("connection lost before the answer")
+}
+
+fn broken(fault: HttpFault, _written: usize) -> AttemptEnd {
+    match fault {
+        HttpFault::Malformed => cut("bytes that are no answer"),
+        HttpFault::HeadTooLarge => cut("head of the answer over the limit"),
+        HttpFault::BodyTooLarge => cut("answer over the limit"),
+        HttpFault::AmbiguousLength => cut("length of the answer ambiguous"),
+    }
+}
+
+/// Reads the idle time that the target announces, in whole seconds; some of it
+/// passes while the answer is on its way.
+fn announced_lifetime(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    for parameter in text.split(',') {
+        let Some(seconds) = parameter.trim().strip_prefix("timeout=") else {
+            continue;
+        };
+        let seconds: u64 = seconds.parse().ok()?;
+        return Some(Duration::from_millis(seconds.saturating_mul(750)));
+    }
+    None
+}
+
+fn classify(exchanged: Exchanged) -> AttemptEnd {
+    let Exchanged { head, body, .. } = exchanged;
+    let load = head
+        .headers
+        .get(target_headers::LOAD)
+        .and_then(|value| value.to_str().ok())
+        .and_then(parse_load);
+    let is_signed = head.headers.contains_key(target_headers::SIGNATURE);
+    let is_wrong_target = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_not_run = is_wrong_target || head.headers.contains_key(target_headers::NOT_RUN);
+    let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+    let (outcome, detail) = if is_not_run {
+        (AttemptOutcome::Shed, "not run")
+    } else if head.status.is_success() && !is_signed {
+        (AttemptOutcome::Mismatched, "success without a signature")
+    } else if is_encoded {
+        (AttemptOutcome::Mismatched, "encoded body")
+    } else if head.status.is_server_error() || !is_signed {
+        (AttemptOutcome::Failed, "server error")
+    } else {
+        (AttemptOutcome::Answered, "")
+    };
+    let is_usable = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed);
+    let answer = is_usable.then_some(TargetAnswer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    });
+    AttemptEnd {
+        outcome,
+        answer,
+        load,
+        is_wrong_target,
+        detail,
+    }
+}
--- a/crates/agatehold/src/main.rs
+++ b/crates/agatehold/src/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod daemon;
 mod gate;
+mod gateway;
 mod options;
 mod peers;
 mod platform;
@@ -13,10 +14,12 @@
 mod traffic;
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use agatehold_settings::process::DaemonSettings;
+use agatehold_settings::fault::SettingsError;
 use agatehold_settings::process::parse_daemon;
+use agatehold_settings::process::parse_gateway;
 
 use daemon::Ended;
 use options::Options;
@@ -52,8 +55,10 @@
         }
         Options::Check(path) => (path, true),
         Options::Run(path) => (path, false),
+        Options::CheckGateway(path) => return run_gateway(path, true),
+        Options::RunGateway(path) => return run_gateway(path, false),
     };
-    let settings = match load_settings(&path) {
+    let settings = match load_settings(&path, parse_daemon) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
@@ -74,13 +79,39 @@
     }
 }
 
-fn load_settings(path: &Path) -> Result<DaemonSettings, ExitCode> {
+fn run_gateway(path: Option<PathBuf>, check: bool) -> ExitCode {
+    let Some(path) = path.or_else(agatehold_platform::settings_path) else {
+        eprintln!("agatehold: no settings: give --settings FILE\n\n{}", options::HELP);
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match load_settings(&path, parse_gateway) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if check {
+        println!("{}: the settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match gateway::run(&path, settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("agatehold: {error}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
+/// Reads a file of settings and parses it, or prints every error in it.
+fn load_settings<T>(
+    path: &Path,
+    parse: impl FnOnce(&str, &str) -> Result<T, Vec<SettingsError>>,
+) -> Result<T, ExitCode> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|error| {
         eprintln!("agatehold: reading {file} failed: {error}");
         ExitCode::from(EXIT_SETTINGS)
     })?;
-    parse_daemon(&file, &text).map_err(|errors| {
+    parse(&file, &text).map_err(|errors| {
         for error in errors {
             eprintln!("{error}");
         }
--- a/crates/agatehold/src/options/mod.rs
+++ b/crates/agatehold/src/options/mod.rs
@@ -11,9 +11,13 @@
 agatehold: proxy daemon for targets with gray failures
 
 Usage: agatehold --settings FILE [--check]
+       agatehold --gateway [--settings FILE] [--check]
 
 Options:
       --settings FILE  settings of the daemon in INI format
+      --gateway        run on a platform that keeps whole configurations and
+                       lists of targets; without --settings, the platform
+                       says where the settings are
       --check          print every error in the settings and exit
       --help           print this text and exit
       --version        print the version and exit
@@ -37,6 +41,10 @@
     Check(PathBuf),
     /// Run the daemon.
     Run(PathBuf),
+    /// Check the settings of a daemon on a platform.
+    CheckGateway(Option<PathBuf>),
+    /// Run the daemon on a platform.
+    RunGateway(Option<PathBuf>),
 }
 
 /// Parses the arguments after the program's name.
@@ -46,15 +54,23 @@
     let mut parser = Parser::from_args(arguments);
     let mut settings = None;
     let mut check = false;
+    let mut gateway = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("help") | Arg::Short('h') => return Ok(Options::Help),
             Arg::Long("version") => return Ok(Options::Version),
             Arg::Long("check") => check = true,
+            Arg::Long("gateway") => gateway = true,
             Arg::Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
             other => return Err(other.unexpected()),
         }
     }
+    if gateway {
+        return Ok(match check {
+            true => Options::CheckGateway(settings),
+            false => Options::RunGateway(settings),
+        });
+    }
     let Some(settings) = settings else {
         return Err("the option --settings FILE is missing".into());
     };
--- a/crates/agatehold/src/telemetry/mod.rs
+++ b/crates/agatehold/src/telemetry/mod.rs
@@ -1,5 +1,7 @@
 //! Logs and metrics of the process.
 
+mod line_writer;
+
 use std::hash::BuildHasher;
 use std::hash::BuildHasherDefault;
 use std::hash::DefaultHasher;
@@ -37,6 +39,24 @@
     WriteLogger::init(level, config, std::io::stderr())
 }
 
+/// Starts logging to standard output by a thread of its own, which the caller
+/// of a log line never waits for.
+pub(crate) fn start_decision_log(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str("agatehold")
+        .build();
+    WriteLogger::init(level, config, line_writer::start())
+}
+
+/// Waits until the lines logged so far are written, or for a short time.
+pub(crate) fn flush_decision_log() {
+    log::logger().flush();
+}
+
 /// Installs the recorder of metrics and returns the handle that renders them.
 pub(crate) fn start_metrics() -> Option<PrometheusHandle> {
     let recorder = PrometheusBuilder::new()
--- a/crates/agatehold/src/traffic/attempt.rs
+++ b/crates/agatehold/src/traffic/attempt.rs
@@ -29,6 +29,7 @@
 use super::pool::IDLE_MAX_MS;
 use super::pool::IDLE_MAX_NON_IDEMPOTENT_MS;
 use super::pool::Pool;
+use super::pool::TRAFFIC_LIVENESS;
 
 /// The longest time that opening a connection may take. Hosts are a few
 /// milliseconds apart, so a longer wait means that the host is unreachable.
@@ -138,7 +139,7 @@
         return Ok(connection);
     }
     let latest = outbound.deadline.min(clock.now() + CONNECT_TIMEOUT_MS);
-    match tokio::time::timeout_at(clock.instant(latest), Connection::open(address)).await {
+    match tokio::time::timeout_at(clock.instant(latest), Connection::open(address, TRAFFIC_LIVENESS)).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(_)) | Err(_) => Err(AttemptOutcome::ConnectFailed),
     }
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -54,6 +54,7 @@
 use super::intake::Arrival;
 use super::plan::Plan;
 use super::pool::Connection;
+use super::pool::TRAFFIC_LIVENESS;
 use super::refusal::Refusal;
 use super::serve::Caller;
 
@@ -476,7 +477,7 @@
 
 /// A target that lost a connection and refuses a new one has crashed.
 async fn accepts_connection(address: SocketAddr) -> bool {
-    match tokio::time::timeout(CRASH_PROBE, Connection::open(address)).await {
+    match tokio::time::timeout(CRASH_PROBE, Connection::open(address, TRAFFIC_LIVENESS)).await {
         Ok(Ok(connection)) => {
             connection.close();
             true
--- a/crates/agatehold/src/traffic/keys.rs
+++ b/crates/agatehold/src/traffic/keys.rs
@@ -34,6 +34,7 @@
 
 use super::ThreadState;
 use super::pool::Connection;
+use super::pool::TRAFFIC_LIVENESS;
 use super::refusal::Refusal;
 
 /// What follows from the claim of a key.
@@ -152,7 +153,7 @@
     let platform = &state.shared.settings.platform;
     let until = clock.instant(deadline.min(clock.now() + platform.timeout_ms));
     let Ok(Ok(connection)) =
-        tokio::time::timeout_at(until, Connection::open(platform.address)).await
+        tokio::time::timeout_at(until, Connection::open(platform.address, TRAFFIC_LIVENESS)).await
     else {
         return ClaimAnswer::Unavailable;
     };
--- a/crates/agatehold/src/traffic/listener.rs
+++ b/crates/agatehold/src/traffic/listener.rs
@@ -127,7 +127,7 @@
     stream: TcpStream,
     mut stage: watch::Receiver<StopStage>,
 ) {
-    if pool::set_socket_options(&stream).is_err() {
+    if pool::set_socket_options(&stream, pool::TRAFFIC_LIVENESS).is_err() {
         return;
     }
     let connection_state = Rc::new(ConnectionState::new());
--- a/crates/agatehold/src/traffic/mod.rs
+++ b/crates/agatehold/src/traffic/mod.rs
@@ -32,6 +32,11 @@
 
 use pool::Pool;
 
+pub(crate) use answer::strip_hop_by_hop;
+pub(crate) use pool::Connection;
+pub(crate) use pool::Liveness;
+pub(crate) use pool::set_socket_options;
+
 /// What the tasks of one traffic thread share.
 pub(crate) struct ThreadState {
     /// The state of the process.
--- a/crates/agatehold/src/traffic/pool.rs
+++ b/crates/agatehold/src/traffic/pool.rs
@@ -25,11 +25,21 @@
 /// could be lost on a silent connection, and a new one costs about 1 ms.
 pub(crate) const IDLE_MAX_NON_IDEMPOTENT_MS: DurationMs = DurationMs(500);
 
-/// The time after which TCP probes an idle connection.
-const KEEPALIVE: Duration = Duration::from_secs(5);
+/// How soon TCP notices a connection that went silent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Liveness {
+    /// The time after which TCP probes an idle connection, and then the time
+    /// between two probes.
+    pub(crate) keepalive_after: Duration,
+    /// The time after which TCP gives up on unacknowledged data and probes.
+    pub(crate) user_timeout: Duration,
+}
 
-/// The time after which TCP gives up on unacknowledged data.
-const USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The times for connections of callers and to targets.
+pub(crate) const TRAFFIC_LIVENESS: Liveness = Liveness {
+    keepalive_after: Duration::from_secs(5),
+    user_timeout: Duration::from_secs(10),
+};
 
 /// A connection that carries one request at a time.
 pub(crate) struct Connection {
@@ -42,9 +52,9 @@
 
 impl Connection {
     /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr) -> std::io::Result<Self> {
+    pub(crate) async fn open(address: SocketAddr, liveness: Liveness) -> std::io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
-        set_socket_options(&stream)?;
+        set_socket_options(&stream, liveness)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
@@ -86,11 +96,14 @@
 }
 
 /// Sets what makes a dead connection fail instead of hanging.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn set_socket_options(stream: &TcpStream, liveness: Liveness) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE))?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    let keepalive = TcpKeepalive::new()
+        .with_time(liveness.keepalive_after)
+        .with_interval(liveness.keepalive_after);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(liveness.user_timeout))
 }
 
 /// A connection that waits for its next request.
