Hold failing targets long while few are held, and use few targets at low load

Cause: trials of targets on hold were most failures of 500 (i-2921e91612 was tried each second for 17 s), since 30% of the targets fail at any time and the limit of targets on hold was 25%.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -10,11 +10,11 @@
 
 /// The share of the fleet's budget by requests that this daemon uses, so that
 /// a window that begins between two parts stays below the bound.
-const RATIO_MARGIN: f64 = 0.8;
+const RATIO_MARGIN: f64 = 0.95;
 
 /// The share of the fleet's fixed budget that all entry daemons together use;
 /// the rest is left for daemons that carry callers with old addresses.
-const SLACK_MARGIN: f64 = 0.75;
+const SLACK_MARGIN: f64 = 0.85;
 
 /// The bound that holds for all daemons together, over any window.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/agatehold-core/src/dispatch/health.rs
+++ b/crates/agatehold-core/src/dispatch/health.rs
@@ -16,20 +16,45 @@
 /// single failures come from one.
 const SUSPECT_NATS: f64 = 3.0;
 
-/// The most that the statistic grows to, so that a target that recovers is
-/// cleared by a few answers.
-const NATS_MAX: f64 = 8.0;
-
-/// How long a target is avoided at first. Gray failures last for seconds, and
-/// each trial of a target that still fails costs a request.
-const FIRST_HOLD_MS: DurationMs = DurationMs(3_000);
+/// The statistic below which a suspected target is trusted again: two
+/// successes after one failure. One in four requests succeeds at a gray target.
+const TRUST_NATS: f64 = 1.9;
 
-/// The longest time that a target is avoided before it is tried again.
-const LONGEST_HOLD_MS: DurationMs = DurationMs(6_000);
+/// The most that the statistic grows to, so that a target that recovers is
+/// trusted again after a few successes.
+const NATS_MAX: f64 = 4.6;
+
+/// How long a target is avoided after one failure, and how long after several.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Holds {
+    first_ms: DurationMs,
+    repeated_ms: DurationMs,
+}
 
-/// How long a target is avoided at least where many requests of its service
-/// are not served: sound targets must not go without work for two seconds.
-const PRESSED_HOLD_MS: DurationMs = DurationMs(1_500);
+/// Holds while the service can do without the targets on hold. Gray failures
+/// last for some ten seconds, and each trial of a target that still fails
+/// costs a request.
+pub(super) const LONG_HOLDS: Holds = Holds {
+    first_ms: DurationMs(4_000),
+    repeated_ms: DurationMs(7_000),
+};
+
+/// Holds while many targets are on hold: a single failure may have been one of
+/// those that healthy targets have too.
+pub(super) const SHORT_HOLDS: Holds = Holds {
+    first_ms: DurationMs(1_000),
+    repeated_ms: DurationMs(4_000),
+};
+
+/// Holds where many requests of the service are not served besides: sound
+/// targets must not go without work for two seconds.
+pub(super) const PRESSED_HOLDS: Holds = Holds {
+    first_ms: DurationMs(1_000),
+    repeated_ms: DurationMs(1_500),
+};
+
+/// Failures in a row from which a hold counts as repeated.
+const REPEATED_FAILURES: u32 = 2;
 
 /// How long a target that can't be reached is avoided at first.
 const FIRST_UNREACHABLE_MS: DurationMs = DurationMs(500);
@@ -39,7 +64,7 @@
 const LONGEST_UNREACHABLE_MS: DurationMs = DurationMs(2_000);
 
 /// The share of a hold by which it differs between daemons at most.
-const HOLD_SPREAD: f64 = 0.4;
+const HOLD_SPREAD: f64 = 0.3;
 
 /// The shortest time that one attempt of an idempotent request gets.
 const ATTEMPT_TIMEOUT_MIN_MS: DurationMs = DurationMs(150);
@@ -48,12 +73,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Suspicion {
     statistic: Cusum,
-    /// The length of the last hold.
-    hold_ms: DurationMs,
-    /// When it began.
-    held_at: TimeMs,
-    /// Until when the target is avoided.
-    avoided_until: TimeMs,
+    /// When the target was last put on hold; `None` while it is trusted.
+    held_at: Option<TimeMs>,
+    /// By how much holds differ between daemons, from 0 to 1.
+    spread: f64,
+    /// Failures since the last success.
+    failures: u32,
     /// The length of the last hold of the path to the target; 0 once it was
     /// reached.
     unreachable_hold_ms: DurationMs,
@@ -112,12 +137,12 @@
             self.statistic
                 .reset_to(crate::health::LogLikelihood::from_nats(NATS_MAX));
         }
+        self.failures = if failed { self.failures + 1 } else { 0 };
         if failed && nats >= SUSPECT_NATS {
             return self.hold(spread, now);
         }
-        if !failed && nats < SUSPECT_NATS {
-            self.avoided_until = TimeMs(0);
-            self.hold_ms = DurationMs(self.hold_ms.0 / 2);
+        if !failed && nats < TRUST_NATS {
+            self.held_at = None;
         }
         false
     }
@@ -139,49 +164,47 @@
         now < self.unreachable_until
     }
 
-    /// Avoids the target, for twice as long as the last time; returns whether
-    /// it was not avoided before.
+    /// Puts the target on hold; returns whether it was trusted before.
     fn hold(&mut self, spread: f64, now: TimeMs) -> bool {
-        let is_new = self.avoided_until == TimeMs(0);
-        if now >= self.avoided_until {
-            self.hold_ms = self
-                .hold_ms
-                .times(2)
-                .clamp(FIRST_HOLD_MS, LONGEST_HOLD_MS);
-        }
-        let spread_ms = self.hold_ms.0 as f64 * HOLD_SPREAD * spread;
-        self.held_at = now;
-        self.avoided_until = now + self.hold_ms + DurationMs(spread_ms as u64);
-        is_new
+        self.spread = spread;
+        self.held_at.replace(now).is_none()
     }
 
     /// Notes that a request was sent to the target.
     pub(super) fn note_choice(&mut self) {
-        if self.avoided_until != TimeMs(0) {
+        if self.held_at.is_some() {
             self.on_trial = true;
         }
     }
 
-    /// Returns whether requests go to the target; `is_pressed` if many requests
-    /// of its service are not served.
-    pub(super) fn standing(&self, is_pressed: bool, now: TimeMs) -> Standing {
-        if self.avoided_until == TimeMs(0) {
+    /// Returns whether requests go to the target.
+    pub(super) fn standing(&self, holds: &Holds, now: TimeMs) -> Standing {
+        if self.held_at.is_none() {
             return Standing::Trusted;
         }
-        if self.on_trial {
+        if self.on_trial || !self.is_due(holds, now) {
             return Standing::Avoided;
         }
-        let is_due = now >= self.avoided_until
-            || (is_pressed && now.since(self.held_at) >= PRESSED_HOLD_MS);
-        if is_due {
-            return Standing::Trial;
-        }
-        Standing::Avoided
+        Standing::Trial
+    }
+
+    /// Returns whether the target has been on hold for long enough.
+    pub(super) fn is_due(&self, holds: &Holds, now: TimeMs) -> bool {
+        let Some(held_at) = self.held_at else {
+            return false;
+        };
+        let hold_ms = if self.failures >= REPEATED_FAILURES {
+            holds.repeated_ms
+        } else {
+            holds.first_ms
+        };
+        let spread_ms = DurationMs((hold_ms.0 as f64 * HOLD_SPREAD * self.spread) as u64);
+        now.since(held_at) >= hold_ms + spread_ms
     }
 
     /// Returns whether the target is not trusted.
     pub fn is_suspected(&self) -> bool {
-        self.avoided_until != TimeMs(0)
+        self.held_at.is_some()
     }
 
     /// Returns the statistic in nats.
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -7,12 +7,20 @@
 
 use super::LiveTarget;
 use super::LiveTargets;
+use super::health::Holds;
+use super::health::LONG_HOLDS;
+use super::health::PRESSED_HOLDS;
+use super::health::SHORT_HOLDS;
 use super::health::Standing;
 
-/// The cost of a target in another failure domain, in slots' worth of load: a
+/// The share of a target's slots up to which its load does not matter: requests
+/// rarely wait for a slot below it.
+const EASY_LOAD: f64 = 0.45;
+
+/// The cost of a target in another failure domain, as a share of its slots: a
 /// near target is used up to this much more, since bytes that cross cost
 /// bandwidth.
-const FAR_COST: f64 = 0.3;
+const FAR_COST: f64 = 0.15;
 
 /// The cost of a target that is still slow after its start.
 const WARMING_COST: f64 = 0.4;
@@ -20,9 +28,14 @@
 /// The cost of each request that takes much longer than usual.
 const OVERDUE_COST: f64 = 0.6;
 
-/// The share of a service's targets that may be on hold while many of its
-/// requests are not served.
-const HELD_SHARE_MAX: f64 = 0.25;
+/// The share of a service's targets that may be on hold for long.
+const HELD_SHARE_MAX: f64 = 0.45;
+
+/// The share of a service's targets that may go without a request for longer
+/// than the shortest holds while many of its requests are not served. A floor
+/// of seven tenths leaves 0.3; targets that this daemon can't tell from those
+/// it has reason to avoid take some of that.
+const UNUSED_SHARE_MAX: f64 = 0.2;
 
 /// What is asked of [`pick_live_target`].
 #[derive(Clone, Copy, Debug)]
@@ -56,14 +69,17 @@
 
 /// Chooses the target with the least cost among those with a free slot.
 ///
-/// The cost is the load by slots, which is doubled for targets that are
-/// overdue with requests, and more for far and warming ones. A target on hold
-/// is chosen only when no other has a free slot, so that it takes no capacity
-/// away. Of equal targets, the one that was not chosen for longest is taken.
+/// The cost is the load by slots beyond what keeps waiting short, and more for
+/// far and warming targets and for those that are overdue with requests. Below
+/// that load, the target that was chosen last is taken: a failure that begins
+/// is met by few targets, and each of them shows it at once. A target on hold is
+/// chosen only where the service has no other. A target that nobody has used
+/// yet goes first once.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
-    let is_pressed = request.is_pressed && holds_too_many(targets, request.service, now);
-    let mut best: Option<(bool, f64, u64, &TargetName)> = None;
-    let mut takes_work = false;
+    let holds = holds_of(targets, request, now);
+    let mut best: Option<(f64, &TargetName)> = None;
+    let mut last_resort: Option<(f64, &TargetName)> = None;
+    let mut has_candidate = false;
     for name in targets.of_service(request.service) {
         let Some(row) = targets.rows.get(name) else {
             continue;
@@ -71,34 +87,40 @@
         if row.leaving || request.tried.contains(name) {
             continue;
         }
-        takes_work = true;
-        if !request.accepts_full && !row.has_free_slot(now) {
+        let is_free = request.accepts_full || row.has_free_slot(now);
+        let cost = cost(row, request, now);
+        let is_candidate = match row.suspicion.standing(&holds, now) {
+            _ if row.suspicion.is_unreachable(now) => false,
+            Standing::Trusted => true,
+            Standing::Trial => request.may_try,
+            Standing::Avoided => false,
+        };
+        if !is_candidate {
+            if is_free && last_resort.is_none_or(|(least, _)| cost < least) {
+                last_resort = Some((cost, name));
+            }
             continue;
         }
-        let last = is_last_choice(row, request, is_pressed, now);
-        let cost = cost(row, request, last, now);
-        let is_better = match best {
-            None => true,
-            Some((best_last, best_cost, best_number, _)) => {
-                (last, cost, row.chosen_number) < (best_last, best_cost, best_number)
-            }
-        };
-        if is_better {
-            best = Some((last, cost, row.chosen_number, name));
+        has_candidate = true;
+        if is_free && best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, name));
         }
     }
-    match best {
-        Some((_, _, _, name)) => Choice::Target(name.clone()),
-        None if takes_work => Choice::AllBusy,
-        None => Choice::NoTarget,
+    match (best, last_resort) {
+        (Some((_, name)), _) => Choice::Target(name.clone()),
+        (None, _) if has_candidate => Choice::AllBusy,
+        (None, Some((_, name))) => Choice::Target(name.clone()),
+        (None, None) if targets.takes_work(request.service, request.tried) => Choice::AllBusy,
+        (None, None) => Choice::NoTarget,
     }
 }
 
-/// Returns whether more targets are on hold than a service may do without.
-fn holds_too_many(targets: &LiveTargets, service: &ServiceName, now: TimeMs) -> bool {
+/// Returns how long targets of the service are on hold.
+fn holds_of(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Holds {
     let mut usable = 0;
     let mut held = 0;
-    for name in targets.of_service(service) {
+    let mut unused = 0;
+    for name in targets.of_service(request.service) {
         let Some(row) = targets.rows.get(name) else {
             continue;
         };
@@ -107,41 +129,35 @@
         }
         usable += 1;
         held += u32::from(row.suspicion.is_suspected());
+        unused += u32::from(row.suspicion.is_due(&PRESSED_HOLDS, now));
     }
-    f64::from(held) > f64::from(usable) * HELD_SHARE_MAX
-}
-
-fn is_last_choice(
-    row: &LiveTarget,
-    request: &PickRequest<'_>,
-    is_pressed: bool,
-    now: TimeMs,
-) -> bool {
-    if row.suspicion.is_unreachable(now) {
-        return true;
-    }
-    match row.suspicion.standing(is_pressed, now) {
-        Standing::Trusted => false,
-        Standing::Trial => !request.may_try,
-        Standing::Avoided => true,
+    let usable = f64::from(usable);
+    if request.is_pressed && f64::from(unused) > usable * UNUSED_SHARE_MAX {
+        PRESSED_HOLDS
+    } else if f64::from(held) <= usable * HELD_SHARE_MAX {
+        LONG_HOLDS
+    } else {
+        SHORT_HOLDS
     }
 }
 
-fn cost(row: &LiveTarget, request: &PickRequest<'_>, is_last_choice: bool, now: TimeMs) -> f64 {
-    if row.suspicion.is_suspected() && !is_last_choice {
+fn cost(row: &LiveTarget, request: &PickRequest<'_>, now: TimeMs) -> f64 {
+    if row.suspicion.is_suspected() || row.chosen_number == 0 {
         // A trial takes place even where other targets are idle.
         return -1.0;
     }
     let slots = f64::from(row.record.slots.0);
-    let mut cost = row.estimated_load(now);
+    let load = row.estimated_load(now) / slots;
+    let mut cost = (load - EASY_LOAD).max(0.0);
     if row.record.failure_domain != *request.failure_domain {
         cost += FAR_COST;
     }
     if now < row.warm_at {
-        cost += WARMING_COST * slots;
+        cost += WARMING_COST;
     }
-    cost += OVERDUE_COST * f64::from(row.overdue) * slots;
-    cost / slots
+    cost += OVERDUE_COST * f64::from(row.overdue);
+    // Of equal targets, the one chosen last goes first.
+    cost - 1e-9 * row.chosen_number as f64
 }
 
 impl LiveTargets {
--- a/crates/agatehold-core/src/dispatch/record.rs
+++ b/crates/agatehold-core/src/dispatch/record.rs
@@ -8,7 +8,7 @@
 
 /// The share of unserved requests from which targets on hold are tried more
 /// often, so that a service in trouble does not leave sound targets unused.
-const PRESSED_SHARE: f64 = 0.07;
+const PRESSED_SHARE: f64 = 0.085;
 
 /// The time without an idempotent request after which other requests try
 /// targets after a hold.
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -46,8 +46,8 @@
     pub suspicion: Suspicion,
     /// Whether the target is leaving, by its registration or its own word.
     pub leaving: bool,
-    /// The count of choices when this target was chosen last; orders targets
-    /// that are equal otherwise.
+    /// The count of choices when this target was chosen last, 0 if it never
+    /// was; orders targets that are equal otherwise.
     pub chosen_number: u64,
 }
 
@@ -149,6 +149,15 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether a target of a service beside those in `tried` takes new
+    /// work.
+    pub fn takes_work(&self, service: &ServiceName, tried: &[TargetName]) -> bool {
+        self.of_service(service).iter().any(|name| {
+            let row = self.rows.get(name);
+            !tried.contains(name) && row.is_some_and(|row| !row.leaving)
+        })
+    }
+
     /// Returns the sum of the slots of the targets of a service that take new
     /// work.
     pub fn slots_of(&self, service: &ServiceName) -> u32 {
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// Returns whether this daemon is an entry daemon of a service.
+pub(super) fn is_entry(state: &TrafficState, service: &ServiceName) -> bool {
+    let view = state.view();
+    let own = &state.shared.settings.host.id;
+    let entries = view.entries.get(service);
+    entries.is_some_and(|entries| entries.iter().any(|(host, _)| host == own))
+}
+
 /// Binds the address on which evidence comes.
 pub(super) fn bind(address: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = std::net::UdpSocket::bind(address)?;
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -81,6 +81,8 @@
     tried: Vec<TargetName>,
     /// Why the last attempt had no answer.
     detail: &'static str,
+    /// Whether the budget of second sends was spent.
+    is_over_budget: bool,
     /// The time in which the queue drains, where it refused the request.
     backlog_ms: Option<DurationMs>,
 }
@@ -173,6 +175,7 @@
         attempts: Attempts::default(),
         tried: Vec::new(),
         detail: "",
+        is_over_budget: false,
         backlog_ms: None,
     };
     let ended = dispatch.run(reply).await;
@@ -233,13 +236,17 @@
             self.tried.push(target.clone());
             let end = self.attempt(&target, reply).await;
             self.detail = end.detail;
-            let can_send_again = self.facts().remaining_ms.0 > 0;
             let facts = self.facts();
+            let now = self.now();
             let mut attempts = self.attempts;
+            let mut is_over_budget = false;
             let decision = after_attempt(end.outcome, &facts, &mut attempts, || {
-                can_send_again && self.with_budget(|budget| budget.take(now))
+                let taken = self.with_budget(|budget| budget.take(now));
+                is_over_budget = !taken;
+                taken
             });
             self.attempts = attempts;
+            self.is_over_budget |= is_over_budget;
             match decision {
                 Decision::Answer => {
                     return match end.answer {
@@ -482,6 +489,7 @@
     ) {
         let now = self.now();
         let spread = self.state.rng.borrow_mut().random();
+        let is_entry = evidence::is_entry(self.state, &self.service);
         let mut told = None;
         if let Some(row) = self.state.targets.borrow_mut().rows.get_mut(target) {
             let was_suspected = row.suspicion.nats() > 0.0;
@@ -519,7 +527,10 @@
                 outcome,
                 AttemptOutcome::ConnectFailed | AttemptOutcome::TimedOut
             );
-            let is_news = is_shared && (was_suspected || row.suspicion.nats() > 0.0);
+            // The entry daemons see most requests of a service and tell each
+            // other what is new; what the others see is new to them.
+            let is_news = is_shared
+                && (was_suspected || row.suspicion.nats() > 0.0 || !is_entry);
             if is_news || end.is_wrong_target {
                 let crashed = end.outcome == AttemptOutcome::ConnectionLost;
                 told = Some(Evidence {
@@ -629,11 +640,13 @@
                     "service" => self.service.to_string())
                 .record(self.arrival.arrived_at.elapsed().as_secs_f64());
                 log::info!(
-                    "event=answered id={id} route={} service={} target={target} sent={} status={} ms={} config={}",
+                    "event=answered id={id} path={} route={} service={} target={target} sent={} status={} over_budget={} ms={} config={}",
+                    self.arrival.head.target,
                     self.route.name,
                     self.service,
                     self.tried.len(),
                     answer.status.as_u16(),
+                    self.is_over_budget,
                     self.elapsed_ms(),
                     self.version
                 );
@@ -658,10 +671,11 @@
                     "kind" => kind.answer().name)
                 .increment(1);
                 log::warn!(
-                    "event=refused id={id} kind={kind} outcome={outcome} route={} service={} target={target} sent={} detail=\"{}\" ms={} config={}",
+                    "event=refused id={id} kind={kind} outcome={outcome} route={} service={} target={target} sent={} over_budget={} detail=\"{}\" ms={} config={}",
                     self.route.name,
                     self.service,
                     self.attempts.sent,
+                    self.is_over_budget,
                     self.detail,
                     self.elapsed_ms(),
                     self.version
