Restart watches that the store may have lost

Change: watches begin anew when the store is back, and when others have known more for 600 ms; a watch waits 10 s in place of 25 s.

--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -45,6 +45,10 @@
 /// The time between two runs of the systems where nothing is due sooner.
 const TICK_MS: DurationMs = DurationMs(500);
 
+/// How long a daemon that watches the store may know less than others before
+/// its watch counts as stuck; a watch pauses for 350 ms after each change.
+const BEHIND_MS: DurationMs = DurationMs(600);
+
 /// The time for which a fetch from another daemon may take.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -127,6 +131,8 @@
     watching: Vec<tokio::task::JoinHandle<()>>,
     /// Whether contents are being fetched or read.
     is_refreshing: bool,
+    /// Since when others know more than this daemon, which watches the store.
+    behind_since: Option<TimeMs>,
     /// When the last beat was sent.
     beat_at: TimeMs,
 }
@@ -146,6 +152,7 @@
         news,
         watching: Vec::new(),
         is_refreshing: false,
+        behind_since: None,
         beat_at: TimeMs(0),
     };
     let (record, record_seen) = watch::channel(encode_member(&own.borrow()));
@@ -183,6 +190,11 @@
         };
         let now = shared.clock.now();
         let swept = tables.targets.sweep(now) | tables.members.sweep(now);
+        if std::mem::take(&mut tables.store_returned) {
+            // The store may have lost a watch that it accepted before it was
+            // away, and its connection lives on.
+            follower.restart_watching("store_back");
+        }
         if changed || swept {
             publish(shared, &mut tables);
             follower.follow_role(&tables);
@@ -226,24 +238,62 @@
             return;
         }
         log::info!("event=role watches_store={is_entry}");
+        if is_entry {
+            self.start_watching();
+        } else {
+            self.stop_watching();
+        }
+    }
+
+    fn stop_watching(&mut self) {
         for task in self.watching.drain(..) {
             task.abort();
         }
-        if !is_entry {
-            return;
-        }
+    }
+
+    fn start_watching(&mut self) {
         for subject in [Subject::Configuration, Subject::Targets] {
             let following = follow(Rc::clone(&self.store), subject, self.news.clone());
             self.watching.push(tokio::task::spawn_local(following));
         }
     }
 
+    fn restart_watching(&mut self, reason: &'static str) {
+        self.behind_since = None;
+        if !self.is_watching() {
+            return;
+        }
+        log::info!("event=watch_restarted reason={reason}");
+        self.stop_watching();
+        self.start_watching();
+    }
+
+    /// Returns whether a daemon that watches the store does without what
+    /// others tell: it hears of changes itself, unless its watch is stuck.
+    fn trusts_own_watch(&mut self, tables: &ControlTables, now: TimeMs) -> bool {
+        if !self.is_watching() || tables.store_away_since.is_some() {
+            return false;
+        }
+        let own = tables.revisions();
+        let refresh = next_refresh(&tables.beats, &own, now, now);
+        if !matches!(refresh, Refresh::Fetch(_)) {
+            self.behind_since = None;
+            return true;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        if now.since(since) < BEHIND_MS {
+            return true;
+        }
+        self.restart_watching("behind");
+        false
+    }
+
     /// Gets what others know or what nobody tells.
     fn refresh(&mut self, tables: &mut ControlTables, now: TimeMs) {
         if self.is_refreshing {
             return;
         }
-        if self.is_watching() && tables.store_away_since.is_none() {
+        if self.trusts_own_watch(tables, now) {
             return;
         }
         let own = tables.revisions();
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -39,6 +39,8 @@
     pub(super) members: Lapsing<HostId, MemberRecord>,
     /// Since when the store has not answered.
     pub(super) store_away_since: Option<TimeMs>,
+    /// Whether the store has just answered again after it was away.
+    pub(super) store_returned: bool,
     /// When the store last answered any call.
     pub(super) store_answered_at: TimeMs,
     /// When this daemon last read all contents of the store itself.
@@ -59,6 +61,7 @@
             targets: Lapsing::new(),
             members: Lapsing::new(),
             store_away_since: None,
+            store_returned: false,
             store_answered_at: TimeMs(0),
             read_at: now,
             beats: BeatTable::default(),
@@ -216,6 +219,7 @@
     let Some(since) = tables.store_away_since.take() else {
         return false;
     };
+    tables.store_returned = true;
     tables.targets.store_returned(now);
     tables.members.store_returned(now);
     log::info!("event=store_back away={}", now.since(since));
--- a/crates/agatehold/src/gateway/follow.rs
+++ b/crates/agatehold/src/gateway/follow.rs
@@ -28,8 +28,9 @@
 use super::store::StoreClient;
 use super::store::StoreFault;
 
-/// How long a watch waits for changes; the store allows 30 s.
-const WATCH_WAIT_MS: DurationMs = DurationMs(25_000);
+/// How long a watch waits for changes. The store allows 30 s; a watch that the
+/// store has lost is noticed by its time limit where nothing else shows it.
+const WATCH_WAIT_MS: DurationMs = DurationMs(10_000);
 
 /// The time beyond its wait that a watch may take to answer.
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
