Count the request that a load report comes with once, and choose entry daemons by service

Cause: a target's report counts the request whose answer carries it; the daemon subtracted only the others of its own, so that every target seemed one request fuller after each answer and the third of three slots stayed idle (reports of 2 running with 2 own, 4,223 of 7,400).

--- a/crates/agatehold-core/src/directory/choose.rs
+++ b/crates/agatehold-core/src/directory/choose.rs
@@ -9,8 +9,9 @@
 
 use super::MemberRecord;
 
-/// Returns the entry daemons of a subject, the best `per_domain` of each
-/// failure domain by rendezvous hashing weighted by capacity.
+/// Returns the entry daemons of a subject: the best `count` by rendezvous
+/// hashing weighted by capacity, in different failure domains as far as there
+/// are enough of them.
 ///
 /// Few daemons carry a service, so that each sees much of its traffic: it
 /// knows the load of the targets and learns of a bad one early. All daemons
@@ -18,26 +19,29 @@
 pub fn entry_daemons<'a>(
     members: impl Iterator<Item = (&'a HostId, &'a MemberRecord)>,
     subject: &str,
-    per_domain: usize,
+    count: usize,
 ) -> Vec<(&'a HostId, &'a MemberRecord)> {
-    let mut by_domain: BTreeMap<&FailureDomain, Vec<(f64, &HostId, &MemberRecord)>> =
-        BTreeMap::new();
+    let mut candidates = Vec::new();
     for (host, member) in members {
         if member.leaving {
             continue;
         }
         let score = weighted_score(subject, host, member.capacity_millicores);
-        by_domain
-            .entry(&member.failure_domain)
-            .or_default()
-            .push((score, host, member));
+        candidates.push((score, host, member));
     }
+    candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
+    let mut taken: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
+    let mut ranked = Vec::with_capacity(candidates.len());
+    for (place, (_, host, member)) in candidates.into_iter().enumerate() {
+        let before = taken.entry(&member.failure_domain).or_default();
+        ranked.push((*before, place, host, member));
+        *before += 1;
+    }
+    // The best of each domain, then the second best of each, and so on.
+    ranked.sort_by_key(|(before, place, _, _)| (*before, *place));
     let mut chosen = Vec::new();
-    for candidates in by_domain.values_mut() {
-        candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
-        for (_, host, member) in candidates.iter().take(per_domain) {
-            chosen.push((*host, *member));
-        }
+    for (_, _, host, member) in ranked.into_iter().take(count) {
+        chosen.push((host, member));
     }
     chosen
 }
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -68,15 +68,13 @@
         }
     }
 
-    /// Stores the target's load report, which counts this daemon's requests
-    /// too.
+    /// Stores the target's load report.
     ///
-    /// `ended` says whether the report came with the answer to a request that
-    /// still counts as in flight here and no longer does there.
-    pub fn report_load(&mut self, report: LoadReport, ended: bool, now: TimeMs) {
-        let own = self.in_flight.saturating_sub(u32::from(ended));
+    /// It counts this daemon's requests, the one that it came with included,
+    /// which still counts as in flight here.
+    pub fn report_load(&mut self, report: LoadReport, now: TimeMs) {
         let in_target = report.running.saturating_add(report.waiting);
-        self.reported_others = in_target.saturating_sub(own);
+        self.reported_others = in_target.saturating_sub(self.in_flight);
         self.reported_at = now;
     }
 
--- a/crates/agatehold-settings/src/process/gateway.rs
+++ b/crates/agatehold-settings/src/process/gateway.rs
@@ -32,8 +32,8 @@
     pub store: SocketAddr,
     /// The bounds of the deployment in the platform's words.
     pub bounds: Box<str>,
-    /// The entry daemons of a service in each failure domain.
-    pub entries_per_domain: u32,
+    /// The number of entry daemons of a service.
+    pub entries_per_service: u32,
     /// The least severe messages that are logged.
     pub log: LogLevel,
 }
@@ -82,7 +82,7 @@
     reader.close(None);
 
     let mut reader = SectionReader::open(&document, "entries", &mut errors);
-    let entries_per_domain = reader.required("per_domain", parse_entries);
+    let entries_per_service = reader.required("per_service", parse_entries);
     reader.close(None);
 
     let mut reader = SectionReader::open(&document, "log", &mut errors);
@@ -106,7 +106,7 @@
             },
             store: store?,
             bounds: bounds.unwrap_or_default(),
-            entries_per_domain: entries_per_domain?,
+            entries_per_service: entries_per_service?,
             log: log.unwrap_or_default(),
         })
     })();
--- a/crates/agatehold/src/gateway/answers.rs
+++ b/crates/agatehold/src/gateway/answers.rs
@@ -111,14 +111,14 @@
         .catalog
         .as_ref()
         .and_then(|catalog| catalog.main_service(host));
-    let per_domain = state.shared.settings.entries_per_domain as usize;
+    let per_service = state.shared.settings.entries_per_service as usize;
     let chosen = match service.and_then(|service| view.entries.get(service)) {
         Some(entries) => {
             let entries: Vec<_> = entries.iter().map(|(host, member)| (host, member)).collect();
             entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
         }
         None => {
-            let entries = entry_daemons(view.members.rows(), host, per_domain);
+            let entries = entry_daemons(view.members.rows(), host, per_service);
             entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
         }
     };
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -367,7 +367,7 @@
     for (host, row) in tables.members.rows.rows() {
         view.members.insert(host.clone(), row.content.clone());
     }
-    view.choose_entries(shared.settings.entries_per_domain as usize);
+    view.choose_entries(shared.settings.entries_per_service as usize);
     tables.view = Arc::new(view);
     shared.view.store(Arc::clone(&tables.view));
 }
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -494,7 +494,7 @@
         if let Some(row) = self.state.targets.borrow_mut().rows.get_mut(target) {
             let was_suspected = row.suspicion.nats() > 0.0;
             if let Some(load) = end.load {
-                row.report_load(load, true, now);
+                row.report_load(load, now);
             }
             if end.is_wrong_target {
                 row.leaving = true;
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -45,13 +45,13 @@
 
 impl View {
     /// Fills in the entry daemons of each service.
-    pub(crate) fn choose_entries(&mut self, per_domain: usize) {
+    pub(crate) fn choose_entries(&mut self, per_service: usize) {
         self.entries.clear();
         let Some(catalog) = &self.catalog else {
             return;
         };
         for service in &catalog.services {
-            let chosen = entry_daemons(self.members.rows(), service.name.as_str(), per_domain);
+            let chosen = entry_daemons(self.members.rows(), service.name.as_str(), per_service);
             let chosen = chosen
                 .into_iter()
                 .map(|(host, member)| (host.clone(), member.clone()))
