--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -167,7 +167,7 @@
         Rc::clone(&follower.store),
         follower.news.clone(),
     ));
-    let mut tables = ControlTables::new(shared.clock.now());
+    let mut tables = ControlTables::new();
     let mut datagram = [0; super::news::DATAGRAM_BYTES_MAX];
     loop {
         let wait = next_tick(&tables, &follower, shared.clock.now());
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -55,7 +55,7 @@
 
 impl ControlTables {
     /// Creates empty tables.
-    pub(super) fn new(now: TimeMs) -> Self {
+    pub(super) fn new() -> Self {
         Self {
             catalog: None,
             targets: Lapsing::new(),
@@ -63,7 +63,8 @@
             store_away_since: None,
             store_returned: false,
             store_answered_at: TimeMs(0),
-            read_at: now,
+            // Nothing was read yet, so that the first run of the systems reads.
+            read_at: TimeMs(0),
             beats: BeatTable::default(),
             contents: StoreContents::default(),
             view: Arc::default(),
--- a/crates/agatehold/src/gateway/follow.rs
+++ b/crates/agatehold/src/gateway/follow.rs
@@ -57,6 +57,10 @@
 /// The time between two reads of the registered daemons.
 const MEMBERS_POLL: Duration = Duration::from_millis(1_500);
 
+/// The time by which the daemons of a fleet that starts spread their first
+/// reads of each other.
+const FIRST_POLL: Duration = Duration::from_millis(300);
+
 /// The keys that are followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Subject {
@@ -238,7 +242,7 @@
 /// is given the address of a daemon that is gone tries another.
 pub(crate) async fn poll_members(store: Rc<StoreClient>, news: Sender<StoreNews>) {
     let spread = rand::rng().random_range(0.0..1.0);
-    tokio::time::sleep(MEMBERS_POLL.mul_f64(spread)).await;
+    tokio::time::sleep(FIRST_POLL.mul_f64(spread)).await;
     loop {
         let told = match list(&store, Subject::Members, true).await {
             Ok((items, revision)) => StoreNews::Listed(Subject::Members, items, revision),
