Send requests that may run again to targets that fail at once where others are full

Cause: with a third of the targets on hold, a tenth of the requests waited for the others in vain, while idle targets on hold answer one request in four and fail the rest within milliseconds.

Change: an idempotent request that finds no free slot goes to such a target, as long as eight second sends are left beyond it.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -16,6 +16,9 @@
 /// the rest is left for daemons that carry callers with old addresses.
 const SLACK_MARGIN: f64 = 0.85;
 
+/// The resends that are kept for requests that fail without being risked.
+const RESERVE_RESENDS: f64 = 8.0;
+
 /// The bound that holds for all daemons together, over any window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResendPolicy {
@@ -85,12 +88,22 @@
 
     /// Returns whether a resend is left.
     pub fn has_resend(&mut self, now: TimeMs) -> bool {
+        self.has_left(1.0, now)
+    }
+
+    /// Returns whether so much of the budget is left that a part of it can be
+    /// risked.
+    pub fn has_reserve(&mut self, now: TimeMs) -> bool {
+        self.has_left(RESERVE_RESENDS, now)
+    }
+
+    fn has_left(&mut self, wished: f64, now: TimeMs) -> bool {
         self.part_at(now);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let resends: u32 = self.parts.iter().map(|part| part.resends).sum();
         let allowed = f64::from(requests) * self.policy.ratio * RATIO_MARGIN
             + f64::from(self.own_slack);
-        f64::from(resends + 1) <= allowed
+        f64::from(resends) + wished <= allowed
     }
 
     /// Returns the current part after dropping those that ended more than a
--- a/crates/agatehold-core/src/dispatch/health.rs
+++ b/crates/agatehold-core/src/dispatch/health.rs
@@ -53,6 +53,9 @@
     repeated_ms: DurationMs(1_500),
 };
 
+/// The run time up to which a failure counts as one at once.
+const FAST_FAILURE_MS: DurationMs = DurationMs(40);
+
 /// Failures in a row from which a hold counts as repeated.
 const REPEATED_FAILURES: u32 = 2;
 
@@ -79,6 +82,8 @@
     spread: f64,
     /// Failures since the last success.
     failures: u32,
+    /// How long the last failed request ran.
+    failed_after_ms: DurationMs,
     /// The length of the last hold of the path to the target; 0 once it was
     /// reached.
     unreachable_hold_ms: DurationMs,
@@ -106,7 +111,15 @@
     ///
     /// `spread`, from 0 to 1, makes holds differ between daemons, so that they
     /// don't all try a target at once.
-    pub fn record(&mut self, outcome: AttemptOutcome, spread: f64, now: TimeMs) -> bool {
+    ///
+    /// `run_ms` is how long the request ran.
+    pub fn record(
+        &mut self,
+        outcome: AttemptOutcome,
+        run_ms: DurationMs,
+        spread: f64,
+        now: TimeMs,
+    ) -> bool {
         let failed = match outcome {
             AttemptOutcome::Answered => false,
             AttemptOutcome::ConnectFailed => {
@@ -138,6 +151,9 @@
                 .reset_to(crate::health::LogLikelihood::from_nats(NATS_MAX));
         }
         self.failures = if failed { self.failures + 1 } else { 0 };
+        if failed {
+            self.failed_after_ms = run_ms;
+        }
         if failed && nats >= SUSPECT_NATS {
             return self.hold(spread, now);
         }
@@ -202,6 +218,12 @@
         now.since(held_at) >= hold_ms + spread_ms
     }
 
+    /// Returns whether the target, where it fails, does so at once, so that a
+    /// request that may run again loses nothing by it.
+    pub(super) fn fails_fast(&self) -> bool {
+        self.failed_after_ms <= FAST_FAILURE_MS
+    }
+
     /// Returns whether the target is not trusted.
     pub fn is_suspected(&self) -> bool {
         self.held_at.is_some()
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -49,6 +49,9 @@
     /// Whether the request may try a target after a hold while others have
     /// room.
     pub may_try: bool,
+    /// Whether the request may go to a target that is likely to fail it at
+    /// once, where all others are full.
+    pub may_gamble: bool,
     /// Whether many requests of the service are not served.
     pub is_pressed: bool,
     /// Whether a target without a free slot will do, where the request waits
@@ -73,12 +76,14 @@
 /// far and warming targets and for those that are overdue with requests. Below
 /// that load, the target that was chosen last is taken: a failure that begins
 /// is met by few targets, and each of them shows it at once. A target on hold is
-/// chosen only where the service has no other. A target that nobody has used
+/// chosen only where the service has no other, or for a request that loses
+/// nothing by it where all others are full. A target that nobody has used
 /// yet goes first once.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
     let holds = holds_of(targets, request, now);
     let mut best: Option<(f64, &TargetName)> = None;
     let mut last_resort: Option<(f64, &TargetName)> = None;
+    let mut gamble: Option<(f64, &TargetName)> = None;
     let mut has_candidate = false;
     for name in targets.of_service(request.service) {
         let Some(row) = targets.rows.get(name) else {
@@ -96,6 +101,12 @@
             Standing::Avoided => false,
         };
         if !is_candidate {
+            let is_gamble = request.may_gamble
+                && !row.suspicion.is_unreachable(now)
+                && row.suspicion.fails_fast();
+            if is_free && is_gamble && gamble.is_none_or(|(least, _)| cost < least) {
+                gamble = Some((cost, name));
+            }
             if is_free && last_resort.is_none_or(|(least, _)| cost < least) {
                 last_resort = Some((cost, name));
             }
@@ -108,7 +119,10 @@
     }
     match (best, last_resort) {
         (Some((_, name)), _) => Choice::Target(name.clone()),
-        (None, _) if has_candidate => Choice::AllBusy,
+        (None, _) if has_candidate => match gamble {
+            Some((_, name)) => Choice::Target(name.clone()),
+            None => Choice::AllBusy,
+        },
         (None, Some((_, name))) => Choice::Target(name.clone()),
         (None, None) if targets.takes_work(request.service, request.tried) => Choice::AllBusy,
         (None, None) => Choice::NoTarget,
--- a/crates/agatehold/src/gateway/news.rs
+++ b/crates/agatehold/src/gateway/news.rs
@@ -69,6 +69,8 @@
     pub(super) target: TargetIdentity,
     /// How an attempt ended.
     pub(super) outcome: AttemptOutcome,
+    /// How long it took.
+    pub(super) run_ms: DurationMs,
     /// Whether another target has the address now.
     pub(super) moved: bool,
     /// The request that was in the target when the connection was lost.
@@ -91,6 +93,7 @@
     target: String,
     started_unix_ms: u64,
     outcome: String,
+    run_ms: u64,
     moved: bool,
     crash: Option<String>,
     reporter: String,
@@ -149,6 +152,7 @@
         target: evidence.target.name.to_string(),
         started_unix_ms: evidence.target.started_unix_ms,
         outcome: evidence.outcome.to_string(),
+        run_ms: evidence.run_ms.0,
         moved: evidence.moved,
         crash: evidence.crash.map(|crash| crash.to_string()),
         reporter: evidence.reporter.to_string(),
@@ -170,6 +174,7 @@
             started_unix_ms: text.started_unix_ms,
         },
         outcome: text.outcome.parse().ok()?,
+        run_ms: DurationMs(text.run_ms),
         moved: text.moved,
         crash,
         reporter: text.reporter.parse().ok()?,
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -131,11 +131,16 @@
     let now = state.shared.clock.now();
     let records = state.records.borrow();
     let record = records.get(service).copied().unwrap_or_default();
+    let mut budgets = state.budgets.borrow_mut();
+    let has_reserve = budgets
+        .get_mut(service)
+        .is_some_and(|budget| budget.has_reserve(now));
     PickRequest {
         service,
         failure_domain: &state.shared.settings.host.failure_domain,
         tried,
         may_try: record.may_try(idempotent, now),
+        may_gamble: idempotent && tried.is_empty() && has_reserve,
         is_pressed: record.is_pressed(),
         accepts_full,
     }
@@ -149,9 +154,13 @@
         .entry(ask.service.clone())
         .or_insert_with(ServiceQueue::new);
     let is_first = row.queue.is_empty();
-    if is_first {
+    if is_first || ask.idempotent {
         match claim(state, ask.service, &[], ask.idempotent, false) {
-            Choice::Target(name) => return Entry::Target(name),
+            Choice::Target(name) if is_first || is_held(state, &name) => {
+                return Entry::Target(name);
+            }
+            // The slot belongs to the request that waits longest.
+            Choice::Target(name) => state.targets.borrow_mut().release(&name),
             Choice::NoTarget => {
                 return Entry::Refused(Turned {
                     kind: RefusalKind::NoTarget,
@@ -197,6 +206,13 @@
     }
 }
 
+/// Returns whether a target is on hold, so that no request waits for its slots.
+fn is_held(state: &TrafficState, name: &TargetName) -> bool {
+    let targets = state.targets.borrow();
+    let row = targets.rows.get(name);
+    row.is_some_and(|row| row.suspicion.is_suspected())
+}
+
 const fn class_of(priority: u8) -> TrafficClass {
     match priority {
         0 => TrafficClass::Urgent,
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -509,7 +509,7 @@
                 }
                 (outcome, _) => outcome,
             };
-            if row.suspicion.record(outcome, spread, now) {
+            if row.suspicion.record(outcome, run_ms, spread, now) {
                 log::warn!(
                     "event=target_avoided target={target} service={} outcome={} nats={:.1} detail=\"{}\"",
                     self.service,
@@ -536,6 +536,7 @@
                 told = Some(Evidence {
                     target: row.record.identity.clone(),
                     outcome,
+                    run_ms,
                     moved: end.is_wrong_target,
                     crash: crashed.then(|| self.fingerprint()),
                     reporter: self.state.shared.settings.host.id.clone(),
