--- /dev/null
+++ b/crates/agatehold-core/tests/dispatch_pick.rs
@@ -0,0 +1,342 @@
+//! Guards the choice of registered targets under load and gray failures.
+
+use agatehold_core::config::TargetState;
+use agatehold_core::dispatch::Choice;
+use agatehold_core::dispatch::LiveTargets;
+use agatehold_core::dispatch::LoadReport;
+use agatehold_core::dispatch::PickRequest;
+use agatehold_core::dispatch::pick_live_target;
+use agatehold_core::ids::FailureDomain;
+use agatehold_core::ids::ServiceName;
+use agatehold_core::ids::TargetName;
+use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::roster::TargetIdentity;
+use agatehold_core::roster::TargetRecord;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::SlotCount;
+use agatehold_core::units::TimeMs;
+
+const START: TimeMs = TimeMs(3_600_000);
+
+/// A failure that the target answers at once.
+const FAST_MS: DurationMs = DurationMs(2);
+
+fn service() -> ServiceName {
+    "certificates".parse().expect("a name")
+}
+
+fn domain(name: &str) -> FailureDomain {
+    name.parse().expect("a name")
+}
+
+fn name(number: usize) -> TargetName {
+    format!("target-{number}").parse().expect("a name")
+}
+
+fn record(number: usize, failure_domain: &str) -> TargetRecord {
+    TargetRecord {
+        identity: TargetIdentity {
+            name: name(number),
+            started_unix_ms: 1,
+        },
+        service: service(),
+        address: format!("10.0.0.{}:8080", number + 1).parse().expect("an address"),
+        failure_domain: domain(failure_domain),
+        slots: SlotCount(4),
+        state: TargetState::Serving,
+        warmup_left_ms: DurationMs(0),
+    }
+}
+
+/// Targets that have all been used once.
+fn targets(count: usize) -> LiveTargets {
+    let records: Vec<TargetRecord> = (0..count).map(|number| record(number, "near")).collect();
+    let mut targets = LiveTargets::default();
+    targets.sync(records.iter().map(|record| (record, START)));
+    for number in 0..count {
+        targets.claim(&name(number));
+        targets.release(&name(number));
+    }
+    targets
+}
+
+fn fail(targets: &mut LiveTargets, number: usize, at: TimeMs) {
+    let row = targets.rows.get_mut(&name(number)).expect("a target");
+    row.suspicion
+        .record(AttemptOutcome::Failed, FAST_MS, 0.0, at);
+}
+
+struct Ask {
+    service: ServiceName,
+    failure_domain: FailureDomain,
+    may_try: bool,
+    may_gamble: bool,
+    is_pressed: bool,
+}
+
+impl Default for Ask {
+    fn default() -> Self {
+        Self {
+            service: service(),
+            failure_domain: domain("near"),
+            may_try: false,
+            may_gamble: false,
+            is_pressed: false,
+        }
+    }
+}
+
+fn pick(targets: &LiveTargets, ask: &Ask, now: TimeMs) -> Choice {
+    let request = PickRequest {
+        service: &ask.service,
+        failure_domain: &ask.failure_domain,
+        tried: &[],
+        may_try: ask.may_try,
+        may_gamble: ask.may_gamble,
+        is_pressed: ask.is_pressed,
+        accepts_full: false,
+    };
+    pick_live_target(targets, &request, now)
+}
+
+fn fill(targets: &mut LiveTargets, number: usize) {
+    for _ in 0..4 {
+        targets.claim(&name(number));
+    }
+}
+
+/// Pattern: a load report counts the request that its answer belongs to. Read
+/// otherwise, each target seems one request fuller than it is.
+#[test]
+fn own_request_in_a_load_report_takes_no_slot() {
+    let mut targets = targets(1);
+    for _ in 0..3 {
+        targets.claim(&name(0));
+    }
+    let row = targets.rows.get_mut(&name(0)).expect("a target");
+    let report = LoadReport {
+        running: 3,
+        waiting: 0,
+        slots: 4,
+    };
+    row.report_load(report, START);
+    assert_eq!(
+        pick(&targets, &Ask::default(), START),
+        Choice::Target(name(0)),
+        "three of four slots are taken, all by this daemon"
+    );
+}
+
+#[test]
+fn slots_that_others_take_count_until_the_report_is_old() {
+    let mut targets = targets(1);
+    targets.claim(&name(0));
+    let row = targets.rows.get_mut(&name(0)).expect("a target");
+    let report = LoadReport {
+        running: 4,
+        waiting: 2,
+        slots: 4,
+    };
+    row.report_load(report, START);
+    assert_eq!(pick(&targets, &Ask::default(), START), Choice::AllBusy);
+    let later = START + DurationMs(600);
+    assert_eq!(
+        pick(&targets, &Ask::default(), later),
+        Choice::Target(name(0))
+    );
+}
+
+/// Pattern: a gray target that fails at once looks idle and draws every
+/// request to it.
+#[test]
+fn one_failure_takes_a_target_out_while_others_serve() {
+    let mut targets = targets(6);
+    fail(&mut targets, 0, START);
+    for second in 0..3 {
+        let now = START + DurationMs(second * 1_000);
+        for _ in 0..8 {
+            let Choice::Target(chosen) = pick(&targets, &Ask::default(), now) else {
+                panic!("idle targets are left");
+            };
+            assert_ne!(chosen, name(0));
+            targets.claim(&chosen);
+            targets.release(&chosen);
+        }
+    }
+}
+
+/// Pattern: failures that last ten seconds; each trial costs a request that
+/// must not run twice.
+#[test]
+fn a_target_on_hold_is_tried_by_one_request_at_a_time() {
+    let mut targets = targets(6);
+    fail(&mut targets, 0, START);
+    fail(&mut targets, 0, START);
+    let ask = Ask {
+        may_try: true,
+        ..Ask::default()
+    };
+    let early = START + DurationMs(5_000);
+    assert_ne!(pick(&targets, &ask, early), Choice::Target(name(0)));
+    let due = START + DurationMs(7_100);
+    assert_eq!(pick(&targets, &ask, due), Choice::Target(name(0)));
+    targets.claim(&name(0));
+    assert_ne!(
+        pick(&targets, &ask, due),
+        Choice::Target(name(0)),
+        "the verdict on the first trial is awaited"
+    );
+}
+
+#[test]
+fn two_successes_after_one_failure_bring_a_target_back() {
+    let mut targets = targets(2);
+    fail(&mut targets, 0, START);
+    for _ in 0..2 {
+        let row = targets.rows.get_mut(&name(0)).expect("a target");
+        assert!(row.suspicion.is_suspected());
+        row.suspicion
+            .record(AttemptOutcome::Answered, DurationMs(100), 0.0, START);
+    }
+    let row = targets.rows.get(&name(0)).expect("a target");
+    assert!(!row.suspicion.is_suspected());
+}
+
+/// Pattern: more than a tenth of the requests fail, and sound targets on hold
+/// must not go without work for two seconds.
+#[test]
+fn targets_on_hold_are_tried_sooner_under_pressure() {
+    let mut targets = targets(6);
+    for number in 0..3 {
+        fail(&mut targets, number, START);
+        fail(&mut targets, number, START);
+    }
+    let now = START + DurationMs(1_600);
+    let calm = Ask {
+        may_try: true,
+        ..Ask::default()
+    };
+    let Choice::Target(chosen) = pick(&targets, &calm, now) else {
+        panic!("idle targets are left");
+    };
+    assert!(chosen >= name(3), "{chosen} is on hold");
+    let pressed = Ask {
+        is_pressed: true,
+        ..calm
+    };
+    let Choice::Target(chosen) = pick(&targets, &pressed, now) else {
+        panic!("idle targets are left");
+    };
+    assert!(chosen < name(3), "{chosen} was not on hold");
+}
+
+#[test]
+fn trials_under_pressure_stop_once_few_targets_are_unused() {
+    let mut targets = targets(10);
+    for number in 0..2 {
+        fail(&mut targets, number, START);
+        fail(&mut targets, number, START);
+    }
+    let ask = Ask {
+        may_try: true,
+        is_pressed: true,
+        ..Ask::default()
+    };
+    let Choice::Target(chosen) = pick(&targets, &ask, START + DurationMs(1_600)) else {
+        panic!("idle targets are left");
+    };
+    assert!(chosen >= name(2), "two of ten may stay unused");
+}
+
+/// Pattern: a burst fills the good targets while a third of all fails at once.
+#[test]
+fn only_requests_that_lose_nothing_gamble_on_failing_targets() {
+    let mut targets = targets(3);
+    fail(&mut targets, 0, START);
+    fill(&mut targets, 1);
+    fill(&mut targets, 2);
+    assert_eq!(pick(&targets, &Ask::default(), START), Choice::AllBusy);
+    let gamble = Ask {
+        may_gamble: true,
+        ..Ask::default()
+    };
+    assert_eq!(pick(&targets, &gamble, START), Choice::Target(name(0)));
+}
+
+#[test]
+fn nobody_gambles_on_a_target_that_fails_late() {
+    let mut targets = targets(2);
+    let row = targets.rows.get_mut(&name(0)).expect("a target");
+    row.suspicion
+        .record(AttemptOutcome::TimedOut, DurationMs(900), 0.0, START);
+    fill(&mut targets, 1);
+    let ask = Ask {
+        may_gamble: true,
+        ..Ask::default()
+    };
+    assert_eq!(pick(&targets, &ask, START), Choice::AllBusy);
+}
+
+/// Pattern: every target of a service fails for some; refusing all requests
+/// would be worse than trying.
+#[test]
+fn a_service_whose_targets_are_all_on_hold_is_still_tried() {
+    let mut targets = targets(2);
+    fail(&mut targets, 0, START);
+    fail(&mut targets, 1, START);
+    let choice = pick(&targets, &Ask::default(), START);
+    assert!(matches!(choice, Choice::Target(_)), "{choice:?}");
+}
+
+/// Pattern: a failure that begins is met by each target in use; fewer targets
+/// at low load mean fewer lost requests.
+#[test]
+fn low_load_stays_on_few_targets() {
+    let mut targets = targets(20);
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..100 {
+        let Choice::Target(chosen) = pick(&targets, &Ask::default(), START) else {
+            panic!("idle targets are left");
+        };
+        targets.claim(&chosen);
+        targets.release(&chosen);
+        used.insert(chosen);
+    }
+    assert_eq!(used.len(), 1);
+}
+
+#[test]
+fn a_target_that_joins_gets_a_request_at_once() {
+    let mut targets = targets(3);
+    let mut records: Vec<TargetRecord> = (0..3).map(|number| record(number, "near")).collect();
+    records.push(record(3, "far"));
+    targets.sync(records.iter().map(|record| (record, START)));
+    assert_eq!(
+        pick(&targets, &Ask::default(), START),
+        Choice::Target(name(3))
+    );
+}
+
+/// Pattern: a target starts again under its name at its address.
+#[test]
+fn a_new_start_of_a_target_forgets_what_was_known_of_it() {
+    let mut targets = targets(2);
+    fail(&mut targets, 0, START);
+    targets.claim(&name(0));
+    let mut again = record(0, "near");
+    again.identity.started_unix_ms = 2;
+    let kept = record(1, "near");
+    targets.sync([(&again, START), (&kept, START)].into_iter());
+    let row = targets.rows.get(&name(0)).expect("a target");
+    assert_eq!(row.in_flight, 0);
+    assert!(!row.suspicion.is_suspected());
+}
+
+#[test]
+fn leaving_targets_get_nothing() {
+    let mut targets = targets(1);
+    let mut leaving = record(0, "near");
+    leaving.state = TargetState::Leaving;
+    targets.sync([(&leaving, START)].into_iter());
+    assert_eq!(pick(&targets, &Ask::default(), START), Choice::NoTarget);
+}
--- /dev/null
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -0,0 +1,270 @@
+//! Guards second sends, their budget, the division of a route among services
+//! and the time limit of one attempt.
+
+use proptest::prelude::*;
+
+use agatehold_core::catalog::WeightedService;
+use agatehold_core::dispatch::AttemptFacts;
+use agatehold_core::dispatch::Decision;
+use agatehold_core::dispatch::ResendBudget;
+use agatehold_core::dispatch::ResendPolicy;
+use agatehold_core::dispatch::ServiceRecord;
+use agatehold_core::dispatch::SplitCursor;
+use agatehold_core::dispatch::after_attempt;
+use agatehold_core::dispatch::attempt_timeout;
+use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::refusal::RefusalKind;
+use agatehold_core::refusal::RefusalOutcome;
+use agatehold_core::retry::Attempts;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::TimeMs;
+
+const START: TimeMs = TimeMs(3_600_000);
+
+const POLICY: ResendPolicy = ResendPolicy {
+    ratio: 0.2,
+    slack: 64,
+    window_ms: DurationMs(10_000),
+};
+
+const ENDS: [AttemptOutcome; 9] = [
+    AttemptOutcome::Failed,
+    AttemptOutcome::Shed,
+    AttemptOutcome::ConnectFailed,
+    AttemptOutcome::NotWritten,
+    AttemptOutcome::TimedOut,
+    AttemptOutcome::ConnectionLost,
+    AttemptOutcome::Cut,
+    AttemptOutcome::Mismatched,
+    AttemptOutcome::Silent,
+];
+
+fn facts(idempotent: bool, tries: u32) -> AttemptFacts {
+    AttemptFacts {
+        idempotent,
+        attempts_max: 2,
+        tries,
+        is_poisoned: false,
+        remaining_ms: DurationMs(1_000),
+    }
+}
+
+proptest! {
+    /// At most once: whatever attempts end with, a request that is not
+    /// idempotent is never sent again after one that may have run.
+    #[test]
+    fn a_request_that_may_have_run_is_not_sent_again(
+        ends in prop::collection::vec(0..ENDS.len(), 1..6),
+    ) {
+        let mut attempts = Attempts::default();
+        let mut may_have_run = false;
+        for (tries, end) in ends.iter().enumerate() {
+            let outcome = ENDS[*end];
+            may_have_run |= !outcome.is_not_run();
+            let facts = facts(false, tries as u32 + 1);
+            let decision = after_attempt(outcome, &facts, &mut attempts, || true);
+            if may_have_run {
+                prop_assert_ne!(decision, Decision::SendAgain);
+                if let Decision::Refuse(kind) = decision {
+                    prop_assert_eq!(kind.outcome(), RefusalOutcome::Unknown);
+                }
+                break;
+            }
+            if decision != Decision::SendAgain {
+                break;
+            }
+        }
+    }
+
+    /// However the requests of a service divide among daemons, and whatever
+    /// fails, the second sends of any window stay within the fleet's bound.
+    #[test]
+    fn the_fleet_stays_within_the_budget_at_any_split(
+        entries in 1_u32..12,
+        others in 0_usize..40,
+        arrivals in prop::collection::vec((0_usize..52, 0_u64..60), 50..800),
+    ) {
+        let mut budgets = Vec::new();
+        for number in 0..entries as usize + others {
+            let mut budget = ResendBudget::new(POLICY);
+            budget.set_entries(if number < entries as usize { entries } else { 0 });
+            budgets.push(budget);
+        }
+        let mut now = START;
+        let mut sent: Vec<(TimeMs, bool)> = Vec::new();
+        for (daemon, pause_ms) in arrivals {
+            now = now + DurationMs(pause_ms);
+            let position = daemon % budgets.len();
+            let budget = &mut budgets[position];
+            budget.record_request(now);
+            sent.push((now, false));
+            // Everything fails and would be sent again.
+            while budget.take(now) {
+                sent.push((now, true));
+            }
+        }
+        for (end, _) in &sent {
+            let within = |at: &TimeMs, from: TimeMs| *at > from && at <= end;
+            let window_from = *end - POLICY.window_ms;
+            let resends = sent
+                .iter()
+                .filter(|(at, again)| *again && within(at, window_from))
+                .count();
+            // Requests count in the window, in the one before it, or in the
+            // one half a window before, whichever has most.
+            let mut requests = 0;
+            for shift_ms in [0, 5_000, 10_000] {
+                let to = *end - DurationMs(shift_ms);
+                let from = to - POLICY.window_ms;
+                let count = sent
+                    .iter()
+                    .filter(|(at, again)| !*again && *at > from && *at <= to)
+                    .count();
+                requests = requests.max(count);
+            }
+            let bound = POLICY.ratio * requests as f64 + f64::from(POLICY.slack);
+            prop_assert!(resends as f64 <= bound, "{} over {}", resends, bound);
+        }
+    }
+
+    /// Over any run of requests each service has its share, give or take one.
+    #[test]
+    fn a_split_holds_over_any_run(
+        weights in prop::collection::vec(1_u32..100, 2..4),
+        offset in 0_u32..1_000,
+        skipped in 0_usize..50,
+        length in 20_usize..300,
+    ) {
+        let services: Vec<WeightedService> = weights
+            .iter()
+            .enumerate()
+            .map(|(number, weight)| WeightedService {
+                service: format!("service-{number}").parse().expect("a name"),
+                weight: *weight,
+            })
+            .collect();
+        let total: u32 = weights.iter().sum();
+        let mut cursor = SplitCursor::starting_at(&services, offset);
+        for _ in 0..skipped {
+            cursor.next(&services);
+        }
+        let mut counts = vec![0_u32; weights.len()];
+        for _ in 0..length {
+            counts[cursor.next(&services)] += 1;
+        }
+        for (count, weight) in counts.iter().zip(&weights) {
+            let share = length as f64 * f64::from(*weight) / f64::from(total);
+            prop_assert!((f64::from(*count) - share).abs() <= 2.0, "{} for {}", count, share);
+        }
+    }
+}
+
+/// Pattern: a path that a partition cut. The request never reached the target,
+/// so that it takes nothing from the budget.
+#[test]
+fn an_unreachable_target_costs_no_second_send() {
+    let mut attempts = Attempts::default();
+    for tries in 1..4 {
+        let decision = after_attempt(
+            AttemptOutcome::ConnectFailed,
+            &facts(false, tries),
+            &mut attempts,
+            || panic!("the budget was drawn on"),
+        );
+        assert_eq!(decision, Decision::SendAgain);
+    }
+    let decision = after_attempt(
+        AttemptOutcome::ConnectFailed,
+        &facts(false, 4),
+        &mut attempts,
+        || true,
+    );
+    assert_eq!(decision, Decision::Refuse(RefusalKind::TargetUnreachable));
+}
+
+#[test]
+fn an_idempotent_request_reaches_no_more_targets_than_its_route_allows() {
+    let mut attempts = Attempts::default();
+    let first = after_attempt(
+        AttemptOutcome::Failed,
+        &facts(true, 1),
+        &mut attempts,
+        || true,
+    );
+    assert_eq!(first, Decision::SendAgain);
+    let second = after_attempt(
+        AttemptOutcome::Failed,
+        &facts(true, 2),
+        &mut attempts,
+        || true,
+    );
+    assert_eq!(second, Decision::Answer, "the target's own failure is passed on");
+}
+
+#[test]
+fn a_failure_without_a_budget_is_final() {
+    let mut attempts = Attempts::default();
+    let decision = after_attempt(
+        AttemptOutcome::ConnectionLost,
+        &facts(true, 1),
+        &mut attempts,
+        || false,
+    );
+    assert_eq!(decision, Decision::Refuse(RefusalKind::TargetFailed));
+}
+
+/// 503 and its like promise that a request has not run and never will.
+#[test]
+fn refusals_promise_only_what_is_known() {
+    for answer in agatehold_core::refusal::REFUSAL_ANSWERS {
+        let unknown = answer.kind.promising_status(RefusalOutcome::Unknown);
+        assert!(
+            !matches!(unknown, 408 | 421 | 429 | 503),
+            "{} promises with {unknown}",
+            answer.name
+        );
+        let not_run = answer.kind.promising_status(RefusalOutcome::NotRun);
+        assert!(
+            not_run < 500 || not_run == 503,
+            "{} leaves it open with {not_run}",
+            answer.name
+        );
+    }
+}
+
+#[test]
+fn an_attempt_leaves_time_for_a_second_one() {
+    let usual = DurationMs(120);
+    let objective = DurationMs(400);
+    let limit = attempt_timeout(usual, objective, DurationMs(1_500));
+    assert!(limit >= usual.times(2), "{limit} cuts usual answers");
+    assert!(limit + usual <= DurationMs(1_500));
+    let short = attempt_timeout(usual, objective, DurationMs(500));
+    assert!(short < limit);
+}
+
+#[test]
+fn a_service_is_pressed_while_many_recent_requests_fail() {
+    let mut record = ServiceRecord::default();
+    let mut now = START;
+    for number in 0..100 {
+        now = now + DurationMs(20);
+        record.record_end(number % 5 != 0, now);
+    }
+    assert!(record.is_pressed());
+    for _ in 0..200 {
+        now = now + DurationMs(20);
+        record.record_end(true, now);
+    }
+    assert!(!record.is_pressed());
+}
+
+/// Where all requests must not run twice, they have to try targets on hold.
+#[test]
+fn trials_are_left_to_idempotent_requests_while_there_are_any() {
+    let mut record = ServiceRecord::default();
+    record.record_arrival(true, START);
+    assert!(!record.may_try(false, START + DurationMs(500)));
+    assert!(record.may_try(true, START + DurationMs(500)));
+    assert!(record.may_try(false, START + DurationMs(3_000)));
+}
--- /dev/null
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -0,0 +1,296 @@
+//! Guards what a daemon believes of the platform's store: whole
+//! configurations, rows that lapse, other daemons' beats and entry daemons.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+
+use agatehold_core::catalog::CallerLimits;
+use agatehold_core::catalog::Catalog;
+use agatehold_core::catalog::CatalogRoute;
+use agatehold_core::catalog::ConfigVersion;
+use agatehold_core::catalog::WeightedService;
+use agatehold_core::catalog::match_catalog_route;
+use agatehold_core::catalog::newest;
+use agatehold_core::directory::MemberRecord;
+use agatehold_core::directory::entry_addresses;
+use agatehold_core::directory::entry_daemons;
+use agatehold_core::dissemination::Beat;
+use agatehold_core::dissemination::BeatTable;
+use agatehold_core::dissemination::Refresh;
+use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::SILENCE_MS;
+use agatehold_core::dissemination::next_refresh;
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::Incarnation;
+use agatehold_core::roster::LAPSE_RETURN_MS;
+use agatehold_core::roster::Lapsing;
+use agatehold_core::table::Table;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::TimeMs;
+
+const START: TimeMs = TimeMs(3_600_000);
+
+fn route(host: &str, prefix: &str) -> CatalogRoute {
+    CatalogRoute {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        timeout_ms: DurationMs(4_000),
+        objective_ms: DurationMs(1_500),
+        attempts_max: 2,
+        priority: 0,
+        services: vec![WeightedService {
+            service: "archive".parse().expect("a name"),
+            weight: 1,
+        }],
+    }
+}
+
+fn catalog(version: u32, routes: Vec<CatalogRoute>) -> Catalog {
+    Catalog::new(
+        ConfigVersion(version),
+        routes,
+        Vec::new(),
+        CallerLimits::default(),
+    )
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let routes = vec![
+        route("a.example", "/reports/"),
+        route("a.example", "/reports/old/"),
+        route("b.example", "/"),
+    ];
+    let catalog = catalog(1, routes);
+    let matched = |host, path| match_catalog_route(&catalog, host, path);
+    assert_eq!(matched("a.example", "/reports/old/7"), Some(1));
+    assert_eq!(matched("a.example", "/reports/7"), Some(0));
+    assert_eq!(matched("a.example", "/reports"), None);
+    assert_eq!(matched("b.example", "/reports/7"), Some(2));
+    assert_eq!(matched("c.example", "/reports/7"), None);
+}
+
+proptest! {
+    /// Versions arrive by several ways and in any order; a daemon never goes
+    /// back.
+    #[test]
+    fn an_older_configuration_never_replaces_a_newer_one(
+        versions in prop::collection::vec(0_u32..50, 1..40),
+    ) {
+        let mut held: Option<Arc<Catalog>> = None;
+        let mut highest = 0;
+        for version in versions {
+            let offered = catalog(version, Vec::new());
+            if newest(held.as_ref(), &offered) {
+                held = Some(Arc::new(offered));
+            }
+            highest = highest.max(version);
+            prop_assert_eq!(held.as_ref().map(|held| held.version.0), Some(highest));
+        }
+    }
+
+    /// Whatever order a watch and a listing come in, a row ends as the store's
+    /// last change left it.
+    #[test]
+    fn rows_follow_the_latest_revision(
+        order in Just((1_u64..20).collect::<Vec<u64>>()).prop_shuffle(),
+    ) {
+        let mut rows: Lapsing<u32, u64> = Lapsing::new();
+        for revision in order {
+            rows.put(7, revision, revision, START);
+        }
+        prop_assert_eq!(rows.rows.get(&7).map(|row| row.content), Some(19));
+    }
+}
+
+#[test]
+fn a_removed_row_is_gone_at_once_while_the_store_is_steady() {
+    let mut rows: Lapsing<u32, &str> = Lapsing::new();
+    rows.put(1, "a", 5, START);
+    assert!(rows.delete(&1, 6, START));
+    assert!(rows.rows.is_empty());
+}
+
+/// Pattern: leases run out while the store is away; their owners write the
+/// entries again within two seconds of its return.
+#[test]
+fn rows_that_lapsed_in_an_outage_are_kept_until_their_owners_are_back() {
+    let mut rows: Lapsing<u32, &str> = Lapsing::new();
+    rows.put(1, "a", 5, START);
+    rows.put(2, "b", 5, START);
+    rows.store_lost();
+    let back = START + DurationMs(9_000);
+    rows.store_returned(back);
+    rows.keep_listed(&[], 30, back + DurationMs(10));
+    assert_eq!(rows.rows.len(), 2, "both are awaited");
+    rows.put(1, "a", 31, back + DurationMs(900));
+    assert!(!rows.sweep(back + DurationMs(1_500)));
+    assert!(rows.sweep(back + LAPSE_RETURN_MS));
+    let left: Vec<u32> = rows.rows.keys().copied().collect();
+    assert_eq!(left, [1], "the one that did not come back is gone");
+}
+
+#[test]
+fn a_listing_does_not_remove_rows_that_are_later() {
+    let mut rows: Lapsing<u32, &str> = Lapsing::new();
+    rows.put(1, "a", 50, START);
+    assert!(!rows.keep_listed(&[], 40, START));
+    assert!(rows.keep_listed(&[], 60, START));
+}
+
+fn host(number: u32) -> HostId {
+    format!("entry-{number}").parse().expect("a name")
+}
+
+fn beat(number: u32, targets: u64, store_age_ms: u64) -> Beat {
+    Beat {
+        host: host(number),
+        revisions: Revisions {
+            configuration: 1,
+            targets,
+            members: 1,
+        },
+        store_age_ms: DurationMs(store_age_ms),
+    }
+}
+
+fn known(targets: u64) -> Revisions {
+    Revisions {
+        configuration: 1,
+        targets,
+        members: 1,
+    }
+}
+
+#[test]
+fn a_daemon_fetches_from_whoever_knows_most() {
+    let mut beats = BeatTable::default();
+    beats.record(&beat(1, 10, 0), START);
+    beats.record(&beat(2, 12, 0), START);
+    beats.record(&beat(3, 11, 0), START);
+    let refresh = next_refresh(&beats, &known(10), START, START);
+    assert_eq!(refresh, Refresh::Fetch(host(2)));
+    let refresh = next_refresh(&beats, &known(12), START, START);
+    assert_eq!(refresh, Refresh::Nothing);
+}
+
+/// Pattern: the daemon that tells was killed, cut off or frozen.
+#[test]
+fn a_daemon_that_nobody_tells_reads_the_store() {
+    let mut beats = BeatTable::default();
+    beats.record(&beat(1, 10, 0), START);
+    let within = START + SILENCE_MS;
+    assert_eq!(
+        next_refresh(&beats, &known(10), START, within),
+        Refresh::Nothing
+    );
+    let after = within + DurationMs(1);
+    assert_eq!(
+        next_refresh(&beats, &known(10), START, after),
+        Refresh::ReadStore
+    );
+    assert_eq!(
+        next_refresh(&beats, &known(10), after, after),
+        Refresh::Nothing,
+        "it has just read"
+    );
+}
+
+/// Pattern: the store turns away the daemons that tell, and serves this one.
+#[test]
+fn beats_of_daemons_without_the_store_do_not_count() {
+    let mut beats = BeatTable::default();
+    let now = START + DurationMs(5_000);
+    beats.record(&beat(1, 10, 4_000), now);
+    assert_eq!(
+        next_refresh(&beats, &known(10), START, now),
+        Refresh::ReadStore
+    );
+}
+
+fn member(domain: &str, port: u16, capacity_millicores: u32) -> MemberRecord {
+    let address = |port| format!("10.0.0.1:{port}").parse().expect("an address");
+    MemberRecord {
+        failure_domain: domain.parse().expect("a name"),
+        callers: address(port),
+        news: address(port + 1_000),
+        evidence: address(port + 2_000),
+        incarnation: Incarnation(1),
+        leaving: false,
+        capacity_millicores,
+    }
+}
+
+fn fleet(size: u16) -> Table<HostId, MemberRecord> {
+    (0..size)
+        .map(|number| {
+            let domain = format!("domain-{}", number % 3);
+            (host(u32::from(number)), member(&domain, 8_000 + number, 200))
+        })
+        .collect()
+}
+
+#[test]
+fn entry_daemons_lie_in_different_failure_domains() {
+    let members = fleet(48);
+    for service in ["archive", "closures", "certificates"] {
+        let entries = entry_daemons(members.rows(), service, 3);
+        let domains: BTreeSet<_> = entries
+            .iter()
+            .map(|(_, member)| &member.failure_domain)
+            .collect();
+        assert_eq!(domains.len(), 3, "{service}");
+    }
+}
+
+/// Pattern: hosts stop one after the other; callers of the others must not be
+/// moved.
+#[test]
+fn a_daemon_that_leaves_moves_only_its_own_place() {
+    let mut members = fleet(48);
+    let before: BTreeSet<HostId> = entry_daemons(members.rows(), "closures", 3)
+        .into_iter()
+        .map(|(host, _)| host.clone())
+        .collect();
+    let gone = before.first().cloned().expect("an entry daemon");
+    members.get_mut(&gone).expect("a member").leaving = true;
+    let after: BTreeSet<HostId> = entry_daemons(members.rows(), "closures", 3)
+        .into_iter()
+        .map(|(host, _)| host.clone())
+        .collect();
+    assert!(!after.contains(&gone));
+    assert_eq!(before.intersection(&after).count(), 2);
+}
+
+/// Pattern: uneven hosts; work goes by what a host can carry.
+#[test]
+fn strong_hosts_are_entry_daemons_more_often() {
+    let members: Table<HostId, MemberRecord> = (0..40_u16)
+        .map(|number| {
+            let capacity = if number % 2 == 0 { 100 } else { 500 };
+            (host(u32::from(number)), member("one", 8_000 + number, capacity))
+        })
+        .collect();
+    let mut strong = 0;
+    for service in 0..300 {
+        let entries = entry_daemons(members.rows(), &format!("service-{service}"), 1);
+        strong += usize::from(entries[0].1.capacity_millicores == 500);
+    }
+    assert!((220..=280).contains(&strong), "{strong} of 300, expected 250");
+}
+
+#[test]
+fn a_caller_gets_near_addresses_if_there_are_enough() {
+    let members = fleet(9);
+    let entries = entry_daemons(members.rows(), "archive", 9);
+    let domain = "domain-1".parse().expect("a name");
+    let near = entry_addresses(&entries, Some(&domain), 2);
+    assert_eq!(near.len(), 3);
+    let all = entry_addresses(&entries, Some(&domain), 4);
+    assert_eq!(all.len(), 9);
+    assert_eq!(all[..3], near[..], "the near ones come first");
+}
