Choose entry daemons by slots, and ask seeds where the store is away at a start

Cause: a daemon that starts while the store is away knows neither the configuration nor other daemons and refuses everything until the store is back. A service of 436 slots would have had three entry daemons.

--- a/crates/agatehold-core/src/directory/choose.rs
+++ b/crates/agatehold-core/src/directory/choose.rs
@@ -46,6 +46,12 @@
     chosen
 }
 
+/// Returns how many entry daemons a service has: `least`, and more where its
+/// targets have more than `slots_per_entry` slots for each.
+pub fn entry_count(least: u32, slots: u32, slots_per_entry: u32) -> u32 {
+    least.max(slots.div_ceil(slots_per_entry.max(1)))
+}
+
 /// Weighted rendezvous hashing (Schindelhauer and Schomaker 2005): a host is
 /// chosen in proportion to its weight.
 fn weighted_score(subject: &str, host: &HostId, capacity_millicores: u32) -> f64 {
--- a/crates/agatehold-core/src/directory/mod.rs
+++ b/crates/agatehold-core/src/directory/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod rows;
 
-pub use choose::entry_daemons;
 pub use choose::entry_addresses;
+pub use choose::entry_count;
+pub use choose::entry_daemons;
 pub use rows::MemberRecord;
--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -101,8 +101,8 @@
         self.part_at(now);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let resends: u32 = self.parts.iter().map(|part| part.resends).sum();
-        let allowed = f64::from(requests) * self.policy.ratio * RATIO_MARGIN
-            + f64::from(self.own_slack);
+        let allowed =
+            f64::from(requests) * self.policy.ratio * RATIO_MARGIN + f64::from(self.own_slack);
         f64::from(resends) + wished <= allowed
     }
 
@@ -117,7 +117,11 @@
             }
             self.parts.pop_front();
         }
-        if self.parts.back().is_none_or(|newest| newest.number < number) {
+        if self
+            .parts
+            .back()
+            .is_none_or(|newest| newest.number < number)
+        {
             self.parts.push_back(Part {
                 number,
                 requests: 0,
--- a/crates/agatehold-core/tests/dispatch_pick.rs
+++ b/crates/agatehold-core/tests/dispatch_pick.rs
@@ -40,7 +40,9 @@
             started_unix_ms: 1,
         },
         service: service(),
-        address: format!("10.0.0.{}:8080", number + 1).parse().expect("an address"),
+        address: format!("10.0.0.{}:8080", number + 1)
+            .parse()
+            .expect("an address"),
         failure_domain: domain(failure_domain),
         slots: SlotCount(4),
         state: TargetState::Serving,
--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -198,7 +198,11 @@
         &mut attempts,
         || true,
     );
-    assert_eq!(second, Decision::Answer, "the target's own failure is passed on");
+    assert_eq!(
+        second,
+        Decision::Answer,
+        "the target's own failure is passed on"
+    );
 }
 
 #[test]
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -229,7 +229,10 @@
     (0..size)
         .map(|number| {
             let domain = format!("domain-{}", number % 3);
-            (host(u32::from(number)), member(&domain, 8_000 + number, 200))
+            (
+                host(u32::from(number)),
+                member(&domain, 8_000 + number, 200),
+            )
         })
         .collect()
 }
@@ -272,7 +275,10 @@
     let members: Table<HostId, MemberRecord> = (0..40_u16)
         .map(|number| {
             let capacity = if number % 2 == 0 { 100 } else { 500 };
-            (host(u32::from(number)), member("one", 8_000 + number, capacity))
+            (
+                host(u32::from(number)),
+                member("one", 8_000 + number, capacity),
+            )
         })
         .collect();
     let mut strong = 0;
@@ -280,7 +286,10 @@
         let entries = entry_daemons(members.rows(), &format!("service-{service}"), 1);
         strong += usize::from(entries[0].1.capacity_millicores == 500);
     }
-    assert!((220..=280).contains(&strong), "{strong} of 300, expected 250");
+    assert!(
+        (220..=280).contains(&strong),
+        "{strong} of 300, expected 250"
+    );
 }
 
 #[test]
--- a/crates/agatehold/src/gateway/answers.rs
+++ b/crates/agatehold/src/gateway/answers.rs
@@ -69,10 +69,7 @@
 
 fn plain(status: u16, content_type: &'static str, body: Bytes) -> Answer {
     let mut headers = HeaderMap::new();
-    headers.insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static(content_type),
-    );
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
     Answer {
         status,
         headers,
@@ -111,10 +108,13 @@
         .catalog
         .as_ref()
         .and_then(|catalog| catalog.main_service(host));
-    let per_service = state.shared.settings.entries_per_service as usize;
+    let per_service = state.shared.settings.entries.per_service as usize;
     let chosen = match service.and_then(|service| view.entries.get(service)) {
         Some(entries) => {
-            let entries: Vec<_> = entries.iter().map(|(host, member)| (host, member)).collect();
+            let entries: Vec<_> = entries
+                .iter()
+                .map(|(host, member)| (host, member))
+                .collect();
             entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
         }
         None => {
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -15,6 +15,7 @@
 
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::Refresh;
+use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
@@ -141,7 +142,10 @@
     let peers = match Peers::bind(shared.settings.listen.news).await {
         Ok(peers) => peers,
         Err(error) => {
-            log::error!("event=bind_failed address={} error=\"{error}\"", shared.settings.listen.news);
+            log::error!(
+                "event=bind_failed address={} error=\"{error}\"",
+                shared.settings.listen.news
+            );
             std::process::abort();
         }
     };
@@ -202,7 +206,9 @@
         follower.refresh(&mut tables, now);
         if follower.is_watching() && (changed || now.since(follower.beat_at) >= BEAT_MS) {
             follower.beat_at = now;
-            peers.send_beat(&shared.settings.host.id, &tables, now).await;
+            peers
+                .send_beat(&shared.settings.host.id, &tables, now)
+                .await;
         }
     }
 }
@@ -288,6 +294,19 @@
         false
     }
 
+    /// Asks the daemons of the settings, which may know what the store does not
+    /// tell; one that has just started knows no others.
+    fn ask_seeds(&self, known: Revisions) {
+        for seed in &self.shared.settings.seeds {
+            if *seed == self.shared.settings.listen.control {
+                continue;
+            }
+            let news = self.news.clone();
+            let asking = peers::ask(*seed, known, FETCH_TIMEOUT, news);
+            tokio::task::spawn_local(asking);
+        }
+    }
+
     /// Gets what others know or what nobody tells.
     fn refresh(&mut self, tables: &mut ControlTables, now: TimeMs) {
         if self.is_refreshing {
@@ -314,6 +333,9 @@
                 log::info!("event=read_store reason=not_told");
                 let reading = read_all(Rc::clone(&self.store), self.news.clone());
                 tokio::task::spawn_local(reading);
+                if tables.store_away_since.is_some() {
+                    self.ask_seeds(own);
+                }
             }
         }
     }
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -14,6 +14,7 @@
 use agatehold_platform::StoreCall;
 
 use crate::gateway::follow::StoreNews;
+use crate::gateway::news::Fetched;
 use crate::gateway::news::contents_path;
 use crate::gateway::news::decode_beat;
 use crate::gateway::news::decode_contents;
@@ -61,7 +62,7 @@
     }
 }
 
-/// Fetches what another daemon knows beyond `known`.
+/// Fetches what the daemon on `host` knows beyond `known`.
 pub(super) async fn fetch(
     host: HostId,
     address: SocketAddr,
@@ -69,24 +70,43 @@
     timeout: Duration,
     news: mpsc::Sender<StoreNews>,
 ) {
+    let fetched = fetch_contents(address, &known, timeout).await;
+    let has_failed = fetched.is_none();
+    if let Some(fetched) = fetched {
+        let _ = news.send(StoreNews::Fetched(address, fetched)).await;
+    }
+    let failed_host = has_failed.then_some(host);
+    let _ = news.send(StoreNews::Refreshed(failed_host)).await;
+}
+
+/// Asks the daemon at an address of the settings what it knows beyond `known`.
+pub(super) async fn ask(
+    address: SocketAddr,
+    known: Revisions,
+    timeout: Duration,
+    news: mpsc::Sender<StoreNews>,
+) {
+    if let Some(fetched) = fetch_contents(address, &known, timeout).await {
+        let _ = news.send(StoreNews::Fetched(address, fetched)).await;
+    }
+}
+
+async fn fetch_contents(
+    address: SocketAddr,
+    known: &Revisions,
+    timeout: Duration,
+) -> Option<Fetched> {
     let client = StoreClient::new(address);
     let call = StoreCall {
         method: "GET",
-        path: contents_path(&known),
+        path: contents_path(known),
         body: Vec::new(),
     };
-    let failed = match client.call(call, timeout).await {
-        Ok(body) => match decode_contents(&body) {
-            Some(fetched) => {
-                let _ = news.send(StoreNews::Fetched(host.clone(), fetched)).await;
-                false
-            }
-            None => true,
-        },
+    match client.call(call, timeout).await {
+        Ok(body) => decode_contents(&body),
         Err(fault) => {
-            log::warn!("event=fetch_failed from={host} fault=\"{fault}\"");
-            true
+            log::warn!("event=fetch_failed from={address} fault=\"{fault}\"");
+            None
         }
-    };
-    let _ = news.send(StoreNews::Refreshed(failed.then_some(host))).await;
+    }
 }
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -90,7 +90,11 @@
     /// Returns where beats go: to the daemons of the own failure domain, and
     /// to the entry daemons of the others.
     pub(super) fn beat_addresses(&self, own: &HostId) -> Vec<SocketAddr> {
-        let domain = self.members.rows.get(own).map(|row| &row.content.failure_domain);
+        let domain = self
+            .members
+            .rows
+            .get(own)
+            .map(|row| &row.content.failure_domain);
         let mut addresses = Vec::new();
         for (host, row) in self.members.rows.rows() {
             if host == own {
@@ -123,12 +127,17 @@
             }
             changed || returned
         }
-        StoreNews::Fetched(host, fetched) => apply_fetched(tables, &host, fetched, now),
+        StoreNews::Fetched(address, fetched) => apply_fetched(tables, address, fetched, now),
     }
 }
 
 /// Merges what another daemon knows.
-fn apply_fetched(tables: &mut ControlTables, host: &HostId, fetched: Fetched, now: TimeMs) -> bool {
+fn apply_fetched(
+    tables: &mut ControlTables,
+    address: SocketAddr,
+    fetched: Fetched,
+    now: TimeMs,
+) -> bool {
     let subjects = [
         (Subject::Configuration, fetched.configuration),
         (Subject::Targets, fetched.targets),
@@ -140,7 +149,7 @@
             continue;
         };
         log::info!(
-            "event=fetched subject={} from={host} revision={} items={}",
+            "event=fetched subject={} from={address} revision={} items={}",
             subject.name(),
             contents.revision,
             contents.items.len()
@@ -189,8 +198,8 @@
     if revision < held.revision {
         return;
     }
-    let is_same = held.items.len() == items.len()
-        && items.iter().all(|item| held.items.contains(item));
+    let is_same =
+        held.items.len() == items.len() && items.iter().all(|item| held.items.contains(item));
     if is_same && held.revision > 0 {
         return;
     }
@@ -295,7 +304,10 @@
 
 fn apply_target(tables: &mut ControlTables, item: &Item, now: TimeMs) -> bool {
     let Some(name) = target_name(&item.key) else {
-        log::warn!("event=target_skipped key=\"{}\" error=\"no name\"", item.key.escape_debug());
+        log::warn!(
+            "event=target_skipped key=\"{}\" error=\"no name\"",
+            item.key.escape_debug()
+        );
         return false;
     };
     let Some(value) = &item.value else {
@@ -347,7 +359,10 @@
             changed
         }
         None => {
-            log::warn!("event=member_skipped host={host} revision={}", item.revision);
+            log::warn!(
+                "event=member_skipped host={host} revision={}",
+                item.revision
+            );
             false
         }
     }
@@ -368,7 +383,7 @@
     for (host, row) in tables.members.rows.rows() {
         view.members.insert(host.clone(), row.content.clone());
     }
-    view.choose_entries(shared.settings.entries_per_service as usize);
+    view.choose_entries(&shared.settings.entries);
     tables.view = Arc::new(view);
     shared.view.store(Arc::clone(&tables.view));
 }
--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -164,7 +164,8 @@
     };
     let mut pending: VecDeque<oneshot::Receiver<Answer>> = VecDeque::new();
     loop {
-        if let Err(kind) = take_requests(state, &mut intake, &mut pending, endpoint, &mut writing).await
+        if let Err(kind) =
+            take_requests(state, &mut intake, &mut pending, endpoint, &mut writing).await
         {
             intake.ended = true;
             intake.held = None;
@@ -313,7 +314,11 @@
     pending.is_empty() || (endpoint == Endpoint::Callers && state.is_idempotent(&arrival.head))
 }
 
-fn start(state: &Rc<TrafficState>, arrival: Arrival, endpoint: Endpoint) -> oneshot::Receiver<Answer> {
+fn start(
+    state: &Rc<TrafficState>,
+    arrival: Arrival,
+    endpoint: Endpoint,
+) -> oneshot::Receiver<Answer> {
     let (reply, answer) = oneshot::channel();
     if endpoint == Endpoint::Callers {
         let state = Rc::clone(state);
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -89,7 +89,10 @@
     if evidence.moved {
         row.leaving = true;
     }
-    if row.suspicion.record(evidence.outcome, evidence.run_ms, spread, now) {
+    if row
+        .suspicion
+        .record(evidence.outcome, evidence.run_ms, spread, now)
+    {
         log::warn!(
             "event=target_avoided target={} service={} outcome={} nats={:.1} told_by={}",
             evidence.target.name,
--- a/crates/agatehold/src/gateway/follow.rs
+++ b/crates/agatehold/src/gateway/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the keys of the platform's store and keeps the daemon registered.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,7 +106,7 @@
     /// This daemon has read all contents itself.
     Read,
     /// Another daemon told what it knows.
-    Fetched(HostId, Fetched),
+    Fetched(SocketAddr, Fetched),
     /// A fetch or read ended; the daemon is named if it did not help.
     Refreshed(Option<HostId>),
 }
@@ -147,9 +148,7 @@
             }
         };
         backoff.reset();
-        let _ = news
-            .send(StoreNews::Listed(subject, items, revision))
-            .await;
+        let _ = news.send(StoreNews::Listed(subject, items, revision)).await;
         watch_from(&store, subject, revision, &news).await;
     }
 }
@@ -178,11 +177,16 @@
                     let _ = news.send(StoreNews::Answered).await;
                     continue;
                 }
-                let _ = news.send(StoreNews::Changed(subject, watched.changes)).await;
+                let _ = news
+                    .send(StoreNews::Changed(subject, watched.changes))
+                    .await;
                 tokio::time::sleep(GATHER).await;
             }
             Err(StoreFault::Status(StoreStatus::HistoryGone)) => {
-                log::info!("event=history_gone subject={} revision={revision}", subject.name());
+                log::info!(
+                    "event=history_gone subject={} revision={revision}",
+                    subject.name()
+                );
                 return;
             }
             Err(fault) => {
@@ -296,7 +300,9 @@
     news: &Sender<StoreNews>,
 ) {
     loop {
-        let changed = tokio::time::timeout(RENEWAL, record.changed()).await.is_ok();
+        let changed = tokio::time::timeout(RENEWAL, record.changed())
+            .await
+            .is_ok();
         let call = if changed {
             let value = record.borrow_and_update().clone();
             write(key, &value, lease.id)
--- a/crates/agatehold/src/gateway/member.rs
+++ b/crates/agatehold/src/gateway/member.rs
@@ -54,10 +54,7 @@
         callers: text.callers.parse().ok()?,
         news: text.news.parse().ok()?,
         evidence: text.evidence.parse().ok()?,
-        incarnation: text
-            .incarnation
-            .parse::<Incarnation>()
-            .unwrap_or_default(),
+        incarnation: text.incarnation.parse::<Incarnation>().unwrap_or_default(),
         leaving: text.leaving,
         capacity_millicores: text.capacity_millicores,
     })
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -48,8 +48,7 @@
 
 /// Runs the daemon until it is stopped.
 pub(crate) fn run(path: &Path, settings: GatewaySettings) -> Result<(), StartError> {
-    telemetry::start_decision_log(level_filter(settings.log))
-        .map_err(|_| StartError::Telemetry)?;
+    telemetry::start_decision_log(level_filter(settings.log)).map_err(|_| StartError::Telemetry)?;
     let metrics = telemetry::start_metrics().ok_or(StartError::Telemetry)?;
     let bounds = parse_bounds(&settings.bounds).map_err(StartError::Bounds)?;
     let unix_ms = SystemTime::now()
@@ -65,7 +64,7 @@
         env!("CARGO_PKG_VERSION"),
         shared.settings.listen.callers,
         shared.settings.store,
-        shared.settings.entries_per_service,
+        shared.settings.entries.per_service,
         shared.bounds.resend_ratio,
         shared.bounds.resend_slack,
         shared.bounds.stop_limit_ms
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -133,7 +133,11 @@
     arrival: &Arrival,
     reply: &mut oneshot::Sender<Answer>,
 ) -> Option<Answer> {
-    let request_id = arrival.head.headers.get(request_headers::REQUEST_ID).cloned();
+    let request_id = arrival
+        .head
+        .headers
+        .get(request_headers::REQUEST_ID)
+        .cloned();
     let refuse = |kind: RefusalKind, version: ConfigVersion| {
         log_refusal(kind, request_id.as_ref(), version);
         let id = request_id.as_ref();
@@ -468,8 +472,8 @@
             target_headers::EXPECT_TARGET,
             target.as_str().as_bytes(),
         );
-        let has_body = !arrival.body.is_empty()
-            || !matches!(arrival.head.method, Method::GET | Method::HEAD);
+        let has_body =
+            !arrival.body.is_empty() || !matches!(arrival.head.method, Method::GET | Method::HEAD);
         if has_body {
             let length = arrival.body.len().to_string();
             write_header(&mut out, "content-length", length.as_bytes());
@@ -529,8 +533,7 @@
             );
             // The entry daemons see most requests of a service and tell each
             // other what is new; what the others see is new to them.
-            let is_news = is_shared
-                && (was_suspected || row.suspicion.nats() > 0.0 || !is_entry);
+            let is_news = is_shared && (was_suspected || row.suspicion.nats() > 0.0 || !is_entry);
             if is_news || end.is_wrong_target {
                 let crashed = end.outcome == AttemptOutcome::ConnectionLost;
                 told = Some(Evidence {
@@ -682,7 +685,13 @@
                     self.version
                 );
                 let id = self.request_id.as_ref();
-                Some(answers::refusal(self.state, kind, outcome, self.backlog_ms, id))
+                Some(answers::refusal(
+                    self.state,
+                    kind,
+                    outcome,
+                    self.backlog_ms,
+                    id,
+                ))
             }
         }
     }
@@ -702,4 +711,3 @@
         is_head_answer: false,
     }
 }
-
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -10,6 +10,7 @@
 
 use agatehold_core::catalog::Catalog;
 use agatehold_core::directory::MemberRecord;
+use agatehold_core::directory::entry_count;
 use agatehold_core::directory::entry_daemons;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
@@ -17,6 +18,7 @@
 use agatehold_core::table::Table;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::FleetBounds;
+use agatehold_settings::process::EntrySettings;
 use agatehold_settings::process::GatewaySettings;
 
 use crate::clock::Clock;
@@ -45,13 +47,20 @@
 
 impl View {
     /// Fills in the entry daemons of each service.
-    pub(crate) fn choose_entries(&mut self, per_service: usize) {
+    pub(crate) fn choose_entries(&mut self, settings: &EntrySettings) {
         self.entries.clear();
         let Some(catalog) = &self.catalog else {
             return;
         };
         for service in &catalog.services {
-            let chosen = entry_daemons(self.members.rows(), service.name.as_str(), per_service);
+            let mut slots = 0;
+            for (target, _) in &self.targets {
+                if target.service == service.name {
+                    slots += target.slots.0;
+                }
+            }
+            let count = entry_count(settings.per_service, slots, settings.slots_per_entry);
+            let chosen = entry_daemons(self.members.rows(), service.name.as_str(), count as usize);
             let chosen = chosen
                 .into_iter()
                 .map(|(host, member)| (host.clone(), member.clone()))
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -98,8 +98,7 @@
             // request; so does the end of the stream.
             let mut probe = [0; 1];
             let read = connection.stream.try_read(&mut probe);
-            let is_quiet =
-                matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+            let is_quiet = matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
             if is_quiet {
                 return Some(connection);
             }
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -100,9 +100,12 @@
 
     fn follow(&self, newest: &Arc<View>) {
         self.view.replace(Arc::clone(newest));
-        self.targets
-            .borrow_mut()
-            .sync(newest.targets.iter().map(|(record, seen_at)| (record, *seen_at)));
+        self.targets.borrow_mut().sync(
+            newest
+                .targets
+                .iter()
+                .map(|(record, seen_at)| (record, *seen_at)),
+        );
         let own = &self.shared.settings.host.id;
         let mut budgets = self.budgets.borrow_mut();
         for (service, entries) in &newest.entries {
@@ -158,7 +161,8 @@
     /// Counts a connection as closed.
     pub(super) fn note_close(&self, endpoint: Endpoint) {
         if endpoint == Endpoint::Callers {
-            self.connections.set(self.connections.get().saturating_sub(1));
+            self.connections
+                .set(self.connections.get().saturating_sub(1));
         }
     }
 
@@ -296,6 +300,7 @@
         (listen.readiness, Endpoint::Readiness),
         (listen.metrics, Endpoint::Metrics),
         (listen.news, Endpoint::Daemons),
+        (listen.control, Endpoint::Daemons),
     ];
     for (address, endpoint) in endpoints {
         match endpoint::bind(address) {
@@ -315,7 +320,11 @@
     // The starter waits for this message.
     let _ = bound.send(Ok(()));
     loop {
-        let is_busy = state.queues.borrow().values().any(|queue| !queue.is_empty());
+        let is_busy = state
+            .queues
+            .borrow()
+            .values()
+            .any(|queue| !queue.is_empty());
         let stops = state.shared.stopping_since().is_some();
         let wait = if is_busy || stops {
             BUSY_TICK
--- a/crates/agatehold/src/main.rs
+++ b/crates/agatehold/src/main.rs
@@ -81,7 +81,10 @@
 
 fn run_gateway(path: Option<PathBuf>, check: bool) -> ExitCode {
     let Some(path) = path.or_else(agatehold_platform::settings_path) else {
-        eprintln!("agatehold: no settings: give --settings FILE\n\n{}", options::HELP);
+        eprintln!(
+            "agatehold: no settings: give --settings FILE\n\n{}",
+            options::HELP
+        );
         return ExitCode::from(EXIT_USAGE);
     };
     let settings = match load_settings(&path, parse_gateway) {
--- a/crates/agatehold/src/traffic/attempt.rs
+++ b/crates/agatehold/src/traffic/attempt.rs
@@ -139,7 +139,12 @@
         return Ok(connection);
     }
     let latest = outbound.deadline.min(clock.now() + CONNECT_TIMEOUT_MS);
-    match tokio::time::timeout_at(clock.instant(latest), Connection::open(address, TRAFFIC_LIVENESS)).await {
+    match tokio::time::timeout_at(
+        clock.instant(latest),
+        Connection::open(address, TRAFFIC_LIVENESS),
+    )
+    .await
+    {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(_)) | Err(_) => Err(AttemptOutcome::ConnectFailed),
     }
