--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -333,7 +333,7 @@
                 log::info!("event=read_store reason=not_told");
                 let reading = read_all(Rc::clone(&self.store), self.news.clone());
                 tokio::task::spawn_local(reading);
-                if tables.store_away_since.is_some() {
+                if tables.store_away_since.is_some() || tables.catalog.is_none() {
                     self.ask_seeds(own);
                 }
             }
