--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -52,6 +52,9 @@
     /// Whether the request may go to a target that is likely to fail it at
     /// once, where all others are full.
     pub may_gamble: bool,
+    /// Whether so many requests of the service are not served that all of its
+    /// targets are used.
+    pub is_uneasy: bool,
     /// Whether many requests of the service are not served.
     pub is_pressed: bool,
     /// Whether a target without a free slot will do, where the request waits
@@ -162,7 +165,8 @@
     }
     let slots = f64::from(row.record.slots.0);
     let load = row.estimated_load(now) / slots;
-    let mut cost = (load - EASY_LOAD).max(0.0);
+    let easy_load = if request.is_uneasy { 0.0 } else { EASY_LOAD };
+    let mut cost = (load - easy_load).max(0.0);
     if row.record.failure_domain != *request.failure_domain {
         cost += FAR_COST;
     }
@@ -170,8 +174,12 @@
         cost += WARMING_COST;
     }
     cost += OVERDUE_COST * f64::from(row.overdue);
-    // Of equal targets, the one chosen last goes first.
-    cost - 1e-9 * row.chosen_number as f64
+    let order = 1e-9 * row.chosen_number as f64;
+    if request.is_uneasy {
+        // Of equal targets, the one not chosen for longest goes first.
+        return cost + order;
+    }
+    cost - order
 }
 
 impl LiveTargets {
--- a/crates/agatehold-core/src/dispatch/record.rs
+++ b/crates/agatehold-core/src/dispatch/record.rs
@@ -10,6 +10,10 @@
 /// often, so that a service in trouble does not leave sound targets unused.
 const PRESSED_SHARE: f64 = 0.085;
 
+/// The share of unserved requests from which requests spread over all targets:
+/// no target may be left without work once more than a tenth are not served.
+const UNEASY_SHARE: f64 = 0.065;
+
 /// The time without an idempotent request after which other requests try
 /// targets after a hold.
 const IDEMPOTENT_RECENT_MS: DurationMs = DurationMs(2_000);
@@ -46,6 +50,12 @@
         }
     }
 
+    /// Returns whether so many requests are not served that all targets are to
+    /// be used.
+    pub fn is_uneasy(&self) -> bool {
+        self.unserved > UNEASY_SHARE * (self.served + self.unserved)
+    }
+
     /// Returns whether so many requests are not served that targets on hold
     /// have to be tried more often.
     pub fn is_pressed(&self) -> bool {
--- a/crates/agatehold-core/tests/dispatch_pick.rs
+++ b/crates/agatehold-core/tests/dispatch_pick.rs
@@ -73,6 +73,7 @@
     failure_domain: FailureDomain,
     may_try: bool,
     may_gamble: bool,
+    is_uneasy: bool,
     is_pressed: bool,
 }
 
@@ -83,6 +84,7 @@
             failure_domain: domain("near"),
             may_try: false,
             may_gamble: false,
+            is_uneasy: false,
             is_pressed: false,
         }
     }
@@ -95,6 +97,7 @@
         tried: &[],
         may_try: ask.may_try,
         may_gamble: ask.may_gamble,
+        is_uneasy: ask.is_uneasy,
         is_pressed: ask.is_pressed,
         accepts_full: false,
     };
@@ -307,6 +310,27 @@
     assert_eq!(used.len(), 1);
 }
 
+/// Pattern: more than a tenth of the requests fail while most sound targets are
+/// idle, which leaves them unused for two seconds.
+#[test]
+fn an_uneasy_service_uses_all_of_its_targets() {
+    let mut targets = targets(20);
+    let ask = Ask {
+        is_uneasy: true,
+        ..Ask::default()
+    };
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        let Choice::Target(chosen) = pick(&targets, &ask, START) else {
+            panic!("idle targets are left");
+        };
+        targets.claim(&chosen);
+        targets.release(&chosen);
+        used.insert(chosen);
+    }
+    assert_eq!(used.len(), 20);
+}
+
 #[test]
 fn a_target_that_joins_gets_a_request_at_once() {
     let mut targets = targets(3);
--- a/crates/agatehold-testing/src/fleet/mod.rs
+++ b/crates/agatehold-testing/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 pub use daemon::PEER_SECRET;
 pub use daemon::Signal;
 pub use notes::NoteWriter;
+pub use ports::next_loopback;
 
 /// How long a condition is waited for before the test fails. It bounds a hang
 /// and is no measure of speed.
--- a/crates/agatehold-testing/src/fleet/ports.rs
+++ b/crates/agatehold-testing/src/fleet/ports.rs
@@ -41,7 +41,7 @@
 
 /// Returns a loopback address that no other fleet of this process uses, and
 /// with high probability none of another process.
-fn next_loopback() -> Ipv4Addr {
+pub fn next_loopback() -> Ipv4Addr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed) % 250;
     let process = std::process::id();
--- a/crates/agatehold/src/gateway/answers.rs
+++ b/crates/agatehold/src/gateway/answers.rs
@@ -81,7 +81,7 @@
 
 fn readiness(state: &TrafficState) -> Answer {
     let view = state.view();
-    let is_ready = view.catalog.is_some() && state.shared.stopping_since().is_none();
+    let is_ready = view.is_ready() && state.shared.stopping_since().is_none();
     plain(if is_ready { 200 } else { 503 }, "text/plain", Bytes::new())
 }
 
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -141,6 +141,7 @@
         tried,
         may_try: record.may_try(idempotent, now),
         may_gamble: idempotent && tried.is_empty() && has_reserve,
+        is_uneasy: record.is_uneasy(),
         is_pressed: record.is_pressed(),
         accepts_full,
     }
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -67,6 +67,9 @@
 /// The least such age.
 const OVERDUE_MIN_MS: DurationMs = DurationMs(300);
 
+/// How many targets one request may crash, by all that this daemon knows.
+const CRASHES_MAX: usize = 2;
+
 /// A request on its way.
 struct Dispatch<'a> {
     state: &'a TrafficState,
@@ -289,7 +292,7 @@
             idempotent: self.route.idempotent,
             attempts_max: self.route.attempts_max,
             tries: u32::try_from(self.tried.len()).unwrap_or(u32::MAX),
-            is_poisoned: self.crashes() > 0,
+            is_poisoned: self.crashes() >= CRASHES_MAX,
             remaining_ms: self.deadline.since(self.now()),
         }
     }
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -46,6 +46,11 @@
 }
 
 impl View {
+    /// Returns whether both the configuration and the targets are known.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.catalog.is_some() && self.contents.targets.revision > 0
+    }
+
     /// Fills in the entry daemons of each service.
     pub(crate) fn choose_entries(&mut self, settings: &EntrySettings) {
         self.entries.clear();
