Give hosts that share services the same entry daemons

Host names have routes to several services, entry daemons were chosen by the first service of a host name, and evidence went to the entry daemons of a service, which were others than those that its requests passed through.

Change: host names that share a service are one group with one set of entry daemons, one for each 40 slots and three at least; groups that would need more than 24 fall apart by host name. Targets unused for 1.3 s go first under pressure, as far as a floor of seven tenths asks. Easy load 0.45 -> 0.65.

--- a/crates/agatehold-core/src/catalog/rows.rs
+++ b/crates/agatehold-core/src/catalog/rows.rs
@@ -116,19 +116,4 @@
             by_host,
         }
     }
-
-    /// Returns the service that callers of a host name use most, by which the
-    /// daemons that are their entry points are chosen.
-    pub fn main_service(&self, host: &str) -> Option<&ServiceName> {
-        let positions = self.by_host.get(host)?;
-        let first = positions.iter().min()?;
-        let services = &self.routes[*first].services;
-        let mut main = services.first()?;
-        for other in services {
-            if other.weight > main.weight {
-                main = other;
-            }
-        }
-        Some(&main.service)
-    }
 }
--- a/crates/agatehold-core/src/dispatch/health.rs
+++ b/crates/agatehold-core/src/dispatch/health.rs
@@ -205,7 +205,7 @@
     }
 
     /// Returns whether the target has been on hold for long enough.
-    pub(super) fn is_due(&self, holds: &Holds, now: TimeMs) -> bool {
+    fn is_due(&self, holds: &Holds, now: TimeMs) -> bool {
         let Some(held_at) = self.held_at else {
             return false;
         };
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -3,6 +3,7 @@
 use crate::ids::FailureDomain;
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
+use crate::units::DurationMs;
 use crate::units::TimeMs;
 
 use super::LiveTarget;
@@ -15,7 +16,7 @@
 
 /// The share of a target's slots up to which its load does not matter: requests
 /// rarely wait for a slot below it.
-const EASY_LOAD: f64 = 0.45;
+const EASY_LOAD: f64 = 0.65;
 
 /// The cost of a target in another failure domain, as a share of its slots: a
 /// near target is used up to this much more, since bytes that cross cost
@@ -31,10 +32,13 @@
 /// The share of a service's targets that may be on hold for long.
 const HELD_SHARE_MAX: f64 = 0.45;
 
-/// The share of a service's targets that may go without a request for longer
-/// than the shortest holds while many of its requests are not served. A floor
-/// of seven tenths leaves 0.3; targets that this daemon can't tell from those
-/// it has reason to avoid take some of that.
+/// The time without a request after which a target counts as unused; a floor
+/// counts those that had none for two seconds.
+const UNUSED_MS: DurationMs = DurationMs(1_300);
+
+/// The share of a service's targets that may be unused while many of its
+/// requests are not served. A floor of seven tenths leaves 0.3; targets that
+/// this daemon can't tell from those it has reason to avoid take some of that.
 const UNUSED_SHARE_MAX: f64 = 0.2;
 
 /// What is asked of [`pick_live_target`].
@@ -52,10 +56,8 @@
     /// Whether the request may go to a target that is likely to fail it at
     /// once, where all others are full.
     pub may_gamble: bool,
-    /// Whether so many requests of the service are not served that all of its
-    /// targets are used.
-    pub is_uneasy: bool,
-    /// Whether many requests of the service are not served.
+    /// Whether so many requests of the service are not served that no sound
+    /// target may be left without work.
     pub is_pressed: bool,
     /// Whether a target without a free slot will do, where the request waits
     /// in the target.
@@ -83,7 +85,7 @@
 /// nothing by it where all others are full. A target that nobody has used
 /// yet goes first once.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
-    let holds = holds_of(targets, request, now);
+    let spread = spread_of(targets, request, now);
     let mut best: Option<(f64, &TargetName)> = None;
     let mut last_resort: Option<(f64, &TargetName)> = None;
     let mut gamble: Option<(f64, &TargetName)> = None;
@@ -96,8 +98,8 @@
             continue;
         }
         let is_free = request.accepts_full || row.has_free_slot(now);
-        let cost = cost(row, request, now);
-        let is_candidate = match row.suspicion.standing(&holds, now) {
+        let cost = cost(row, request, &spread, now);
+        let is_candidate = match row.suspicion.standing(&spread.holds, now) {
             _ if row.suspicion.is_unreachable(now) => false,
             Standing::Trusted => true,
             Standing::Trial => request.may_try,
@@ -132,8 +134,16 @@
     }
 }
 
-/// Returns how long targets of the service are on hold.
-fn holds_of(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Holds {
+/// How a request is spread over the targets of its service.
+#[derive(Clone, Copy, Debug)]
+struct Spread {
+    /// How long targets are on hold.
+    holds: Holds,
+    /// Whether targets that had no request for [`UNUSED_MS`] go first.
+    unused_first: bool,
+}
+
+fn spread_of(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Spread {
     let mut usable = 0;
     let mut held = 0;
     let mut unused = 0;
@@ -146,27 +156,42 @@
         }
         usable += 1;
         held += u32::from(row.suspicion.is_suspected());
-        unused += u32::from(row.suspicion.is_due(&PRESSED_HOLDS, now));
+        unused += u32::from(is_unused(row, now));
     }
     let usable = f64::from(usable);
     if request.is_pressed && f64::from(unused) > usable * UNUSED_SHARE_MAX {
-        PRESSED_HOLDS
-    } else if f64::from(held) <= usable * HELD_SHARE_MAX {
+        return Spread {
+            holds: PRESSED_HOLDS,
+            unused_first: true,
+        };
+    }
+    let holds = if f64::from(held) <= usable * HELD_SHARE_MAX {
         LONG_HOLDS
     } else {
         SHORT_HOLDS
+    };
+    Spread {
+        holds,
+        unused_first: false,
     }
 }
 
-fn cost(row: &LiveTarget, request: &PickRequest<'_>, now: TimeMs) -> f64 {
+fn is_unused(row: &LiveTarget, now: TimeMs) -> bool {
+    row.in_flight == 0 && now.since(row.chosen_at) > UNUSED_MS
+}
+
+fn cost(row: &LiveTarget, request: &PickRequest<'_>, spread: &Spread, now: TimeMs) -> f64 {
     if row.suspicion.is_suspected() || row.chosen_number == 0 {
         // A trial takes place even where other targets are idle.
         return -1.0;
     }
+    let order = 1e-9 * row.chosen_number as f64;
+    if spread.unused_first && is_unused(row, now) {
+        return order - 0.5;
+    }
     let slots = f64::from(row.record.slots.0);
     let load = row.estimated_load(now) / slots;
-    let easy_load = if request.is_uneasy { 0.0 } else { EASY_LOAD };
-    let mut cost = (load - easy_load).max(0.0);
+    let mut cost = (load - EASY_LOAD).max(0.0);
     if row.record.failure_domain != *request.failure_domain {
         cost += FAR_COST;
     }
@@ -174,17 +199,13 @@
         cost += WARMING_COST;
     }
     cost += OVERDUE_COST * f64::from(row.overdue);
-    let order = 1e-9 * row.chosen_number as f64;
-    if request.is_uneasy {
-        // Of equal targets, the one not chosen for longest goes first.
-        return cost + order;
-    }
+    // Of equal targets, the one chosen last goes first.
     cost - order
 }
 
 impl LiveTargets {
     /// Counts a request as sent to a target.
-    pub fn claim(&mut self, name: &TargetName) {
+    pub fn claim(&mut self, name: &TargetName, now: TimeMs) {
         self.choices += 1;
         let number = self.choices;
         let Some(row) = self.rows.get_mut(name) else {
@@ -192,6 +213,7 @@
         };
         row.in_flight += 1;
         row.chosen_number = number;
+        row.chosen_at = now;
         row.suspicion.note_choice();
     }
 
--- a/crates/agatehold-core/src/dispatch/record.rs
+++ b/crates/agatehold-core/src/dispatch/record.rs
@@ -6,14 +6,11 @@
 /// The time after which an ended request counts half.
 const HALF_LIFE_MS: DurationMs = DurationMs(1_000);
 
-/// The share of unserved requests from which targets on hold are tried more
-/// often, so that a service in trouble does not leave sound targets unused.
+/// The share of unserved requests from which requests spread over all targets
+/// and those on hold are tried more often: no sound target may be left without
+/// work once more than a tenth are not served.
 const PRESSED_SHARE: f64 = 0.085;
 
-/// The share of unserved requests from which requests spread over all targets:
-/// no target may be left without work once more than a tenth are not served.
-const UNEASY_SHARE: f64 = 0.065;
-
 /// The time without an idempotent request after which other requests try
 /// targets after a hold.
 const IDEMPOTENT_RECENT_MS: DurationMs = DurationMs(2_000);
@@ -50,14 +47,8 @@
         }
     }
 
-    /// Returns whether so many requests are not served that all targets are to
-    /// be used.
-    pub fn is_uneasy(&self) -> bool {
-        self.unserved > UNEASY_SHARE * (self.served + self.unserved)
-    }
-
-    /// Returns whether so many requests are not served that targets on hold
-    /// have to be tried more often.
+    /// Returns whether so many requests are not served that no sound target may
+    /// be left without work.
     pub fn is_pressed(&self) -> bool {
         self.unserved > PRESSED_SHARE * (self.served + self.unserved)
     }
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -49,6 +49,8 @@
     /// The count of choices when this target was chosen last, 0 if it never
     /// was; orders targets that are equal otherwise.
     pub chosen_number: u64,
+    /// When this target was chosen last.
+    pub chosen_at: TimeMs,
 }
 
 impl LiveTarget {
@@ -65,6 +67,7 @@
             suspicion: Suspicion::default(),
             leaving,
             chosen_number: 0,
+            chosen_at: seen_at,
         }
     }
 
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -13,9 +13,12 @@
 use agatehold_core::catalog::WeightedService;
 use agatehold_core::catalog::match_catalog_route;
 use agatehold_core::catalog::newest;
+use agatehold_core::directory::EntryPolicy;
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::directory::entry_addresses;
+use agatehold_core::directory::entry_count;
 use agatehold_core::directory::entry_daemons;
+use agatehold_core::directory::entry_groups;
 use agatehold_core::dissemination::Beat;
 use agatehold_core::dissemination::BeatTable;
 use agatehold_core::dissemination::Refresh;
@@ -303,3 +306,63 @@
     assert_eq!(all.len(), 9);
     assert_eq!(all[..3], near[..], "the near ones come first");
 }
+
+fn route_to(host: &str, prefix: &str, services: &[&str]) -> CatalogRoute {
+    let mut route = route(host, prefix);
+    route.services = services
+        .iter()
+        .map(|service| WeightedService {
+            service: service.parse().expect("a name"),
+            weight: 1,
+        })
+        .collect();
+    route
+}
+
+const POLICY: EntryPolicy = EntryPolicy {
+    least: 3,
+    slots_per_entry: 40,
+};
+
+/// Pattern: one host name has routes to several services. Evidence about their
+/// targets has to reach the daemons that its callers are given.
+#[test]
+fn host_names_that_share_a_service_share_their_daemons() {
+    let catalog = catalog(
+        1,
+        vec![
+            route_to("a.example", "/x/", &["archive"]),
+            route_to("a.example", "/y/", &["closures"]),
+            route_to("b.example", "/", &["closures", "certificates"]),
+            route_to("c.example", "/", &["other"]),
+        ],
+    );
+    let groups = entry_groups(&catalog, &POLICY, |_| 32);
+    assert_eq!(groups.len(), 2);
+    let joined = groups
+        .iter()
+        .find(|group| group.hosts.contains("a.example"))
+        .expect("a group");
+    assert!(joined.hosts.contains("b.example"));
+    assert_eq!(joined.services.len(), 3);
+    assert_eq!(joined.count, 3, "96 slots need three daemons");
+}
+
+/// Pattern: growth; a service of hundreds of slots needs more than the least
+/// number of daemons, and a fleet of thousands no group that holds all of it.
+#[test]
+fn entry_daemons_grow_with_the_slots() {
+    assert_eq!(entry_count(3, 24, 40), 3);
+    assert_eq!(entry_count(3, 436, 40), 11);
+    let routes = (0..200)
+        .map(|number| {
+            let own = format!("service-{number}");
+            route_to(&format!("h{number}.example"), "/", &["shared", &own])
+        })
+        .collect();
+    let groups = entry_groups(&catalog(1, routes), &POLICY, |_| 100);
+    assert_eq!(groups.len(), 200, "one for each host name");
+    for group in groups {
+        assert_eq!(group.count, 5);
+    }
+}
--- a/crates/agatehold-settings/src/process/gateway.rs
+++ b/crates/agatehold-settings/src/process/gateway.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 
+use agatehold_core::directory::EntryPolicy;
+
 use crate::document::SectionReader;
 use crate::document::parse_document;
 use crate::fault::SettingsError;
@@ -38,21 +40,12 @@
     pub seeds: Vec<SocketAddr>,
     /// The bounds of the deployment in the platform's words.
     pub bounds: Box<str>,
-    /// How many daemons callers of a service are given.
-    pub entries: EntrySettings,
+    /// How many daemons callers are given.
+    pub entries: EntryPolicy,
     /// The least severe messages that are logged.
     pub log: LogLevel,
 }
 
-/// How many daemons callers of a service are given.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EntrySettings {
-    /// The least number of entry daemons of a service.
-    pub per_service: u32,
-    /// The slots of a service's targets for each of its entry daemons.
-    pub slots_per_entry: u32,
-}
-
 /// The addresses that a daemon on a platform binds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GatewayListen {
@@ -102,7 +95,7 @@
     reader.close(None);
 
     let mut reader = SectionReader::open(&document, "entries", &mut errors);
-    let per_service = reader.required("per_service", parse_entries);
+    let least = reader.required("least", parse_entries);
     let slots_per_entry = reader.required("slots_per_entry", parse_slots);
     reader.close(None);
 
@@ -129,8 +122,8 @@
             store: store?,
             seeds: seeds.unwrap_or_default(),
             bounds: bounds.unwrap_or_default(),
-            entries: EntrySettings {
-                per_service: per_service?,
+            entries: EntryPolicy {
+                least: least?,
                 slots_per_entry: slots_per_entry?,
             },
             log: log.unwrap_or_default(),
--- a/crates/agatehold-settings/src/process/mod.rs
+++ b/crates/agatehold-settings/src/process/mod.rs
@@ -14,7 +14,6 @@
 pub use daemon::LogLevel;
 pub use daemon::PeerSettings;
 pub use daemon::parse_daemon;
-pub use gateway::EntrySettings;
 pub use gateway::GatewayListen;
 pub use gateway::GatewaySettings;
 pub use gateway::parse_gateway;
--- a/crates/agatehold/src/gateway/answers.rs
+++ b/crates/agatehold/src/gateway/answers.rs
@@ -104,12 +104,7 @@
     failure_domain: Option<&agatehold_core::ids::FailureDomain>,
 ) -> Vec<SocketAddr> {
     let view = state.view();
-    let service = view
-        .catalog
-        .as_ref()
-        .and_then(|catalog| catalog.main_service(host));
-    let per_service = state.shared.settings.entries.per_service as usize;
-    let chosen = match service.and_then(|service| view.entries.get(service)) {
+    let chosen = match view.entries_by_host.get(host) {
         Some(entries) => {
             let entries: Vec<_> = entries
                 .iter()
@@ -118,7 +113,8 @@
             entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
         }
         None => {
-            let entries = entry_daemons(view.members.rows(), host, per_service);
+            let least = state.shared.settings.entries.least as usize;
+            let entries = entry_daemons(view.members.rows(), host, least);
             entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
         }
     };
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -78,7 +78,7 @@
 
     /// Returns whether a host is an entry daemon of any service.
     pub(super) fn is_entry(&self, host: &HostId) -> bool {
-        let mut entries = self.view.entries.values().flatten();
+        let mut entries = self.view.entries_by_service.values().flatten();
         entries.any(|(entry, _)| entry == host)
     }
 
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -19,7 +19,7 @@
 /// Tells the entry daemons of a service what was seen of one of its targets.
 pub(super) fn share(state: &TrafficState, service: &ServiceName, evidence: &Evidence) {
     let view = state.view();
-    let Some(entries) = view.entries.get(service) else {
+    let Some(entries) = view.entries_by_service.get(service) else {
         return;
     };
     let own = &state.shared.settings.host.id;
@@ -35,10 +35,8 @@
 
 /// Returns whether this daemon is an entry daemon of a service.
 pub(super) fn is_entry(state: &TrafficState, service: &ServiceName) -> bool {
-    let view = state.view();
     let own = &state.shared.settings.host.id;
-    let entries = view.entries.get(service);
-    entries.is_some_and(|entries| entries.iter().any(|(host, _)| host == own))
+    state.view().is_entry(own, service)
 }
 
 /// Binds the address on which evidence comes.
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -59,12 +59,12 @@
     let signals = watch_signals()?;
     let shared = Arc::new(GatewayShared::new(Clock::new(), settings, bounds));
     log::info!(
-        "event=start host={} incarnation={incarnation} version={} callers={} store={} per_service={} resend_ratio={} resend_slack={} stop_limit={}",
+        "event=start host={} incarnation={incarnation} version={} callers={} store={} least_entries={} resend_ratio={} resend_slack={} stop_limit={}",
         shared.settings.host.id,
         env!("CARGO_PKG_VERSION"),
         shared.settings.listen.callers,
         shared.settings.store,
-        shared.settings.entries.per_service,
+        shared.settings.entries.least,
         shared.bounds.resend_ratio,
         shared.bounds.resend_slack,
         shared.bounds.stop_limit_ms
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -115,7 +115,7 @@
     let mut targets = state.targets.borrow_mut();
     let choice = pick_live_target(&targets, &request, now);
     if let Choice::Target(name) = &choice {
-        targets.claim(name);
+        targets.claim(name, now);
     }
     choice
 }
@@ -141,7 +141,6 @@
         tried,
         may_try: record.may_try(idempotent, now),
         may_gamble: idempotent && tried.is_empty() && has_reserve,
-        is_uneasy: record.is_uneasy(),
         is_pressed: record.is_pressed(),
         accepts_full,
     }
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -9,16 +9,16 @@
 use arc_swap::ArcSwap;
 
 use agatehold_core::catalog::Catalog;
+use agatehold_core::directory::EntryPolicy;
 use agatehold_core::directory::MemberRecord;
-use agatehold_core::directory::entry_count;
 use agatehold_core::directory::entry_daemons;
+use agatehold_core::directory::entry_groups;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::roster::TargetRecord;
 use agatehold_core::table::Table;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::FleetBounds;
-use agatehold_settings::process::EntrySettings;
 use agatehold_settings::process::GatewaySettings;
 
 use crate::clock::Clock;
@@ -36,9 +36,10 @@
     pub(crate) targets: Vec<(TargetRecord, TimeMs)>,
     /// The daemons of the fleet.
     pub(crate) members: Table<HostId, MemberRecord>,
-    /// The entry daemons of each service, in the order of their failure
-    /// domains.
-    pub(crate) entries: HashMap<ServiceName, Vec<(HostId, MemberRecord)>>,
+    /// The daemons that callers of each host name are given.
+    pub(crate) entries_by_host: HashMap<Box<str>, Arc<Vec<(HostId, MemberRecord)>>>,
+    /// The daemons through which requests reach each service.
+    pub(crate) entries_by_service: HashMap<ServiceName, Vec<(HostId, MemberRecord)>>,
     /// The contents of the store, for other daemons.
     pub(super) contents: StoreContents,
     /// Since when the store has not answered.
@@ -51,28 +52,42 @@
         self.catalog.is_some() && self.contents.targets.revision > 0
     }
 
-    /// Fills in the entry daemons of each service.
-    pub(crate) fn choose_entries(&mut self, settings: &EntrySettings) {
-        self.entries.clear();
+    /// Fills in the entry daemons of each host name and service.
+    pub(crate) fn choose_entries(&mut self, policy: &EntryPolicy) {
         let Some(catalog) = &self.catalog else {
             return;
         };
-        for service in &catalog.services {
-            let mut slots = 0;
-            for (target, _) in &self.targets {
-                if target.service == service.name {
-                    slots += target.slots.0;
-                }
-            }
-            let count = entry_count(settings.per_service, slots, settings.slots_per_entry);
-            let chosen = entry_daemons(self.members.rows(), service.name.as_str(), count as usize);
-            let chosen = chosen
+        let slots_of = |service: &ServiceName| {
+            let of_service = self.targets.iter();
+            let of_service = of_service.filter(|(target, _)| target.service == *service);
+            of_service.map(|(target, _)| target.slots.0).sum()
+        };
+        for group in entry_groups(catalog, policy, slots_of) {
+            let chosen = entry_daemons(self.members.rows(), &group.subject, group.count as usize);
+            let chosen: Vec<(HostId, MemberRecord)> = chosen
                 .into_iter()
                 .map(|(host, member)| (host.clone(), member.clone()))
                 .collect();
-            self.entries.insert(service.name.clone(), chosen);
+            for service in group.services {
+                let entries = self.entries_by_service.entry(service).or_default();
+                for entry in &chosen {
+                    if !entries.contains(entry) {
+                        entries.push(entry.clone());
+                    }
+                }
+            }
+            let chosen = Arc::new(chosen);
+            for host in group.hosts {
+                self.entries_by_host.insert(host, Arc::clone(&chosen));
+            }
         }
     }
+
+    /// Returns whether a host is an entry daemon of a service.
+    pub(crate) fn is_entry(&self, host: &HostId, service: &ServiceName) -> bool {
+        let entries = self.entries_by_service.get(service);
+        entries.is_some_and(|entries| entries.iter().any(|(entry, _)| entry == host))
+    }
 }
 
 /// State shared by the threads of the daemon.
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -108,11 +108,11 @@
         );
         let own = &self.shared.settings.host.id;
         let mut budgets = self.budgets.borrow_mut();
-        for (service, entries) in &newest.entries {
+        for (service, entries) in &newest.entries_by_service {
             let budget = budgets
                 .entry(service.clone())
                 .or_insert_with(|| ResendBudget::new(self.resend_policy()));
-            let is_entry = entries.iter().any(|(host, _)| host == own);
+            let is_entry = newest.is_entry(own, service);
             let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
             budget.set_entries(if is_entry { count } else { 0 });
         }
