Explain a failed request from saved logs, and log what decided early refusals

Change: agateholdctl explain prints the lines of a request with what its daemon believed of the store, the configuration and the targets, and a verdict; refusals carry their path, the queue's estimate and how long the store has been away.

--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -142,7 +142,7 @@
         .get(request_headers::REQUEST_ID)
         .cloned();
     let refuse = |kind: RefusalKind, version: ConfigVersion| {
-        log_refusal(kind, request_id.as_ref(), version);
+        log_early_refusal(state, kind, arrival, version);
         let id = request_id.as_ref();
         Some(answers::refusal(state, kind, kind.outcome(), None, id))
     };
@@ -206,11 +206,24 @@
     Ok(Some(DurationMs(remaining_ms as u64)))
 }
 
-fn log_refusal(kind: RefusalKind, request_id: Option<&HeaderValue>, version: ConfigVersion) {
+/// Logs a refusal that no target was chosen for.
+fn log_early_refusal(
+    state: &TrafficState,
+    kind: RefusalKind,
+    arrival: &Arrival,
+    version: ConfigVersion,
+) {
     metrics::counter!("agatehold_refusals_total", "kind" => kind.answer().name).increment(1);
+    let view = state.view();
+    let away_ms = match view.store_away_since {
+        Some(since) => state.shared.clock.now().since(since),
+        None => DurationMs(0),
+    };
     log::warn!(
-        "event=refused id={} kind={kind} outcome=not-run config={version}",
-        text_of(request_id)
+        "event=refused id={} path={} kind={kind} outcome=not-run config={version} view={} store_away={away_ms}",
+        text_of(arrival.head.headers.get(request_headers::REQUEST_ID)),
+        arrival.head.target,
+        view.number
     );
 }
 
@@ -678,12 +691,14 @@
                     "kind" => kind.answer().name)
                 .increment(1);
                 log::warn!(
-                    "event=refused id={id} kind={kind} outcome={outcome} route={} service={} target={target} sent={} over_budget={} detail=\"{}\" ms={} config={}",
+                    "event=refused id={id} path={} kind={kind} outcome={outcome} route={} service={} target={target} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
+                    self.arrival.head.target,
                     self.route.name,
                     self.service,
                     self.attempts.sent,
                     self.is_over_budget,
                     self.detail,
+                    self.backlog_ms.unwrap_or(DurationMs(0)),
                     self.elapsed_ms(),
                     self.version
                 );
--- a/crates/agateholdctl/src/args/mod.rs
+++ b/crates/agateholdctl/src/args/mod.rs
@@ -50,6 +50,8 @@
   hosts                 show the hosts
   targets               show the targets
   ejections             show the ejections and the capacity of services
+  explain ID FILE...    show from saved logs of daemons what became of the
+                        request with this identifier, and why
   drain HOST            stop a daemon as planned; HOST is an id or an admin
                         address
 
@@ -153,6 +155,13 @@
     Targets,
     /// Show the ejections.
     Ejections,
+    /// Show what became of a request.
+    Explain {
+        /// The request's identifier.
+        id: Box<str>,
+        /// Saved logs of daemons.
+        files: Vec<PathBuf>,
+    },
     /// Stop a daemon.
     Drain(DaemonName),
 }
@@ -258,6 +267,10 @@
         ["hosts"] => Command::Hosts,
         ["targets"] => Command::Targets,
         ["ejections"] => Command::Ejections,
+        ["explain", id, _, ..] => Command::Explain {
+            id: id.into(),
+            files: (2..texts.len()).map(path).collect(),
+        },
         ["drain", host] => Command::Drain(parsed("HOST", &host.into())?),
         [] => return Err(ToolFault::Usage("expected a command".to_owned())),
         _ => {
--- /dev/null
+++ b/crates/agateholdctl/src/commands/explain.rs
@@ -0,0 +1,201 @@
+//! `explain`: the story of one request from saved logs of the daemons.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde_json::json;
+use time::Duration;
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
+
+use agatehold_core::refusal::RefusalKind;
+
+use crate::fault::ToolFault;
+use crate::output;
+
+use super::read_file;
+
+/// How long before the end of a request the beliefs of its daemon matter.
+const CONTEXT: Duration = Duration::seconds(10);
+
+/// The events by which a daemon tells what it believes of the store, the
+/// configuration and itself.
+const DAEMON_EVENTS: [&str; 9] = [
+    "start",
+    "stop_begins",
+    "reload",
+    "store_lost",
+    "store_back",
+    "history_gone",
+    "lease_ended",
+    "configuration",
+    "configuration_skipped",
+];
+
+/// The events by which a daemon tells what it believes of a target.
+const TARGET_EVENTS: [&str; 5] = [
+    "target",
+    "target_avoided",
+    "target_gone",
+    "target_skipped",
+    "address_moved",
+];
+
+/// A line of a log.
+#[derive(Clone, Debug, PartialEq)]
+struct LogLine {
+    /// The position of its file.
+    file: usize,
+    at: OffsetDateTime,
+    fields: Vec<(Box<str>, Box<str>)>,
+    text: Box<str>,
+}
+
+impl LogLine {
+    fn field(&self, name: &str) -> Option<&str> {
+        let found = self.fields.iter().find(|(key, _)| **key == *name);
+        found.map(|(_, value)| &**value)
+    }
+
+    fn is_event(&self, events: &[&str]) -> bool {
+        self.field("event")
+            .is_some_and(|event| events.contains(&event))
+    }
+}
+
+/// Prints what the logs say of a request.
+pub(super) fn run(id: &str, files: &[PathBuf], json: bool) -> Result<u8, ToolFault> {
+    let mut lines = Vec::new();
+    for (number, path) in files.iter().enumerate() {
+        read_lines(path, number, &mut lines)?;
+    }
+    lines.sort_by_key(|line| line.at);
+    let own: Vec<&LogLine> = lines
+        .iter()
+        .filter(|line| line.field("id") == Some(id))
+        .collect();
+    let Some(last) = own.last() else {
+        return Err(ToolFault::NoSuchRequest(id.to_owned()));
+    };
+    let story: Vec<&LogLine> = lines
+        .iter()
+        .filter(|line| belongs(line, &own, last))
+        .collect();
+    let verdict = verdict(last, &story);
+    if json {
+        let told: Vec<&str> = story.iter().map(|line| &*line.text).collect();
+        output::json(&json!({ "id": id, "lines": told, "verdict": verdict }))?;
+        return Ok(0);
+    }
+    for line in story {
+        let mark = if line.field("id") == Some(id) {
+            "*"
+        } else {
+            " "
+        };
+        let file = files[line.file].display();
+        output::line(&format!("{mark} {file}: {}", line.text))?;
+    }
+    for sentence in verdict {
+        output::line(&sentence)?;
+    }
+    Ok(0)
+}
+
+fn read_lines(path: &Path, file: usize, lines: &mut Vec<LogLine>) -> Result<(), ToolFault> {
+    for text in read_file(path)?.lines() {
+        if let Some(line) = parse_line(text, file) {
+            lines.push(line);
+        }
+    }
+    Ok(())
+}
+
+/// Parses `TIME [LEVEL] key=value ...`; `None` for anything else.
+fn parse_line(text: &str, file: usize) -> Option<LogLine> {
+    let (at, rest) = text.split_once(' ')?;
+    let at = OffsetDateTime::parse(at, &Rfc3339).ok()?;
+    let (_, mut rest) = rest.split_once("] ")?;
+    let mut fields = Vec::new();
+    while let Some((key, value)) = rest.split_once('=') {
+        let (value, next) = match value.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+            None => value.split_once(' ').unwrap_or((value, "")),
+        };
+        fields.push((key.trim().into(), value.into()));
+        rest = next;
+    }
+    Some(LogLine {
+        file,
+        at,
+        fields,
+        text: text.into(),
+    })
+}
+
+/// Returns whether a line is one of the request, or tells what the request's
+/// daemon believed when it decided.
+fn belongs(line: &LogLine, own: &[&LogLine], last: &LogLine) -> bool {
+    if own.contains(&line) {
+        return true;
+    }
+    let is_recent = line.at <= last.at && last.at - line.at <= CONTEXT;
+    let is_own_daemon = own.iter().any(|other| other.file == line.file);
+    if !is_recent || !is_own_daemon {
+        return false;
+    }
+    if line.is_event(&DAEMON_EVENTS) {
+        return true;
+    }
+    let target = line.field("target");
+    let was_chosen = own.iter().any(|other| other.field("target") == target);
+    line.is_event(&TARGET_EVENTS) && target.is_some() && was_chosen
+}
+
+/// Says in sentences how the request ended and what was behind it.
+fn verdict(last: &LogLine, story: &[&LogLine]) -> Vec<String> {
+    let mut sentences = Vec::new();
+    let value = |name| last.field(name).unwrap_or("-");
+    match last.field("event") {
+        Some("answered") => sentences.push(format!(
+            "verdict: target {} answered with status {} after {} ms, at send {}, under configuration {}",
+            value("target"), value("status"), value("ms"), value("sent"), value("config")
+        )),
+        Some("refused") => {
+            let kind = value("kind");
+            let title = kind
+                .parse::<RefusalKind>()
+                .map_or("", |kind| kind.answer().title);
+            sentences.push(format!("verdict: refused as {kind}: {title}"));
+            sentences.push(match value("outcome") {
+                "not-run" => "the request has not run and can be sent again".to_owned(),
+                _ => "the request may have run".to_owned(),
+            });
+            if value("over_budget") == "true" {
+                sentences.push("the budget of second sends was spent".to_owned());
+            }
+            if !matches!(value("detail"), "-" | "") {
+                let (target, detail) = (value("target"), value("detail"));
+                sentences.push(format!("the last attempt, at {target}, ended with: {detail}"));
+            }
+        }
+        Some("caller_gone") => {
+            sentences.push(format!("verdict: the caller left after {} ms", value("ms")));
+        }
+        _ => sentences.push("verdict: the logs end before the request did".to_owned()),
+    }
+    let store = story
+        .iter()
+        .rev()
+        .find(|line| line.is_event(&["store_lost", "store_back"]));
+    if let Some(line) = store
+        && line.is_event(&["store_lost"])
+    {
+        sentences.push(format!("the daemon had lost the store at {}", line.at));
+    }
+    let avoided = story.iter().any(|line| line.is_event(&["target_avoided"]));
+    if avoided {
+        sentences.push("the daemon had a target of the request under suspicion".to_owned());
+    }
+    sentences
+}
--- a/crates/agateholdctl/src/commands/mod.rs
+++ b/crates/agateholdctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod diff;
+mod explain;
 mod fleet;
 mod history;
 mod release;
@@ -56,6 +57,7 @@
             history::run(&load_settings(&invocation.settings)?, *limit, json)
         }
         Command::NoteDiff(from, to) => diff::run(&invocation.settings, from, to, json),
+        Command::Explain { id, files } => explain::run(id, files, json),
         Command::Drain(daemon) => fleet::drain(&load_settings(&invocation.settings)?, daemon, json),
     }
 }
--- a/crates/agateholdctl/src/fault/mod.rs
+++ b/crates/agateholdctl/src/fault/mod.rs
@@ -47,6 +47,10 @@
         StatusUnknown(detail: String) {
             display("the outcome is unknown: {}", detail)
         }
+        /// No log has a line of the request.
+        NoSuchRequest(id: String) {
+            display("no line with id={}", id)
+        }
         /// No daemon answered.
         Daemons(detail: String) {
             display("daemons: {}", detail)
@@ -80,7 +84,8 @@
             | Self::Json(_)
             | Self::Platform(_)
             | Self::Daemons(_)
-            | Self::Unconfirmed(_, _) => 1,
+            | Self::Unconfirmed(_, _)
+            | Self::NoSuchRequest(_) => 1,
         }
     }
 }
