--- a/crates/agatehold-core/src/directory/choose.rs
+++ b/crates/agatehold-core/src/directory/choose.rs
@@ -52,12 +52,17 @@
     least.max(slots.div_ceil(slots_per_entry.max(1)))
 }
 
+/// The power of its capacity by which a host is weighed. Entry daemons are few
+/// and carry equal shares, so that a weak one is worse than its part of the
+/// fleet's capacity.
+const CAPACITY_EXPONENT: i32 = 2;
+
 /// Weighted rendezvous hashing (Schindelhauer and Schomaker 2005): a host is
 /// chosen in proportion to its weight.
 fn weighted_score(subject: &str, host: &HostId, capacity_millicores: u32) -> f64 {
     let hash = rendezvous_score(&[subject], host.as_str());
     let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    f64::from(capacity_millicores.max(1)) / -uniform.ln()
+    f64::from(capacity_millicores.max(1)).powi(CAPACITY_EXPONENT) / -uniform.ln()
 }
 
 /// Returns the addresses for a caller in `failure_domain`, those of its own
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -16,11 +16,14 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::SILENCE_MS;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
+use super::follow::MEMBERS_POLL;
+use super::follow::MEMBERS_POLL_TOLD;
 use super::follow::StoreNews;
 use super::follow::Subject;
 use super::follow::follow;
@@ -159,6 +162,7 @@
         behind_since: None,
         beat_at: TimeMs(0),
     };
+    let (poll_pause, poll_pause_seen) = watch::channel(MEMBERS_POLL);
     let (record, record_seen) = watch::channel(encode_member(&own.borrow()));
     let key = member_key(&shared.settings.host.id);
     tokio::task::spawn_local(stay_registered(
@@ -169,6 +173,7 @@
     ));
     tokio::task::spawn_local(poll_members(
         Rc::clone(&follower.store),
+        poll_pause_seen,
         follower.news.clone(),
     ));
     let mut tables = ControlTables::new();
@@ -204,6 +209,8 @@
             follower.follow_role(&tables);
         }
         follower.refresh(&mut tables, now);
+        let pause = follower.members_pause(&tables, now);
+        poll_pause.send_if_modified(|held| std::mem::replace(held, pause) != pause);
         if follower.is_watching() && (changed || now.since(follower.beat_at) >= BEAT_MS) {
             follower.beat_at = now;
             peers
@@ -294,6 +301,20 @@
         false
     }
 
+    /// Returns the time between two reads of the registered daemons: short for
+    /// a daemon that tells others or is told by none.
+    fn members_pause(&self, tables: &ControlTables, now: TimeMs) -> Duration {
+        let is_told = tables
+            .beats
+            .rows
+            .rows()
+            .any(|(_, beat)| now.since(beat.heard_at) <= SILENCE_MS);
+        if self.is_watching() || !is_told {
+            return MEMBERS_POLL;
+        }
+        MEMBERS_POLL_TOLD
+    }
+
     /// Asks the daemons of the settings, which may know what the store does not
     /// tell; one that has just started knows no others.
     fn ask_seeds(&self, known: Revisions) {
--- a/crates/agatehold/src/gateway/follow.rs
+++ b/crates/agatehold/src/gateway/follow.rs
@@ -50,13 +50,17 @@
 const BACKOFF_LAST: Duration = Duration::from_millis(1_000);
 
 /// How long the daemon's registration lasts without renewal.
-const LEASE_TTL_MS: DurationMs = DurationMs(4_000);
+const LEASE_TTL_MS: DurationMs = DurationMs(5_000);
 
 /// The time between two renewals, which also show that the store answers.
-const RENEWAL: Duration = Duration::from_millis(1_000);
+const RENEWAL: Duration = Duration::from_millis(1_500);
 
-/// The time between two reads of the registered daemons.
-const MEMBERS_POLL: Duration = Duration::from_millis(1_500);
+/// The time between two reads of the registered daemons by one that tells the
+/// others.
+pub(crate) const MEMBERS_POLL: Duration = Duration::from_millis(1_500);
+
+/// The time between two reads of the registered daemons by one that is told.
+pub(crate) const MEMBERS_POLL_TOLD: Duration = Duration::from_millis(8_000);
 
 /// The time by which the daemons of a fleet that starts spread their first
 /// reads of each other.
@@ -244,7 +248,11 @@
 
 /// Reads the registered daemons again and again, by cheap reads: a caller that
 /// is given the address of a daemon that is gone tries another.
-pub(crate) async fn poll_members(store: Rc<StoreClient>, news: Sender<StoreNews>) {
+pub(crate) async fn poll_members(
+    store: Rc<StoreClient>,
+    mut pause: tokio::sync::watch::Receiver<Duration>,
+    news: Sender<StoreNews>,
+) {
     let spread = rand::rng().random_range(0.0..1.0);
     tokio::time::sleep(FIRST_POLL.mul_f64(spread)).await;
     loop {
@@ -253,7 +261,9 @@
             Err(fault) => StoreNews::Failed(Subject::Members.name(), fault),
         };
         let _ = news.send(told).await;
-        tokio::time::sleep(MEMBERS_POLL).await;
+        let length = *pause.borrow_and_update();
+        // A pause that becomes shorter begins anew.
+        let _ = tokio::time::timeout(length, pause.changed()).await;
     }
 }
 
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -181,6 +181,13 @@
     }
 }
 
+/// Why an exchange brought no answer.
+#[derive(Clone, Copy, Debug)]
+struct ExchangeFault {
+    outcome: AttemptOutcome,
+    detail: &'static str,
+}
+
 /// Sends a request once and reads its whole answer.
 ///
 /// A connection goes back to the pool only after a whole answer with nothing
@@ -209,7 +216,7 @@
     let exchanged = exchange(&mut connection, outbound);
     match tokio::time::timeout_at(outbound.deadline, exchanged).await {
         Err(_) => AttemptEnd::without_answer(AttemptOutcome::TimedOut, "deadline passed"),
-        Ok(Err(end)) => end,
+        Ok(Err(fault)) => AttemptEnd::without_answer(fault.outcome, fault.detail),
         Ok(Ok(exchanged)) => {
             if exchanged.is_reusable && connection.buffer.is_empty() {
                 if let Some(lifetime) = announced_lifetime(&exchanged.head.headers) {
@@ -253,7 +260,7 @@
 async fn exchange(
     connection: &mut TargetStream,
     outbound: &Outbound<'_>,
-) -> Result<Exchanged, AttemptEnd> {
+) -> Result<Exchanged, ExchangeFault> {
     let TargetStream { stream, buffer, .. } = connection;
     let mut written = 0;
     let mut head: Option<(ResponseHead, BodyCollector)> = None;
@@ -262,7 +269,7 @@
             head = next_head(buffer, outbound)?;
         }
         if let Some((_, body)) = &mut head {
-            let complete = body.take(buffer).map_err(|fault| broken(fault, written))?;
+            let complete = body.take(buffer).map_err(broken)?;
             if complete && let Some((read, body)) = head.take() {
                 if !repeats_id(&read, outbound) {
                     // The late answer to an earlier request; the own one
@@ -287,12 +294,7 @@
             biased;
             sent = writing.write(unsent), if !unsent.is_empty() => match sent {
                 Ok(length) => written += length,
-                Err(_) if written == 0 => {
-                    return Err(AttemptEnd::without_answer(
-                        AttemptOutcome::NotWritten,
-                        "closed before writing",
-                    ));
-                }
+                Err(_) if written == 0 => return Err(not_written()),
                 Err(_) => return Err(lost("connection lost while writing")),
             },
             read = reading.read_buf(buffer) => match read {
@@ -307,17 +309,16 @@
 fn next_head(
     buffer: &mut BytesMut,
     outbound: &Outbound<'_>,
-) -> Result<Option<(ResponseHead, BodyCollector)>, AttemptEnd> {
+) -> Result<Option<(ResponseHead, BodyCollector)>, ExchangeFault> {
     if buffer.is_empty() {
         return Ok(None);
     }
-    let head = take_response_head(buffer, HEAD_BYTES_MAX, outbound.is_head_request)
-        .map_err(|fault| broken(fault, 1))?;
+    let head =
+        take_response_head(buffer, HEAD_BYTES_MAX, outbound.is_head_request).map_err(broken)?;
     let Some(head) = head else {
         return Ok(None);
     };
-    let body =
-        BodyCollector::new(head.framing, BODY_BYTES_MAX).map_err(|fault| broken(fault, 1))?;
+    let body = BodyCollector::new(head.framing, BODY_BYTES_MAX).map_err(broken)?;
     Ok(Some((head, body)))
 }
 
@@ -326,7 +327,7 @@
     head: Option<(ResponseHead, BodyCollector)>,
     outbound: &Outbound<'_>,
     written: usize,
-) -> Result<Exchanged, AttemptEnd> {
+) -> Result<Exchanged, ExchangeFault> {
     let Some((head, body)) = head else {
         return Err(reset(false, written));
     };
@@ -355,29 +356,45 @@
     }
 }
 
-const fn lost(detail: &'static str) -> AttemptEnd {
-    AttemptEnd::without_answer(AttemptOutcome::ConnectionLost, detail)
+const fn lost(detail: &'static str) -> ExchangeFault {
+    ExchangeFault {
+        outcome: AttemptOutcome::ConnectionLost,
+        detail,
+    }
 }
 
-const fn cut(detail: &'static str) -> AttemptEnd {
-    AttemptEnd::without_answer(AttemptOutcome::Cut, detail)
+const fn cut(detail: &'static str) -> ExchangeFault {
+    ExchangeFault {
+        outcome: AttemptOutcome::Cut,
+        detail,
+    }
 }
 
-const fn mismatched() -> AttemptEnd {
-    AttemptEnd::without_answer(AttemptOutcome::Mismatched, "answer to another request")
+const fn mismatched() -> ExchangeFault {
+    ExchangeFault {
+        outcome: AttemptOutcome::Mismatched,
+        detail: "answer to another request",
+    }
+}
+
+const fn not_written() -> ExchangeFault {
+    ExchangeFault {
+        outcome: AttemptOutcome::NotWritten,
+        detail: "closed before writing",
+    }
 }
 
-fn reset(has_head: bool, written: usize) -> AttemptEnd {
+const fn reset(has_head: bool, written: usize) -> ExchangeFault {
     if has_head {
         return cut("connection lost within the answer");
     }
     if written == 0 {
-        return AttemptEnd::without_answer(AttemptOutcome::NotWritten, "closed before writing");
+        return not_written();
     }
     lost("connection lost before the answer")
 }
 
-fn broken(fault: HttpFault, _written: usize) -> AttemptEnd {
+const fn broken(fault: HttpFault) -> ExchangeFault {
     match fault {
         HttpFault::Malformed => cut("bytes that are no answer"),
         HttpFault::HeadTooLarge => cut("head of the answer over the limit"),
