Believe removals that daemons with the store tell, also while it turns this host away

Ruled out: a late or lost fetch.

Change: the store counts as away only if it does not answer and no daemon that reaches it tells of it. The rule has a test in store_view.rs.

--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -14,4 +14,6 @@
 pub use refresh::Refresh;
 pub use refresh::SILENCE_MS;
 pub use refresh::STORE_FRESH_MS;
+pub use refresh::is_store_away;
+pub use refresh::is_told;
 pub use refresh::next_refresh;
--- a/crates/agatehold-core/src/dissemination/refresh.rs
+++ b/crates/agatehold-core/src/dissemination/refresh.rs
@@ -26,6 +26,23 @@
     ReadStore,
 }
 
+/// Returns whether any daemon that reaches the store tells this one of it.
+pub fn is_told(beats: &BeatTable, now: TimeMs) -> bool {
+    beats.rows.rows().any(|(_, beat)| {
+        now.since(beat.heard_at) <= SILENCE_MS
+            && now.since(beat.store_answered_at) <= STORE_FRESH_MS
+    })
+}
+
+/// Returns whether the store is away, as far as this daemon can tell;
+/// `is_lost` if it does not answer this daemon.
+///
+/// A store that turns one host away serves the others. What they tell of it
+/// holds, removals included.
+pub fn is_store_away(beats: &BeatTable, is_lost: bool, now: TimeMs) -> bool {
+    is_lost && !is_told(beats, now)
+}
+
 /// Decides where a daemon gets what it does not know.
 ///
 /// `own_answer_at` is when the store last answered this daemon about the
@@ -39,14 +56,10 @@
     now: TimeMs,
 ) -> Refresh {
     let mut best: Option<(&HostId, Revisions)> = None;
-    let mut is_told = false;
     for (host, beat) in beats.rows.rows() {
         if now.since(beat.heard_at) > SILENCE_MS {
             continue;
         }
-        if now.since(beat.store_answered_at) <= STORE_FRESH_MS {
-            is_told = true;
-        }
         if !beat.revisions.is_ahead_of(own) {
             continue;
         }
@@ -57,7 +70,7 @@
     if let Some((host, _)) = best {
         return Refresh::Fetch(host.clone());
     }
-    if !is_told && now.since(own_answer_at) > SILENCE_MS {
+    if !is_told(beats, now) && now.since(own_answer_at) > SILENCE_MS {
         return Refresh::ReadStore;
     }
     Refresh::Nothing
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -24,6 +24,7 @@
 use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::SILENCE_MS;
+use agatehold_core::dissemination::is_store_away;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
@@ -215,6 +216,30 @@
     );
 }
 
+/// Pattern: the store turns this host away for seconds while a target's entry
+/// is removed; the daemons that reach the store tell of it.
+#[test]
+fn a_daemon_that_the_store_turns_away_believes_those_that_reach_it() {
+    let mut beats = BeatTable::default();
+    let mut rows: Lapsing<u32, &str> = Lapsing::new();
+    rows.put(1, "a", 5, START);
+    beats.record(&beat(1, 10, 200), START);
+    assert!(!is_store_away(&beats, true, START));
+    rows.store_returned(START);
+    assert!(
+        rows.keep_listed(&[], 10, START),
+        "the entry is gone at once"
+    );
+    let later = START + SILENCE_MS + DurationMs(1);
+    assert!(is_store_away(&beats, true, later), "nobody tells any more");
+    assert!(!is_store_away(&beats, false, later), "the store answers");
+    beats.record(&beat(1, 10, 4_000), later);
+    assert!(
+        is_store_away(&beats, true, later),
+        "nobody reaches the store"
+    );
+}
+
 fn member(domain: &str, port: u16, capacity_millicores: u32) -> MemberRecord {
     let address = |port| format!("10.0.0.1:{port}").parse().expect("an address");
     MemberRecord {
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -16,7 +16,7 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::Revisions;
-use agatehold_core::dissemination::SILENCE_MS;
+use agatehold_core::dissemination::is_told;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
@@ -38,6 +38,7 @@
 use peers::Peers;
 use tables::ControlTables;
 use tables::apply_news;
+use tables::note_store_state;
 use tables::publish;
 
 /// The messages that wait for the control loop.
@@ -198,6 +199,7 @@
             () = tokio::time::sleep(wait) => false,
         };
         let now = shared.clock.now();
+        note_store_state(&mut tables, now);
         let swept = tables.targets.sweep(now) | tables.members.sweep(now);
         if std::mem::take(&mut tables.store_returned) {
             // The store may have lost a watch that it accepted before it was
@@ -304,12 +306,7 @@
     /// Returns the time between two reads of the registered daemons: short for
     /// a daemon that tells others or is told by none.
     fn members_pause(&self, tables: &ControlTables, now: TimeMs) -> Duration {
-        let is_told = tables
-            .beats
-            .rows
-            .rows()
-            .any(|(_, beat)| now.since(beat.heard_at) <= SILENCE_MS);
-        if self.is_watching() || !is_told {
+        if self.is_watching() || !is_told(&tables.beats, now) {
             return MEMBERS_POLL;
         }
         MEMBERS_POLL_TOLD
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -8,6 +8,7 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::BeatTable;
 use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::is_store_away;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::TargetName;
 use agatehold_core::roster::Lapsing;
@@ -116,10 +117,12 @@
         StoreNews::Refreshed(_) => false,
         StoreNews::Listed(subject, items, revision) => {
             let returned = store_answered(tables, now);
+            note_store_state(tables, now);
             apply_listing(tables, subject, items, revision, now) || returned
         }
         StoreNews::Changed(subject, items) => {
             let returned = store_answered(tables, now);
+            note_store_state(tables, now);
             let mut changed = false;
             for item in items {
                 note_item(tables, subject, &item);
@@ -131,6 +134,18 @@
     }
 }
 
+/// Tells the tables that mirror the store whether it is away.
+pub(super) fn note_store_state(tables: &mut ControlTables, now: TimeMs) {
+    let is_lost = tables.store_away_since.is_some();
+    if is_store_away(&tables.beats, is_lost, now) {
+        tables.targets.store_lost();
+        tables.members.store_lost();
+        return;
+    }
+    tables.targets.store_returned(now);
+    tables.members.store_returned(now);
+}
+
 /// Merges what another daemon knows.
 fn apply_fetched(
     tables: &mut ControlTables,
@@ -138,6 +153,7 @@
     fetched: Fetched,
     now: TimeMs,
 ) -> bool {
+    note_store_state(tables, now);
     let subjects = [
         (Subject::Configuration, fetched.configuration),
         (Subject::Targets, fetched.targets),
@@ -214,8 +230,6 @@
     now: TimeMs,
 ) -> bool {
     metrics::counter!("agatehold_store_failures_total", "call" => call).increment(1);
-    tables.targets.store_lost();
-    tables.members.store_lost();
     if tables.store_away_since.is_some() {
         return false;
     }
@@ -230,8 +244,6 @@
         return false;
     };
     tables.store_returned = true;
-    tables.targets.store_returned(now);
-    tables.members.store_returned(now);
     log::info!("event=store_back away={}", now.since(since));
     true
 }
