--- a/crates/agatehold-core/src/directory/choose.rs
+++ b/crates/agatehold-core/src/directory/choose.rs
@@ -9,9 +9,22 @@
 
 use super::MemberRecord;
 
-/// Returns the entry daemons of a subject: the best `count` by rendezvous
-/// hashing weighted by capacity, in different failure domains as far as there
-/// are enough of them.
+/// The share of the strongest host's capacity from which a host counts as
+/// strong. A daemon carries the same share of the callers as any other entry
+/// daemon, so that weak hosts are taken only after the strong ones.
+const STRONG_SHARE: f64 = 0.5;
+
+/// How many entry daemons are wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryDemand {
+    /// The least number.
+    pub least: usize,
+    /// The capacity that they have together, as far as there are enough.
+    pub capacity_millicores: u32,
+}
+
+/// Returns the entry daemons of a subject by rendezvous hashing, strong hosts
+/// first, and in different failure domains as far as there are enough of them.
 ///
 /// Few daemons carry a service, so that each sees much of its traffic: it
 /// knows the load of the targets and learns of a bad one early. All daemons
@@ -19,7 +32,7 @@
 pub fn entry_daemons<'a>(
     members: impl Iterator<Item = (&'a HostId, &'a MemberRecord)>,
     subject: &str,
-    count: usize,
+    demand: EntryDemand,
 ) -> Vec<(&'a HostId, &'a MemberRecord)> {
     let mut candidates = Vec::new();
     for (host, member) in members {
@@ -30,39 +43,40 @@
         candidates.push((score, host, member));
     }
     candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
-    let mut taken: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
+    let strongest = candidates
+        .iter()
+        .map(|(_, _, member)| member.capacity_millicores)
+        .max()
+        .unwrap_or(0);
+    let strong = f64::from(strongest) * STRONG_SHARE;
+    let mut taken: BTreeMap<(bool, &FailureDomain), usize> = BTreeMap::new();
     let mut ranked = Vec::with_capacity(candidates.len());
     for (place, (_, host, member)) in candidates.into_iter().enumerate() {
-        let before = taken.entry(&member.failure_domain).or_default();
-        ranked.push((*before, place, host, member));
+        let is_weak = f64::from(member.capacity_millicores) < strong;
+        let before = taken.entry((is_weak, &member.failure_domain)).or_default();
+        ranked.push((is_weak, *before, place, host, member));
         *before += 1;
     }
     // The best of each domain, then the second best of each, and so on.
-    ranked.sort_by_key(|(before, place, _, _)| (*before, *place));
+    ranked.sort_by_key(|(is_weak, before, place, _, _)| (*is_weak, *before, *place));
     let mut chosen = Vec::new();
-    for (_, _, host, member) in ranked.into_iter().take(count) {
+    let mut capacity_millicores = 0_u32;
+    for (_, _, _, host, member) in ranked {
+        if chosen.len() >= demand.least && capacity_millicores >= demand.capacity_millicores {
+            break;
+        }
+        capacity_millicores = capacity_millicores.saturating_add(member.capacity_millicores);
         chosen.push((host, member));
     }
     chosen
 }
 
-/// Returns how many entry daemons a service has: `least`, and more where its
-/// targets have more than `slots_per_entry` slots for each.
-pub fn entry_count(least: u32, slots: u32, slots_per_entry: u32) -> u32 {
-    least.max(slots.div_ceil(slots_per_entry.max(1)))
-}
-
-/// The power of its capacity by which a host is weighed. Entry daemons are few
-/// and carry equal shares, so that a weak one is worse than its part of the
-/// fleet's capacity.
-const CAPACITY_EXPONENT: i32 = 2;
-
 /// Weighted rendezvous hashing (Schindelhauer and Schomaker 2005): a host is
 /// chosen in proportion to its weight.
 fn weighted_score(subject: &str, host: &HostId, capacity_millicores: u32) -> f64 {
     let hash = rendezvous_score(&[subject], host.as_str());
     let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    f64::from(capacity_millicores.max(1)).powi(CAPACITY_EXPONENT) / -uniform.ln()
+    f64::from(capacity_millicores.max(1)) / -uniform.ln()
 }
 
 /// Returns the addresses for a caller in `failure_domain`, those of its own
--- a/crates/agatehold-core/src/directory/groups.rs
+++ b/crates/agatehold-core/src/directory/groups.rs
@@ -7,19 +7,20 @@
 use crate::catalog::Catalog;
 use crate::ids::ServiceName;
 
-use super::entry_count;
+use super::EntryDemand;
 
-/// The most entry daemons of a group. Each daemon of a larger group would see
-/// so little of any service that a set for each host name is better.
-const GROUP_ENTRIES_MAX: u32 = 24;
+/// The most slots of a group's targets. A larger group needs so many daemons
+/// that each would see too little of any service; a set of daemons for each host
+/// name is better.
+const GROUP_SLOTS_MAX: u32 = 3_000;
 
 /// How many daemons callers are given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EntryPolicy {
     /// The least number of entry daemons of a group.
     pub least: u32,
-    /// The slots of the group's targets for each of its entry daemons.
-    pub slots_per_entry: u32,
+    /// The slots of targets for which one core of entry daemons suffices.
+    pub slots_per_core: u32,
 }
 
 /// Host names whose callers are given the same daemons.
@@ -32,15 +33,17 @@
     /// What the entry daemons are chosen by; the same while the group keeps its
     /// first service.
     pub subject: Box<str>,
-    /// The number of entry daemons.
-    pub count: u32,
+    /// The slots of the services' targets.
+    pub slots: u32,
+    /// How many entry daemons the group has.
+    pub demand: EntryDemand,
 }
 
 /// Groups the host names of a configuration; `slots_of` returns the slots of a
 /// service's targets.
 ///
-/// Host names that share a service are in one group, as long as it needs no
-/// more than [`GROUP_ENTRIES_MAX`] daemons.
+/// Host names that share a service are in one group, as long as its targets have
+/// no more than [`GROUP_SLOTS_MAX`] slots.
 pub fn entry_groups(
     catalog: &Catalog,
     policy: &EntryPolicy,
@@ -56,7 +59,7 @@
     let mut groups = Vec::new();
     for joined in join_by_service(&by_host) {
         let group = new_group(joined, &by_host, policy, &slots_of);
-        if group.count <= GROUP_ENTRIES_MAX {
+        if group.slots <= GROUP_SLOTS_MAX || group.hosts.len() == 1 {
             groups.push(group);
             continue;
         }
@@ -103,10 +106,15 @@
             services.extend(reached.iter().cloned());
         }
     }
-    let slots = services.iter().map(slots_of).sum();
+    let slots: u32 = services.iter().map(slots_of).sum();
+    let millicores = u64::from(slots) * 1_000 / u64::from(policy.slots_per_core.max(1));
     let subject = services.first().map_or("", ServiceName::as_str).into();
     EntryGroup {
-        count: entry_count(policy.least, slots, policy.slots_per_entry),
+        slots,
+        demand: EntryDemand {
+            least: policy.least as usize,
+            capacity_millicores: u32::try_from(millicores).unwrap_or(u32::MAX),
+        },
         hosts,
         services,
         subject,
--- a/crates/agatehold-core/src/directory/mod.rs
+++ b/crates/agatehold-core/src/directory/mod.rs
@@ -5,8 +5,8 @@
 mod groups;
 mod rows;
 
+pub use choose::EntryDemand;
 pub use choose::entry_addresses;
-pub use choose::entry_count;
 pub use choose::entry_daemons;
 pub use groups::EntryGroup;
 pub use groups::EntryPolicy;
--- a/crates/agatehold-settings/src/process/gateway.rs
+++ b/crates/agatehold-settings/src/process/gateway.rs
@@ -96,7 +96,7 @@
 
     let mut reader = SectionReader::open(&document, "entries", &mut errors);
     let least = reader.required("least", parse_entries);
-    let slots_per_entry = reader.required("slots_per_entry", parse_slots);
+    let slots_per_core = reader.required("slots_per_core", parse_slots);
     reader.close(None);
 
     let mut reader = SectionReader::open(&document, "log", &mut errors);
@@ -124,7 +124,7 @@
             bounds: bounds.unwrap_or_default(),
             entries: EntryPolicy {
                 least: least?,
-                slots_per_entry: slots_per_entry?,
+                slots_per_core: slots_per_core?,
             },
             log: log.unwrap_or_default(),
         })
--- a/crates/agatehold/src/gateway/answers.rs
+++ b/crates/agatehold/src/gateway/answers.rs
@@ -10,6 +10,7 @@
 use http::header;
 use rand::RngExt;
 
+use agatehold_core::directory::EntryDemand;
 use agatehold_core::directory::entry_addresses;
 use agatehold_core::directory::entry_daemons;
 use agatehold_core::limits::spread_retry_after_fraction;
@@ -113,8 +114,11 @@
             entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
         }
         None => {
-            let least = state.shared.settings.entries.least as usize;
-            let entries = entry_daemons(view.members.rows(), host, least);
+            let demand = EntryDemand {
+                least: state.shared.settings.entries.least as usize,
+                capacity_millicores: 0,
+            };
+            let entries = entry_daemons(view.members.rows(), host, demand);
             entry_addresses(&entries, failure_domain, NEAR_ADDRESSES_ENOUGH)
         }
     };
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -63,7 +63,7 @@
             of_service.map(|(target, _)| target.slots.0).sum()
         };
         for group in entry_groups(catalog, policy, slots_of) {
-            let chosen = entry_daemons(self.members.rows(), &group.subject, group.count as usize);
+            let chosen = entry_daemons(self.members.rows(), &group.subject, group.demand);
             let chosen: Vec<(HostId, MemberRecord)> = chosen
                 .into_iter()
                 .map(|(host, member)| (host.clone(), member.clone()))
