--- a/crates/agatehold-core/src/dispatch/health.rs
+++ b/crates/agatehold-core/src/dispatch/health.rs
@@ -49,8 +49,8 @@
 /// Holds where many requests of the service are not served besides: sound
 /// targets must not go without work for two seconds.
 pub(super) const PRESSED_HOLDS: Holds = Holds {
-    first_ms: DurationMs(700),
-    repeated_ms: DurationMs(1_100),
+    first_ms: DurationMs(900),
+    repeated_ms: DurationMs(1_300),
 };
 
 /// The run time up to which a failure counts as one at once.
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -34,7 +34,7 @@
 
 /// The time without a request after which a target counts as unused; a floor
 /// counts those that had none for two seconds.
-const UNUSED_MS: DurationMs = DurationMs(1_100);
+const UNUSED_MS: DurationMs = DurationMs(1_200);
 
 /// The share of a service's targets that may be unused while many of its
 /// requests are not served. A floor of seven tenths leaves 0.3; targets that
