--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -47,7 +47,7 @@
 const REFUSE_AFTER_SHARE: u64 = 2;
 
 /// The time before the limit at which a stopping daemon ends what is left.
-const STOP_MARGIN_MS: DurationMs = DurationMs(150);
+const STOP_MARGIN_MS: DurationMs = DurationMs(400);
 
 /// The time without a new connection after which a stopping daemon that has
 /// nothing to do ends.
