Under pressure let each target fall to one entry daemon

Each daemon counted as unused what it had not used itself, and there are six. The first target by name got the first request of each daemon.

Change: a target falls to one entry daemon by hash, which alone keeps it in use under pressure; what others tell counts as use; ties differ between daemons. Both have tests.

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 pub use health::attempt_timeout;
 pub use pick::Choice;
 pub use pick::PickRequest;
+pub use pick::TargetShare;
 pub use pick::pick_live_target;
 pub use record::ServiceRecord;
 pub use split::SplitCursor;
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -1,5 +1,6 @@
 //! Chooses the target for a request of a whole configuration.
 
+use crate::addresses::rendezvous_score;
 use crate::ids::FailureDomain;
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
@@ -41,6 +42,27 @@
 /// this daemon can't tell from those it has reason to avoid take some of that.
 const UNUSED_SHARE_MAX: f64 = 0.2;
 
+/// The targets that one of several daemons keeps in use under pressure.
+///
+/// Each target falls to one daemon. Were all of them to try it, each trial of a
+/// failing target would be made as many times, and the failures would keep the
+/// service under pressure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetShare {
+    /// The place of the daemon; less than `daemons`.
+    pub rank: u32,
+    /// The number of daemons.
+    pub daemons: u32,
+}
+
+impl TargetShare {
+    /// Returns whether a target falls to the daemon.
+    pub fn has(&self, name: &TargetName) -> bool {
+        let score = rendezvous_score(&["share"], name.as_str());
+        score % u64::from(self.daemons.max(1)) == u64::from(self.rank)
+    }
+}
+
 /// What is asked of [`pick_live_target`].
 #[derive(Clone, Copy, Debug)]
 pub struct PickRequest<'a> {
@@ -59,6 +81,9 @@
     /// Whether so many requests of the service are not served that no sound
     /// target may be left without work.
     pub is_pressed: bool,
+    /// This daemon's share of the service's targets; `None` if it is no entry
+    /// daemon of the service.
+    pub share: Option<TargetShare>,
     /// Whether a target without a free slot will do, where the request waits
     /// in the target.
     pub accepts_full: bool,
@@ -85,7 +110,8 @@
 /// nothing by it where all others are full. A target that nobody has used
 /// yet goes first once.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
-    let spread = spread_of(targets, request, now);
+    let calm = calm_holds(targets, request.service, now);
+    let share = share_to_use(targets, request, now);
     let mut best: Option<(f64, &TargetName)> = None;
     let mut last_resort: Option<(f64, &TargetName)> = None;
     let mut gamble: Option<(f64, &TargetName)> = None;
@@ -98,8 +124,10 @@
             continue;
         }
         let is_free = request.accepts_full || row.has_free_slot(now);
-        let cost = cost(row, request, &spread, now);
-        let is_candidate = match row.suspicion.standing(&spread.holds, now) {
+        let goes_first = share.is_some_and(|share| share.has(name));
+        let holds = if goes_first { PRESSED_HOLDS } else { calm };
+        let cost = cost(row, request, goes_first, now);
+        let is_candidate = match row.suspicion.standing(&holds, now) {
             _ if row.suspicion.is_unreachable(now) => false,
             Standing::Trusted => true,
             Standing::Trial => request.may_try,
@@ -134,20 +162,12 @@
     }
 }
 
-/// How a request is spread over the targets of its service.
-#[derive(Clone, Copy, Debug)]
-struct Spread {
-    /// How long targets are on hold.
-    holds: Holds,
-    /// Whether targets that had no request for [`UNUSED_MS`] go first.
-    unused_first: bool,
-}
-
-fn spread_of(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Spread {
+/// Returns how long the targets of a service are on hold where it is not under
+/// pressure.
+fn calm_holds(targets: &LiveTargets, service: &ServiceName, now: TimeMs) -> Holds {
     let mut usable = 0;
     let mut held = 0;
-    let mut unused = 0;
-    for name in targets.of_service(request.service) {
+    for name in targets.of_service(service) {
         let Some(row) = targets.rows.get(name) else {
             continue;
         };
@@ -156,37 +176,51 @@
         }
         usable += 1;
         held += u32::from(row.suspicion.is_suspected());
-        unused += u32::from(is_unused(row, now));
-    }
-    let usable = f64::from(usable);
-    if request.is_pressed && f64::from(unused) > usable * UNUSED_SHARE_MAX {
-        return Spread {
-            holds: PRESSED_HOLDS,
-            unused_first: true,
-        };
     }
-    let holds = if f64::from(held) <= usable * HELD_SHARE_MAX {
+    if f64::from(held) <= f64::from(usable) * HELD_SHARE_MAX {
         LONG_HOLDS
     } else {
         SHORT_HOLDS
-    };
-    Spread {
-        holds,
-        unused_first: false,
     }
 }
 
+/// Returns the share whose unused targets go first: that of this daemon, if the
+/// service is under pressure and too much of the share is unused.
+fn share_to_use(
+    targets: &LiveTargets,
+    request: &PickRequest<'_>,
+    now: TimeMs,
+) -> Option<TargetShare> {
+    let share = request.share.filter(|_| request.is_pressed)?;
+    let mut usable = 0;
+    let mut unused = 0;
+    for name in targets.of_service(request.service) {
+        let Some(row) = targets.rows.get(name) else {
+            continue;
+        };
+        if row.leaving || row.suspicion.is_unreachable(now) || !share.has(name) {
+            continue;
+        }
+        usable += 1;
+        unused += u32::from(is_unused(row, now));
+    }
+    let is_too_much = f64::from(unused) > f64::from(usable) * UNUSED_SHARE_MAX;
+    is_too_much.then_some(share)
+}
+
 fn is_unused(row: &LiveTarget, now: TimeMs) -> bool {
     row.in_flight == 0 && now.since(row.chosen_at) > UNUSED_MS
 }
 
-fn cost(row: &LiveTarget, request: &PickRequest<'_>, spread: &Spread, now: TimeMs) -> f64 {
+fn cost(row: &LiveTarget, request: &PickRequest<'_>, goes_first: bool, now: TimeMs) -> f64 {
     if row.suspicion.is_suspected() || row.chosen_number == 0 {
-        // A trial takes place even where other targets are idle.
-        return -1.0;
+        // A trial takes place even where other targets are idle. The tie-break
+        // differs between daemons, so that those that start together don't all
+        // begin with one target.
+        return row.tie_break - 2.0;
     }
     let order = 1e-9 * row.chosen_number as f64;
-    if spread.unused_first && is_unused(row, now) {
+    if goes_first && is_unused(row, now) {
         return order - 0.5;
     }
     let slots = f64::from(row.record.slots.0);
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 
+use crate::addresses::rendezvous_score;
 use crate::config::TargetState;
+use crate::ids::HostId;
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
 use crate::roster::TargetRecord;
@@ -49,12 +51,14 @@
     /// The count of choices when this target was chosen last, 0 if it never
     /// was; orders targets that are equal otherwise.
     pub chosen_number: u64,
-    /// When this target was chosen last.
+    /// When this target was last used, by this daemon or one that told of it.
     pub chosen_at: TimeMs,
+    /// Orders targets that are equal throughout; from 0 to 1.
+    pub tie_break: f64,
 }
 
 impl LiveTarget {
-    fn new(record: TargetRecord, seen_at: TimeMs) -> Self {
+    fn new(record: TargetRecord, tie_break: f64, seen_at: TimeMs) -> Self {
         let warm_at = seen_at + record.warmup_left_ms;
         let leaving = record.state == TargetState::Leaving;
         Self {
@@ -68,6 +72,7 @@
             leaving,
             chosen_number: 0,
             chosen_at: seen_at,
+            tie_break,
         }
     }
 
@@ -108,11 +113,27 @@
     pub rows: Table<TargetName, LiveTarget>,
     /// The names by service; holds each target of `rows` exactly once.
     by_service: HashMap<ServiceName, Vec<TargetName>>,
+    /// What the tie-breaks of this daemon differ by from those of others.
+    salt: Box<str>,
     /// The number of choices made so far.
     pub(super) choices: u64,
 }
 
+/// Returns a number from 0 to 1 that daemons draw differently.
+fn tie_break(salt: &str, name: &TargetName) -> f64 {
+    let score = rendezvous_score(&[salt], name.as_str());
+    (score >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 impl LiveTargets {
+    /// Creates an empty table for the daemon on `host`.
+    pub fn new(host: &HostId) -> Self {
+        Self {
+            salt: host.as_str().into(),
+            ..Self::default()
+        }
+    }
+
     /// Takes over the registered targets; `records` are the rows and when each
     /// was seen.
     ///
@@ -135,7 +156,7 @@
                     }
                     row
                 }
-                _ => LiveTarget::new(record.clone(), seen_at),
+                _ => LiveTarget::new(record.clone(), tie_break(&self.salt, &name), seen_at),
             };
             self.by_service
                 .entry(record.service.clone())
--- a/crates/agatehold-core/tests/dispatch_pick.rs
+++ b/crates/agatehold-core/tests/dispatch_pick.rs
@@ -5,6 +5,7 @@
 use agatehold_core::dispatch::LiveTargets;
 use agatehold_core::dispatch::LoadReport;
 use agatehold_core::dispatch::PickRequest;
+use agatehold_core::dispatch::TargetShare;
 use agatehold_core::dispatch::pick_live_target;
 use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::ServiceName;
@@ -74,6 +75,7 @@
     may_try: bool,
     may_gamble: bool,
     is_pressed: bool,
+    share: Option<TargetShare>,
 }
 
 impl Default for Ask {
@@ -84,6 +86,10 @@
             may_try: false,
             may_gamble: false,
             is_pressed: false,
+            share: Some(TargetShare {
+                rank: 0,
+                daemons: 1,
+            }),
         }
     }
 }
@@ -96,6 +102,7 @@
         may_try: ask.may_try,
         may_gamble: ask.may_gamble,
         is_pressed: ask.is_pressed,
+        share: ask.share,
         accepts_full: false,
     };
     pick_live_target(targets, &request, now)
@@ -334,6 +341,59 @@
     assert!(used.len() >= 16, "{} of 20 were used", used.len());
 }
 
+/// Pattern: several daemons under pressure. Each failing target is tried by one
+/// of them, or their trials would keep the pressure up.
+#[test]
+fn a_target_on_hold_is_tried_by_one_of_several_daemons() {
+    let mut targets = targets(12);
+    for number in 0..6 {
+        fail(&mut targets, number, START);
+        fail(&mut targets, number, START);
+    }
+    let now = START + DurationMs(1_600);
+    let mut tried_by = [0; 12];
+    for rank in 0..3 {
+        let share = TargetShare { rank, daemons: 3 };
+        let ask = Ask {
+            may_try: true,
+            is_pressed: true,
+            share: Some(share),
+            ..Ask::default()
+        };
+        let mut own = targets.clone();
+        for _ in 0..12 {
+            let Choice::Target(chosen) = pick(&own, &ask, now) else {
+                panic!("idle targets are left");
+            };
+            own.claim(&chosen, now);
+            let position = (0..12).find(|number| name(*number) == chosen);
+            let position = position.expect("a target");
+            if position < 6 {
+                assert!(share.has(&chosen), "{chosen} falls to another daemon");
+                tried_by[position] += 1;
+            }
+        }
+    }
+    assert!(tried_by.iter().all(|count| *count <= 1), "{tried_by:?}");
+}
+
+/// Pattern: a fleet that starts; daemons must not all begin with one target.
+#[test]
+fn daemons_that_start_together_begin_with_different_targets() {
+    let records: Vec<TargetRecord> = (0..12).map(|number| record(number, "near")).collect();
+    let mut first = std::collections::BTreeSet::new();
+    for daemon in 0..12 {
+        let host = format!("entry-{daemon}").parse().expect("a name");
+        let mut targets = LiveTargets::new(&host);
+        targets.sync(records.iter().map(|record| (record, START)));
+        let Choice::Target(chosen) = pick(&targets, &Ask::default(), START) else {
+            panic!("idle targets are left");
+        };
+        first.insert(chosen);
+    }
+    assert!(first.len() >= 5, "{first:?}");
+}
+
 #[test]
 fn a_target_that_joins_gets_a_request_at_once() {
     let mut targets = targets(3);
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -84,6 +84,7 @@
     if row.record.identity != evidence.target {
         return;
     }
+    row.chosen_at = now;
     if evidence.moved {
         row.leaving = true;
     }
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -142,6 +142,7 @@
         may_try: record.may_try(idempotent, now),
         may_gamble: idempotent && tried.is_empty() && has_reserve,
         is_pressed: record.is_pressed(),
+        share: state.target_share(service),
         accepts_full,
     }
 }
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -13,6 +13,7 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::directory::entry_daemons;
 use agatehold_core::directory::entry_groups;
+use agatehold_core::dispatch::TargetShare;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::roster::TargetRecord;
@@ -81,6 +82,21 @@
                 self.entries_by_host.insert(host, Arc::clone(&chosen));
             }
         }
+        for entries in self.entries_by_service.values_mut() {
+            // All daemons number the entry daemons alike.
+            entries.sort_by(|a, b| a.0.cmp(&b.0));
+        }
+    }
+
+    /// Returns the share of a service's targets that falls to a host; `None` if
+    /// it is no entry daemon of the service.
+    pub(crate) fn target_share(&self, host: &HostId, service: &ServiceName) -> Option<TargetShare> {
+        let entries = self.entries_by_service.get(service)?;
+        let place = entries.iter().position(|(entry, _)| entry == host)?;
+        Some(TargetShare {
+            rank: u32::try_from(place).ok()?,
+            daemons: u32::try_from(entries.len()).ok()?,
+        })
     }
 
     /// Returns whether a host is an entry daemon of a service.
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -22,6 +22,7 @@
 use agatehold_core::dispatch::ResendBudget;
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceRecord;
+use agatehold_core::dispatch::TargetShare;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::units::DurationMs;
@@ -128,6 +129,12 @@
         }
     }
 
+    /// Returns the share of a service's targets that falls to this daemon.
+    pub(super) fn target_share(&self, service: &ServiceName) -> Option<TargetShare> {
+        let view = self.view.borrow();
+        view.target_share(&self.shared.settings.host.id, service)
+    }
+
     /// Returns what callers may send.
     pub(super) fn limits(&self) -> CallerLimits {
         let view = self.view.borrow();
@@ -268,10 +275,11 @@
             return;
         }
     };
+    let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
     let state = Rc::new(TrafficState {
         shared,
         view: RefCell::default(),
-        targets: RefCell::default(),
+        targets,
         pool: RefCell::default(),
         budgets: RefCell::default(),
         records: RefCell::default(),
