Ask several daemons after a fetch that failed

Change: after a fetch that failed, the three that know most are asked at once, and a fetch takes 0.4 s at most.

--- a/crates/agatehold-core/src/dissemination/beats.rs
+++ b/crates/agatehold-core/src/dissemination/beats.rs
@@ -17,6 +17,11 @@
 }
 
 impl Revisions {
+    /// Returns a number that is higher the more is known.
+    pub(super) const fn sum(&self) -> u64 {
+        self.configuration + self.targets + self.members
+    }
+
     /// Returns whether `self` knows anything that `other` does not.
     pub const fn is_ahead_of(&self, other: &Self) -> bool {
         self.configuration > other.configuration
--- a/crates/agatehold-core/src/dissemination/refresh.rs
+++ b/crates/agatehold-core/src/dissemination/refresh.rs
@@ -1,5 +1,7 @@
 //! Where a daemon gets what it does not know yet.
 
+use std::cmp::Reverse;
+
 use crate::ids::HostId;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
@@ -15,13 +17,16 @@
 /// How old the last answer of the store may be at a daemon whose beats count.
 pub const STORE_FRESH_MS: DurationMs = DurationMs(2_500);
 
+/// The most daemons that are asked for one fetch.
+const FETCH_SOURCES_MAX: usize = 3;
+
 /// What a daemon does to know the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refresh {
     /// It knows what is to be known.
     Nothing,
-    /// It fetches what is new from another daemon.
-    Fetch(HostId),
+    /// It fetches what is new from other daemons, those that know most first.
+    Fetch(Vec<HostId>),
     /// It reads the store itself.
     ReadStore,
 }
@@ -55,20 +60,17 @@
     own_answer_at: TimeMs,
     now: TimeMs,
 ) -> Refresh {
-    let mut best: Option<(&HostId, Revisions)> = None;
+    let mut ahead: Vec<(&HostId, Revisions)> = Vec::new();
     for (host, beat) in beats.rows.rows() {
-        if now.since(beat.heard_at) > SILENCE_MS {
+        if now.since(beat.heard_at) > SILENCE_MS || !beat.revisions.is_ahead_of(own) {
             continue;
         }
-        if !beat.revisions.is_ahead_of(own) {
-            continue;
-        }
-        if best.is_none_or(|(_, known)| beat.revisions.is_ahead_of(&known)) {
-            best = Some((host, beat.revisions));
-        }
+        ahead.push((host, beat.revisions));
     }
-    if let Some((host, _)) = best {
-        return Refresh::Fetch(host.clone());
+    if !ahead.is_empty() {
+        ahead.sort_by_key(|(_, revisions)| Reverse(revisions.sum()));
+        ahead.truncate(FETCH_SOURCES_MAX);
+        return Refresh::Fetch(ahead.into_iter().map(|(host, _)| host.clone()).collect());
     }
     if !is_told(beats, now) && now.since(own_answer_at) > SILENCE_MS {
         return Refresh::ReadStore;
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -177,7 +177,8 @@
     beats.record(&beat(2, 12, 0), START);
     beats.record(&beat(3, 11, 0), START);
     let refresh = next_refresh(&beats, &known(10), START, START);
-    assert_eq!(refresh, Refresh::Fetch(host(2)));
+    let most_first = vec![host(2), host(3)];
+    assert_eq!(refresh, Refresh::Fetch(most_first), "1 knows no more");
     let refresh = next_refresh(&beats, &known(12), START, START);
     assert_eq!(refresh, Refresh::Nothing);
 }
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -55,7 +55,7 @@
 const BEHIND_MS: DurationMs = DurationMs(600);
 
 /// The time for which a fetch from another daemon may take.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The running control thread.
 pub(crate) struct ControlThread {
@@ -134,8 +134,10 @@
     news: mpsc::Sender<StoreNews>,
     /// The tasks that watch the store, while this daemon is an entry daemon.
     watching: Vec<tokio::task::JoinHandle<()>>,
-    /// Whether contents are being fetched or read.
-    is_refreshing: bool,
+    /// Fetches and reads that have not ended; 0 once one of them has helped.
+    refreshing: usize,
+    /// Whether the last fetch did not help, so that several daemons are asked.
+    has_failed: bool,
     /// Since when others know more than this daemon, which watches the store.
     behind_since: Option<TimeMs>,
     /// When the last beat was sent.
@@ -159,7 +161,8 @@
         store: Rc::new(StoreClient::new(shared.settings.store)),
         news,
         watching: Vec::new(),
-        is_refreshing: false,
+        refreshing: 0,
+        has_failed: false,
         behind_since: None,
         beat_at: TimeMs(0),
     };
@@ -232,10 +235,14 @@
         let now = self.shared.clock.now();
         match &news {
             StoreNews::Refreshed(host) => {
-                self.is_refreshing = false;
-                if let Some(host) = host {
-                    // Somebody else is asked next if it did not help.
-                    tables.beats.rows.remove(host);
+                self.has_failed = host.is_some();
+                match host {
+                    // The others that were asked may still help.
+                    Some(host) => {
+                        self.refreshing = self.refreshing.saturating_sub(1);
+                        tables.beats.rows.remove(host);
+                    }
+                    None => self.refreshing = 0,
                 }
                 return false;
             }
@@ -327,7 +334,7 @@
 
     /// Gets what others know or what nobody tells.
     fn refresh(&mut self, tables: &mut ControlTables, now: TimeMs) {
-        if self.is_refreshing {
+        if self.refreshing > 0 {
             return;
         }
         if self.trusts_own_watch(tables, now) {
@@ -336,17 +343,23 @@
         let own = tables.revisions();
         match next_refresh(&tables.beats, &own, tables.read_at, now) {
             Refresh::Nothing => {}
-            Refresh::Fetch(host) => {
-                let Some(address) = tables.news_address(&host) else {
-                    tables.beats.rows.remove(&host);
-                    return;
-                };
-                self.is_refreshing = true;
-                let news = self.news.clone();
-                tokio::task::spawn_local(peers::fetch(host, address, own, FETCH_TIMEOUT, news));
+            Refresh::Fetch(mut hosts) => {
+                if !self.has_failed {
+                    hosts.truncate(1);
+                }
+                for host in hosts {
+                    let Some(address) = tables.news_address(&host) else {
+                        tables.beats.rows.remove(&host);
+                        continue;
+                    };
+                    self.refreshing += 1;
+                    let news = self.news.clone();
+                    let fetching = peers::fetch(host, address, own, FETCH_TIMEOUT, news);
+                    tokio::task::spawn_local(fetching);
+                }
             }
             Refresh::ReadStore => {
-                self.is_refreshing = true;
+                self.refreshing = 1;
                 tables.read_at = now;
                 log::info!("event=read_store reason=not_told");
                 let reading = read_all(Rc::clone(&self.store), self.news.clone());
@@ -360,7 +373,7 @@
 }
 
 fn next_tick(tables: &ControlTables, follower: &Follower, now: TimeMs) -> Duration {
-    if tables.read_at == TimeMs(0) && !follower.is_refreshing {
+    if tables.read_at == TimeMs(0) && follower.refreshing == 0 {
         // Nothing is known yet.
         return Duration::ZERO;
     }
