--- /dev/null
+++ b/crates/agatehold-settings/tests/gateway.rs
@@ -0,0 +1,99 @@
+//! Guards the settings of a daemon on a platform.
+
+use agatehold_settings::process::LogLevel;
+use agatehold_settings::process::parse_gateway;
+
+const EXAMPLE: &str = include_str!("../../../examples/gateway.ini");
+
+#[test]
+fn the_example_is_valid() {
+    let settings = parse_gateway("gateway.ini", EXAMPLE).expect("valid settings");
+    assert_eq!(settings.host.id.as_str(), "entry-1");
+    assert_eq!(settings.capacity_millicores, 200);
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.entries.least, 3);
+    assert_eq!(settings.log, LogLevel::Info);
+    assert!(settings.bounds.contains("retry_slack"));
+}
+
+/// The slower of core and link bounds what a host can carry.
+#[test]
+fn a_slow_link_bounds_the_capacity() {
+    let slow = EXAMPLE.replace("link_mbps = 1000", "link_mbps = 10");
+    let settings = parse_gateway("gateway.ini", &slow).expect("valid settings");
+    assert_eq!(settings.capacity_millicores, 50);
+    let open = EXAMPLE.replace("link_mbps = 1000\n", "");
+    let settings = parse_gateway("gateway.ini", &open).expect("valid settings");
+    assert_eq!(settings.capacity_millicores, 200);
+}
+
+#[test]
+fn a_platform_without_seeds_or_bounds_is_valid() {
+    let mut text = String::new();
+    for line in EXAMPLE.lines() {
+        let line = match line.split_once(" = ") {
+            Some(("seeds" | "bounds", _)) => continue,
+            _ => line,
+        };
+        text += line;
+        text += "\n";
+    }
+    let settings = parse_gateway("gateway.ini", &text).expect("valid settings");
+    assert!(settings.seeds.is_empty());
+    assert!(settings.bounds.is_empty());
+}
+
+/// Every error names its place, its value and what was expected.
+#[test]
+fn errors_name_place_value_and_expectation() {
+    for (from, to, words) in [
+        (
+            "cores = 0.2 x 1",
+            "cores = many",
+            "[host] cores = many: expected cores",
+        ),
+        (
+            "cores = 0.2 x 1",
+            "cores = 0",
+            "[host] cores = 0: expected cores",
+        ),
+        (
+            "least = 3",
+            "least = 0",
+            "[entries] least = 0: expected daemons",
+        ),
+        (
+            "news = 127.0.0.1:7200",
+            "news = here",
+            "[listen] news = here: expected IP:port",
+        ),
+        (
+            "seeds = 127.0.0.2:8382",
+            "seeds = x",
+            "[platform] seeds = x",
+        ),
+        ("store = 127.0.0.1:8384", "stroe = 127.0.0.1:8384", "stroe"),
+        (
+            "level = info",
+            "level = loud",
+            "[log] level = loud: expected error",
+        ),
+        ("[entries]", "[entrances]", "[entrances]"),
+    ] {
+        let text = EXAMPLE.replace(from, to);
+        let errors = parse_gateway("gateway.ini", &text).expect_err(to);
+        let told: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        let told = told.join("\n");
+        assert!(told.contains(words), "{to}: {told}");
+        assert!(told.starts_with("gateway.ini:"), "{told}");
+    }
+}
+
+#[test]
+fn all_errors_are_told_at_once() {
+    let text = EXAMPLE
+        .replace("least = 3", "least = 0")
+        .replace("level = info", "level = loud");
+    let errors = parse_gateway("gateway.ini", &text).expect_err("two errors");
+    assert_eq!(errors.len(), 2);
+}
--- a/crates/agatehold/src/main.rs
+++ b/crates/agatehold/src/main.rs
@@ -91,6 +91,10 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
+    if let Err(error) = agatehold_platform::parse_bounds(&settings.bounds) {
+        eprintln!("{}: [platform] bounds: {error}", path.display());
+        return ExitCode::from(EXIT_SETTINGS);
+    }
     if check {
         println!("{}: the settings are valid", path.display());
         return ExitCode::SUCCESS;
--- a/crates/agatehold/tests/command_line.rs
+++ b/crates/agatehold/tests/command_line.rs
@@ -160,6 +160,47 @@
 
 /// An operator who learns of one error at a time restarts the daemon as many
 /// times, and one who is not told the place looks for it.
+#[test]
+fn check_accepts_the_example_of_a_gateway_and_tells_broken_bounds() {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway.ini");
+    let arguments = [
+        "--gateway",
+        "--settings",
+        example.to_str().unwrap(),
+        "--check",
+    ];
+    let ended = run(&arguments);
+    assert_eq!(ended.code, Some(0), "{}", ended.stderr);
+    let text = std::fs::read_to_string(&example).unwrap();
+    let broken = write_settings("broken-bounds", &text.replace("\"10s\"", "\"soon\""));
+    let ended = run(&[
+        "--gateway",
+        "--settings",
+        broken.to_str().unwrap(),
+        "--check",
+    ]);
+    assert_eq!(ended.code, Some(3));
+    assert!(
+        ended
+            .stderr
+            .contains("[platform] bounds: field retry_window: expected a number"),
+        "{}",
+        ended.stderr
+    );
+}
+
+#[test]
+fn a_gateway_without_settings_shows_the_usage() {
+    let output = Command::new(env!("CARGO_BIN_EXE_agatehold"))
+        .arg("--gateway")
+        .env_clear()
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("--gateway [--settings FILE]"), "{text}");
+}
+
 #[test]
 fn check_prints_every_error_with_its_place() {
     let text = "\
