--- a/crates/agatehold/tests/gateway/main.rs
+++ b/crates/agatehold/tests/gateway/main.rs
@@ -383,3 +383,40 @@
     gateway.close();
     site.close();
 }
+
+/// Pattern: a burst while the reader of the log has stopped. The pipe and the
+/// waiting lines are full; requests are answered, and the loss is counted.
+#[test]
+fn a_reader_of_the_log_that_has_stopped_blocks_nothing() {
+    let site = Site::start(1);
+    let gateway = site.gateway_with_unread_log(0);
+    gateway.wait_until_ready();
+    let batch: String = (0..16)
+        .map(|number| request("GET", "/nothing/7", &format!("id-{number}"), ""))
+        .collect();
+    let mut stream = TcpStream::connect(gateway.callers).expect("a connection");
+    let timeout = Some(Duration::from_secs(10));
+    stream.set_read_timeout(timeout).expect("a timeout");
+    let mut buffer = [0; 16_384];
+    for _ in 0..400 {
+        stream.write_all(batch.as_bytes()).expect("requests");
+        // A status line may come in two reads.
+        let mut text = String::new();
+        while text.matches("HTTP/1.1 404").count() < 16 {
+            let length = stream.read(&mut buffer).expect("answers");
+            assert_ne!(length, 0, "the connection was closed");
+            text += &String::from_utf8_lossy(&buffer[..length]);
+        }
+    }
+    let text = exchange(
+        gateway.metrics,
+        "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+    );
+    let dropped = text
+        .lines()
+        .find_map(|line| line.strip_prefix("agatehold_log_lines_dropped_total "))
+        .and_then(|count| count.parse::<u64>().ok());
+    assert!(dropped.is_some_and(|count| count > 0), "{text}");
+    gateway.close();
+    site.close();
+}
--- a/crates/agatehold/tests/gateway/support.rs
+++ b/crates/agatehold/tests/gateway/support.rs
@@ -36,6 +36,15 @@
     pub(crate) targets: Vec<TargetStandin>,
 }
 
+/// Where the log of a daemon goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LogReader {
+    /// To a file.
+    File,
+    /// To a pipe that nobody reads.
+    Stopped,
+}
+
 /// A daemon process.
 pub(crate) struct Gateway {
     pub(crate) callers: SocketAddr,
@@ -112,12 +121,18 @@
 
     /// Starts a daemon.
     pub(crate) fn gateway(&self, number: usize) -> Gateway {
-        Gateway::start(number, self.store.address, "")
+        Gateway::start(number, self.store.address, "", LogReader::File)
+    }
+
+    /// Starts a daemon whose log nobody reads.
+    pub(crate) fn gateway_with_unread_log(&self, number: usize) -> Gateway {
+        Gateway::start(number, self.store.address, "", LogReader::Stopped)
     }
 
     /// Starts a daemon whose settings name another one.
     pub(crate) fn gateway_with_seed(&self, number: usize, seed: &Gateway) -> Gateway {
-        Gateway::start(number, self.store.address, &seed.control.to_string())
+        let seed = seed.control.to_string();
+        Gateway::start(number, self.store.address, &seed, LogReader::File)
     }
 
     /// Stops the stand-ins.
@@ -137,7 +152,7 @@
 }
 
 impl Gateway {
-    fn start(number: usize, store: SocketAddr, seeds: &str) -> Self {
+    fn start(number: usize, store: SocketAddr, seeds: &str, reader: LogReader) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let unique = NEXT.fetch_add(1, Ordering::Relaxed);
         let name = format!("agatehold-gateway-{}-{unique}", std::process::id());
@@ -172,7 +187,10 @@
             .arg("--settings")
             .arg(&settings_file)
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(match reader {
+                LogReader::File => Stdio::from(log),
+                LogReader::Stopped => Stdio::piped(),
+            })
             .stderr(errors)
             .spawn()
             .expect("a daemon");
