--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -24,13 +24,17 @@
 /// bandwidth.
 const FAR_COST: f64 = 0.15;
 
-/// The cost of a target that is still slow after its start.
+/// The cost of a target that is still slow after its start, as a share of its
+/// slots: it runs requests at about half its speed.
 const WARMING_COST: f64 = 0.4;
 
-/// The cost of each request that takes much longer than usual.
+/// The cost of each request that takes much longer than usual, as a share of the
+/// target's slots: two of them make a target as unwanted as a full one.
 const OVERDUE_COST: f64 = 0.6;
 
-/// The share of a service's targets that may be on hold for long.
+/// The share of a service's targets that may be on hold for long. A third of
+/// them fails at a time at the users' sites, and some are on hold for a single
+/// failure; with a third of the slots in use, the others carry the rest.
 const HELD_SHARE_MAX: f64 = 0.45;
 
 /// The time without a request after which a target counts as unused; a floor
