gateway: derive less and repeat less for each request and change

Cause: routes drew a random number for each request and answer and used it for new rows only; a beat searched all entry daemons once for each member; a listing was compared with the held one in n squared steps; settle told a given-up attempt from a passed deadline by the text for the log. Ruled out: keeping the set of entry hosts in the view; it is needed only for beats and can be derived. Conclusion: AttemptEnd says is_given_up; the text is for people only.

--- a/crates/agatehold/src/gateway/answers.rs
+++ b/crates/agatehold/src/gateway/answers.rs
@@ -8,7 +8,6 @@
 use http::HeaderValue;
 use http::Method;
 use http::header;
-use rand::RngExt;
 
 use agatehold_core::directory::EntryDemand;
 use agatehold_core::directory::entry_addresses;
@@ -158,8 +157,3 @@
     }
     answer
 }
-
-/// Returns a number for the place in a sequence where a daemon starts.
-pub(super) fn random_offset(state: &TrafficState) -> u32 {
-    state.rng.borrow_mut().random()
-}
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -1,5 +1,7 @@
 //! The tables of the control thread and what is merged into them.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -79,8 +81,12 @@
 
     /// Returns whether a host is an entry daemon of any service.
     pub(super) fn is_entry(&self, host: &HostId) -> bool {
-        let mut entries = self.view.entries_by_service.values().flatten();
-        entries.any(|(entry, _)| entry == host)
+        self.entry_hosts().any(|entry| entry == host)
+    }
+
+    fn entry_hosts(&self) -> impl Iterator<Item = &HostId> {
+        let entries = self.view.entries_by_service.values().flatten();
+        entries.map(|(entry, _)| entry)
     }
 
     /// Returns where a host's daemon answers other daemons.
@@ -96,12 +102,13 @@
             .rows
             .get(own)
             .map(|row| &row.content.failure_domain);
+        let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
         let mut addresses = Vec::new();
         for (host, row) in self.members.rows.rows() {
             if host == own {
                 continue;
             }
-            if Some(&row.content.failure_domain) == domain || self.is_entry(host) {
+            if Some(&row.content.failure_domain) == domain || entries.contains(host) {
                 addresses.push(row.content.news);
             }
         }
@@ -214,8 +221,9 @@
     if revision < held.revision {
         return;
     }
-    let is_same =
-        held.items.len() == items.len() && items.iter().all(|item| held.items.contains(item));
+    let by_key: BTreeMap<&str, &Item> = held.items.iter().map(|item| (&*item.key, item)).collect();
+    let is_held = |item: &Item| by_key.get(&*item.key).is_some_and(|held| *held == item);
+    let is_same = held.items.len() == items.len() && items.iter().all(is_held);
     if is_same && held.revision > 0 {
         return;
     }
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -98,7 +98,10 @@
                 () = patience.as_mut(), if !is_impatient => {
                     is_impatient = true;
                     if self.may_give_up_on_attempt() {
-                        break AttemptEnd::without_answer(AttemptOutcome::TimedOut, "attempt timeout");
+                        break AttemptEnd {
+                            is_given_up: true,
+                            ..AttemptEnd::without_answer(AttemptOutcome::TimedOut, "attempt timeout")
+                        };
                     }
                 }
             }
--- a/crates/agatehold/src/gateway/dispatch/settle.rs
+++ b/crates/agatehold/src/gateway/dispatch/settle.rs
@@ -29,7 +29,8 @@
     ) {
         let now = self.now();
         let spread = self.state.rng.borrow_mut().random();
-        let is_entry = evidence::is_entry(self.state, &self.service);
+        let own = &self.state.shared.settings.host.id;
+        let is_entry = self.state.view().is_entry(own, &self.service);
         let mut told = None;
         if let Some(row) = self.state.targets.borrow_mut().rows.get_mut(target) {
             let was_suspected = row.suspicion.nats() > 0.0;
@@ -40,14 +41,14 @@
                 row.leaving = true;
                 log::warn!("event=address_moved target={target} address={address}");
             }
-            let outcome = match (end.outcome, end.detail) {
+            let outcome = match end.outcome {
                 // The request's own deadline says nothing of the target.
-                (AttemptOutcome::TimedOut, detail)
-                    if detail != "attempt timeout" && run_ms < self.route.objective_ms =>
+                AttemptOutcome::TimedOut
+                    if !end.is_given_up && run_ms < self.route.objective_ms =>
                 {
                     AttemptOutcome::Cancelled
                 }
-                (outcome, _) => outcome,
+                outcome => outcome,
             };
             if row.suspicion.record(outcome, run_ms, spread, now) {
                 log::warn!(
--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -228,7 +228,7 @@
         return None;
     }
     if intake.current.is_some() {
-        return Some(intake.idle_since.max(Instant::now()) + BODY_PART_TIMEOUT);
+        return Some(Instant::now() + BODY_PART_TIMEOUT);
     }
     let limits = state.limits();
     if let Some(since) = intake.head_since {
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -33,12 +33,6 @@
     }
 }
 
-/// Returns whether this daemon is an entry daemon of a service.
-pub(super) fn is_entry(state: &TrafficState, service: &ServiceName) -> bool {
-    let own = &state.shared.settings.host.id;
-    state.view().is_entry(own, service)
-}
-
 /// Binds the address on which evidence comes.
 pub(super) fn bind(address: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = std::net::UdpSocket::bind(address)?;
--- a/crates/agatehold/src/gateway/routes.rs
+++ b/crates/agatehold/src/gateway/routes.rs
@@ -1,12 +1,13 @@
 //! What the traffic thread knows of a route from its requests.
 
+use rand::RngExt;
+
 use agatehold_core::catalog::CatalogRoute;
 use agatehold_core::catalog::WeightedService;
 use agatehold_core::dispatch::SplitCursor;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::units::DurationMs;
 
-use super::answers::random_offset;
 use super::traffic::TrafficState;
 
 /// The weight of the newest run time in the moving average.
@@ -27,14 +28,13 @@
     if let [only] = &*route.services {
         return only.service.clone();
     }
-    let offset = random_offset(state);
     let mut routes = state.routes.borrow_mut();
     let row = routes
         .entry(route.name.clone())
-        .or_insert_with(|| RouteState::new(route, offset));
+        .or_insert_with(|| RouteState::new(state, route));
     if row.services != route.services {
         row.services.clone_from(&route.services);
-        row.cursor = SplitCursor::starting_at(&route.services, offset);
+        row.cursor = start_cursor(state, route);
     }
     let position = row.cursor.next(&route.services);
     route.services[position].service.clone()
@@ -52,11 +52,10 @@
 
 /// Adds the run time of an answered request.
 pub(super) fn record_run(state: &TrafficState, route: &CatalogRoute, run_ms: DurationMs) {
-    let offset = random_offset(state);
     let mut routes = state.routes.borrow_mut();
     let row = routes
         .entry(route.name.clone())
-        .or_insert_with(|| RouteState::new(route, offset));
+        .or_insert_with(|| RouteState::new(state, route));
     let sample = run_ms.0 as f64;
     if row.usual_ms == 0.0 {
         row.usual_ms = sample;
@@ -64,11 +63,15 @@
     row.usual_ms += (sample - row.usual_ms) * NEWEST_RUN_WEIGHT;
 }
 
+fn start_cursor(state: &TrafficState, route: &CatalogRoute) -> SplitCursor {
+    SplitCursor::starting_at(&route.services, state.rng.borrow_mut().random())
+}
+
 impl RouteState {
-    fn new(route: &CatalogRoute, offset: u32) -> Self {
+    fn new(state: &TrafficState, route: &CatalogRoute) -> Self {
         Self {
             services: route.services.clone(),
-            cursor: SplitCursor::starting_at(&route.services, offset),
+            cursor: start_cursor(state, route),
             usual_ms: 0.0,
         }
     }
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -165,6 +165,8 @@
     pub(super) load: Option<LoadReport>,
     /// Whether another target has the address.
     pub(super) is_wrong_target: bool,
+    /// Whether this daemon gave up waiting before the request's deadline.
+    pub(super) is_given_up: bool,
     /// What went wrong, for the log.
     pub(super) detail: &'static str,
 }
@@ -176,6 +178,7 @@
             answer: None,
             load: None,
             is_wrong_target: false,
+            is_given_up: false,
             detail,
         }
     }
@@ -450,6 +453,7 @@
         answer,
         load,
         is_wrong_target,
+        is_given_up: false,
         detail,
     }
 }
