gateway: read the Host header by the daemon's function

Cause: serve.rs had a second parser of host and port, which cut at the first colon, also within an IPv6 address. Ruled out: the same for the deadline; its header differs in unit and form. Figures: names with and without a port give what they gave; an IPv6 literal keeps its address. Conclusion: one parser.

--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -5,7 +5,6 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
-use http::header;
 use tokio::sync::oneshot;
 
 use agatehold_core::catalog::ConfigVersion;
@@ -14,6 +13,8 @@
 use agatehold_core::units::DurationMs;
 use agatehold_platform::request_headers;
 
+use crate::traffic::host_name;
+
 use super::answers;
 use super::dispatch;
 use super::dispatch::Plan;
@@ -42,16 +43,10 @@
 
 /// Returns the host name in lower case without its port, and the path without
 /// its query.
-pub(super) fn host_and_path(head: &RequestHead) -> (String, &str) {
-    let host = head
-        .headers
-        .get(header::HOST)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("");
-    let name = host.split_once(':').map_or(host, |(name, _)| name);
+pub(super) fn host_and_path(head: &RequestHead) -> (Box<str>, &str) {
     let target = &*head.target;
     let path = target.split_once('?').map_or(target, |(path, _)| path);
-    (name.to_ascii_lowercase(), path)
+    (host_name(&head.headers, None), path)
 }
 
 async fn serve(
--- a/crates/agatehold/src/traffic/intake.rs
+++ b/crates/agatehold/src/traffic/intake.rs
@@ -155,7 +155,9 @@
     }
 }
 
-fn host_name(fields: &HeaderMap, uri_host: Option<&str>) -> Box<str> {
+/// Returns the host name that a request is for, in lower case and without its
+/// port.
+pub(crate) fn host_name(fields: &HeaderMap, uri_host: Option<&str>) -> Box<str> {
     let host = fields
         .get(header::HOST)
         .and_then(|value| value.to_str().ok())
--- a/crates/agatehold/src/traffic/mod.rs
+++ b/crates/agatehold/src/traffic/mod.rs
@@ -33,6 +33,7 @@
 use pool::Pool;
 
 pub(crate) use answer::strip_hop_by_hop;
+pub(crate) use intake::host_name;
 pub(crate) use pool::Connection;
 pub(crate) use pool::Liveness;
 pub(crate) use pool::set_socket_options;
