gateway: fold the samples of histograms as the daemon does

Cause: the gateway never ran the upkeep of metrics. Histograms keep each sample until somebody reads the metrics, so that memory grew with each request where nobody does. Ruled out: the upkeep in the traffic thread's tick; it would add to requests. Conclusion: both forms start the same thread and draw their incarnation by the same function.

--- a/crates/agatehold/src/daemon/mod.rs
+++ b/crates/agatehold/src/daemon/mod.rs
@@ -18,6 +18,7 @@
 use signal_hook::iterator::Signals;
 
 use agatehold_core::control::StopStep;
+use agatehold_core::ids::Incarnation;
 use agatehold_core::membership::new_incarnation;
 use agatehold_settings::process::DaemonSettings;
 use agatehold_settings::process::LogLevel;
@@ -80,11 +81,7 @@
     telemetry::start_logging(level_filter(settings.log)).map_err(|_| StartError::Telemetry)?;
     let metrics = telemetry::start_metrics().ok_or(StartError::Telemetry)?;
     let key = PeerKey::new(settings.peers.secret.expose()).map_err(StartError::Secret)?;
-    let unix_ms = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis());
-    let unix_ms = u64::try_from(unix_ms).unwrap_or(0);
-    let incarnation = new_incarnation(unix_ms, &mut rand::rng());
+    let incarnation = draw_incarnation();
     let (reports, reports_seen) = bounded(REPORTS_LENGTH);
     let (inputs, inputs_seen) = input_channel();
     let (stop_steps, stop_steps_seen) = bounded(1);
@@ -136,9 +133,18 @@
     })
 }
 
+/// Draws the incarnation of this start.
+pub(crate) fn draw_incarnation() -> Incarnation {
+    let unix_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis());
+    let unix_ms = u64::try_from(unix_ms).unwrap_or(0);
+    new_incarnation(unix_ms, &mut rand::rng())
+}
+
 /// Folds samples into the histograms from time to time; without it they are
 /// kept one by one until somebody reads the metrics.
-fn start_metrics_upkeep(metrics: PrometheusHandle) {
+pub(crate) fn start_metrics_upkeep(metrics: PrometheusHandle) {
     let spawned = std::thread::Builder::new()
         .name("metrics".to_owned())
         .spawn(move || {
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -20,8 +20,6 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use crossbeam::channel::Receiver;
 use crossbeam::channel::bounded;
@@ -30,14 +28,15 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
-use agatehold_core::membership::new_incarnation;
 use agatehold_platform::parse_bounds;
 use agatehold_settings::process::GatewaySettings;
 use agatehold_settings::process::parse_gateway;
 
 use crate::clock::Clock;
 use crate::daemon::StartError;
+use crate::daemon::draw_incarnation;
 use crate::daemon::level_filter;
+use crate::daemon::start_metrics_upkeep;
 use crate::telemetry;
 
 use control::ControlThread;
@@ -52,11 +51,7 @@
     telemetry::start_decision_log(level_filter(settings.log)).map_err(|_| StartError::Telemetry)?;
     let metrics = telemetry::start_metrics().ok_or(StartError::Telemetry)?;
     let bounds = parse_bounds(&settings.bounds).map_err(StartError::Bounds)?;
-    let unix_ms = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis());
-    let unix_ms = u64::try_from(unix_ms).unwrap_or(0);
-    let incarnation = new_incarnation(unix_ms, &mut rand::rng());
+    let incarnation = draw_incarnation();
     let signals = watch_signals()?;
     let shared = Arc::new(GatewayShared::new(Clock::new(), settings, bounds));
     log::info!(
@@ -70,6 +65,7 @@
         shared.bounds.resend_slack,
         shared.bounds.stop_limit_ms
     );
+    start_metrics_upkeep(metrics.clone());
     let control = ControlThread::start(&shared, incarnation)
         .map_err(|error| StartError::Io("the control thread", error))?;
     let traffic = TrafficThread::start(&shared, metrics)
