testing: one function for the host list of a fleet's targets

Cause: leaving_targets.rs wrote the rows of Fleet::list_targets again, with another state for one target. Ruled out: sharing the scenarios of at_most_once.rs and the start functions of command_line.rs and recovery.rs; each is the text of its tests. Conclusion: Fleet::host_list takes the state of each target.

--- a/crates/agatehold-testing/src/fleet/views.rs
+++ b/crates/agatehold-testing/src/fleet/views.rs
@@ -34,6 +34,12 @@
 
     /// Puts every target into the platform's host list as live.
     fn list_targets(&self) -> io::Result<()> {
+        self.switch_platform(&json!({ "hosts": self.host_list(|_| "live") }))
+    }
+
+    /// Returns the platform's host list of all targets, each in the state that
+    /// `state_of` gives its number.
+    pub fn host_list(&self, state_of: impl Fn(usize) -> &'static str) -> Value {
         let rows = self.targets.targets.iter().enumerate();
         let rows = rows.map(|(number, address)| {
             json!({
@@ -41,11 +47,10 @@
                 "kind": "target",
                 "address": address,
                 "failure_domain": format!("domain-{}", number % 3),
-                "state": "live",
+                "state": state_of(number),
             })
         });
-        let hosts: Value = rows.collect();
-        self.switch_platform(&json!({ "hosts": hosts }))
+        rows.collect()
     }
 
     /// Returns the most ejections that any daemon knows of.
--- a/crates/agatehold/tests/leaving_targets.rs
+++ b/crates/agatehold/tests/leaving_targets.rs
@@ -67,17 +67,7 @@
 }
 
 fn host_list(fleet: &Fleet) -> Value {
-    let rows = fleet.targets.targets.iter().enumerate();
-    let rows = rows.map(|(number, address)| {
-        json!({
-            "name": format!("certificates-{number}"),
-            "kind": "target",
-            "address": address,
-            "failure_domain": format!("domain-{}", number % 3),
-            "state": if number == LEAVING { "leaving" } else { "live" },
-        })
-    });
-    rows.collect()
+    fleet.host_list(|number| if number == LEAVING { "leaving" } else { "live" })
 }
 
 /// Sends requests while `signal` is given, which returns when it reached the
