gateway: entry daemons tell each other their pressure and what they use

Each of some 25 daemons sends first to each target that nobody there has used; at four requests a second each, that takes them ten seconds, in which sound targets of before get nothing. Besides, the targets that fall to an entry daemon without requests are tried by nobody, and a daemon judges pressure by its own sixth of the requests.

Ruled out: daemons that miss the pressure (one that sees more than its share of the failures always sees it); stale views (roles settle by 8.3 s).

Change: a target that joins goes first at the entry daemon that it falls to, at the others one by one after 1.45 s to 1.8 s without a request; the same order for unused targets under pressure. An entry daemon under pressure tells the others how its requests ended and which targets it used how long ago, each 250 ms at most; those that see no pressure answer, so that a failure among few requests ends its own pressure.

--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -41,16 +41,26 @@
 /// counts those that had none for two seconds.
 const UNUSED_MS: DurationMs = DurationMs(1_200);
 
+/// The same for a daemon that a target does not fall to, where the daemons before
+/// it leave the target unused: later by the time that reports take.
+const UNUSED_BY_OTHERS_MS: DurationMs = DurationMs(1_450);
+
+/// The time by which each further daemon waits longer, and how long at most: the
+/// last one uses a target before the floor's two seconds are over.
+const UNUSED_STEP_MS: DurationMs = DurationMs(60);
+const UNUSED_MAX_MS: DurationMs = DurationMs(1_800);
+
 /// The share of a service's targets that may be unused while many of its
 /// requests are not served. A floor of seven tenths leaves 0.3; targets that
 /// this daemon can't tell from those it has reason to avoid take some of that.
 const UNUSED_SHARE_MAX: f64 = 0.2;
 
-/// The targets that one of several daemons keeps in use under pressure.
+/// The order in which several daemons keep unused targets in use under pressure.
 ///
-/// Each target falls to one daemon. Were all of them to try it, each trial of a
-/// failing target would be made as many times, and the failures would keep the
-/// service under pressure.
+/// Each target falls to one daemon. Were all of them to try it at once, each trial
+/// of a failing target would be made as many times, and the failures would keep
+/// the service under pressure. The others follow one by one, since the daemon may
+/// have no requests to try it with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetShare {
     /// The place of the daemon; less than `daemons`.
@@ -60,10 +70,28 @@
 }
 
 impl TargetShare {
-    /// Returns whether a target falls to the daemon.
-    pub fn has(&self, name: &TargetName) -> bool {
-        let score = rendezvous_score(&["share"], name.as_str());
-        score % u64::from(self.daemons.max(1)) == u64::from(self.rank)
+    /// Returns the number of daemons whose turn with a target comes before that
+    /// of this one; 0 if the target falls to it.
+    pub fn turns_before(&self, name: &TargetName) -> u32 {
+        let daemons = u64::from(self.daemons.max(1));
+        let first = rendezvous_score(&["share"], name.as_str()) % daemons;
+        let turns = (u64::from(self.rank) + daemons - first) % daemons;
+        u32::try_from(turns).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the time without a request after which this daemon uses a target.
+    fn unused_ms(&self, name: &TargetName) -> DurationMs {
+        match self.turns_before(name) {
+            0 => UNUSED_MS,
+            turns => {
+                let later = UNUSED_STEP_MS.times(u64::from(turns - 1));
+                (UNUSED_BY_OTHERS_MS + later).min(UNUSED_MAX_MS)
+            }
+        }
+    }
+
+    fn is_unused(&self, name: &TargetName, row: &LiveTarget, now: TimeMs) -> bool {
+        row.in_flight == 0 && now.since(row.chosen_at) > self.unused_ms(name)
     }
 }
 
@@ -85,7 +113,7 @@
     /// Whether so many requests of the service are not served that no sound
     /// target may be left without work.
     pub is_pressed: bool,
-    /// This daemon's share of the service's targets; `None` if it is no entry
+    /// This daemon's place among the entry daemons; `None` if it is no entry
     /// daemon of the service.
     pub share: Option<TargetShare>,
     /// Whether a target without a free slot will do, where the request waits
@@ -111,8 +139,9 @@
 /// that load, the target that was chosen last is taken: a failure that begins
 /// is met by few targets, and each of them shows it at once. A target on hold is
 /// chosen only where the service has no other, or for a request that loses
-/// nothing by it where all others are full. A target that nobody has used
-/// yet goes first once.
+/// nothing by it where all others are full. A target that nobody has used yet
+/// goes first once, at the daemon that it falls to; at the others once that
+/// daemon has left it unused.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
     let calm = calm_holds(targets, request.service, now);
     let share = share_to_use(targets, request, now);
@@ -128,9 +157,14 @@
             continue;
         }
         let is_free = request.accepts_full || row.has_free_slot(now);
-        let goes_first = share.is_some_and(|share| share.has(name));
-        let holds = if goes_first { PRESSED_HOLDS } else { calm };
-        let cost = cost(row, request, goes_first, now);
+        let is_unused = share.is_some_and(|share| share.is_unused(name, row, now));
+        let is_own = share.is_some_and(|share| share.turns_before(name) == 0);
+        let holds = if is_unused || is_own {
+            PRESSED_HOLDS
+        } else {
+            calm
+        };
+        let cost = cost(name, row, request, is_unused, now);
         let is_candidate = match row.suspicion.standing(&holds, now) {
             _ if row.suspicion.is_unreachable(now) => false,
             Standing::Trusted => true,
@@ -188,8 +222,8 @@
     }
 }
 
-/// Returns the share whose unused targets go first: that of this daemon, if the
-/// service is under pressure and too much of the share is unused.
+/// Returns the order by which unused targets go first, if the service is under
+/// pressure and too many of its targets are unused.
 fn share_to_use(
     targets: &LiveTargets,
     request: &PickRequest<'_>,
@@ -202,29 +236,32 @@
         let Some(row) = targets.rows.get(name) else {
             continue;
         };
-        if row.leaving || row.suspicion.is_unreachable(now) || !share.has(name) {
+        if row.leaving || row.suspicion.is_unreachable(now) {
             continue;
         }
         usable += 1;
-        unused += u32::from(is_unused(row, now));
+        unused += u32::from(share.is_unused(name, row, now));
     }
     let is_too_much = f64::from(unused) > f64::from(usable) * UNUSED_SHARE_MAX;
     is_too_much.then_some(share)
 }
 
-fn is_unused(row: &LiveTarget, now: TimeMs) -> bool {
-    row.in_flight == 0 && now.since(row.chosen_at) > UNUSED_MS
-}
-
-fn cost(row: &LiveTarget, request: &PickRequest<'_>, goes_first: bool, now: TimeMs) -> f64 {
-    if row.suspicion.is_suspected() || row.chosen_number == 0 {
+fn cost(
+    name: &TargetName,
+    row: &LiveTarget,
+    request: &PickRequest<'_>,
+    is_unused: bool,
+    now: TimeMs,
+) -> f64 {
+    if row.suspicion.is_suspected() || goes_first_as_new(name, row, request, now) {
         // A trial takes place even where other targets are idle. The tie-break
         // differs between daemons, so that those that start together don't all
         // begin with one target.
         return row.tie_break - 2.0;
     }
-    let order = 1e-9 * row.chosen_number as f64;
-    if goes_first && is_unused(row, now) {
+    // Of equal targets, the one chosen last goes first.
+    let order = 1e-9 * (row.chosen_number as f64 + row.tie_break);
+    if is_unused {
         return order - 0.5;
     }
     let slots = f64::from(row.record.slots.0);
@@ -237,29 +274,18 @@
         cost += WARMING_COST;
     }
     cost += OVERDUE_COST * f64::from(row.overdue);
-    // Of equal targets, the one chosen last goes first.
     cost - order
 }
 
-impl LiveTargets {
-    /// Counts a request as sent to a target.
-    pub fn claim(&mut self, name: &TargetName, now: TimeMs) {
-        self.choices += 1;
-        let number = self.choices;
-        let Some(row) = self.rows.get_mut(name) else {
-            return;
-        };
-        row.in_flight += 1;
-        row.chosen_number = number;
-        row.chosen_at = now;
-        row.suspicion.note_choice();
-    }
-
-    /// Counts a request as ended at a target.
-    pub fn release(&mut self, name: &TargetName) {
-        let Some(row) = self.rows.get_mut(name) else {
-            return;
-        };
-        row.in_flight = row.in_flight.saturating_sub(1);
-    }
+/// Returns whether nobody has used a target yet and it is this daemon's turn.
+fn goes_first_as_new(
+    name: &TargetName,
+    row: &LiveTarget,
+    request: &PickRequest<'_>,
+    now: TimeMs,
+) -> bool {
+    row.chosen_number == 0
+        && request
+            .share
+            .is_some_and(|share| share.turns_before(name) == 0 || share.is_unused(name, row, now))
 }
--- a/crates/agatehold-core/src/dispatch/record.rs
+++ b/crates/agatehold-core/src/dispatch/record.rs
@@ -15,12 +15,50 @@
 /// targets after a hold.
 const IDEMPOTENT_RECENT_MS: DurationMs = DurationMs(2_000);
 
+/// The time between two reports of a daemon under pressure: a few of them fit in
+/// the two seconds of a floor.
+const REPORT_EACH_MS: DurationMs = DurationMs(250);
+
+/// The time that a report reaches back at most.
+const REPORT_SPAN_MS: DurationMs = DurationMs(1_000);
+
+/// How many requests ended in which way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndCounts {
+    /// Those that were served.
+    pub served: u32,
+    /// Those that were not.
+    pub unserved: u32,
+}
+
+/// What the entry daemons of a service tell each other while one of them sees the
+/// service under pressure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PressureReport {
+    /// Its own requests that have ended since the last report.
+    pub counts: EndCounts,
+    /// The time of the last report, or when the first of these requests ended.
+    pub since: TimeMs,
+    /// Whether the daemon sees the service under pressure.
+    pub is_pressed: bool,
+    /// Whether there was no report a moment ago.
+    pub is_new: bool,
+}
+
 /// The requests of one service, the recent ones counting most.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServiceRecord {
     served: f64,
     unserved: f64,
     updated_at: TimeMs,
+    /// The daemon's own requests that ended after `reported_at`.
+    unreported: EndCounts,
+    /// The time of the last report, or later if nothing ended for a while.
+    reported_at: TimeMs,
+    /// When the last report was made.
+    told_at: TimeMs,
+    /// When another daemon last reported pressure.
+    pressure_heard_at: TimeMs,
     /// When the last idempotent request came.
     idempotent_at: TimeMs,
 }
@@ -33,17 +71,59 @@
         }
     }
 
-    /// Records whether a request was served.
+    /// Records whether a request of this daemon was served.
     pub fn record_end(&mut self, is_served: bool, now: TimeMs) {
+        if now.since(self.reported_at) > REPORT_SPAN_MS {
+            self.unreported = EndCounts::default();
+            self.reported_at = now;
+        }
+        let counts = EndCounts {
+            served: u32::from(is_served),
+            unserved: u32::from(!is_served),
+        };
+        self.unreported.served += counts.served;
+        self.unreported.unserved += counts.unserved;
+        self.add(counts, now);
+    }
+
+    /// Records what another daemon reports of its requests, and whether it sees
+    /// the service under pressure.
+    pub fn note_report(&mut self, counts: EndCounts, is_pressed: bool, now: TimeMs) {
+        if is_pressed {
+            self.pressure_heard_at = now;
+        }
+        self.add(counts, now);
+    }
+
+    /// Returns what to tell the other entry daemons, if the last report is old
+    /// enough and this daemon or one that it has heard lately sees the service
+    /// under pressure: that one has to learn what the others serve.
+    pub fn take_report(&mut self, now: TimeMs) -> Option<PressureReport> {
+        let is_pressed = self.is_pressed();
+        let is_asked = now.since(self.pressure_heard_at) < REPORT_SPAN_MS;
+        let is_due = (is_pressed || is_asked) && now.since(self.told_at) >= REPORT_EACH_MS;
+        if !is_due {
+            return None;
+        }
+        let report = PressureReport {
+            counts: self.unreported,
+            since: self.reported_at,
+            is_pressed,
+            is_new: now.since(self.told_at) > REPORT_SPAN_MS,
+        };
+        self.unreported = EndCounts::default();
+        self.reported_at = now;
+        self.told_at = now;
+        Some(report)
+    }
+
+    fn add(&mut self, counts: EndCounts, now: TimeMs) {
         let weight = now.since(self.updated_at).half_life_weight(HALF_LIFE_MS);
         self.served *= weight;
         self.unserved *= weight;
         self.updated_at = now;
-        if is_served {
-            self.served += 1.0;
-        } else {
-            self.unserved += 1.0;
-        }
+        self.served += f64::from(counts.served);
+        self.unserved += f64::from(counts.unserved);
     }
 
     /// Returns whether so many requests are not served that no sound target may
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -53,6 +53,8 @@
     pub chosen_number: u64,
     /// When this target was last used, by this daemon or one that told of it.
     pub chosen_at: TimeMs,
+    /// When this daemon last used it; 0 if it never did.
+    claimed_at: TimeMs,
     /// Orders targets that are equal throughout; from 0 to 1.
     pub tie_break: f64,
 }
@@ -72,6 +74,7 @@
             leaving,
             chosen_number: 0,
             chosen_at: seen_at,
+            claimed_at: TimeMs(0),
             tie_break,
         }
     }
@@ -102,6 +105,15 @@
     }
 }
 
+/// That a daemon has sent a request to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetUse {
+    /// The target.
+    pub target: TargetName,
+    /// How long ago.
+    pub age_ms: DurationMs,
+}
+
 /// The targets of the daemon and their order by service.
 #[derive(Clone, Debug, Default)]
 pub struct LiveTargets {
@@ -112,7 +124,7 @@
     /// What the tie-breaks of this daemon differ by from those of others.
     salt: Box<str>,
     /// The number of choices made so far.
-    pub(super) choices: u64,
+    choices: u64,
 }
 
 impl LiveTargets {
@@ -164,6 +176,57 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the targets of a service that this daemon has used since a time,
+    /// and how long ago.
+    pub fn used_since(&self, service: &ServiceName, since: TimeMs, now: TimeMs) -> Vec<TargetUse> {
+        let mut used = Vec::new();
+        for name in self.of_service(service) {
+            let Some(row) = self.rows.get(name) else {
+                continue;
+            };
+            if row.claimed_at < since {
+                continue;
+            }
+            used.push(TargetUse {
+                target: name.clone(),
+                age_ms: now.since(row.claimed_at),
+            });
+        }
+        used
+    }
+
+    /// Records that another daemon has used targets.
+    pub fn note_use(&mut self, used: &[TargetUse], now: TimeMs) {
+        for one in used {
+            let Some(row) = self.rows.get_mut(&one.target) else {
+                continue;
+            };
+            row.chosen_at = row.chosen_at.max(now - one.age_ms);
+        }
+    }
+
+    /// Counts a request as sent to a target.
+    pub fn claim(&mut self, name: &TargetName, now: TimeMs) {
+        self.choices += 1;
+        let number = self.choices;
+        let Some(row) = self.rows.get_mut(name) else {
+            return;
+        };
+        row.in_flight += 1;
+        row.chosen_number = number;
+        row.chosen_at = now;
+        row.claimed_at = now;
+        row.suspicion.note_choice();
+    }
+
+    /// Counts a request as ended at a target.
+    pub fn release(&mut self, name: &TargetName) {
+        let Some(row) = self.rows.get_mut(name) else {
+            return;
+        };
+        row.in_flight = row.in_flight.saturating_sub(1);
+    }
+
     /// Returns whether a target of a service beside those in `tried` takes new
     /// work.
     pub fn takes_work(&self, service: &ServiceName, tried: &[TargetName]) -> bool {
--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -263,6 +263,86 @@
     assert!(!record.is_pressed());
 }
 
+/// Pattern: six entry daemons each see a sixth of the requests, and the failures
+/// meet only some of them.
+#[test]
+fn daemons_under_pressure_tell_each_other_how_requests_end() {
+    let mut failing = ServiceRecord::default();
+    let mut sound = ServiceRecord::default();
+    let mut now = START;
+    for number in 0..20 {
+        now = now + DurationMs(20);
+        failing.record_end(number % 2 == 0, now);
+        sound.record_end(true, now);
+    }
+    assert!(sound.take_report(now).is_none(), "nothing presses");
+    let report = failing.take_report(now).expect("pressure");
+    assert_eq!((report.counts.served, report.counts.unserved), (10, 10));
+    assert!(!sound.is_pressed());
+    sound.note_report(report.counts, report.is_pressed, now);
+    assert!(sound.is_pressed(), "a quarter is not served");
+    let answer = sound.take_report(now).expect("pressure");
+    assert_eq!((answer.counts.served, answer.counts.unserved), (20, 0));
+}
+
+/// Pattern: a calm day. A daemon with few requests meets one failure; what the
+/// others have served ends its pressure.
+#[test]
+fn one_failure_of_few_requests_does_not_keep_a_service_under_pressure() {
+    let mut one = ServiceRecord::default();
+    let mut other = ServiceRecord::default();
+    let mut now = START;
+    for number in 0..8 {
+        now = now + DurationMs(20);
+        one.record_end(number > 0, now);
+        other.record_end(true, now);
+        other.record_end(true, now);
+    }
+    let told = one.take_report(now).expect("pressure");
+    assert!(told.is_pressed);
+    other.note_report(told.counts, told.is_pressed, now);
+    assert!(!other.is_pressed());
+    let answer = other.take_report(now).expect("an answer to pressure");
+    assert!(!answer.is_pressed);
+    one.note_report(answer.counts, answer.is_pressed, now);
+    assert!(!one.is_pressed());
+    // Neither tells the other more.
+    now = now + DurationMs(300);
+    one.record_end(true, now);
+    assert!(one.take_report(now).is_none());
+    now = now + DurationMs(1_000);
+    other.record_end(true, now);
+    assert!(other.take_report(now).is_none());
+}
+
+#[test]
+fn reports_are_spaced_and_tell_nothing_twice() {
+    let mut record = ServiceRecord::default();
+    record.record_end(false, START);
+    let first = record.take_report(START).expect("pressure");
+    assert_eq!(first.counts.unserved, 1);
+    record.record_end(false, START + DurationMs(10));
+    assert!(record.take_report(START + DurationMs(10)).is_none());
+    let second = record.take_report(START + DurationMs(300));
+    let second = second.expect("pressure");
+    assert_eq!(second.counts.unserved, 1);
+    assert_eq!(second.since, START);
+}
+
+/// A report that comes after a quiet time does not bring old requests up.
+#[test]
+fn a_report_tells_of_the_last_second_only() {
+    let mut record = ServiceRecord::default();
+    for _ in 0..100 {
+        record.record_end(true, START);
+    }
+    let later = START + DurationMs(20_000);
+    record.record_end(false, later);
+    let report = record.take_report(later).expect("pressure");
+    assert_eq!((report.counts.served, report.counts.unserved), (0, 1));
+    assert!(report.since >= START + DurationMs(19_000));
+}
+
 /// Where all requests must not run twice, they have to try targets on hold.
 #[test]
 fn trials_are_left_to_idempotent_requests_while_there_are_any() {
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::answers;
 use crate::gateway::endpoint::Answer;
+use crate::gateway::evidence;
 use crate::gateway::serve::text_of;
 use crate::gateway::target::TargetAnswer;
 
@@ -32,6 +33,7 @@
             Ended::Refused(_) => self.with_record(|record| record.record_end(false, now)),
             Ended::CallerGone => {}
         }
+        evidence::share_pressure(self.state, &self.service);
         match ended {
             Ended::Answered(answer) => {
                 metrics::histogram!("agatehold_request_seconds",
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -12,24 +12,66 @@
 
 use super::news::DATAGRAM_BYTES_MAX;
 use super::news::Evidence;
-use super::news::decode_evidence;
+use super::news::PressureNews;
+use super::news::TrafficNews;
+use super::news::decode_traffic_news;
 use super::news::encode_evidence;
+use super::news::encode_pressure;
 use super::traffic::TrafficState;
 
 /// Tells the entry daemons of a service what was seen of one of its targets.
 pub(super) fn share(state: &TrafficState, service: &ServiceName, evidence: &Evidence) {
+    send(state, service, &encode_evidence(evidence));
+}
+
+/// Tells the other entry daemons of a service how its requests fare and which
+/// targets were used, if this daemon is one of them and the service is under
+/// pressure.
+pub(super) fn share_pressure(state: &TrafficState, service: &ServiceName) {
+    if state.target_share(service).is_none() {
+        return;
+    }
+    let now = state.shared.clock.now();
+    let report = {
+        let mut records = state.records.borrow_mut();
+        let record = records.get_mut(service);
+        record.and_then(|record| record.take_report(now))
+    };
+    let Some(report) = report else {
+        return;
+    };
+    if report.is_new && report.is_pressed {
+        log::info!(
+            "event=service_pressed service={service} served={} unserved={} since_ms={}",
+            report.counts.served,
+            report.counts.unserved,
+            now.since(report.since).0
+        );
+    }
+    let news = PressureNews {
+        service: service.clone(),
+        counts: report.counts,
+        is_pressed: report.is_pressed,
+        used: state
+            .targets
+            .borrow()
+            .used_since(service, report.since, now),
+    };
+    send(state, service, &encode_pressure(&news));
+}
+
+fn send(state: &TrafficState, service: &ServiceName, bytes: &[u8]) {
     let view = state.view();
     let Some(entries) = view.entries_by_service.get(service) else {
         return;
     };
     let own = &state.shared.settings.host.id;
-    let bytes = encode_evidence(evidence);
     for (host, member) in entries {
         if host == own {
             continue;
         }
-        // Evidence that is lost is found again by the next request.
-        let _ = state.evidence.try_send_to(&bytes, member.evidence);
+        // News that are lost are found again by the next request.
+        let _ = state.evidence.try_send_to(bytes, member.evidence);
     }
 }
 
@@ -52,12 +94,26 @@
                 continue;
             }
         };
-        if let Some(evidence) = decode_evidence(&buffer[..length]) {
-            take(&state, &evidence);
+        match decode_traffic_news(&buffer[..length]) {
+            Some(TrafficNews::Evidence(evidence)) => take(&state, &evidence),
+            Some(TrafficNews::Pressure(news)) => take_pressure(&state, &news),
+            None => log::debug!("event=news_skipped bytes={length}"),
         }
     }
 }
 
+fn take_pressure(state: &TrafficState, news: &PressureNews) {
+    let now = state.shared.clock.now();
+    if !state.view().entries_by_service.contains_key(&news.service) {
+        // Services that nobody registered for would fill the table.
+        return;
+    }
+    let mut records = state.records.borrow_mut();
+    let record = records.entry(news.service.clone()).or_default();
+    record.note_report(news.counts, news.is_pressed, now);
+    state.targets.borrow_mut().note_use(&news.used, now);
+}
+
 fn take(state: &TrafficState, evidence: &Evidence) {
     let now = state.shared.clock.now();
     if let Some(fingerprint) = evidence.crash {
--- a/crates/agatehold/src/gateway/news.rs
+++ b/crates/agatehold/src/gateway/news.rs
@@ -4,10 +4,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use agatehold_core::dispatch::EndCounts;
+use agatehold_core::dispatch::TargetUse;
 use agatehold_core::dissemination::Beat;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::HostId;
+use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::roster::TargetIdentity;
@@ -19,6 +22,14 @@
 /// The size of the largest datagram.
 pub(super) const DATAGRAM_BYTES_MAX: usize = 2_048;
 
+/// The bytes of a datagram that the names of targets may take; the rest of
+/// [`DATAGRAM_BYTES_MAX`] is for the service and the counts.
+const USED_NAMES_BYTES_MAX: usize = 1_700;
+
+/// What stands around a name in the list of used targets: quotes, brackets,
+/// commas, and an age of up to four digits.
+const USE_FRAME_BYTES: usize = 10;
+
 /// The path at which daemons fetch contents of the store from each other.
 pub(super) const CONTENTS_PATH: &str = "/contents";
 
@@ -79,6 +90,29 @@
     pub(super) reporter: HostId,
 }
 
+/// What an entry daemon tells the others of a service while one of them sees it
+/// under pressure.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct PressureNews {
+    /// The service.
+    pub(super) service: ServiceName,
+    /// How its requests ended since the last news.
+    pub(super) counts: EndCounts,
+    /// Whether the daemon sees the service under pressure.
+    pub(super) is_pressed: bool,
+    /// The targets that it sent to since then.
+    pub(super) used: Vec<TargetUse>,
+}
+
+/// What a datagram of another daemon's traffic thread holds.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum TrafficNews {
+    /// What was seen of a target.
+    Evidence(Evidence),
+    /// How the requests of a service fare.
+    Pressure(PressureNews),
+}
+
 #[derive(Serialize, Deserialize)]
 struct BeatText {
     host: String,
@@ -99,6 +133,23 @@
     reporter: String,
 }
 
+#[derive(Serialize, Deserialize)]
+struct PressureText {
+    service: String,
+    served: u32,
+    unserved: u32,
+    pressed: bool,
+    /// The names, and how many milliseconds ago they were used.
+    used: Vec<(String, u64)>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum TrafficText {
+    Evidence(EvidenceText),
+    Pressure(PressureText),
+}
+
 #[derive(Serialize, Deserialize)]
 struct ItemText {
     key: String,
@@ -161,9 +212,39 @@
     serde_json::to_vec(&text).unwrap_or_default()
 }
 
-/// Decodes evidence; `None` if the bytes are none.
-pub(super) fn decode_evidence(bytes: &[u8]) -> Option<Evidence> {
-    let text: EvidenceText = serde_json::from_slice(bytes).ok()?;
+/// Encodes how the requests of a service fare, with as many of the targets as
+/// fit.
+pub(super) fn encode_pressure(news: &PressureNews) -> Vec<u8> {
+    let mut room = USED_NAMES_BYTES_MAX;
+    let mut used = Vec::new();
+    for one in &news.used {
+        let name = one.target.to_string();
+        let Some(left) = room.checked_sub(name.len() + USE_FRAME_BYTES) else {
+            break;
+        };
+        room = left;
+        used.push((name, one.age_ms.0));
+    }
+    let text = PressureText {
+        service: news.service.to_string(),
+        served: news.counts.served,
+        unserved: news.counts.unserved,
+        pressed: news.is_pressed,
+        used,
+    };
+    // A struct of text and numbers has no value that JSON can't express.
+    serde_json::to_vec(&text).unwrap_or_default()
+}
+
+/// Decodes a datagram; `None` if the bytes are none.
+pub(super) fn decode_traffic_news(bytes: &[u8]) -> Option<TrafficNews> {
+    match serde_json::from_slice(bytes).ok()? {
+        TrafficText::Evidence(text) => decode_evidence(text).map(TrafficNews::Evidence),
+        TrafficText::Pressure(text) => decode_pressure(text).map(TrafficNews::Pressure),
+    }
+}
+
+fn decode_evidence(text: EvidenceText) -> Option<Evidence> {
     let crash = match text.crash {
         Some(crash) => Some(crash.parse().ok()?),
         None => None,
@@ -181,6 +262,25 @@
     })
 }
 
+fn decode_pressure(text: PressureText) -> Option<PressureNews> {
+    let mut used = Vec::with_capacity(text.used.len());
+    for (name, age_ms) in text.used {
+        used.push(TargetUse {
+            target: name.parse().ok()?,
+            age_ms: DurationMs(age_ms),
+        });
+    }
+    Some(PressureNews {
+        service: text.service.parse().ok()?,
+        counts: EndCounts {
+            served: text.served,
+            unserved: text.unserved,
+        },
+        is_pressed: text.pressed,
+        used,
+    })
+}
+
 fn subject_text(contents: &SubjectContents, known: u64) -> Option<SubjectText> {
     if contents.revision <= known {
         return None;
