gateway: a larger part of the fixed second sends holds after a window

The second sends are more since entry daemons try unused targets under pressure; the fault is older.

Change: a smaller part holds at once, a larger one a window later. Until then a daemon that becomes an entry daemon divides a tenth of the number.

Conclusion: the bound holds while entry daemons change. After a start of the whole fleet the first 10 s have a tenth of the fixed number.

Tests, which failed first: the_fleet_stays_within_the_budget_while_its_entry_ daemons_change (129 second sends over 106.6 with parts that rise at once) and a_new_entry_daemon_gets_its_share_of_the_slack_after_a_window.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -16,6 +16,10 @@
 /// the rest is left for daemons that carry callers with old addresses.
 const SLACK_MARGIN: f64 = 0.85;
 
+/// The share that daemons have at once where they become entry daemons; the
+/// daemons before them may have spent the rest within the window.
+const NEWCOMER_MARGIN: f64 = 0.1;
+
 /// The resends that are kept for requests that fail without being risked.
 const RESERVE_RESENDS: f64 = 8.0;
 
@@ -40,6 +44,9 @@
     policy: ResendPolicy,
     /// The part of the slack that is this daemon's.
     own_slack: u32,
+    /// A larger part, and when it is this daemon's: what others spend of it now
+    /// counts for a window.
+    rise: Option<(u32, TimeMs)>,
     /// Requests and resends by part of the window, oldest first.
     parts: VecDeque<Part>,
 }
@@ -58,18 +65,40 @@
         Self {
             policy,
             own_slack: 0,
+            rise: None,
             parts: VecDeque::new(),
         }
     }
 
     /// Sets the number of entry daemons that share the slack, this one
     /// included; 0 if this daemon is none of them.
-    pub fn set_entries(&mut self, entries: u32) {
-        let shared = f64::from(self.policy.slack) * SLACK_MARGIN;
-        self.own_slack = match entries {
+    ///
+    /// A smaller part holds at once, a larger one after a window.
+    pub fn set_entries(&mut self, entries: u32, now: TimeMs) {
+        self.apply_rise(now);
+        let part = |margin: f64| match entries {
             0 => 0,
-            entries => (shared / f64::from(entries)) as u32,
+            entries => (f64::from(self.policy.slack) * margin / f64::from(entries)) as u32,
         };
+        let full = part(SLACK_MARGIN);
+        if full <= self.own_slack {
+            self.own_slack = full;
+            self.rise = None;
+            return;
+        }
+        self.own_slack = self.own_slack.max(part(NEWCOMER_MARGIN));
+        if self.rise.is_none_or(|(slack, _)| slack != full) {
+            self.rise = Some((full, now + self.policy.window_ms));
+        }
+    }
+
+    fn apply_rise(&mut self, now: TimeMs) {
+        if let Some((slack, at)) = self.rise
+            && now >= at
+        {
+            self.own_slack = slack;
+            self.rise = None;
+        }
     }
 
     /// Records a request that is sent for the first time or refused.
@@ -98,6 +127,7 @@
     }
 
     fn has_left(&mut self, wished: f64, now: TimeMs) -> bool {
+        self.apply_rise(now);
         self.part_at(now);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let resends: u32 = self.parts.iter().map(|part| part.resends).sum();
--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -21,6 +21,9 @@
 
 const START: TimeMs = TimeMs(3_600_000);
 
+/// So long before that nothing done then counts.
+const LONG_BEFORE: TimeMs = TimeMs(0);
+
 const POLICY: ResendPolicy = ResendPolicy {
     ratio: 0.2,
     slack: 64,
@@ -87,7 +90,8 @@
         let mut budgets = Vec::new();
         for number in 0..entries as usize + others {
             let mut budget = ResendBudget::new(POLICY);
-            budget.set_entries(if number < entries as usize { entries } else { 0 });
+            let is_entry = number < entries as usize;
+            budget.set_entries(if is_entry { entries } else { 0 }, LONG_BEFORE);
             budgets.push(budget);
         }
         let mut now = START;
@@ -247,6 +251,59 @@
     assert!(short < limit);
 }
 
+/// Pattern: two of three entry daemons stop and two others take their place
+/// while everything fails. What the first ones spent still counts in the window.
+#[test]
+fn the_fleet_stays_within_the_budget_while_its_entry_daemons_change() {
+    let mut budgets: Vec<ResendBudget> = (0..5).map(|_| ResendBudget::new(POLICY)).collect();
+    let set = |budgets: &mut Vec<ResendBudget>, entries: [usize; 3], now: TimeMs| {
+        for (number, budget) in budgets.iter_mut().enumerate() {
+            let count = if entries.contains(&number) { 3 } else { 0 };
+            budget.set_entries(count, now);
+        }
+    };
+    set(&mut budgets, [0, 1, 2], LONG_BEFORE);
+    let mut requests = 0;
+    let mut resends = 0;
+    let mut spend = |budgets: &mut Vec<ResendBudget>, entries: [usize; 3], now: TimeMs| {
+        for number in entries {
+            budgets[number].record_request(now);
+            requests += 1;
+            while budgets[number].take(now) {
+                resends += 1;
+            }
+        }
+    };
+    spend(&mut budgets, [0, 1, 2], START);
+    let changed_at = START + DurationMs(2_000);
+    set(&mut budgets, [2, 3, 4], changed_at);
+    for after_ms in (0..7_000).step_by(100) {
+        spend(&mut budgets, [2, 3, 4], changed_at + DurationMs(after_ms));
+    }
+    let bound = POLICY.ratio * f64::from(requests) + f64::from(POLICY.slack);
+    assert!(f64::from(resends) <= bound, "{resends} over {bound}");
+}
+
+/// A daemon that is new among the entry daemons has a few resends at once and
+/// its share once the window is over in which others may have spent it.
+#[test]
+fn a_new_entry_daemon_gets_its_share_of_the_slack_after_a_window() {
+    let spent_at = |now: TimeMs| {
+        let mut budget = ResendBudget::new(POLICY);
+        budget.set_entries(1, START);
+        // Views that change nothing come all the time.
+        budget.set_entries(1, START + DurationMs(9_000));
+        let mut spent = 0;
+        while budget.take(now) {
+            spent += 1;
+        }
+        spent
+    };
+    assert_eq!(spent_at(START), POLICY.slack / 10);
+    let later = START + POLICY.window_ms;
+    assert_eq!(spent_at(later), POLICY.slack * 85 / 100);
+}
+
 #[test]
 fn a_service_is_pressed_while_many_recent_requests_fail() {
     let mut record = ServiceRecord::default();
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -108,6 +108,7 @@
                 .map(|(record, seen_at)| (record, *seen_at)),
         );
         let own = &self.shared.settings.host.id;
+        let now = self.shared.clock.now();
         let mut budgets = self.budgets.borrow_mut();
         for (service, entries) in &newest.entries_by_service {
             let budget = budgets
@@ -115,7 +116,7 @@
                 .or_insert_with(|| ResendBudget::new(self.resend_policy()));
             let is_entry = newest.is_entry(own, service);
             let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-            budget.set_entries(if is_entry { count } else { 0 });
+            budget.set_entries(if is_entry { count } else { 0 }, now);
         }
     }
 
