--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -45,9 +45,12 @@
 /// it leave the target unused: later by the time that reports take.
 const UNUSED_BY_OTHERS_MS: DurationMs = DurationMs(1_450);
 
-/// The time by which each further daemon waits longer, and how long at most: the
-/// last one uses a target before the floor's two seconds are over.
+/// The time by which each further daemon waits longer: most of a trial's answer
+/// and the news of it.
 const UNUSED_STEP_MS: DurationMs = DurationMs(60);
+
+/// The longest wait of a daemon: the last one uses a target before the floor's two
+/// seconds are over.
 const UNUSED_MAX_MS: DurationMs = DurationMs(1_800);
 
 /// The share of a service's targets that may be unused while many of its
