dispatch: walk the targets of a service in one way

Cause, found in a reading of the whole change: five loops looked each name of a service up again, two of them with the same filter; under pressure the place of a daemon for a target was hashed up to three times for each target and choice; is_entry and target_share searched the same list.

Ruled out: keeping the place in each target's row; it changes with the entry daemons, and one hash of some twenty bytes is left for each pass.

Change: of_service yields names with rows; usable() holds the filter; the place is computed once for each target and pass; is_entry asks target_share.

--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -81,21 +81,19 @@
         let turns = (u64::from(self.rank) + daemons - first) % daemons;
         u32::try_from(turns).unwrap_or(u32::MAX)
     }
+}
 
-    /// Returns the time without a request after which this daemon uses a target.
-    fn unused_ms(&self, name: &TargetName) -> DurationMs {
-        match self.turns_before(name) {
-            0 => UNUSED_MS,
-            turns => {
-                let later = UNUSED_STEP_MS.times(u64::from(turns - 1));
-                (UNUSED_BY_OTHERS_MS + later).min(UNUSED_MAX_MS)
-            }
+/// Returns whether a target has been without a request for so long that a daemon
+/// with `turns` others before it uses it.
+fn is_unused(row: &LiveTarget, turns: u32, now: TimeMs) -> bool {
+    let after_ms = match turns {
+        0 => UNUSED_MS,
+        turns => {
+            let later = UNUSED_STEP_MS.times(u64::from(turns - 1));
+            (UNUSED_BY_OTHERS_MS + later).min(UNUSED_MAX_MS)
         }
-    }
-
-    fn is_unused(&self, name: &TargetName, row: &LiveTarget, now: TimeMs) -> bool {
-        row.in_flight == 0 && now.since(row.chosen_at) > self.unused_ms(name)
-    }
+    };
+    row.in_flight == 0 && now.since(row.chosen_at) > after_ms
 }
 
 /// What is asked of [`pick_live_target`].
@@ -152,17 +150,14 @@
     let mut last_resort: Option<(f64, &TargetName)> = None;
     let mut gamble: Option<(f64, &TargetName)> = None;
     let mut has_candidate = false;
-    for name in targets.of_service(request.service) {
-        let Some(row) = targets.rows.get(name) else {
-            continue;
-        };
+    for (name, row) in targets.of_service(request.service) {
         if row.leaving || request.tried.contains(name) {
             continue;
         }
         let is_free = request.accepts_full || row.has_free_slot(now);
-        let is_unused = share.is_some_and(|share| share.is_unused(name, row, now));
-        let is_own = share.is_some_and(|share| share.turns_before(name) == 0);
-        let holds = if is_unused || is_own {
+        let turns = share.map(|share| share.turns_before(name));
+        let is_unused = turns.is_some_and(|turns| is_unused(row, turns, now));
+        let holds = if is_unused || turns == Some(0) {
             PRESSED_HOLDS
         } else {
             calm
@@ -203,22 +198,26 @@
     }
 }
 
+/// Returns the targets of a service that a request could be sent to.
+fn usable<'a>(
+    targets: &'a LiveTargets,
+    service: &'a ServiceName,
+    now: TimeMs,
+) -> impl Iterator<Item = (&'a TargetName, &'a LiveTarget)> {
+    let rows = targets.of_service(service);
+    rows.filter(move |(_, row)| !row.leaving && !row.suspicion.is_unreachable(now))
+}
+
 /// Returns how long the targets of a service are on hold where it is not under
 /// pressure.
 fn calm_holds(targets: &LiveTargets, service: &ServiceName, now: TimeMs) -> Holds {
-    let mut usable = 0;
+    let mut count = 0;
     let mut held = 0;
-    for name in targets.of_service(service) {
-        let Some(row) = targets.rows.get(name) else {
-            continue;
-        };
-        if row.leaving || row.suspicion.is_unreachable(now) {
-            continue;
-        }
-        usable += 1;
+    for (_, row) in usable(targets, service, now) {
+        count += 1;
         held += u32::from(row.suspicion.is_suspected());
     }
-    if f64::from(held) <= f64::from(usable) * HELD_SHARE_MAX {
+    if f64::from(held) <= f64::from(count) * HELD_SHARE_MAX {
         LONG_HOLDS
     } else {
         SHORT_HOLDS
@@ -233,19 +232,13 @@
     now: TimeMs,
 ) -> Option<TargetShare> {
     let share = request.share.filter(|_| request.is_pressed)?;
-    let mut usable = 0;
+    let mut count = 0;
     let mut unused = 0;
-    for name in targets.of_service(request.service) {
-        let Some(row) = targets.rows.get(name) else {
-            continue;
-        };
-        if row.leaving || row.suspicion.is_unreachable(now) {
-            continue;
-        }
-        usable += 1;
-        unused += u32::from(share.is_unused(name, row, now));
+    for (name, row) in usable(targets, request.service, now) {
+        count += 1;
+        unused += u32::from(is_unused(row, share.turns_before(name), now));
     }
-    let is_too_much = f64::from(unused) > f64::from(usable) * UNUSED_SHARE_MAX;
+    let is_too_much = f64::from(unused) > f64::from(count) * UNUSED_SHARE_MAX;
     is_too_much.then_some(share)
 }
 
@@ -287,8 +280,9 @@
     request: &PickRequest<'_>,
     now: TimeMs,
 ) -> bool {
-    row.chosen_number == 0
-        && request
-            .share
-            .is_some_and(|share| share.turns_before(name) == 0 || share.is_unused(name, row, now))
+    let is_turn = |share: TargetShare| {
+        let turns = share.turns_before(name);
+        turns == 0 || is_unused(row, turns, now)
+    };
+    row.chosen_number == 0 && request.share.is_some_and(is_turn)
 }
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -171,19 +171,20 @@
         }
     }
 
-    /// Returns the names of the targets of a service.
-    pub fn of_service(&self, service: &ServiceName) -> &[TargetName] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    /// Returns the targets of a service.
+    pub fn of_service(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&TargetName, &LiveTarget)> {
+        let names = self.by_service.get(service).into_iter().flatten();
+        names.filter_map(|name| Some((name, self.rows.get(name)?)))
     }
 
     /// Returns the targets of a service that this daemon has used since a time,
     /// and how long ago.
     pub fn used_since(&self, service: &ServiceName, since: TimeMs, now: TimeMs) -> Vec<TargetUse> {
         let mut used = Vec::new();
-        for name in self.of_service(service) {
-            let Some(row) = self.rows.get(name) else {
-                continue;
-            };
+        for (name, row) in self.of_service(service) {
             if row.claimed_at < since {
                 continue;
             }
@@ -230,9 +231,7 @@
     /// Returns whether a target of a service beside those in `tried` takes new
     /// work.
     pub fn takes_work(&self, service: &ServiceName, tried: &[TargetName]) -> bool {
-        self.of_service(service).iter().any(|name| {
-            let row = self.rows.get(name);
-            !tried.contains(name) && row.is_some_and(|row| !row.leaving)
-        })
+        self.of_service(service)
+            .any(|(name, row)| !tried.contains(name) && !row.leaving)
     }
 }
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -25,8 +25,7 @@
 }
 
 /// Tells the other entry daemons of a service how its requests fare and which
-/// targets were used, if this daemon is one of them and the service is under
-/// pressure.
+/// targets were used, if this daemon is one of them and a report is due.
 pub(super) fn share_pressure(state: &TrafficState, service: &ServiceName) {
     if state.target_share(service).is_none() {
         return;
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -88,8 +88,8 @@
         }
     }
 
-    /// Returns the share of a service's targets that falls to a host; `None` if
-    /// it is no entry daemon of the service.
+    /// Returns the place of a host among the entry daemons of a service; `None` if
+    /// it is none of them.
     pub(crate) fn target_share(&self, host: &HostId, service: &ServiceName) -> Option<TargetShare> {
         let entries = self.entries_by_service.get(service)?;
         let place = entries.iter().position(|(entry, _)| entry == host)?;
@@ -101,8 +101,7 @@
 
     /// Returns whether a host is an entry daemon of a service.
     pub(crate) fn is_entry(&self, host: &HostId, service: &ServiceName) -> bool {
-        let entries = self.entries_by_service.get(service);
-        entries.is_some_and(|entries| entries.iter().any(|(entry, _)| entry == host))
+        self.target_share(host, service).is_some()
     }
 }
 
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -130,7 +130,7 @@
         }
     }
 
-    /// Returns the share of a service's targets that falls to this daemon.
+    /// Returns the place of this daemon among the entry daemons of a service.
     pub(super) fn target_share(&self, service: &ServiceName) -> Option<TargetShare> {
         let view = self.view.borrow();
         view.target_share(&self.shared.settings.host.id, service)
