testing: one holder of a program's process, for both kinds of fleet

Cause, found in a reading of the whole change: platform/standin kept a child process, signalled it and ended it in the words of agatehold-testing's DaemonProcess, drew free ports and a directory like its fleet, and the soak read a process's memory like measure-fleet-processes and connected like the test caller.

Ruled out: one type for both daemons; their settings, addresses and ways of telling that they serve differ.

Change: common::Program holds a process (start, signal, ended, wait, end, end on drop); common::process_memory, common::connect, fleet::free_addresses and fleet::scratch_dir serve both. A connection of the soak's callers on which TCP_NODELAY can't be set is used, as it was by the other caller.

Before and after: the process tests of both daemons pass unchanged.

--- a/crates/agatehold-testing/src/bin/measure_fleet_processes/sample.rs
+++ b/crates/agatehold-testing/src/bin/measure_fleet_processes/sample.rs
@@ -6,6 +6,7 @@
 use agatehold_core::table::Table;
 use agatehold_core::units::ByteCount;
 use agatehold_core::units::DurationMs;
+use agatehold_testing::common::process_memory;
 use agatehold_testing::fleet::DaemonProcess;
 
 /// One tick of the times in `/proc/<pid>/stat`: Linux gives them in 1/100 s
@@ -53,8 +54,8 @@
     Some(ProcessSample {
         cpu_ms: cpu_time(&format!("/proc/{id}/stat"))?,
         control_cpu_ms: thread_cpu(id, "control")?,
-        resident_bytes: memory(id, "VmRSS:")?,
-        peak_bytes: memory(id, "VmHWM:")?,
+        resident_bytes: process_memory(id, "VmRSS:")?,
+        peak_bytes: process_memory(id, "VmHWM:")?,
         sent_bytes: bytes("sent"),
         received_bytes: bytes("received"),
     })
@@ -86,14 +87,6 @@
     None
 }
 
-/// Returns a size in the `status` file of a process.
-fn memory(process: u32, field: &str) -> Option<ByteCount> {
-    let text = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix(field))?;
-    let kibibytes: u64 = line.split_whitespace().next()?.parse().ok()?;
-    Some(ByteCount(kibibytes * 1_024))
-}
-
 /// Returns the load averages of the machine.
 pub(crate) fn load_average() -> String {
     let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
--- a/crates/agatehold-testing/src/caller/traffic.rs
+++ b/crates/agatehold-testing/src/caller/traffic.rs
@@ -12,10 +12,7 @@
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 use agatehold_core::table::Table;
@@ -23,6 +20,8 @@
 use agatehold_wire::addresses;
 use agatehold_wire::addresses::AddressAnswer;
 
+use crate::common::connect;
+
 use super::CallerOptions;
 use super::tables::Command;
 use super::tables::Event;
@@ -116,15 +115,9 @@
             Err(unsent) => request = unsent,
         }
     }
-    let Ok(stream) = TcpStream::connect(address).await else {
-        return SendResult::ConnectFailed;
-    };
-    // A failure only means that small requests wait for an acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let Ok((sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+    let Some(sender) = connect(address).await else {
         return SendResult::ConnectFailed;
     };
-    tokio::spawn(connection);
     let sent = send_on(shared, address, sender, request).await;
     sent.unwrap_or(SendResult::ConnectFailed)
 }
--- a/crates/agatehold-testing/src/common/http_io.rs
+++ b/crates/agatehold-testing/src/common/http_io.rs
@@ -1,5 +1,6 @@
-//! HTTP/1 service over a listener.
+//! HTTP/1 service over a listener, and connections to one.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,8 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use hyper::client;
+use hyper::client::conn::http1::SendRequest;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -18,6 +21,7 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 /// The largest request body that a double takes; above the limits of the
 /// daemon and the platform, so that a request over them still arrives.
@@ -90,6 +94,18 @@
         .await;
 }
 
+/// Opens a connection for requests; `None` if that fails.
+pub async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    // A failure only means that small requests wait for an acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let io = TokioIo::new(stream);
+    let (sender, connection) = client::conn::http1::handshake(io).await.ok()?;
+    // The sender learns of the connection's end, too.
+    tokio::spawn(connection);
+    Some(sender)
+}
+
 /// Builds an answer with a text.
 pub fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
--- a/crates/agatehold-testing/src/fleet/daemon.rs
+++ b/crates/agatehold-testing/src/fleet/daemon.rs
@@ -1,13 +1,11 @@
 //! One daemon process of a fleet.
 
-use std::cell::RefCell;
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
@@ -16,13 +14,13 @@
 use oxhttp::Client;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
-use rustix::process::Pid;
-use rustix::process::kill_process;
 
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ParseIdError;
 use agatehold_wire::admin::StatusAnswer;
 
+use crate::common::Program;
+
 use super::FleetOptions;
 use super::ports::DaemonAddresses;
 
@@ -62,8 +60,7 @@
     binary: PathBuf,
     settings_file: PathBuf,
     log_file: PathBuf,
-    /// The process; `None` once it has ended.
-    child: RefCell<Option<Child>>,
+    program: Program,
 }
 
 /// Returns the settings of daemon `number`.
@@ -125,7 +122,7 @@
             binary: binary.to_owned(),
             settings_file,
             log_file: dir.join(format!("host-{number}.log")),
-            child: RefCell::new(None),
+            program: Program::default(),
         };
         daemon.restart()?;
         Ok(daemon)
@@ -137,56 +134,40 @@
             .create(true)
             .append(true)
             .open(&self.log_file)?;
-        let child = Command::new(&self.binary)
+        let mut command = Command::new(&self.binary);
+        command
             .arg("--settings")
             .arg(&self.settings_file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()?;
-        *self.child.borrow_mut() = Some(child);
-        Ok(())
+            .stderr(log);
+        self.program.start(&mut command)
     }
 
     /// Returns the id of the process, `None` once it has ended.
     pub fn process_id(&self) -> Option<u32> {
-        self.child.borrow().as_ref().map(Child::id)
+        self.program.id()
     }
 
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
-        let child = self.child.borrow();
-        let Some(child) = child.as_ref() else {
-            return Ok(());
-        };
-        let id = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
-        let Some(id) = id else {
-            return Ok(());
-        };
         let signal = match signal {
             Signal::Kill => rustix::process::Signal::KILL,
             Signal::Term => rustix::process::Signal::TERM,
             Signal::Stop => rustix::process::Signal::STOP,
             Signal::Continue => rustix::process::Signal::CONT,
         };
-        Ok(kill_process(id, signal)?)
+        self.program.signal(signal)
     }
 
     /// Waits for the end of the process.
     pub fn wait(&self) -> io::Result<Option<ExitStatus>> {
-        let Some(mut child) = self.child.borrow_mut().take() else {
-            return Ok(None);
-        };
-        child.wait().map(Some)
+        self.program.wait()
     }
 
     /// Returns whether the process has not ended.
     pub fn is_running(&self) -> bool {
-        let mut child = self.child.borrow_mut();
-        let Some(running) = child.as_mut() else {
-            return false;
-        };
-        matches!(running.try_wait(), Ok(None))
+        self.program.id().is_some() && matches!(self.program.ended(), Ok(None))
     }
 
     /// Returns the state of the daemon, `None` if it does not answer.
@@ -210,21 +191,6 @@
 
     /// Ends the process at once.
     pub fn close(self) {
-        self.end();
-    }
-
-    fn end(&self) {
-        if let Some(mut child) = self.child.borrow_mut().take() {
-            // The process may have ended already.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-impl Drop for DaemonProcess {
-    /// Ends the process of a test that panics before it can close the fleet.
-    fn drop(&mut self) {
-        self.end();
+        self.program.end();
     }
 }
--- a/crates/agatehold-testing/src/fleet/mod.rs
+++ b/crates/agatehold-testing/src/fleet/mod.rs
@@ -40,7 +40,9 @@
 pub use daemon::PEER_SECRET;
 pub use daemon::Signal;
 pub use notes::NoteWriter;
+pub use ports::free_addresses;
 pub use ports::next_loopback;
+pub use ports::scratch_dir;
 
 /// How long a condition is waited for before the test fails. It bounds a hang
 /// and is no measure of speed.
@@ -131,7 +133,7 @@
             seed: options.seed,
             ..TargetOptions::default()
         })?;
-        let dir = ports::scratch_dir()?;
+        let dir = scratch_dir("fleet")?;
         let daemons = start_daemons(binary, &dir, platform.platform, &options)?;
         let notes = NoteWriter::new(platform.platform);
         Ok(Self {
--- a/crates/agatehold-testing/src/fleet/ports.rs
+++ b/crates/agatehold-testing/src/fleet/ports.rs
@@ -25,20 +25,32 @@
 pub(super) fn reserve(daemons: usize) -> io::Result<Vec<DaemonAddresses>> {
     let mut rows = Vec::new();
     for number in 0..daemons {
-        let ip = next_loopback();
-        let callers = TcpListener::bind((ip, 0))?;
-        let peers = TcpListener::bind((ip, 0))?;
-        let admin = TcpListener::bind((ip, 0))?;
+        let [callers, peers, admin] = free_addresses(next_loopback())?;
         rows.push(DaemonAddresses {
             number,
-            callers: callers.local_addr()?,
-            peers: peers.local_addr()?,
-            admin: admin.local_addr()?,
+            callers,
+            peers,
+            admin,
         });
     }
     Ok(rows)
 }
 
+/// Returns free addresses of a host.
+///
+/// The ports are held until all are drawn, so that they differ, and released
+/// before a daemon binds them.
+pub fn free_addresses<const COUNT: usize>(host: Ipv4Addr) -> io::Result<[SocketAddr; COUNT]> {
+    let mut held = Vec::with_capacity(COUNT);
+    let mut addresses = [SocketAddr::from((host, 0)); COUNT];
+    for address in &mut addresses {
+        let listener = TcpListener::bind((host, 0))?;
+        *address = listener.local_addr()?;
+        held.push(listener);
+    }
+    Ok(addresses)
+}
+
 /// Returns a loopback address that no other fleet of this process uses, and
 /// with high probability none of another process.
 pub fn next_loopback() -> Ipv4Addr {
@@ -49,11 +61,11 @@
     Ipv4Addr::new(127, octet(process / 250), octet(process), octet(number))
 }
 
-/// Creates a directory of its own for one fleet.
-pub(super) fn scratch_dir() -> io::Result<PathBuf> {
+/// Creates a directory of its own, named by what it is for.
+pub fn scratch_dir(purpose: &str) -> io::Result<PathBuf> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let name = format!("agatehold-fleet-{}-{number}", std::process::id());
+    let name = format!("agatehold-{purpose}-{}-{number}", std::process::id());
     let dir = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&dir)?;
     Ok(dir)
