gateway: log and count what is done with a service's targets

Seen in the incident: service_pressed came without an end, named the counts of one daemon only, and nothing told whether a target without requests was idle or on hold.

Change: service_pressed and service_calm tell of both ends of a time of pressure, with the daemon's own counts and the weighed ones that include those of other entry daemons, and the targets as used, idle, held, unreachable and leaving. The gauge agatehold_targets has the same counts once a second. At most one line a second and service.

Ruled out: a line for each target that falls idle; 117 targets of 6 daemons would be hundreds of lines a second.

Tests: dispatch_census.rs (one of each state; changes told once and spaced).

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! whether a second time, and what follows from an answer.
 
 mod budget;
+mod census;
 mod health;
 mod pick;
 mod record;
@@ -11,6 +12,8 @@
 
 pub use budget::ResendBudget;
 pub use budget::ResendPolicy;
+pub use census::TargetCensus;
+pub use census::target_census;
 pub use health::Suspicion;
 pub use health::attempt_timeout;
 pub use pick::Choice;
@@ -18,6 +21,7 @@
 pub use pick::TargetShare;
 pub use pick::pick_live_target;
 pub use record::EndCounts;
+pub use record::PressureChange;
 pub use record::PressureReport;
 pub use record::ServiceRecord;
 pub use split::SplitCursor;
--- a/crates/agatehold-core/src/dispatch/record.rs
+++ b/crates/agatehold-core/src/dispatch/record.rs
@@ -19,6 +19,10 @@
 /// the two seconds of a floor.
 const REPORT_EACH_MS: DurationMs = DurationMs(250);
 
+/// The least time between two changes that are told of: a service near the bound
+/// would change with each request.
+const CHANGE_EACH_MS: DurationMs = DurationMs(1_000);
+
 /// The time that a report reaches back at most.
 const REPORT_SPAN_MS: DurationMs = DurationMs(1_000);
 
@@ -41,8 +45,19 @@
     pub since: TimeMs,
     /// Whether the daemon sees the service under pressure.
     pub is_pressed: bool,
-    /// Whether there was no report a moment ago.
-    pub is_new: bool,
+}
+
+/// That a daemon has begun or ceased to see a service under pressure.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PressureChange {
+    /// Whether it sees the service under pressure now.
+    pub is_pressed: bool,
+    /// The daemon's own requests that have ended since its last report.
+    pub own: EndCounts,
+    /// All served requests that it knows of, the recent ones counting most.
+    pub served: f64,
+    /// All others.
+    pub unserved: f64,
 }
 
 /// The requests of one service, the recent ones counting most.
@@ -61,6 +76,10 @@
     pressure_heard_at: TimeMs,
     /// When the last idempotent request came.
     idempotent_at: TimeMs,
+    /// Whether the last change that was told of began a time of pressure.
+    was_pressed: bool,
+    /// When it was told of.
+    changed_at: TimeMs,
 }
 
 impl ServiceRecord {
@@ -109,7 +128,6 @@
             counts: self.unreported,
             since: self.reported_at,
             is_pressed,
-            is_new: now.since(self.told_at) > REPORT_SPAN_MS,
         };
         self.unreported = EndCounts::default();
         self.reported_at = now;
@@ -126,6 +144,24 @@
         self.unserved += f64::from(counts.unserved);
     }
 
+    /// Returns whether the pressure has changed since this was last told, if that
+    /// was not a moment ago.
+    pub fn take_change(&mut self, now: TimeMs) -> Option<PressureChange> {
+        let is_pressed = self.is_pressed();
+        let is_change = is_pressed != self.was_pressed;
+        if !is_change || now.since(self.changed_at) < CHANGE_EACH_MS {
+            return None;
+        }
+        self.was_pressed = is_pressed;
+        self.changed_at = now;
+        Some(PressureChange {
+            is_pressed,
+            own: self.unreported,
+            served: self.served,
+            unserved: self.unserved,
+        })
+    }
+
     /// Returns whether so many requests are not served that no sound target may
     /// be left without work.
     pub fn is_pressed(&self) -> bool {
--- /dev/null
+++ b/crates/agatehold-core/tests/dispatch_census.rs
@@ -0,0 +1,98 @@
+//! Guards the counts of targets that the log and the metrics show.
+
+use agatehold_core::config::TargetState;
+use agatehold_core::dispatch::EndCounts;
+use agatehold_core::dispatch::LiveTargets;
+use agatehold_core::dispatch::ServiceRecord;
+use agatehold_core::dispatch::TargetCensus;
+use agatehold_core::dispatch::target_census;
+use agatehold_core::ids::TargetName;
+use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::roster::TargetIdentity;
+use agatehold_core::roster::TargetRecord;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::SlotCount;
+use agatehold_core::units::TimeMs;
+
+const START: TimeMs = TimeMs(3_600_000);
+
+fn name(number: usize) -> TargetName {
+    format!("target-{number}").parse().expect("a name")
+}
+
+fn record(number: usize) -> TargetRecord {
+    let state = match number {
+        4 => TargetState::Leaving,
+        _ => TargetState::Serving,
+    };
+    TargetRecord {
+        identity: TargetIdentity {
+            name: name(number),
+            started_unix_ms: 1,
+        },
+        service: "archive".parse().expect("a name"),
+        address: format!("10.0.0.{}:8080", number + 1)
+            .parse()
+            .expect("an address"),
+        failure_domain: "near".parse().expect("a name"),
+        slots: SlotCount(4),
+        state,
+        warmup_left_ms: DurationMs(0),
+    }
+}
+
+#[test]
+fn each_target_is_counted_once_by_what_is_done_with_it() {
+    let records: Vec<TargetRecord> = (0..6).map(record).collect();
+    let mut targets = LiveTargets::default();
+    targets.sync(records.iter().map(|record| (record, START)));
+    for number in 0..4 {
+        targets.claim(&name(number), START);
+        targets.release(&name(number));
+    }
+    let now = START + DurationMs(2_500);
+    let run_ms = DurationMs(2);
+    let held = targets.rows.get_mut(&name(1)).expect("a target");
+    held.suspicion
+        .record(AttemptOutcome::Failed, run_ms, 0.0, START);
+    let lost = targets.rows.get_mut(&name(2)).expect("a target");
+    lost.suspicion
+        .record(AttemptOutcome::ConnectFailed, run_ms, 0.0, now);
+    targets.claim(&name(3), now);
+    let service = "archive".parse().expect("a name");
+    assert_eq!(
+        target_census(&targets, &service, now),
+        TargetCensus {
+            used: 1,
+            idle: 2,
+            held: 1,
+            unreachable: 1,
+            leaving: 1,
+        }
+    );
+}
+
+/// A service near the bound would fill the log.
+#[test]
+fn changes_of_pressure_are_told_once_and_not_too_often() {
+    let mut record = ServiceRecord::default();
+    assert_eq!(record.take_change(START), None);
+    record.record_end(false, START);
+    let change = record.take_change(START).expect("pressure began");
+    assert!(change.is_pressed);
+    let own = EndCounts {
+        served: 0,
+        unserved: 1,
+    };
+    assert_eq!(change.own, own);
+    assert_eq!(record.take_change(START), None);
+    for _ in 0..20 {
+        record.record_end(true, START);
+    }
+    assert!(!record.is_pressed());
+    let soon = START + DurationMs(500);
+    assert_eq!(record.take_change(soon), None);
+    let later = START + DurationMs(1_000);
+    let change = record.take_change(later).expect("pressure ended");
+    assert!(!change.is_pressed);
+}
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -6,9 +6,12 @@
 use rand::RngExt;
 use tokio::net::UdpSocket;
 
+use agatehold_core::dispatch::PressureChange;
+use agatehold_core::dispatch::target_census;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
+use agatehold_core::units::TimeMs;
 
 use super::news::DATAGRAM_BYTES_MAX;
 use super::news::Evidence;
@@ -31,22 +34,19 @@
         return;
     }
     let now = state.shared.clock.now();
-    let report = {
+    let (change, report) = {
         let mut records = state.records.borrow_mut();
-        let record = records.get_mut(service);
-        record.and_then(|record| record.take_report(now))
+        let Some(record) = records.get_mut(service) else {
+            return;
+        };
+        (record.take_change(now), record.take_report(now))
     };
+    if let Some(change) = change {
+        log_change(state, service, &change, now);
+    }
     let Some(report) = report else {
         return;
     };
-    if report.is_new && report.is_pressed {
-        log::info!(
-            "event=service_pressed service={service} served={} unserved={} since_ms={}",
-            report.counts.served,
-            report.counts.unserved,
-            now.since(report.since).0
-        );
-    }
     let news = PressureNews {
         service: service.clone(),
         counts: report.counts,
@@ -59,6 +59,29 @@
     send(state, service, &encode_pressure(&news));
 }
 
+/// Logs that pressure began or ended, by whose counts, and what this daemon does
+/// with the targets.
+fn log_change(state: &TrafficState, service: &ServiceName, change: &PressureChange, now: TimeMs) {
+    let event = if change.is_pressed {
+        "service_pressed"
+    } else {
+        "service_calm"
+    };
+    let census = target_census(&state.targets.borrow(), service, now);
+    log::info!(
+        "event={event} service={service} own_served={} own_unserved={} served={:.1} unserved={:.1} used={} idle={} held={} unreachable={} leaving={}",
+        change.own.served,
+        change.own.unserved,
+        change.served,
+        change.unserved,
+        census.used,
+        census.idle,
+        census.held,
+        census.unreachable,
+        census.leaving
+    );
+}
+
 fn send(state: &TrafficState, service: &ServiceName, bytes: &[u8]) {
     let view = state.view();
     let Some(entries) = view.entries_by_service.get(service) else {
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -23,6 +23,7 @@
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceRecord;
 use agatehold_core::dispatch::TargetShare;
+use agatehold_core::dispatch::target_census;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::units::DurationMs;
@@ -43,6 +44,9 @@
 /// The time between two runs of the systems otherwise.
 const IDLE_TICK: Duration = Duration::from_secs(1);
 
+/// The least time between two updates of the gauges of targets.
+const GAUGE_EACH_MS: DurationMs = DurationMs(1_000);
+
 /// The time after the signal from which a stopping daemon refuses: a request
 /// taken later might not end before the process is killed. Half of the limit.
 const REFUSE_AFTER_SHARE: u64 = 2;
@@ -86,6 +90,8 @@
     connections: Cell<u64>,
     /// When the last one came.
     last_connection_at: Cell<TimeMs>,
+    /// When the gauges of targets were set.
+    gauged_at: Cell<TimeMs>,
     metrics: PrometheusHandle,
 }
 
@@ -291,6 +297,7 @@
         rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
         connections: Cell::new(0),
         last_connection_at: Cell::new(TimeMs(0)),
+        gauged_at: Cell::new(TimeMs(0)),
         metrics,
     });
     let local = LocalSet::new();
@@ -356,7 +363,32 @@
     state.view();
     state.pool.borrow_mut().close_idle();
     let services: Vec<ServiceName> = state.queues.borrow().keys().cloned().collect();
-    for service in services {
-        super::queue::pump(state, &service);
+    for service in &services {
+        super::queue::pump(state, service);
+    }
+    let now = state.shared.clock.now();
+    if now.since(state.gauged_at.get()) < GAUGE_EACH_MS {
+        return;
+    }
+    state.gauged_at.set(now);
+    for service in &services {
+        gauge_targets(state, service, now);
+    }
+}
+
+/// Sets the gauges of what this daemon does with the targets of a service.
+fn gauge_targets(state: &TrafficState, service: &ServiceName, now: TimeMs) {
+    let census = target_census(&state.targets.borrow(), service, now);
+    let counts = [
+        ("used", census.used),
+        ("idle", census.idle),
+        ("held", census.held),
+        ("unreachable", census.unreachable),
+        ("leaving", census.leaving),
+    ];
+    for (state, count) in counts {
+        metrics::gauge!("agatehold_targets",
+            "service" => service.to_string(), "state" => state)
+        .set(f64::from(count));
     }
 }
