dispatch: keep every target in use at all times, not under pressure only

Sound targets had no work for two seconds while more than a tenth of a service's requests were not served.

Cause: targets were kept in use only from the moment at which a daemon saw 8.5% of the requests not served. The floor looks back at the two seconds before. A calm service left 21 of 94 targets without work (18 on hold for up to 9.1 s, others idle for up to 15 s), of the few that the floor counted 8 of 19. Under pressure a fifth of all targets could stay unused, which is a third of the 29 that counted at 6 s. The class of fault: a bound on the past that is enforced only after the event that makes it count.

Ruled out: a wrong count of unserved requests (the daemons' logs and the bench agree: 23 of 865 before the kill). A lower bound for pressure: the kill gives no time at all.

Change: each target falls to one entry daemon, which uses it after 1.2 s; the others use it each half to one and a half seconds for each entry daemon, in case that one has no requests. Holds last 3.3 s to 3.6 s in place of 4 s to 9 s, and from 0.2 s later any request makes the trial. Pressure still ends holds sooner. The place of a target in the order is computed once.

Conclusion: the floor is kept without a signal. The price is one more trial of each failing target in seven seconds.

--- a/crates/agatehold-core/src/dispatch/health.rs
+++ b/crates/agatehold-core/src/dispatch/health.rs
@@ -31,19 +31,23 @@
     repeated_ms: DurationMs,
 }
 
-/// Holds while the service can do without the targets on hold. Gray failures
-/// last for some ten seconds, and each trial of a target that still fails
-/// costs a request.
+/// The longest hold. A target that failed by itself counts for a floor after two
+/// seconds, and must have had a request two seconds later; the rest of these is
+/// for the spread and [`LATE_TRIAL_MS`].
+const HOLD_MAX_MS: DurationMs = DurationMs(3_300);
+
+/// Holds while the service can do without the targets on hold: each trial of a
+/// target that still fails costs a request.
 pub(super) const LONG_HOLDS: Holds = Holds {
-    first_ms: DurationMs(4_000),
-    repeated_ms: DurationMs(7_000),
+    first_ms: HOLD_MAX_MS,
+    repeated_ms: HOLD_MAX_MS,
 };
 
 /// Holds while many targets are on hold: a single failure may have been one of
 /// those that healthy targets have too.
 pub(super) const SHORT_HOLDS: Holds = Holds {
     first_ms: DurationMs(1_000),
-    repeated_ms: DurationMs(4_000),
+    repeated_ms: HOLD_MAX_MS,
 };
 
 /// Holds where many requests of the service are not served besides: sound
@@ -67,7 +71,11 @@
 const LONGEST_UNREACHABLE_MS: DurationMs = DurationMs(2_000);
 
 /// The share of a hold by which it differs between daemons at most.
-const HOLD_SPREAD: f64 = 0.3;
+const HOLD_SPREAD: f64 = 0.1;
+
+/// The time for which a trial waits for a request that loses little by it; any
+/// other makes it after that.
+const LATE_TRIAL_MS: DurationMs = DurationMs(200);
 
 /// The shortest time that one attempt of an idempotent request gets.
 const ATTEMPT_TIMEOUT_MIN_MS: DurationMs = DurationMs(150);
@@ -99,8 +107,10 @@
 pub(super) enum Standing {
     /// The target is not suspected.
     Trusted,
-    /// A hold has ended, and one request may try the target.
+    /// A hold has ended, and one request may try the target, if it loses little.
     Trial,
+    /// A hold ended a while ago, and any request may try the target.
+    LateTrial,
     /// The target is the last choice.
     Avoided,
 }
@@ -195,27 +205,28 @@
 
     /// Returns whether requests go to the target.
     pub(super) fn standing(&self, holds: &Holds, now: TimeMs) -> Standing {
-        if self.held_at.is_none() {
+        let Some(held_at) = self.held_at else {
             return Standing::Trusted;
-        }
-        if self.on_trial || !self.is_due(holds, now) {
+        };
+        let held_ms = now.since(held_at);
+        let hold_ms = self.hold_length(holds);
+        if self.on_trial || held_ms < hold_ms {
             return Standing::Avoided;
         }
-        Standing::Trial
+        if held_ms < hold_ms + LATE_TRIAL_MS {
+            return Standing::Trial;
+        }
+        Standing::LateTrial
     }
 
-    /// Returns whether the target has been on hold for long enough.
-    fn is_due(&self, holds: &Holds, now: TimeMs) -> bool {
-        let Some(held_at) = self.held_at else {
-            return false;
-        };
+    /// Returns how long the target is on hold.
+    fn hold_length(&self, holds: &Holds) -> DurationMs {
         let hold_ms = if self.failures >= REPEATED_FAILURES {
             holds.repeated_ms
         } else {
             holds.first_ms
         };
-        let spread_ms = DurationMs((hold_ms.0 as f64 * HOLD_SPREAD * self.spread) as u64);
-        now.since(held_at) >= hold_ms + spread_ms
+        hold_ms + DurationMs((hold_ms.0 as f64 * HOLD_SPREAD * self.spread) as u64)
     }
 
     /// Returns whether the target, where it fails, does so at once, so that a
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -41,8 +41,14 @@
 /// counts those that had none for two seconds.
 const UNUSED_MS: DurationMs = DurationMs(1_200);
 
-/// The same for a daemon that a target does not fall to, where the daemons before
-/// it leave the target unused: later by the time that reports take.
+/// The time after which a daemon uses a target that does not fall to it, for each
+/// entry daemon of the service: if the one that it falls to has no requests, the
+/// others together use it about once a second.
+const OWN_USE_EACH_MS: DurationMs = DurationMs(1_000);
+
+/// The time without a request after which a target counts as unused under
+/// pressure for a daemon that it does not fall to: later by the time that reports
+/// take.
 const UNUSED_BY_OTHERS_MS: DurationMs = DurationMs(1_450);
 
 /// The time by which each further daemon waits longer: most of a trial's answer
@@ -58,12 +64,11 @@
 /// this daemon can't tell from those it has reason to avoid take some of that.
 const UNUSED_SHARE_MAX: f64 = 0.2;
 
-/// The order in which several daemons keep unused targets in use under pressure.
+/// The order in which several daemons keep targets in use.
 ///
-/// Each target falls to one daemon. Were all of them to try it at once, each trial
-/// of a failing target would be made as many times, and the failures would keep
-/// the service under pressure. The others follow one by one, since the daemon may
-/// have no requests to try it with.
+/// Each target falls to one daemon. Were all of them to use it, a failure that
+/// begins would be met as many times. The others follow, since the daemon may have
+/// no requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetShare {
     /// The place of the daemon; less than `daemons`.
@@ -76,15 +81,62 @@
     /// Returns the number of daemons whose turn with a target comes before that
     /// of this one; 0 if the target falls to it.
     pub fn turns_before(&self, name: &TargetName) -> u32 {
+        self.turns_from(share_score(name))
+    }
+
+    /// The same for a target's [`share_score`].
+    fn turns_from(&self, score: u64) -> u32 {
         let daemons = u64::from(self.daemons.max(1));
-        let first = rendezvous_score(&["share"], name.as_str()) % daemons;
+        let first = score % daemons;
         let turns = (u64::from(self.rank) + daemons - first) % daemons;
         u32::try_from(turns).unwrap_or(u32::MAX)
     }
 }
 
+/// Returns the number that says which daemon a target falls to.
+pub(super) fn share_score(name: &TargetName) -> u64 {
+    rendezvous_score(&["share"], name.as_str())
+}
+
+/// How urgent it is that a daemon uses a target that has no requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Need {
+    /// The target has requests, or other daemons use it first.
+    None,
+    /// The daemon that the target falls to may have left it unused.
+    Others,
+    /// It is this daemon's turn.
+    Own,
+}
+
+/// Returns how urgent it is that this daemon uses a target, whether the service is
+/// under pressure or not.
+///
+/// Requests may be lost at any moment, as when daemons end, and a floor then looks
+/// back at the time before: it can't be kept by what is done once they are lost.
+fn need_of(row: &LiveTarget, share: TargetShare, is_pressed: bool, now: TimeMs) -> Need {
+    let turns = share.turns_from(row.share_score);
+    let is_new = row.chosen_number == 0;
+    if is_pressed || is_new || turns == 0 {
+        return if is_unused(row, turns, now) {
+            Need::Own
+        } else {
+            Need::None
+        };
+    }
+    // Nobody tells of uses without pressure. The times differ between daemons, so
+    // that their uses don't fall together.
+    let each_ms = OWN_USE_EACH_MS.0 as f64 * f64::from(share.daemons) * (0.5 + row.tie_break);
+    if row.in_flight == 0 && now.since(row.claimed_at).0 as f64 > each_ms {
+        Need::Others
+    } else {
+        Need::None
+    }
+}
+
 /// Returns whether a target has been without a request for so long that a daemon
-/// with `turns` others before it uses it.
+/// with `turns` others before it uses it, where the daemons tell each other which
+/// targets they use.
 fn is_unused(row: &LiveTarget, turns: u32, now: TimeMs) -> bool {
     let after_ms = match turns {
         0 => UNUSED_MS,
@@ -111,8 +163,8 @@
     /// Whether the request may go to a target that is likely to fail it at
     /// once, where all others are full.
     pub may_gamble: bool,
-    /// Whether so many requests of the service are not served that no sound
-    /// target may be left without work.
+    /// Whether so many requests of the service are not served that targets on
+    /// hold are tried sooner.
     pub is_pressed: bool,
     /// This daemon's place among the entry daemons; `None` if it is no entry
     /// daemon of the service.
@@ -140,12 +192,12 @@
 /// that load, the target that was chosen last is taken: a failure that begins
 /// is met by few targets, and each of them shows it at once. A target on hold is
 /// chosen only where the service has no other, or for a request that loses
-/// nothing by it where all others are full. A target that nobody has used yet
-/// goes first once, at the daemon that it falls to; at the others once that
-/// daemon has left it unused.
+/// nothing by it where all others are full. A target without requests goes first
+/// before two seconds have passed. One that nobody has used yet goes first once, at
+/// the daemon that it falls to; at the others once that daemon has left it unused.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
     let calm = calm_holds(targets, request.service, now);
-    let share = share_to_use(targets, request, now);
+    let pressed = pressed_share(targets, request, now);
     let mut best: Option<(f64, &TargetName)> = None;
     let mut last_resort: Option<(f64, &TargetName)> = None;
     let mut gamble: Option<(f64, &TargetName)> = None;
@@ -155,17 +207,19 @@
             continue;
         }
         let is_free = request.accepts_full || row.has_free_slot(now);
-        let turns = share.map(|share| share.turns_before(name));
-        let is_unused = turns.is_some_and(|turns| is_unused(row, turns, now));
-        let holds = if is_unused || turns == Some(0) {
-            PRESSED_HOLDS
-        } else {
-            calm
+        let need = request.share.map_or(Need::None, |share| {
+            need_of(row, share, pressed.is_some(), now)
+        });
+        let holds = match pressed {
+            Some(share) if need == Need::Own || share.turns_from(row.share_score) == 0 => {
+                PRESSED_HOLDS
+            }
+            _ => calm,
         };
-        let cost = cost(name, row, request, is_unused, now);
+        let cost = cost(row, request, need, now);
         let is_candidate = match row.suspicion.standing(&holds, now) {
             _ if row.suspicion.is_unreachable(now) => false,
-            Standing::Trusted => true,
+            Standing::Trusted | Standing::LateTrial => true,
             Standing::Trial => request.may_try,
             Standing::Avoided => false,
         };
@@ -203,9 +257,9 @@
     targets: &'a LiveTargets,
     service: &'a ServiceName,
     now: TimeMs,
-) -> impl Iterator<Item = (&'a TargetName, &'a LiveTarget)> {
-    let rows = targets.of_service(service);
-    rows.filter(move |(_, row)| !row.leaving && !row.suspicion.is_unreachable(now))
+) -> impl Iterator<Item = &'a LiveTarget> {
+    let rows = targets.of_service(service).map(|(_, row)| row);
+    rows.filter(move |row| !row.leaving && !row.suspicion.is_unreachable(now))
 }
 
 /// Returns how long the targets of a service are on hold where it is not under
@@ -213,7 +267,7 @@
 fn calm_holds(targets: &LiveTargets, service: &ServiceName, now: TimeMs) -> Holds {
     let mut count = 0;
     let mut held = 0;
-    for (_, row) in usable(targets, service, now) {
+    for row in usable(targets, service, now) {
         count += 1;
         held += u32::from(row.suspicion.is_suspected());
     }
@@ -224,9 +278,9 @@
     }
 }
 
-/// Returns the order by which unused targets go first, if the service is under
-/// pressure and too many of its targets are unused.
-fn share_to_use(
+/// Returns the order by which targets on hold are tried sooner, if the service is
+/// under pressure and too many of its targets are unused.
+fn pressed_share(
     targets: &LiveTargets,
     request: &PickRequest<'_>,
     now: TimeMs,
@@ -234,22 +288,16 @@
     let share = request.share.filter(|_| request.is_pressed)?;
     let mut count = 0;
     let mut unused = 0;
-    for (name, row) in usable(targets, request.service, now) {
+    for row in usable(targets, request.service, now) {
         count += 1;
-        unused += u32::from(is_unused(row, share.turns_before(name), now));
+        unused += u32::from(is_unused(row, share.turns_from(row.share_score), now));
     }
     let is_too_much = f64::from(unused) > f64::from(count) * UNUSED_SHARE_MAX;
     is_too_much.then_some(share)
 }
 
-fn cost(
-    name: &TargetName,
-    row: &LiveTarget,
-    request: &PickRequest<'_>,
-    is_unused: bool,
-    now: TimeMs,
-) -> f64 {
-    if row.suspicion.is_suspected() || goes_first_as_new(name, row, request, now) {
+fn cost(row: &LiveTarget, request: &PickRequest<'_>, need: Need, now: TimeMs) -> f64 {
+    if row.suspicion.is_suspected() || goes_first_as_new(row, request, need) {
         // A trial takes place even where other targets are idle. The tie-break
         // differs between daemons, so that those that start together don't all
         // begin with one target.
@@ -257,8 +305,10 @@
     }
     // Of equal targets, the one chosen last goes first.
     let order = 1e-9 * (row.chosen_number as f64 + row.tie_break);
-    if is_unused {
-        return order - 0.5;
+    match need {
+        Need::Own => return order - 0.5,
+        Need::Others => return order - 0.4,
+        Need::None => {}
     }
     let slots = f64::from(row.record.slots.0);
     let load = row.estimated_load(now) / slots;
@@ -274,15 +324,7 @@
 }
 
 /// Returns whether nobody has used a target yet and it is this daemon's turn.
-fn goes_first_as_new(
-    name: &TargetName,
-    row: &LiveTarget,
-    request: &PickRequest<'_>,
-    now: TimeMs,
-) -> bool {
-    let is_turn = |share: TargetShare| {
-        let turns = share.turns_before(name);
-        turns == 0 || is_unused(row, turns, now)
-    };
-    row.chosen_number == 0 && request.share.is_some_and(is_turn)
+fn goes_first_as_new(row: &LiveTarget, request: &PickRequest<'_>, need: Need) -> bool {
+    let falls_here = |share: TargetShare| share.turns_from(row.share_score) == 0;
+    row.chosen_number == 0 && (need > Need::None || request.share.is_some_and(falls_here))
 }
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -13,6 +13,7 @@
 use crate::units::TimeMs;
 
 use super::Suspicion;
+use super::pick::share_score;
 
 /// The time after which half of a load report counts as outdated: about the
 /// run time of a request, after which as many have come as have ended.
@@ -54,7 +55,9 @@
     /// When this target was last used, by this daemon or one that told of it.
     pub chosen_at: TimeMs,
     /// When this daemon last used it; 0 if it never did.
-    claimed_at: TimeMs,
+    pub(super) claimed_at: TimeMs,
+    /// Says which daemon keeps the target in use.
+    pub(super) share_score: u64,
     /// Orders targets that are equal throughout; from 0 to 1.
     pub tie_break: f64,
 }
@@ -63,6 +66,7 @@
     fn new(record: TargetRecord, tie_break: f64, seen_at: TimeMs) -> Self {
         let warm_at = seen_at + record.warmup_left_ms;
         let leaving = record.state == TargetState::Leaving;
+        let share_score = share_score(&record.identity.name);
         Self {
             record,
             warm_at,
@@ -75,6 +79,7 @@
             chosen_number: 0,
             chosen_at: seen_at,
             claimed_at: TimeMs(0),
+            share_score,
             tie_break,
         }
     }
--- a/crates/agatehold-core/tests/dispatch_floor.rs
+++ b/crates/agatehold-core/tests/dispatch_floor.rs
@@ -234,6 +234,26 @@
             row.chosen_at = now;
         }
     }
+    report(daemons, ended.daemon, now);
+}
+
+/// Tells the other daemons how requests end and which targets were used, if a
+/// report is due.
+fn report(daemons: &mut [Daemon], reporter: usize, now: TimeMs) {
+    let own = &mut daemons[reporter];
+    let Some(report) = own.record.take_report(now) else {
+        return;
+    };
+    let used = own.targets.used_since(&service(), report.since, now);
+    for (rank, daemon) in daemons.iter_mut().enumerate() {
+        if rank == reporter {
+            continue;
+        }
+        daemon
+            .record
+            .note_report(report.counts, report.is_pressed, now);
+        daemon.targets.note_use(&used, now);
+    }
 }
 
 /// Returns the sound targets of the window that begins at a time, and those of
