evidence: a told use of a target counts from its start

What callers saw: nothing yet.

Change: the time of the news less the run's length, and never earlier than what is known, as for uses that are told under pressure.

Ruled out: no effect on holds; they begin when the failure is known.

--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -156,7 +156,7 @@
     if row.record.identity != evidence.target {
         return;
     }
-    row.chosen_at = now;
+    row.chosen_at = row.chosen_at.max(now - evidence.run_ms);
     if evidence.moved {
         row.leaving = true;
     }
