--- a/crates/agatehold-core/src/directory/groups.rs
+++ b/crates/agatehold-core/src/directory/groups.rs
@@ -106,7 +106,7 @@
             services.extend(reached.iter().cloned());
         }
     }
-    let slots: u32 = services.iter().map(slots_of).sum();
+    let slots = services.iter().map(slots_of).fold(0, u32::saturating_add);
     let millicores = u64::from(slots) * 1_000 / u64::from(policy.slots_per_core.max(1));
     let subject = services.first().map_or("", ServiceName::as_str).into();
     EntryGroup {
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -61,7 +61,8 @@
         let slots_of = |service: &ServiceName| {
             let of_service = self.targets.iter();
             let of_service = of_service.filter(|(target, _)| target.service == *service);
-            of_service.map(|(target, _)| target.slots.0).sum()
+            let slots = of_service.map(|(target, _)| target.slots.0);
+            slots.fold(0, u32::saturating_add)
         };
         for group in entry_groups(catalog, policy, slots_of) {
             let chosen = entry_daemons(self.members.rows(), &group.subject, group.demand);
