gateway: believe no answer that does not repeat the request's id

What callers saw, at other operators: 'not run, try again' for requests that a target had run or was running, or such a request at a second target. Here too: a target that writes an earlier refusal once more on a kept connection, without its id, was believed. an_earlier_refusal_written_again_is_not_believed failed before: 503 for id-2, which its target ran.

Cause: any answer without an id that was no success was taken for the own one, because the project's stand-in did not repeat ids in refusals. The platform's targets do.

Change: the id must be the request's. An answer without one counts only for a request without one, and never as a success.

Ruled out: refusals that bear the id of an earlier request; they were passed over before (same test). The probe of an idle connection: it sees bytes that came while nothing was asked, not those behind the request.

Test: 503, 421 and 429, with an earlier id and without, two targets: each request ran once and no caller was told that it had not run.

--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -348,14 +348,14 @@
 }
 
 fn repeats_id(head: &ResponseHead, outbound: &Outbound<'_>) -> bool {
-    match (
-        head.headers.get(request_headers::REQUEST_ID),
-        outbound.request_id,
-    ) {
+    let echo = head.headers.get(request_headers::REQUEST_ID);
+    match (echo, outbound.request_id) {
         (Some(echo), Some(sent)) => echo.as_bytes() == sent,
-        // A target that refuses to run a request need not repeat its id.
-        (None, _) => !head.status.is_success(),
-        (Some(_), None) => false,
+        // Targets do not run a request without an id.
+        (None, None) => !head.status.is_success(),
+        // A refusal without the id may be an earlier one that is written again,
+        // while the request runs.
+        (None, Some(_)) | (Some(_), None) => false,
     }
 }
 
