gateway: bound answers without end, and close kept connections that bring bytes

What callers saw: nothing yet.

Cause: heads, chunk lines and single bodies were bounded; interim answers, the sum of chunk lines and trailers, answers to other requests and the sum of the bodies were not. A kept connection was looked at only when it was taken again.

Change: interim answers share the limit of a head; chunk lines and trailers have 64 KB and eight bytes for each of the body; four late answers are passed over; all bodies that are read at a time have 16 MB, of which each may have 128 KB in any case. Idle connections that bring a byte or are closed by the target are closed at the next tick.

Ruled out: time. The attempt ends at the request's deadline in all cases, also before. A smaller limit for one body; large answers are allowed.

--- a/crates/agatehold/src/gateway/http1.rs
+++ b/crates/agatehold/src/gateway/http1.rs
@@ -19,6 +19,13 @@
 /// extensions.
 const CHUNK_LINE_BYTES: usize = 256;
 
+/// The bytes of chunk lines and trailers that a body may have beside
+/// [`FRAMING_PER_BYTE_MAX`].
+const FRAMING_BYTES_MAX: usize = 64 * 1024;
+
+/// The bytes of chunk lines for each byte of a body; chunks of one byte take three.
+const FRAMING_PER_BYTE_MAX: usize = 8;
+
 quick_error! {
     /// Bytes that are not a message.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,10 +129,12 @@
 
 /// Takes the head of an answer off the buffer; `None` if it is not complete.
 ///
-/// Interim answers are passed over.
+/// Interim answers are passed over; `interim_bytes` counts their bytes over all
+/// calls for one answer, and they share the limit of its head.
 pub(crate) fn take_response_head(
     buffer: &mut BytesMut,
     head_max: usize,
+    interim_bytes: &mut usize,
     is_head_request: bool,
 ) -> Result<Option<ResponseHead>, HttpFault> {
     loop {
@@ -148,6 +157,10 @@
             return Err(HttpFault::Malformed);
         }
         if status.is_informational() {
+            *interim_bytes += length;
+            if *interim_bytes > head_max {
+                return Err(HttpFault::HeadTooLarge);
+            }
             continue;
         }
         let has_no_body = is_head_request
@@ -231,6 +244,8 @@
     /// What is left of the current chunk and its end of line, if one began.
     chunk_left: Option<usize>,
     in_trailers: bool,
+    /// The bytes of chunk lines and trailers so far.
+    framing_bytes: usize,
     body_max: usize,
 }
 
@@ -247,6 +262,7 @@
             collected: BytesMut::new(),
             chunk_left: None,
             in_trailers: false,
+            framing_bytes: 0,
             body_max,
         })
     }
@@ -286,7 +302,7 @@
     fn take_chunks(&mut self, buffer: &mut BytesMut) -> Result<bool, HttpFault> {
         loop {
             if self.in_trailers {
-                return skip_trailers(buffer);
+                return self.skip_trailers(buffer);
             }
             if let Some(left) = self.chunk_left {
                 if !self.take_chunk_data(buffer, left)? {
@@ -303,6 +319,7 @@
                 Err(_) => return Err(HttpFault::Malformed),
             };
             buffer.advance(start);
+            self.count_framing(start)?;
             if size == 0 {
                 self.in_trailers = true;
                 continue;
@@ -336,6 +353,37 @@
         Ok(true)
     }
 
+    /// Drops the trailers behind the last chunk; returns whether their end came.
+    fn skip_trailers(&mut self, buffer: &mut BytesMut) -> Result<bool, HttpFault> {
+        loop {
+            let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+                if buffer.len() > CHUNK_LINE_BYTES {
+                    return Err(HttpFault::Malformed);
+                }
+                return Ok(false);
+            };
+            buffer.advance(end + 2);
+            if end == 0 {
+                return Ok(true);
+            }
+            self.count_framing(end + 2)?;
+        }
+    }
+
+    fn count_framing(&mut self, length: usize) -> Result<(), HttpFault> {
+        self.framing_bytes += length;
+        let most = FRAMING_BYTES_MAX + self.collected.len() * FRAMING_PER_BYTE_MAX;
+        if self.framing_bytes > most {
+            return Err(HttpFault::Malformed);
+        }
+        Ok(())
+    }
+
+    /// Returns the number of bytes collected so far.
+    pub(crate) fn collected_bytes(&self) -> usize {
+        self.collected.len()
+    }
+
     /// Returns whether a body until the close may end here.
     pub(crate) fn ends_with_close(&self) -> bool {
         self.framing == Framing::UntilClose
@@ -347,22 +395,6 @@
     }
 }
 
-/// Drops the trailers behind the last chunk; returns whether their end came.
-fn skip_trailers(buffer: &mut BytesMut) -> Result<bool, HttpFault> {
-    loop {
-        let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
-            if buffer.len() > CHUNK_LINE_BYTES {
-                return Err(HttpFault::Malformed);
-            }
-            return Ok(false);
-        };
-        buffer.advance(end + 2);
-        if end == 0 {
-            return Ok(true);
-        }
-    }
-}
-
 /// Appends headers to a message.
 pub(crate) fn write_headers(out: &mut Vec<u8>, headers: &HeaderMap) {
     for (name, value) in headers {
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -1,9 +1,11 @@
 //! Connections to targets, and one attempt to run a request at a target.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -60,6 +62,16 @@
 /// passed on.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
+/// The size of all bodies that are being read; where it is spent, those over
+/// [`FAIR_BODY_BYTES`] are cut.
+const BODIES_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// The size up to which a body is read though the others have spent the memory.
+const FAIR_BODY_BYTES: usize = 128 * 1024;
+
+/// The late answers to earlier requests that are passed over before the own one.
+const LATE_ANSWERS_MAX: u32 = 4;
+
 /// The space that is free for each read.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -73,10 +85,48 @@
     idle_since: Instant,
 }
 
+impl TargetStream {
+    /// Returns whether the connection is open and brought nothing: a byte that
+    /// comes in while nothing is asked belongs to no request.
+    fn is_quiet(&self) -> bool {
+        let mut probe = [0; 1];
+        let read = self.stream.try_read(&mut probe);
+        matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
 /// The idle connections by target address.
 #[derive(Default)]
 pub(super) struct TargetPool {
     idle: HashMap<SocketAddr, Vec<TargetStream>>,
+    /// The size of the bodies that are being read.
+    bodies_bytes: Rc<Cell<usize>>,
+}
+
+/// The part of one body in the size of all; gives it back when it is dropped, also
+/// where the attempt is cancelled.
+struct BodyBytes {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl BodyBytes {
+    fn new(all: Rc<Cell<usize>>) -> Self {
+        Self { all, own: 0 }
+    }
+
+    /// Sets the size of the own body; returns whether there is memory for it.
+    fn set(&mut self, own: usize) -> bool {
+        self.all.set(self.all.get() - self.own + own);
+        self.own = own;
+        self.own <= FAIR_BODY_BYTES || self.all.get() <= BODIES_BYTES_MAX
+    }
+}
+
+impl Drop for BodyBytes {
+    fn drop(&mut self) {
+        self.set(0);
+    }
 }
 
 impl TargetPool {
@@ -94,12 +144,7 @@
                 }
                 return None;
             }
-            // A byte that came in while nothing was asked belongs to no
-            // request; so does the end of the stream.
-            let mut probe = [0; 1];
-            let read = connection.stream.try_read(&mut probe);
-            let is_quiet = matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-            if is_quiet {
+            if connection.is_quiet() {
                 return Some(connection);
             }
         }
@@ -119,12 +164,15 @@
         self.idle.remove(&address);
     }
 
-    /// Closes connections that were idle for too long.
+    /// Closes connections that were idle for too long, that brought bytes or that
+    /// the target has closed.
     pub(super) fn close_idle(&mut self) {
         let now = Instant::now();
         for waiting in self.idle.values_mut() {
             waiting.retain(|connection| {
-                now < connection.usable_until && now - connection.idle_since <= IDLE_MAX
+                now < connection.usable_until
+                    && now - connection.idle_since <= IDLE_MAX
+                    && connection.is_quiet()
             });
         }
         self.idle.retain(|_, waiting| !waiting.is_empty());
@@ -216,7 +264,8 @@
             }
         },
     };
-    let exchanged = exchange(&mut connection, outbound);
+    let body_bytes = BodyBytes::new(Rc::clone(&pool.borrow().bodies_bytes));
+    let exchanged = exchange(&mut connection, outbound, body_bytes);
     match tokio::time::timeout_at(outbound.deadline, exchanged).await {
         Err(_) => AttemptEnd::without_answer(AttemptOutcome::TimedOut, "deadline passed"),
         Ok(Err(fault)) => AttemptEnd::without_answer(fault.outcome, fault.detail),
@@ -263,21 +312,28 @@
 async fn exchange(
     connection: &mut TargetStream,
     outbound: &Outbound<'_>,
+    mut body_bytes: BodyBytes,
 ) -> Result<Exchanged, ExchangeFault> {
     let TargetStream { stream, buffer, .. } = connection;
     let mut written = 0;
+    let mut interim_bytes = 0;
+    let mut late_answers = 0;
     let mut head: Option<(ResponseHead, BodyCollector)> = None;
     loop {
         if head.is_none() {
-            head = next_head(buffer, outbound)?;
+            head = next_head(buffer, outbound, &mut interim_bytes)?;
         }
         if let Some((_, body)) = &mut head {
             let complete = body.take(buffer).map_err(broken)?;
+            if !body_bytes.set(body.collected_bytes()) {
+                return Err(cut("no memory for the answer"));
+            }
             if complete && let Some((read, body)) = head.take() {
                 if !repeats_id(&read, outbound) {
                     // The late answer to an earlier request; the own one
                     // follows behind it.
-                    if !read.keeps_alive {
+                    late_answers += 1;
+                    if !read.keeps_alive || late_answers > LATE_ANSWERS_MAX {
                         return Err(mismatched());
                     }
                     continue;
@@ -312,12 +368,14 @@
 fn next_head(
     buffer: &mut BytesMut,
     outbound: &Outbound<'_>,
+    interim_bytes: &mut usize,
 ) -> Result<Option<(ResponseHead, BodyCollector)>, ExchangeFault> {
     if buffer.is_empty() {
         return Ok(None);
     }
-    let head =
-        take_response_head(buffer, HEAD_BYTES_MAX, outbound.is_head_request).map_err(broken)?;
+    let is_head_request = outbound.is_head_request;
+    let head = take_response_head(buffer, HEAD_BYTES_MAX, interim_bytes, is_head_request)
+        .map_err(broken)?;
     let Some(head) = head else {
         return Ok(None);
     };
