gateway: connections to targets in a module of their own

Change: the pool, the opening of connections and the memory of bodies move to pool.rs; an attempt stays in target.rs. No change of behaviour.

Ruled out: a module for the memory alone; it has one user.

--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod http1;
 mod member;
 mod news;
+mod pool;
 mod queue;
 mod routes;
 mod serve;
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -1,11 +1,7 @@
-//! Connections to targets, and one attempt to run a request at a target.
+//! One attempt to run a request at a target.
 
-use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +11,6 @@
 use http::header;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use agatehold_core::dispatch::LoadReport;
@@ -24,37 +19,21 @@
 use agatehold_platform::request_headers;
 use agatehold_platform::target_headers;
 
-use crate::traffic::Liveness;
-use crate::traffic::set_socket_options;
-
 use super::http1::BodyCollector;
 use super::http1::HttpFault;
 use super::http1::ResponseHead;
 use super::http1::take_response_head;
-
-/// The longest time that opening a connection may take. Hosts are a few
-/// milliseconds apart, so a longer wait means that the host is unreachable or
-/// the first packet was lost; the request goes to another target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// How soon a silent connection is noticed while a request is sent on it.
-const LIVENESS: Liveness = Liveness {
-    keepalive_after: Duration::from_secs(1),
-    user_timeout: Duration::from_secs(2),
-};
+use super::pool::BodyBytes;
+use super::pool::IDLE_MAX;
+use super::pool::TargetPool;
+use super::pool::TargetStream;
+use super::pool::open;
 
 /// A connection that was idle for longer is not used for a request that must
 /// not run twice: it may have gone silent or be about to close, and a new one
 /// costs about 1 ms.
 const IDLE_MAX_ONCE: Duration = Duration::from_millis(400);
 
-/// Idle connections older than this are closed; half of the shortest time
-/// after which targets close them.
-const IDLE_MAX: Duration = Duration::from_secs(4);
-
-/// The connections kept idle to one target.
-const IDLE_CONNECTIONS_MAX: usize = 8;
-
 /// The size of an answer's head.
 const HEAD_BYTES_MAX: usize = 32 * 1024;
 
@@ -62,123 +41,12 @@
 /// passed on.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
-/// The size of all bodies that are being read; where it is spent, those over
-/// [`FAIR_BODY_BYTES`] are cut.
-const BODIES_BYTES_MAX: usize = 16 * 1024 * 1024;
-
-/// The size up to which a body is read though the others have spent the memory.
-const FAIR_BODY_BYTES: usize = 128 * 1024;
-
 /// The late answers to earlier requests that are passed over before the own one.
 const LATE_ANSWERS_MAX: u32 = 4;
 
 /// The space that is free for each read.
 const READ_BYTES: usize = 8 * 1024;
 
-/// A connection to a target.
-pub(super) struct TargetStream {
-    stream: TcpStream,
-    /// Bytes that were received and belong to no answer yet.
-    buffer: BytesMut,
-    /// Until when the connection may be used again.
-    usable_until: Instant,
-    idle_since: Instant,
-}
-
-impl TargetStream {
-    /// Returns whether the connection is open and brought nothing: a byte that
-    /// comes in while nothing is asked belongs to no request.
-    fn is_quiet(&self) -> bool {
-        let mut probe = [0; 1];
-        let read = self.stream.try_read(&mut probe);
-        matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
-    }
-}
-
-/// The idle connections by target address.
-#[derive(Default)]
-pub(super) struct TargetPool {
-    idle: HashMap<SocketAddr, Vec<TargetStream>>,
-    /// The size of the bodies that are being read.
-    bodies_bytes: Rc<Cell<usize>>,
-}
-
-/// The part of one body in the size of all; gives it back when it is dropped, also
-/// where the attempt is cancelled.
-struct BodyBytes {
-    all: Rc<Cell<usize>>,
-    own: usize,
-}
-
-impl BodyBytes {
-    fn new(all: Rc<Cell<usize>>) -> Self {
-        Self { all, own: 0 }
-    }
-
-    /// Sets the size of the own body; returns whether there is memory for it.
-    fn set(&mut self, own: usize) -> bool {
-        self.all.set(self.all.get() - self.own + own);
-        self.own = own;
-        self.own <= FAIR_BODY_BYTES || self.all.get() <= BODIES_BYTES_MAX
-    }
-}
-
-impl Drop for BodyBytes {
-    fn drop(&mut self) {
-        self.set(0);
-    }
-}
-
-impl TargetPool {
-    /// Takes the connection that was used last, if it is still good.
-    fn take(&mut self, address: SocketAddr, idle_max: Duration) -> Option<TargetStream> {
-        let waiting = self.idle.get_mut(&address)?;
-        let now = Instant::now();
-        while let Some(connection) = waiting.pop() {
-            if now >= connection.usable_until || now - connection.idle_since > idle_max {
-                // Those below were idle for longer still.
-                if idle_max >= IDLE_MAX {
-                    waiting.clear();
-                } else {
-                    waiting.push(connection);
-                }
-                return None;
-            }
-            if connection.is_quiet() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn put(&mut self, address: SocketAddr, mut connection: TargetStream) {
-        connection.idle_since = Instant::now();
-        let waiting = self.idle.entry(address).or_default();
-        if waiting.len() < IDLE_CONNECTIONS_MAX {
-            waiting.push(connection);
-        }
-    }
-
-    /// Closes the idle connections to an address, as when a target ended.
-    pub(super) fn close_address(&mut self, address: SocketAddr) {
-        self.idle.remove(&address);
-    }
-
-    /// Closes connections that were idle for too long, that brought bytes or that
-    /// the target has closed.
-    pub(super) fn close_idle(&mut self) {
-        let now = Instant::now();
-        for waiting in self.idle.values_mut() {
-            waiting.retain(|connection| {
-                now < connection.usable_until
-                    && now - connection.idle_since <= IDLE_MAX
-                    && connection.is_quiet()
-            });
-        }
-        self.idle.retain(|_, waiting| !waiting.is_empty());
-    }
-}
-
 /// A request as it is sent to a target.
 pub(super) struct Outbound<'a> {
     /// The head and the body.
@@ -264,7 +132,7 @@
             }
         },
     };
-    let body_bytes = BodyBytes::new(Rc::clone(&pool.borrow().bodies_bytes));
+    let body_bytes = pool.borrow().body_bytes();
     let exchanged = exchange(&mut connection, outbound, body_bytes);
     match tokio::time::timeout_at(outbound.deadline, exchanged).await {
         Err(_) => AttemptEnd::without_answer(AttemptOutcome::TimedOut, "deadline passed"),
@@ -281,25 +149,6 @@
     }
 }
 
-async fn open(address: SocketAddr, deadline: Instant) -> Result<TargetStream, &'static str> {
-    let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let stream = match tokio::time::timeout_at(until, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) => return Err("connection refused"),
-        Err(_) => return Err("connecting timed out"),
-    };
-    if set_socket_options(&stream, LIVENESS).is_err() {
-        return Err("socket options failed");
-    }
-    let now = Instant::now();
-    Ok(TargetStream {
-        stream,
-        buffer: BytesMut::new(),
-        usable_until: now + Duration::from_secs(3_600),
-        idle_since: now,
-    })
-}
-
 /// A whole answer as it came.
 struct Exchanged {
     head: ResponseHead,
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -32,11 +32,11 @@
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
+use super::pool::TargetPool;
 use super::queue::ServiceQueue;
 use super::routes::RouteState;
 use super::shared::GatewayShared;
 use super::shared::View;
-use super::target::TargetPool;
 
 /// The time between two runs of the systems while requests wait.
 const BUSY_TICK: Duration = Duration::from_millis(50);
