dispatch: a target that rejects requests with free slots counts as failing

Cause: a rejection said nothing of the target. One that rejects at once looks idle beside targets at work and is taken first, by the second send as well.

Change: a rejection that comes with a load report of fewer requests than slots is a failure for the evidence; the target is on hold like one that answers 500. A full target, an address that has moved and a rejection without a report say nothing, as before.

Ruled out: counting all rejections; a full target is sound. Counting none and a shorter memory of load reports; the report is what makes it look idle.

--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -30,6 +30,13 @@
     pub slots: u32,
 }
 
+impl LoadReport {
+    /// Returns whether the target could run another request at once.
+    pub const fn has_free_slot(&self) -> bool {
+        self.running.saturating_add(self.waiting) < self.slots
+    }
+}
+
 /// A target and what this daemon knows of it.
 #[derive(Clone, Debug)]
 pub struct LiveTarget {
--- a/crates/agatehold/src/gateway/dispatch/settle.rs
+++ b/crates/agatehold/src/gateway/dispatch/settle.rs
@@ -48,6 +48,13 @@
                 {
                     AttemptOutcome::Cancelled
                 }
+                // A target that has free slots rejects nothing unless it fails.
+                AttemptOutcome::Shed
+                    if !end.is_wrong_target
+                        && end.load.is_some_and(|load| load.has_free_slot()) =>
+                {
+                    AttemptOutcome::Failed
+                }
                 outcome => outcome,
             };
             if row.suspicion.record(outcome, run_ms, spread, now) {
