dispatch: use sound targets before trials, and make no trial sooner under pressure

Cause: a new configuration left the service some 28 requests a second for 48 targets, 17 of them failing. Under pressure a hold ended after 0.9 s to 1.3 s, and a trial went before all else: the daemons' logs have 20 of 56 requests not served in that window, and none of the 19 unused targets had failed last. The trials kept the pressure up and took the requests of the sound targets. They served nothing: a target that failed does not count for two seconds.

Change: holds are the same with and without pressure. An unused, trusted target goes before trials and before targets that join. The daemon that a target falls to tries it first after a hold, the others 60 ms later each; the fifth of the targets that pressure allowed to stay unused is gone with the shorter holds.

--- a/crates/agatehold-core/src/dispatch/health.rs
+++ b/crates/agatehold-core/src/dispatch/health.rs
@@ -50,13 +50,6 @@
     repeated_ms: HOLD_MAX_MS,
 };
 
-/// Holds where many requests of the service are not served besides: sound
-/// targets must not go without work for two seconds.
-pub(super) const PRESSED_HOLDS: Holds = Holds {
-    first_ms: DurationMs(900),
-    repeated_ms: DurationMs(1_300),
-};
-
 /// The run time up to which a failure counts as one at once.
 const FAST_FAILURE_MS: DurationMs = DurationMs(40);
 
@@ -203,13 +196,14 @@
         }
     }
 
-    /// Returns whether requests go to the target.
-    pub(super) fn standing(&self, holds: &Holds, now: TimeMs) -> Standing {
+    /// Returns whether requests go to the target, at a daemon that waits for
+    /// `delay_ms` after a hold.
+    pub(super) fn standing(&self, holds: &Holds, delay_ms: DurationMs, now: TimeMs) -> Standing {
         let Some(held_at) = self.held_at else {
             return Standing::Trusted;
         };
         let held_ms = now.since(held_at);
-        let hold_ms = self.hold_length(holds);
+        let hold_ms = self.hold_length(holds) + delay_ms;
         if self.on_trial || held_ms < hold_ms {
             return Standing::Avoided;
         }
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -11,7 +11,6 @@
 use super::LiveTargets;
 use super::health::Holds;
 use super::health::LONG_HOLDS;
-use super::health::PRESSED_HOLDS;
 use super::health::SHORT_HOLDS;
 use super::health::Standing;
 
@@ -51,18 +50,19 @@
 /// take.
 const UNUSED_BY_OTHERS_MS: DurationMs = DurationMs(1_450);
 
-/// The time by which each further daemon waits longer: most of a trial's answer
-/// and the news of it.
+/// The time by which each further daemon waits longer, as for a trial.
 const UNUSED_STEP_MS: DurationMs = DurationMs(60);
 
 /// The longest wait of a daemon: the last one uses a target before the floor's two
 /// seconds are over.
 const UNUSED_MAX_MS: DurationMs = DurationMs(1_800);
 
-/// The share of a service's targets that may be unused while many of its
-/// requests are not served. A floor of seven tenths leaves 0.3; targets that
-/// this daemon can't tell from those it has reason to avoid take some of that.
-const UNUSED_SHARE_MAX: f64 = 0.2;
+/// The time by which each further daemon tries a target on hold later: most of a
+/// failed trial's answer and the news of it.
+const TRIAL_STEP_MS: DurationMs = DurationMs(60);
+
+/// The longest such time.
+const TRIAL_DELAY_MAX_MS: DurationMs = DurationMs(300);
 
 /// The order in which several daemons keep targets in use.
 ///
@@ -163,8 +163,8 @@
     /// Whether the request may go to a target that is likely to fail it at
     /// once, where all others are full.
     pub may_gamble: bool,
-    /// Whether so many requests of the service are not served that targets on
-    /// hold are tried sooner.
+    /// Whether so many requests of the service are not served that the entry
+    /// daemons tell each other which targets they use.
     pub is_pressed: bool,
     /// This daemon's place among the entry daemons; `None` if it is no entry
     /// daemon of the service.
@@ -196,8 +196,7 @@
 /// before two seconds have passed. One that nobody has used yet goes first once, at
 /// the daemon that it falls to; at the others once that daemon has left it unused.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
-    let calm = calm_holds(targets, request.service, now);
-    let pressed = pressed_share(targets, request, now);
+    let holds = holds_of(targets, request.service, now);
     let mut best: Option<(f64, &TargetName)> = None;
     let mut last_resort: Option<(f64, &TargetName)> = None;
     let mut gamble: Option<(f64, &TargetName)> = None;
@@ -208,16 +207,11 @@
         }
         let is_free = request.accepts_full || row.has_free_slot(now);
         let need = request.share.map_or(Need::None, |share| {
-            need_of(row, share, pressed.is_some(), now)
+            need_of(row, share, request.is_pressed, now)
         });
-        let holds = match pressed {
-            Some(share) if need == Need::Own || share.turns_from(row.share_score) == 0 => {
-                PRESSED_HOLDS
-            }
-            _ => calm,
-        };
         let cost = cost(row, request, need, now);
-        let is_candidate = match row.suspicion.standing(&holds, now) {
+        let delay_ms = trial_delay(row, request.share);
+        let is_candidate = match row.suspicion.standing(&holds, delay_ms, now) {
             _ if row.suspicion.is_unreachable(now) => false,
             Standing::Trusted | Standing::LateTrial => true,
             Standing::Trial => request.may_try,
@@ -262,9 +256,8 @@
     rows.filter(move |row| !row.leaving && !row.suspicion.is_unreachable(now))
 }
 
-/// Returns how long the targets of a service are on hold where it is not under
-/// pressure.
-fn calm_holds(targets: &LiveTargets, service: &ServiceName, now: TimeMs) -> Holds {
+/// Returns how long the targets of a service are on hold.
+fn holds_of(targets: &LiveTargets, service: &ServiceName, now: TimeMs) -> Holds {
     let mut count = 0;
     let mut held = 0;
     for row in usable(targets, service, now) {
@@ -278,37 +271,34 @@
     }
 }
 
-/// Returns the order by which targets on hold are tried sooner, if the service is
-/// under pressure and too many of its targets are unused.
-fn pressed_share(
-    targets: &LiveTargets,
-    request: &PickRequest<'_>,
-    now: TimeMs,
-) -> Option<TargetShare> {
-    let share = request.share.filter(|_| request.is_pressed)?;
-    let mut count = 0;
-    let mut unused = 0;
-    for row in usable(targets, request.service, now) {
-        count += 1;
-        unused += u32::from(is_unused(row, share.turns_from(row.share_score), now));
-    }
-    let is_too_much = f64::from(unused) > f64::from(count) * UNUSED_SHARE_MAX;
-    is_too_much.then_some(share)
+/// Returns how much later than the daemon that a target falls to this one tries it
+/// after a hold.
+fn trial_delay(row: &LiveTarget, share: Option<TargetShare>) -> DurationMs {
+    let Some(share) = share else {
+        return TRIAL_DELAY_MAX_MS;
+    };
+    let turns = u64::from(share.turns_from(row.share_score));
+    TRIAL_STEP_MS.times(turns).min(TRIAL_DELAY_MAX_MS)
 }
 
 fn cost(row: &LiveTarget, request: &PickRequest<'_>, need: Need, now: TimeMs) -> f64 {
-    if row.suspicion.is_suspected() || goes_first_as_new(row, request, need) {
+    // Of equal targets, the one chosen last goes first; of those that are unused, the
+    // one chosen first.
+    let order = 1e-9 * (row.chosen_number as f64 + row.tie_break);
+    let is_suspected = row.suspicion.is_suspected();
+    if need == Need::Own && !is_suspected && row.chosen_number > 0 {
+        // Trials and targets that join must not take the requests that keep sound
+        // ones in use.
+        return order - 3.0;
+    }
+    if is_suspected || goes_first_as_new(row, request, need) {
         // A trial takes place even where other targets are idle. The tie-break
         // differs between daemons, so that those that start together don't all
         // begin with one target.
         return row.tie_break - 2.0;
     }
-    // Of equal targets, the one chosen last goes first.
-    let order = 1e-9 * (row.chosen_number as f64 + row.tie_break);
-    match need {
-        Need::Own => return order - 0.5,
-        Need::Others => return order - 0.4,
-        Need::None => {}
+    if need > Need::None {
+        return order - 0.5;
     }
     let slots = f64::from(row.record.slots.0);
     let load = row.estimated_load(now) / slots;
--- a/crates/agatehold-core/tests/dispatch_floor.rs
+++ b/crates/agatehold-core/tests/dispatch_floor.rs
@@ -341,3 +341,30 @@
         }
     }
 }
+
+/// Guards against trials and pressure that take the requests of a service with few of
+/// them for each target: sound targets went without work, and most of the requests
+/// that were left failed at targets on trial.
+#[test]
+fn trials_leave_the_requests_that_sound_targets_need() {
+    for seed in 1..=4 {
+        let scene = Scene {
+            targets: 48,
+            daemons: 6,
+            requests_per_s: 60.0,
+            idempotent_share: 0.0,
+            idle_daemons: 0,
+            seed,
+        };
+        let history = play(&scene);
+        for from_ms in windows() {
+            let (sound, unused) = sound_and_unused(&history, &scene, from_ms);
+            let used = sound - unused.len();
+            assert!(
+                used as f64 >= FLOOR_SHARE * sound as f64,
+                "seed {seed}, from {from_ms} ms: {} of {sound} sound targets got nothing",
+                unused.len()
+            );
+        }
+    }
+}
