--- a/crates/agatehold-core/tests/dispatch_floor.rs
+++ b/crates/agatehold-core/tests/dispatch_floor.rs
@@ -285,6 +285,21 @@
     (sound, unused)
 }
 
+/// Plays a scene and checks that enough of the sound targets are in use at all times.
+fn assert_floor(scene: &Scene) {
+    let history = play(scene);
+    let (daemons, seed) = (scene.daemons, scene.seed);
+    for from_ms in windows() {
+        let (sound, unused) = sound_and_unused(&history, scene, from_ms);
+        let used = sound - unused.len();
+        assert!(
+            used as f64 >= FLOOR_SHARE * sound as f64,
+            "{daemons} daemons, seed {seed}, from {from_ms} ms: {} of {sound} sound targets got nothing",
+            unused.len()
+        );
+    }
+}
+
 fn windows() -> impl Iterator<Item = u64> {
     (WARM_UP_MS..DAY_MS - FLOOR_SPAN_MS).step_by(100)
 }
@@ -329,16 +344,7 @@
             idle_daemons: 1,
             seed: 5,
         };
-        let history = play(&scene);
-        for from_ms in windows() {
-            let (sound, unused) = sound_and_unused(&history, &scene, from_ms);
-            let used = sound - unused.len();
-            assert!(
-                used as f64 >= FLOOR_SHARE * sound as f64,
-                "{daemons} daemons, from {from_ms} ms: {} of {sound} sound targets got nothing",
-                unused.len()
-            );
-        }
+        assert_floor(&scene);
     }
 }
 
@@ -356,15 +362,6 @@
             idle_daemons: 0,
             seed,
         };
-        let history = play(&scene);
-        for from_ms in windows() {
-            let (sound, unused) = sound_and_unused(&history, &scene, from_ms);
-            let used = sound - unused.len();
-            assert!(
-                used as f64 >= FLOOR_SHARE * sound as f64,
-                "seed {seed}, from {from_ms} ms: {} of {sound} sound targets got nothing",
-                unused.len()
-            );
-        }
+        assert_floor(&scene);
     }
 }
