record: say what pressure still does

Cause, found in a reading of the whole change: two comments said that pressure makes trials sooner and keeps sound targets in use. Since the floor is kept without it, it only lets entry daemons tell each other what they use.

Change: comments only.

--- a/crates/agatehold-core/src/dispatch/record.rs
+++ b/crates/agatehold-core/src/dispatch/record.rs
@@ -6,9 +6,8 @@
 /// The time after which an ended request counts half.
 const HALF_LIFE_MS: DurationMs = DurationMs(1_000);
 
-/// The share of unserved requests from which requests spread over all targets
-/// and those on hold are tried more often: no sound target may be left without
-/// work once more than a tenth are not served.
+/// The share of unserved requests from which entry daemons tell each other which
+/// targets they use: a floor counts once more than a tenth are not served.
 const PRESSED_SHARE: f64 = 0.085;
 
 /// The time without an idempotent request after which other requests try
@@ -162,8 +161,8 @@
         })
     }
 
-    /// Returns whether so many requests are not served that no sound target may
-    /// be left without work.
+    /// Returns whether so many requests are not served that the entry daemons tell
+    /// each other which targets they use.
     pub fn is_pressed(&self) -> bool {
         self.unserved > PRESSED_SHARE * (self.served + self.unserved)
     }
