--- a/crates/agatehold-core/src/dissemination/heartbeats.rs
+++ b/crates/agatehold-core/src/dissemination/heartbeats.rs
@@ -1,6 +1,7 @@
 //! The heartbeats in which daemons report the revisions of the store that they
 //! know.
 
+use crate::addresses::rendezvous_score;
 use crate::ids::HostId;
 use crate::table::Table;
 use crate::units::DurationMs;
@@ -18,9 +19,10 @@
 }
 
 impl Revisions {
-    /// Returns the sum of the revisions, for ordering by how new they are.
-    pub(super) const fn sum(&self) -> u64 {
-        self.configuration + self.targets + self.members
+    /// Orders revisions by what is most urgent: the configuration, then the
+    /// targets, then the members.
+    pub(super) const fn by_urgency(&self) -> (u64, u64, u64) {
+        (self.configuration, self.targets, self.members)
     }
 
     /// Returns whether any revision in `self` is higher than in `other`.
@@ -58,9 +60,20 @@
 pub struct HeartbeatTable {
     /// The heartbeats.
     pub rows: Table<HostId, ReceivedHeartbeat>,
+    /// The receiving host's id; makes the order of equal sources differ between
+    /// daemons.
+    salt: Box<str>,
 }
 
 impl HeartbeatTable {
+    /// Creates an empty table for the daemon on `host`.
+    pub fn new(host: &HostId) -> Self {
+        Self {
+            rows: Table::new(),
+            salt: host.as_str().into(),
+        }
+    }
+
     /// Records a received heartbeat.
     pub fn record(&mut self, heartbeat: &StoreHeartbeat, now: TimeMs) {
         let heard = ReceivedHeartbeat {
@@ -70,4 +83,10 @@
         };
         self.rows.insert(heartbeat.host.clone(), heard);
     }
+
+    /// Returns the rank of a source among sources with equal revisions, so that
+    /// the daemons that hear of a change at once don't all fetch from one.
+    pub(super) fn source_rank(&self, host: &HostId) -> u64 {
+        rendezvous_score(&[&self.salt], host.as_str())
+    }
 }
--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -1,19 +1,28 @@
 //! How daemons get changes of the platform's store from each other.
 //!
-//! A few daemons in each failure domain watch the store and send the others
-//! heartbeats with the revisions that they know. The others fetch newer
-//! contents from them, and read the store themselves if no heartbeats arrive.
+//! The entry daemons watch the store and send the others heartbeats with the
+//! revisions that they know. The others fetch what has changed from them, and
+//! read the store themselves if no heartbeats arrive. If the store rejects them
+//! too, they ask daemons that they pick at random.
 
 mod heartbeats;
+mod recipients;
 mod refresh;
+mod replica;
 
 pub use heartbeats::HeartbeatTable;
 pub use heartbeats::ReceivedHeartbeat;
 pub use heartbeats::Revisions;
 pub use heartbeats::StoreHeartbeat;
+pub use recipients::heartbeat_recipients;
+pub use recipients::pull_sources;
 pub use refresh::HEARTBEAT_TIMEOUT_MS;
 pub use refresh::Refresh;
 pub use refresh::STORE_ANSWER_AGE_MAX_MS;
 pub use refresh::has_recent_heartbeat;
 pub use refresh::is_store_unavailable;
 pub use refresh::next_refresh;
+pub use replica::KeyChange;
+pub use replica::Replica;
+pub use replica::ReplicaRow;
+pub use replica::ReplicaUpdate;
--- a/crates/agatehold-core/src/dissemination/refresh.rs
+++ b/crates/agatehold-core/src/dissemination/refresh.rs
@@ -52,9 +52,11 @@
 
 /// Decides how a daemon gets newer contents of the store.
 ///
+/// `own` are the revisions up to which the daemon's contents are complete;
 /// `own_answer_at` is when the store last answered this daemon with contents.
 /// A daemon fetches from the daemons with the newest revisions if a recent
-/// heartbeat reports newer ones. It reads the store if no recent heartbeat
+/// heartbeat reports newer ones; daemons that are equally new are ordered by a
+/// hash that differs between receivers. It reads the store if no recent heartbeat
 /// came from a daemon that reaches the store and its own last answer from the
 /// store is older than [`HEARTBEAT_TIMEOUT_MS`].
 pub fn next_refresh(
@@ -73,7 +75,9 @@
         ahead.push((host, heartbeat.revisions));
     }
     if !ahead.is_empty() {
-        ahead.sort_by_key(|(_, revisions)| Reverse(revisions.sum()));
+        ahead.sort_by_cached_key(|(host, revisions)| {
+            Reverse((revisions.by_urgency(), heartbeats.source_rank(host)))
+        });
         ahead.truncate(FETCH_SOURCES_MAX);
         return Refresh::Fetch(ahead.into_iter().map(|(host, _)| host.clone()).collect());
     }
--- /dev/null
+++ b/crates/agatehold-core/src/dissemination/replica.rs
@@ -0,0 +1,216 @@
+//! A daemon's replica of one group of keys of the store, from which other
+//! daemons are served what changed since a revision that they know.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::table::Table;
+
+/// The number of deletions that a replica remembers. A daemon that is further
+/// behind gets all keys.
+const DELETIONS_MAX: usize = 2_048;
+
+/// The value of a key and the store's revision of its last change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaRow {
+    /// The store's revision of the last change.
+    pub revision: u64,
+    /// The value; shared, since replicas are copied for each published view.
+    pub value: Arc<[u8]>,
+}
+
+/// A changed key; `row` is `None` if the key was deleted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyChange {
+    /// The key.
+    pub key: Box<str>,
+    /// The store's revision of the change.
+    pub revision: u64,
+    /// The new value; `None` if the key was deleted.
+    pub value: Option<Arc<[u8]>>,
+}
+
+/// What one daemon sends another about a group of keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaUpdate {
+    /// The revision up to which the receiver is complete after the update.
+    pub revision: u64,
+    /// Whether `changes` and `kept` together hold every key of the group, so that
+    /// others no longer exist.
+    pub is_listing: bool,
+    /// The keys that changed, or all keys.
+    pub changes: Vec<KeyChange>,
+    /// In a listing, the keys that the receiver knows and that are unchanged.
+    pub kept: Vec<Box<str>>,
+}
+
+/// The keys of one group, as known to one daemon.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Replica {
+    /// The store's revision of the last known change.
+    changed_at: u64,
+    /// The store's revision up to which every change is contained; at least
+    /// `changed_at`.
+    complete_to: u64,
+    /// The rows by key.
+    rows: Table<Box<str>, ReplicaRow>,
+    /// The deleted keys with the revision at which each was deleted, in
+    /// ascending order.
+    deletions: VecDeque<(Box<str>, u64)>,
+    /// The revision since which `deletions` is complete.
+    deletions_since: u64,
+}
+
+impl Replica {
+    /// Returns the store's revision of the last known change, which other daemons
+    /// are told; 0 if nothing is known.
+    pub const fn changed_at(&self) -> u64 {
+        self.changed_at
+    }
+
+    /// Returns the store's revision up to which every change is contained; 0 if
+    /// nothing is known.
+    pub const fn complete_to(&self) -> u64 {
+        self.complete_to
+    }
+
+    /// Returns the rows by key.
+    pub const fn rows(&self) -> &Table<Box<str>, ReplicaRow> {
+        &self.rows
+    }
+
+    /// Applies changes that directly follow what is known.
+    pub fn apply_changes(&mut self, changes: &[KeyChange]) {
+        for change in changes {
+            let held = self.rows.get(&change.key);
+            if held.is_some_and(|row| row.revision > change.revision) {
+                continue;
+            }
+            self.changed_at = self.changed_at.max(change.revision);
+            self.complete_to = self.complete_to.max(change.revision);
+            match &change.value {
+                Some(value) => {
+                    let row = ReplicaRow {
+                        revision: change.revision,
+                        value: Arc::clone(value),
+                    };
+                    self.rows.insert(change.key.clone(), row);
+                }
+                None => self.delete(&change.key, change.revision),
+            }
+        }
+    }
+
+    /// Replaces the replica by a listing, as of a revision of the store.
+    ///
+    /// A listing that is older than what is known is ignored. One without any
+    /// difference is no change, so that it causes no fetches by other daemons.
+    pub fn apply_listing(&mut self, listed: &[KeyChange], revision: u64) {
+        self.replace(listed, &[], revision);
+    }
+
+    /// Replaces the replica by `listed` and those of its own rows that are in
+    /// `kept`.
+    fn replace(&mut self, listed: &[KeyChange], kept: &[Box<str>], revision: u64) {
+        if revision < self.complete_to {
+            return;
+        }
+        let mut absent: Table<Box<str>, ()> = Table::new();
+        for key in self.rows.keys() {
+            absent.insert(key.clone(), ());
+        }
+        for key in kept {
+            absent.remove(key);
+        }
+        let mut newest = self.changed_at;
+        for item in listed {
+            let Some(value) = &item.value else {
+                continue;
+            };
+            absent.remove(&item.key);
+            let held = self.rows.get(&item.key);
+            if held.is_some_and(|row| row.revision == item.revision) {
+                continue;
+            }
+            newest = newest.max(item.revision);
+            let row = ReplicaRow {
+                revision: item.revision,
+                value: Arc::clone(value),
+            };
+            self.rows.insert(item.key.clone(), row);
+        }
+        // A listing does not tell when a key was deleted, nor which keys existed only
+        // since the last one. A daemon that knew nothing can't tell whether a key
+        // was deleted at all.
+        let may_hide_deletions = self.complete_to == 0 || !absent.is_empty();
+        self.deletions_since = revision;
+        self.deletions.clear();
+        for key in absent.keys() {
+            self.rows.remove(key);
+        }
+        self.changed_at = if may_hide_deletions { revision } else { newest };
+        self.complete_to = revision;
+    }
+
+    /// Applies an update from another daemon.
+    pub fn apply_update(&mut self, update: &ReplicaUpdate) {
+        if update.is_listing {
+            self.replace(&update.changes, &update.kept, update.revision);
+        } else {
+            self.apply_changes(&update.changes);
+        }
+        self.complete_to = self.complete_to.max(update.revision);
+    }
+
+    /// Returns what a daemon lacks that knows the group up to `known`; `None` if it
+    /// lacks nothing.
+    pub fn update_since(&self, known: u64) -> Option<ReplicaUpdate> {
+        if self.changed_at <= known {
+            return None;
+        }
+        let is_listing = known < self.deletions_since;
+        let mut changes = Vec::new();
+        let mut kept = Vec::new();
+        for (key, row) in self.rows.rows() {
+            if row.revision <= known {
+                if is_listing {
+                    kept.push(key.clone());
+                }
+                continue;
+            }
+            changes.push(KeyChange {
+                key: key.clone(),
+                revision: row.revision,
+                value: Some(Arc::clone(&row.value)),
+            });
+        }
+        for (key, revision) in &self.deletions {
+            if is_listing || *revision <= known || self.rows.contains(key) {
+                continue;
+            }
+            changes.push(KeyChange {
+                key: key.clone(),
+                revision: *revision,
+                value: None,
+            });
+        }
+        Some(ReplicaUpdate {
+            revision: self.complete_to,
+            is_listing,
+            changes,
+            kept,
+        })
+    }
+
+    /// Removes a key and remembers its deletion.
+    fn delete(&mut self, key: &str, revision: u64) {
+        self.rows.remove(&key.into());
+        self.deletions.push_back((key.into(), revision));
+        if self.deletions.len() <= DELETIONS_MAX {
+            return;
+        }
+        if let Some((_, forgotten)) = self.deletions.pop_front() {
+            self.deletions_since = self.deletions_since.max(forgotten);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -0,0 +1,468 @@
+//! Tests how daemons bring each other up to date: updates that hold only what has
+//! changed, who sends heartbeats to whom, and how soon a change reaches a large fleet.
+
+mod support;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use agatehold_core::directory::EntryDemand;
+use agatehold_core::directory::MemberRecord;
+use agatehold_core::directory::entry_daemons;
+use agatehold_core::dissemination::HeartbeatTable;
+use agatehold_core::dissemination::KeyChange;
+use agatehold_core::dissemination::Refresh;
+use agatehold_core::dissemination::Replica;
+use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::StoreHeartbeat;
+use agatehold_core::dissemination::heartbeat_recipients;
+use agatehold_core::dissemination::next_refresh;
+use agatehold_core::dissemination::pull_sources;
+use agatehold_core::ids::FailureDomain;
+use agatehold_core::ids::HostId;
+use agatehold_core::ids::Incarnation;
+use agatehold_core::table::Table;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::TimeMs;
+
+fn change(key: u8, revision: u64, value: Option<u8>) -> KeyChange {
+    KeyChange {
+        key: format!("key-{key}").into(),
+        revision,
+        value: value.map(|value| [value].as_slice().into()),
+    }
+}
+
+fn contents(replica: &Replica) -> Vec<(Box<str>, u64)> {
+    let rows = replica.rows().rows();
+    rows.map(|(key, row)| (key.clone(), row.revision)).collect()
+}
+
+proptest! {
+    #![proptest_config(support::settings(256))]
+
+    /// Guards against updates that lack a change or a deletion: a daemon would keep
+    /// using a target that has left. Three daemons watch, list or fetch in any order;
+    /// whoever fetches knows at least what its source knew.
+    #[test]
+    fn whoever_fetches_ends_with_what_its_source_knows(
+        steps in prop::collection::vec((0_u8..6, 0_u8..12, 0_usize..3, 0_usize..3), 1..120),
+    ) {
+        let mut store: BTreeMap<u8, u64> = BTreeMap::new();
+        let mut history: Vec<KeyChange> = Vec::new();
+        let mut revision = 1;
+        let mut replicas = vec![Replica::default(); 3];
+        for (kind, key, one, other) in steps {
+            match kind {
+                0 | 1 => {
+                    revision += 1;
+                    store.insert(key, revision);
+                    history.push(change(key, revision, Some(key)));
+                }
+                2 => {
+                    revision += 1;
+                    if store.remove(&key).is_some() {
+                        history.push(change(key, revision, None));
+                    }
+                }
+                3 if replicas[one].complete_to() > 0 => {
+                    let known = replicas[one].complete_to();
+                    let missed: Vec<KeyChange> = history
+                        .iter()
+                        .filter(|change| change.revision > known)
+                        .cloned()
+                        .collect();
+                    replicas[one].apply_changes(&missed);
+                }
+                3 | 4 => {
+                    let listed: Vec<KeyChange> = store
+                        .iter()
+                        .map(|(key, revision)| change(*key, *revision, Some(*key)))
+                        .collect();
+                    replicas[one].apply_listing(&listed, revision);
+                }
+                _ if one != other => {
+                    let source = replicas[other].clone();
+                    let known = replicas[one].complete_to();
+                    if let Some(update) = source.update_since(known) {
+                        replicas[one].apply_update(&update);
+                        prop_assert_eq!(contents(&replicas[one]), contents(&source));
+                        prop_assert!(replicas[one].complete_to() >= source.complete_to());
+                    }
+                }
+                _ => {}
+            }
+        }
+        // At the end everyone watches again, and all must know what the store has.
+        for replica in &mut replicas {
+            if replica.complete_to() == 0 {
+                continue;
+            }
+            let known = replica.complete_to();
+            let missed: Vec<KeyChange> = history
+                .iter()
+                .filter(|change| change.revision > known)
+                .cloned()
+                .collect();
+            replica.apply_changes(&missed);
+            let expected: BTreeSet<Box<str>> =
+                store.keys().map(|key| format!("key-{key}").into()).collect();
+            let known: BTreeSet<Box<str>> = replica.rows().keys().cloned().collect();
+            prop_assert_eq!(known, expected);
+        }
+    }
+}
+
+/// Guards against transferring all targets at each change: at 293 hosts and 480
+/// targets, 1,200 such transfers a second filled the links of small hosts.
+#[test]
+fn an_update_holds_only_what_has_changed() {
+    let mut source = Replica::default();
+    let listed: Vec<KeyChange> = (0..200)
+        .map(|key| change(key, u64::from(key) + 1, Some(1)))
+        .collect();
+    source.apply_listing(&listed, 500);
+    let mut receiver = Replica::default();
+    receiver.apply_update(&source.update_since(0).expect("a listing"));
+    assert_eq!(receiver.complete_to(), 500);
+    assert_eq!(contents(&receiver), contents(&source));
+    assert_eq!(source.update_since(receiver.complete_to()), None);
+    source.apply_changes(&[change(3, 501, Some(2)), change(4, 502, None)]);
+    let update = source
+        .update_since(receiver.complete_to())
+        .expect("changes");
+    assert!(!update.is_listing);
+    assert_eq!(update.changes.len(), 2);
+    receiver.apply_update(&update);
+    assert_eq!(contents(&receiver), contents(&source));
+    // A daemon that has listed the keys later does not know which were deleted before;
+    // it sends the names of the unchanged keys without their values.
+    let mut late = Replica::default();
+    let listed: Vec<KeyChange> = (10..200)
+        .map(|key| change(key, u64::from(key) + 1, Some(1)))
+        .collect();
+    late.apply_listing(&listed, 600);
+    let update = late
+        .update_since(receiver.complete_to())
+        .expect("a listing");
+    assert!(update.is_listing && update.changes.is_empty());
+    receiver.apply_update(&update);
+    assert_eq!(contents(&receiver), contents(&late));
+}
+
+/// Guards against fetches by the whole fleet each time that a daemon lists what it
+/// knows.
+#[test]
+fn a_listing_without_a_difference_is_no_news() {
+    let listed = [change(1, 7, Some(1)), change(2, 9, Some(1))];
+    let mut replica = Replica::default();
+    replica.apply_listing(&listed, 20);
+    replica.apply_listing(&listed, 90);
+    assert_eq!(replica.changed_at(), 20);
+    assert_eq!(replica.complete_to(), 90);
+    assert_eq!(replica.update_since(20), None);
+}
+
+fn member(number: usize, domains: usize, strong: usize) -> (HostId, MemberRecord) {
+    let address = format!("10.0.{}.{}:8000", number / 250, number % 250 + 1)
+        .parse()
+        .expect("an address");
+    let record = MemberRecord {
+        failure_domain: format!("domain-{}", number % domains)
+            .parse()
+            .expect("a domain"),
+        callers: address,
+        news: address,
+        evidence: address,
+        incarnation: Incarnation::default(),
+        leaving: false,
+        capacity_millicores: if number < strong { 500 } else { 100 },
+    };
+    (format!("host-{number}").parse().expect("a name"), record)
+}
+
+fn fleet(hosts: usize, domains: usize) -> Table<HostId, MemberRecord> {
+    let mut members = Table::new();
+    for number in 0..hosts {
+        let (host, record) = member(number, domains, hosts / 20);
+        members.insert(host, record);
+    }
+    members
+}
+
+/// Guards against a failure domain whose daemons hear of no change, and each read the
+/// store every 1.3 s, because no entry daemon is in it; and against heartbeats that grow
+/// with the fleet.
+#[test]
+fn every_daemon_hears_of_two_or_three_watching_daemons() {
+    for (hosts, domains, millicores) in [(30, 3, 0), (300, 5, 1_900), (880, 7, 30_000)] {
+        let members = fleet(hosts, domains);
+        let demand = EntryDemand {
+            least: 3,
+            capacity_millicores: millicores,
+        };
+        let chosen = entry_daemons(members.rows(), "archive", demand);
+        let entries: Vec<(&HostId, &FailureDomain)> = chosen
+            .iter()
+            .map(|(host, record)| (*host, &record.failure_domain))
+            .collect();
+        let mut senders: BTreeMap<&HostId, usize> = BTreeMap::new();
+        for (entry, _) in &entries {
+            for recipient in heartbeat_recipients(entry, members.rows(), &entries) {
+                *senders.entry(recipient).or_default() += 1;
+            }
+        }
+        for host in members.keys() {
+            let count = senders.get(host).copied().unwrap_or(0);
+            assert!((2..=3).contains(&count), "{host} of {hosts}: {count}");
+        }
+    }
+}
+
+/// How a change spread through a simulated fleet.
+struct Spread {
+    /// When the last daemon that the store serves knew the change.
+    served_ms: u64,
+    /// When the last daemon that the store turns away knew it.
+    rejected_ms: u64,
+    /// The largest number of fetches that one daemon made before it knew it.
+    fetches_max: u32,
+    /// The largest number of fetches that one daemon answered within 100 ms.
+    answered_max: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Heartbeat {
+        from: usize,
+        to: usize,
+        revision: u64,
+    },
+    Beat(usize),
+    Tick(usize),
+    Answer {
+        from: usize,
+        to: usize,
+    },
+    Timeout(usize),
+}
+
+const HEARTBEAT_INTERVAL_MS: u64 = 600;
+const TICK_MS: u64 = 500;
+const FETCH_TIMEOUT_MS: u64 = 400;
+
+/// Simulates one change of the configuration at time 0: 35% of the hosts are turned
+/// away by the store and their registrations are revoked, and 5% of the datagrams and
+/// of the fetches are lost.
+fn simulate(hosts: usize, domains: usize, seed: u64) -> Spread {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let all = fleet(hosts, domains);
+    let names: Vec<HostId> = all.keys().cloned().collect();
+    let number_of: BTreeMap<&HostId, usize> = names
+        .iter()
+        .enumerate()
+        .map(|(number, name)| (name, number))
+        .collect();
+    let rejected: Vec<bool> = (0..hosts).map(|_| rng.random_bool(0.35)).collect();
+    let mut registered: Table<HostId, MemberRecord> = Table::new();
+    for (host, record) in all.rows() {
+        if !rejected[number_of[host]] {
+            registered.insert(host.clone(), record.clone());
+        }
+    }
+    let demand = EntryDemand {
+        least: 3,
+        capacity_millicores: u32::try_from(hosts).expect("a number") * 10,
+    };
+    let chosen = entry_daemons(registered.rows(), "archive", demand);
+    let entries: Vec<(&HostId, &FailureDomain)> = chosen
+        .iter()
+        .map(|(host, record)| (*host, &record.failure_domain))
+        .collect();
+    let mut recipients: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+    for (entry, _) in &entries {
+        let list = heartbeat_recipients(entry, registered.rows(), &entries);
+        let list = list.into_iter().map(|host| number_of[host]).collect();
+        recipients.insert(number_of[*entry], list);
+    }
+    let mut revisions = vec![1_u64; hosts];
+    let mut heartbeats: Vec<HeartbeatTable> = names.iter().map(HeartbeatTable::new).collect();
+    let mut read_at = vec![TimeMs(0); hosts];
+    let mut running = vec![0_u32; hosts];
+    let mut rounds = vec![0_u64; hosts];
+    let mut fetches = vec![0_u32; hosts];
+    let mut answered: BTreeMap<(usize, u64), u32> = BTreeMap::new();
+    let mut known_at = vec![None; hosts];
+    let mut unaware = hosts;
+    let mut queue: BinaryHeap<Reverse<(u64, Event)>> = BinaryHeap::new();
+    for number in 0..hosts {
+        queue.push(Reverse((rng.random_range(0..TICK_MS), Event::Tick(number))));
+        if recipients.contains_key(&number) {
+            // Watches that paused after an earlier change see this one late.
+            let seen_ms = 10 + rng.random_range(0..350);
+            queue.push(Reverse((
+                seen_ms,
+                Event::Answer {
+                    from: number,
+                    to: number,
+                },
+            )));
+            let beat_ms = rng.random_range(0..HEARTBEAT_INTERVAL_MS);
+            queue.push(Reverse((beat_ms, Event::Beat(number))));
+        }
+    }
+    while let Some(Reverse((now_ms, event))) = queue.pop() {
+        if now_ms > 30_000 || unaware == 0 {
+            break;
+        }
+        let now = TimeMs(now_ms);
+        let decides = match event {
+            Event::Beat(from) => {
+                for to in &recipients[&from] {
+                    if rng.random_bool(0.95) {
+                        let revision = revisions[from];
+                        let heartbeat = Event::Heartbeat {
+                            from,
+                            to: *to,
+                            revision,
+                        };
+                        queue.push(Reverse((now_ms + 2, heartbeat)));
+                    }
+                }
+                queue.push(Reverse((now_ms + HEARTBEAT_INTERVAL_MS, Event::Beat(from))));
+                continue;
+            }
+            Event::Heartbeat { from, to, revision } => {
+                let heartbeat = StoreHeartbeat {
+                    host: names[from].clone(),
+                    revisions: Revisions {
+                        configuration: revision,
+                        targets: 1,
+                        members: 1,
+                    },
+                    store_age_ms: DurationMs(100),
+                };
+                heartbeats[to].record(&heartbeat, now);
+                to
+            }
+            Event::Tick(number) => {
+                queue.push(Reverse((now_ms + TICK_MS, Event::Tick(number))));
+                number
+            }
+            Event::Answer { from, to } => {
+                let revision = if from == to { 2 } else { revisions[from] };
+                running[to] = 0;
+                if revision > revisions[to] {
+                    revisions[to] = revision;
+                    known_at[to] = Some(now_ms);
+                    unaware -= 1;
+                    if recipients.contains_key(&to) {
+                        queue.push(Reverse((now_ms, Event::Beat(to))));
+                    }
+                }
+                to
+            }
+            Event::Timeout(number) => {
+                running[number] = running[number].saturating_sub(1);
+                number
+            }
+        };
+        if running[decides] > 0 || recipients.contains_key(&decides) {
+            continue;
+        }
+        let own = Revisions {
+            configuration: revisions[decides],
+            targets: 1,
+            members: 1,
+        };
+        let sources: Vec<usize> =
+            match next_refresh(&heartbeats[decides], &own, read_at[decides], now) {
+                Refresh::Nothing => continue,
+                Refresh::Fetch(sources) => {
+                    sources.iter().take(1).map(|host| number_of[host]).collect()
+                }
+                Refresh::ReadStore => {
+                    read_at[decides] = now;
+                    if !rejected[decides] {
+                        let answer = Event::Answer {
+                            from: decides,
+                            to: decides,
+                        };
+                        queue.push(Reverse((now_ms + 10, answer)));
+                        continue;
+                    }
+                    rounds[decides] += 1;
+                    let sources = pull_sources(&names[decides], all.keys(), rounds[decides]);
+                    sources.into_iter().map(|host| number_of[host]).collect()
+                }
+            };
+        for from in sources {
+            running[decides] += 1;
+            fetches[decides] += u32::from(revisions[decides] < 2);
+            *answered.entry((from, now_ms / 100)).or_default() += 1;
+            let event = if rng.random_bool(0.95) {
+                (now_ms + 10, Event::Answer { from, to: decides })
+            } else {
+                heartbeats[decides].rows.remove(&names[from]);
+                (now_ms + FETCH_TIMEOUT_MS, Event::Timeout(decides))
+            };
+            queue.push(Reverse(event));
+        }
+    }
+    let latest = |is_rejected: bool| {
+        let of_kind = (0..hosts).filter(|number| rejected[*number] == is_rejected);
+        of_kind
+            .map(|number| known_at[number].unwrap_or(u64::MAX))
+            .max()
+            .unwrap_or(0)
+    };
+    Spread {
+        served_ms: latest(false),
+        rejected_ms: latest(true),
+        fetches_max: fetches.iter().copied().max().unwrap_or(0),
+        answered_max: answered.values().copied().max().unwrap_or(0),
+    }
+}
+
+/// The pattern: the store turns a third of a large fleet away and a configuration
+/// changes meanwhile. A daemon that the store serves must know it within the 2 s of the
+/// smallest deployments, one that is turned away within the 5 s more that these allow.
+#[test]
+fn a_change_reaches_a_large_fleet_while_the_store_turns_hosts_away() {
+    for (hosts, domains) in [(30, 3), (300, 5), (880, 7)] {
+        for seed in 1..=5 {
+            let spread = simulate(hosts, domains, seed);
+            let context = format!("{hosts} hosts, seed {seed}");
+            assert!(
+                spread.served_ms <= 2_000,
+                "{context}: {} ms",
+                spread.served_ms
+            );
+            assert!(
+                spread.rejected_ms <= 7_000,
+                "{context}: {} ms",
+                spread.rejected_ms
+            );
+            // A configuration of 3 KB for each of them takes a link of 200 Mbit/s for
+            // less than half of the 100 ms.
+            assert!(
+                spread.answered_max <= 400,
+                "{context}: {}",
+                spread.answered_max
+            );
+            // The store is asked once, then three daemons each 1.3 s.
+            assert!(
+                spread.fetches_max <= 18,
+                "{context}: {}",
+                spread.fetches_max
+            );
+        }
+    }
+}
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -4,6 +4,7 @@
 mod peers;
 mod tables;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -30,6 +31,7 @@
 use super::store_tasks::MEMBERS_POLL_INTERVAL;
 use super::store_tasks::MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS;
 use super::store_tasks::StoreEvent;
+use super::store_tasks::WatchTurn;
 use super::store_tasks::list_and_watch;
 use super::store_tasks::poll_members;
 use super::store_tasks::read_all;
@@ -136,6 +138,8 @@
     /// The tasks that watch the store; empty unless this daemon is an entry
     /// daemon.
     watch_tasks: Vec<tokio::task::JoinHandle<()>>,
+    /// The place of this daemon among those that watch the store.
+    watch_turn: Rc<Cell<WatchTurn>>,
     /// The number of running fetches and reads; reset to 0 as soon as a fetch
     /// succeeds or a read ends.
     running_refreshes: usize,
@@ -146,6 +150,8 @@
     behind_since: Option<TimeMs>,
     /// When the last heartbeat was sent.
     heartbeat_sent_at: TimeMs,
+    /// The number of times that daemons were asked without a heartbeat from them.
+    pull_round: u64,
 }
 
 async fn run(shared: &Arc<GatewayShared>, mut own: watch::Receiver<MemberRecord>) {
@@ -165,10 +171,12 @@
         store: Rc::new(StoreClient::new(shared.settings.store)),
         events,
         watch_tasks: Vec::new(),
+        watch_turn: Rc::default(),
         running_refreshes: 0,
         last_fetch_failed: false,
         behind_since: None,
         heartbeat_sent_at: TimeMs(0),
+        pull_round: 0,
     };
     let (poll_pause, poll_pause_receiver) = watch::channel(MEMBERS_POLL_INTERVAL);
     let (record, record_receiver) = watch::channel(encode_member(&own.borrow()));
@@ -184,7 +192,7 @@
         poll_pause_receiver,
         store_sync.events.clone(),
     ));
-    let mut tables = ControlTables::new();
+    let mut tables = ControlTables::new(&shared.settings.host.id);
     let mut datagram = [0; super::messages::DATAGRAM_BYTES_MAX];
     loop {
         let wait = next_wait(&tables, &store_sync, shared.clock.now());
@@ -213,7 +221,7 @@
             // connection is still open.
             store_sync.restart_watching("store_back");
         }
-        if changed || swept {
+        if changed || swept || tables.has_unpublished_contents() {
             publish(shared, &mut tables);
             store_sync.update_role(&tables);
         }
@@ -261,7 +269,9 @@
     /// Starts watching the store when this daemon becomes an entry daemon, and stops
     /// when it no longer is one.
     fn update_role(&mut self, tables: &ControlTables) {
-        let is_entry = tables.is_entry(&self.shared.settings.host.id);
+        let turn = tables.watch_turn(&self.shared.settings.host.id);
+        self.watch_turn.set(turn.unwrap_or_default());
+        let is_entry = turn.is_some();
         if is_entry == self.is_watching() {
             return;
         }
@@ -281,7 +291,9 @@
 
     fn start_watching(&mut self) {
         for key_group in [KeyGroup::Configuration, KeyGroup::Targets] {
-            let watching = list_and_watch(Rc::clone(&self.store), key_group, self.events.clone());
+            let turn = Rc::clone(&self.watch_turn);
+            let watching =
+                list_and_watch(Rc::clone(&self.store), key_group, turn, self.events.clone());
             self.watch_tasks.push(tokio::task::spawn_local(watching));
         }
     }
@@ -303,7 +315,7 @@
         if !self.is_watching() || tables.store_unavailable_since.is_some() {
             return false;
         }
-        let own = tables.revisions();
+        let own = tables.contents().complete_to();
         let refresh = next_refresh(&tables.heartbeats, &own, now, now);
         if !matches!(refresh, Refresh::Fetch(_)) {
             self.behind_since = None;
@@ -326,15 +338,21 @@
         MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS
     }
 
-    /// Fetches from the seed daemons in the settings. They may know the contents while
-    /// the store is unreachable, and a daemon that has just started knows no others.
-    fn fetch_from_seeds(&self, known: Revisions) {
-        for seed in &self.shared.settings.seeds {
-            if *seed == self.shared.settings.listen.control {
-                continue;
+    /// Fetches from the seed daemons in the settings and from a few others, which
+    /// may know the contents while the store is unreachable. A daemon that has just
+    /// started knows only the seeds, and those may be out of date.
+    fn fetch_from_any(&mut self, tables: &ControlTables, known: Revisions) {
+        let settings = &self.shared.settings;
+        let mut addresses = tables.pull_addresses(&settings.host.id, self.pull_round);
+        self.pull_round += 1;
+        for seed in &settings.seeds {
+            if *seed != settings.listen.control {
+                addresses.push(*seed);
             }
+        }
+        for address in addresses {
             let events = self.events.clone();
-            let fetching = peers::fetch_from_seed(*seed, known, FETCH_TIMEOUT, events);
+            let fetching = peers::fetch_from_any(address, known, FETCH_TIMEOUT, events);
             tokio::task::spawn_local(fetching);
         }
     }
@@ -348,7 +366,7 @@
         if self.relies_on_own_watch(tables, now) {
             return;
         }
-        let own = tables.revisions();
+        let own = tables.contents().complete_to();
         match next_refresh(&tables.heartbeats, &own, tables.read_at, now) {
             Refresh::Nothing => {}
             Refresh::Fetch(mut hosts) => {
@@ -373,7 +391,7 @@
                 let reading = read_all(Rc::clone(&self.store), self.events.clone());
                 tokio::task::spawn_local(reading);
                 if tables.store_unavailable_since.is_some() || tables.catalog.is_none() {
-                    self.fetch_from_seeds(own);
+                    self.fetch_from_any(tables, own);
                 }
             }
         }
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -55,7 +55,7 @@
     pub(super) async fn send_heartbeat(&self, own: &HostId, tables: &ControlTables, now: TimeMs) {
         let heartbeat = StoreHeartbeat {
             host: own.clone(),
-            revisions: tables.revisions(),
+            revisions: tables.contents().changed_at(),
             store_age_ms: now.since(tables.store_answered_at),
         };
         let bytes = encode_heartbeat(&heartbeat);
@@ -83,8 +83,8 @@
     let _ = events.send(StoreEvent::RefreshEnded(failed_host)).await;
 }
 
-/// Fetches from a seed daemon what is newer than `known`.
-pub(super) async fn fetch_from_seed(
+/// Fetches from a daemon that has sent no heartbeat what is newer than `known`.
+pub(super) async fn fetch_from_any(
     address: SocketAddr,
     known: Revisions,
     timeout: Duration,
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -1,6 +1,5 @@
 //! The tables of the control thread, and merging events into them.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,8 +8,13 @@
 use agatehold_core::catalog::is_newer;
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::HeartbeatTable;
+use agatehold_core::dissemination::KeyChange;
+use agatehold_core::dissemination::ReplicaUpdate;
 use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::heartbeat_recipients;
 use agatehold_core::dissemination::is_store_unavailable;
+use agatehold_core::dissemination::pull_sources;
+use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::TargetName;
 use agatehold_core::target_registry::StoreMirror;
@@ -24,13 +28,13 @@
 use crate::gateway::member::decode_member;
 use crate::gateway::member::member_host;
 use crate::gateway::messages::Fetched;
-use crate::gateway::messages::KeyGroupContents;
 use crate::gateway::messages::StoreContents;
 use crate::gateway::shared::GatewayShared;
 use crate::gateway::shared::View;
 use crate::gateway::store::StoreError;
 use crate::gateway::store_tasks::KeyGroup;
 use crate::gateway::store_tasks::StoreEvent;
+use crate::gateway::store_tasks::WatchTurn;
 
 /// The tables of the control thread.
 pub(super) struct ControlTables {
@@ -56,11 +60,13 @@
     contents: StoreContents,
     /// The last published view.
     view: Arc<View>,
+    /// The revisions of the contents in the last published view.
+    published: Revisions,
 }
 
 impl ControlTables {
-    /// Creates empty tables.
-    pub(super) fn new() -> Self {
+    /// Creates empty tables for the daemon on the host `own`.
+    pub(super) fn new(own: &HostId) -> Self {
         Self {
             catalog: None,
             targets: StoreMirror::new(),
@@ -70,20 +76,34 @@
             store_answered_at: TimeMs(0),
             // Causes a read in the first iteration of the control loop.
             read_at: TimeMs(0),
-            heartbeats: HeartbeatTable::default(),
+            heartbeats: HeartbeatTable::new(own),
             contents: StoreContents::default(),
             view: Arc::default(),
+            published: Revisions::default(),
         }
     }
 
-    /// Returns the revision of the last known change in each key group.
-    pub(super) const fn revisions(&self) -> Revisions {
-        self.contents.revisions()
+    /// Returns whether other daemons are not yet served all contents that this
+    /// daemon knows. Heartbeats report what it knows, so that daemons would
+    /// fetch in vain.
+    pub(super) fn has_unpublished_contents(&self) -> bool {
+        self.contents.changed_at() != self.published
     }
 
-    /// Returns whether a host is an entry daemon of any service.
-    pub(super) fn is_entry(&self, host: &HostId) -> bool {
-        self.entry_hosts().any(|entry| entry == host)
+    /// Returns the contents of the store, as far as they are known.
+    pub(super) const fn contents(&self) -> &StoreContents {
+        &self.contents
+    }
+
+    /// Returns a host's place among the entry daemons, which watch the store;
+    /// `None` if it is not an entry daemon of any service.
+    pub(super) fn watch_turn(&self, host: &HostId) -> Option<WatchTurn> {
+        let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
+        let rank = entries.iter().position(|entry| *entry == host)?;
+        Some(WatchTurn {
+            rank: rank as u64,
+            watchers: entries.len() as u64,
+        })
     }
 
     fn entry_hosts(&self) -> impl Iterator<Item = &HostId> {
@@ -96,25 +116,29 @@
         self.members.rows.get(host).map(|row| row.content.news)
     }
 
-    /// Returns the addresses that heartbeats are sent to: those of the daemons in
-    /// this daemon's failure domain and of the entry daemons in the others.
+    /// Returns the addresses that heartbeats are sent to.
     pub(super) fn heartbeat_addresses(&self, own: &HostId) -> Vec<SocketAddr> {
-        let domain = self
-            .members
-            .rows
-            .get(own)
-            .map(|row| &row.content.failure_domain);
+        let members = &self.members.rows;
         let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
-        let mut addresses = Vec::new();
-        for (host, row) in self.members.rows.rows() {
-            if host == own {
-                continue;
-            }
-            if Some(&row.content.failure_domain) == domain || entries.contains(host) {
-                addresses.push(row.content.news);
-            }
-        }
+        let entries: Vec<(&HostId, &FailureDomain)> = entries
+            .into_iter()
+            .filter_map(|host| Some((host, &members.get(host)?.content.failure_domain)))
+            .collect();
+        let records = members.rows().map(|(host, row)| (host, &row.content));
+        let recipients = heartbeat_recipients(own, records, &entries);
+        let addresses = recipients.into_iter();
         addresses
+            .filter_map(|host| self.fetch_address(host))
+            .collect()
+    }
+
+    /// Returns the addresses of a few other daemons to fetch from in a round of
+    /// fetches.
+    pub(super) fn pull_addresses(&self, own: &HostId, round: u64) -> Vec<SocketAddr> {
+        let sources = pull_sources(own, self.members.rows.keys(), round).into_iter();
+        sources
+            .filter_map(|host| self.fetch_address(host))
+            .collect()
     }
 }
 
@@ -127,17 +151,23 @@
         StoreEvent::Listed(key_group, items, revision) => {
             let recovered = record_store_response(tables, now);
             update_store_state(tables, now);
-            apply_listing(tables, key_group, items, revision, now) || recovered
+            let update = ReplicaUpdate {
+                revision,
+                is_listing: true,
+                changes: items.into_iter().map(key_change).collect(),
+                kept: Vec::new(),
+            };
+            let replica = tables.contents.replica_mut(key_group);
+            replica.apply_listing(&update.changes, revision);
+            apply_update(tables, key_group, &update, now) || recovered
         }
         StoreEvent::Changed(key_group, items) => {
             let recovered = record_store_response(tables, now);
             update_store_state(tables, now);
-            let mut changed = false;
-            for item in items {
-                mirror_change(tables, key_group, &item);
-                changed |= apply_item(tables, key_group, item, now);
-            }
-            changed || recovered
+            let changes: Vec<KeyChange> = items.into_iter().map(key_change).collect();
+            let replica = tables.contents.replica_mut(key_group);
+            replica.apply_changes(&changes);
+            apply_changes(tables, key_group, &changes, now) || recovered
         }
         StoreEvent::Fetched(address, fetched) => apply_fetched(tables, address, fetched, now),
     }
@@ -170,76 +200,54 @@
         (KeyGroup::Members, fetched.members),
     ];
     let mut changed = false;
-    for (key_group, contents) in key_groups {
-        let Some(contents) = contents else {
+    for (key_group, update) in key_groups {
+        let Some(update) = update else {
             continue;
         };
         log::info!(
-            "event=fetched subject={} from={address} revision={} items={}",
+            "event=fetched subject={} from={address} revision={} items={} listing={}",
             key_group.name(),
-            contents.revision,
-            contents.items.len()
+            update.revision,
+            update.changes.len(),
+            update.is_listing
         );
-        changed |= apply_listing(tables, key_group, contents.items, contents.revision, now);
-        let current = tables.contents.key_group_mut(key_group);
-        current.revision = current.revision.max(contents.revision);
+        tables.contents.replica_mut(key_group).apply_update(&update);
+        changed |= apply_update(tables, key_group, &update, now);
     }
     changed
 }
 
-fn apply_listing(
+fn key_change(item: Item) -> KeyChange {
+    KeyChange {
+        key: item.key,
+        revision: item.revision,
+        value: item.value.map(Arc::from),
+    }
+}
+
+/// Applies an update to the table of a key group.
+fn apply_update(
     tables: &mut ControlTables,
     key_group: KeyGroup,
-    items: Vec<Item>,
-    revision: u64,
+    update: &ReplicaUpdate,
     now: TimeMs,
 ) -> bool {
-    mirror_listing(tables.contents.key_group_mut(key_group), &items, revision);
-    let mut changed = remove_unlisted(tables, key_group, &items, revision, now);
-    for item in items {
-        changed |= apply_item(tables, key_group, item, now);
-    }
-    changed
-}
-
-/// Applies a change to the contents served to other daemons.
-fn mirror_change(tables: &mut ControlTables, key_group: KeyGroup, item: &Item) {
-    let current = tables.contents.key_group_mut(key_group);
-    current.revision = current.revision.max(item.revision);
-    let position = current.items.iter().position(|other| other.key == item.key);
-    match position {
-        Some(position) if current.items[position].revision > item.revision => {}
-        Some(position) if item.value.is_none() => {
-            current.items.swap_remove(position);
-        }
-        Some(position) => current.items[position] = item.clone(),
-        None if item.value.is_some() => current.items.push(item.clone()),
-        None => {}
-    }
+    let is_listing = update.is_listing;
+    let removed = is_listing && remove_unlisted(tables, key_group, update, now);
+    apply_changes(tables, key_group, &update.changes, now) || removed
 }
 
-/// Replaces the contents served to other daemons with a listing, unless the listing
-/// is older or identical.
-fn mirror_listing(current: &mut KeyGroupContents, items: &[Item], revision: u64) {
-    if revision < current.revision {
-        return;
-    }
-    let by_key: BTreeMap<&str, &Item> = current
-        .items
-        .iter()
-        .map(|item| (&*item.key, item))
-        .collect();
-    let is_unchanged = |item: &Item| {
-        by_key
-            .get(&*item.key)
-            .is_some_and(|current| *current == item)
-    };
-    let is_same = current.items.len() == items.len() && items.iter().all(is_unchanged);
-    if is_same && current.revision > 0 {
-        return;
+fn apply_changes(
+    tables: &mut ControlTables,
+    key_group: KeyGroup,
+    changes: &[KeyChange],
+    now: TimeMs,
+) -> bool {
+    let mut changed = false;
+    for change in changes {
+        changed |= apply_change(tables, key_group, change, now);
     }
-    current.items = items.to_vec();
-    current.revision = revision;
+    changed
 }
 
 fn record_store_failure(
@@ -270,38 +278,40 @@
 fn remove_unlisted(
     tables: &mut ControlTables,
     key_group: KeyGroup,
-    items: &[Item],
-    revision: u64,
+    listing: &ReplicaUpdate,
     now: TimeMs,
 ) -> bool {
+    let changed = listing.changes.iter().map(|change| &*change.key);
+    let keys = changed.chain(listing.kept.iter().map(|key| &**key));
     match key_group {
         KeyGroup::Configuration => false,
         KeyGroup::Targets => {
-            let listed: Vec<TargetName> = items
-                .iter()
-                .filter_map(|item| target_name(&item.key))
-                .collect();
-            tables.targets.remove_unlisted(&listed, revision, now)
+            let listed: Vec<TargetName> = keys.filter_map(target_name).collect();
+            let targets = &mut tables.targets;
+            targets.remove_unlisted(&listed, listing.revision, now)
         }
         KeyGroup::Members => {
-            let listed: Vec<HostId> = items
-                .iter()
-                .filter_map(|item| member_host(&item.key))
-                .collect();
-            tables.members.remove_unlisted(&listed, revision, now)
+            let listed: Vec<HostId> = keys.filter_map(member_host).collect();
+            let members = &mut tables.members;
+            members.remove_unlisted(&listed, listing.revision, now)
         }
     }
 }
 
-fn apply_item(tables: &mut ControlTables, key_group: KeyGroup, item: Item, now: TimeMs) -> bool {
+fn apply_change(
+    tables: &mut ControlTables,
+    key_group: KeyGroup,
+    change: &KeyChange,
+    now: TimeMs,
+) -> bool {
     match key_group {
-        KeyGroup::Configuration => apply_configuration(tables, &item),
-        KeyGroup::Targets => apply_target(tables, &item, now),
-        KeyGroup::Members => apply_member(tables, &item, now),
+        KeyGroup::Configuration => apply_configuration(tables, change),
+        KeyGroup::Targets => apply_target(tables, change, now),
+        KeyGroup::Members => apply_member(tables, change, now),
     }
 }
 
-fn apply_configuration(tables: &mut ControlTables, item: &Item) -> bool {
+fn apply_configuration(tables: &mut ControlTables, item: &KeyChange) -> bool {
     let Some(value) = &item.value else {
         log::warn!("event=configuration_removed revision={}", item.revision);
         return false;
@@ -333,7 +343,7 @@
     true
 }
 
-fn apply_target(tables: &mut ControlTables, item: &Item, now: TimeMs) -> bool {
+fn apply_target(tables: &mut ControlTables, item: &KeyChange, now: TimeMs) -> bool {
     let Some(name) = target_name(&item.key) else {
         log::warn!(
             "event=target_skipped key=\"{}\" error=\"the key contains no valid target name\"",
@@ -373,7 +383,7 @@
     }
 }
 
-fn apply_member(tables: &mut ControlTables, item: &Item, now: TimeMs) -> bool {
+fn apply_member(tables: &mut ControlTables, item: &KeyChange, now: TimeMs) -> bool {
     let Some(host) = member_host(&item.key) else {
         return false;
     };
@@ -415,6 +425,7 @@
         view.members.insert(host.clone(), row.content.clone());
     }
     view.choose_entries(&shared.settings.entries);
+    tables.published = tables.contents.changed_at();
     tables.view = Arc::new(view);
     shared.view.store(Arc::clone(&tables.view));
 }
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -1,11 +1,16 @@
 //! Messages between daemons and their JSON encoding: heartbeats, contents of the
 //! store, evidence about targets, and pressure reports.
 
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use agatehold_core::dispatch::ServedCounts;
 use agatehold_core::dispatch::TargetUse;
+use agatehold_core::dissemination::KeyChange;
+use agatehold_core::dissemination::Replica;
+use agatehold_core::dissemination::ReplicaUpdate;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::ids::Digest;
@@ -15,7 +20,6 @@
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
-use agatehold_platform::Item;
 
 use super::store_tasks::KeyGroup;
 
@@ -33,42 +37,45 @@
 /// The path where daemons fetch contents of the store from each other.
 pub(super) const CONTENTS_PATH: &str = "/contents";
 
-/// The keys and values of one key group, as known to one daemon.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(super) struct KeyGroupContents {
-    /// The store revision of the last known change.
-    pub(super) revision: u64,
-    /// The keys with their values and revisions.
-    pub(super) items: Vec<Item>,
-}
-
-/// The contents of the store, as known to one daemon.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// The contents of the store, as known to one daemon. A replica is copied when it
+/// changes while a published view still holds it.
+#[derive(Clone, Debug, Default)]
 pub(super) struct StoreContents {
     /// The operators' configuration.
-    pub(super) configuration: KeyGroupContents,
+    pub(super) configuration: Arc<Replica>,
     /// The registered targets.
-    pub(super) targets: KeyGroupContents,
+    pub(super) targets: Arc<Replica>,
     /// The registered daemons.
-    pub(super) members: KeyGroupContents,
+    pub(super) members: Arc<Replica>,
 }
 
 impl StoreContents {
-    /// Returns the mutable contents of a key group.
-    pub(super) const fn key_group_mut(&mut self, key_group: KeyGroup) -> &mut KeyGroupContents {
-        match key_group {
+    /// Returns the mutable replica of a key group.
+    pub(super) fn replica_mut(&mut self, key_group: KeyGroup) -> &mut Replica {
+        Arc::make_mut(match key_group {
             KeyGroup::Configuration => &mut self.configuration,
             KeyGroup::Targets => &mut self.targets,
             KeyGroup::Members => &mut self.members,
+        })
+    }
+
+    /// Returns the revision of the last known change in each key group, which other
+    /// daemons are told.
+    pub(super) fn changed_at(&self) -> Revisions {
+        Revisions {
+            configuration: self.configuration.changed_at(),
+            targets: self.targets.changed_at(),
+            members: self.members.changed_at(),
         }
     }
 
-    /// Returns the revision of the last known change in each key group.
-    pub(super) const fn revisions(&self) -> Revisions {
+    /// Returns the revision up to which each key group is complete. What others know
+    /// up to it is no news.
+    pub(super) fn complete_to(&self) -> Revisions {
         Revisions {
-            configuration: self.configuration.revision,
-            targets: self.targets.revision,
-            members: self.members.revision,
+            configuration: self.configuration.complete_to(),
+            targets: self.targets.complete_to(),
+            members: self.members.complete_to(),
         }
     }
 }
@@ -157,13 +164,23 @@
 struct ItemJson {
     key: String,
     revision: u64,
-    value: String,
+    /// Absent if the key was deleted.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
 }
 
-#[derive(Serialize, Deserialize, Default)]
+#[derive(Serialize, Deserialize)]
 struct KeyGroupJson {
     revision: u64,
+    /// Whether `items` holds only what has changed; absent in the answers of
+    /// daemons that always send all keys.
+    #[serde(default)]
+    changes_only: bool,
     items: Vec<ItemJson>,
+    /// The keys that the receiver knows and that are unchanged; empty if `items`
+    /// holds only what has changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    kept: Vec<Box<str>>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -284,38 +301,45 @@
     })
 }
 
-fn key_group_json(contents: &KeyGroupContents, known: u64) -> Option<KeyGroupJson> {
-    if contents.revision <= known {
-        return None;
-    }
-    let mut items = Vec::with_capacity(contents.items.len());
-    for item in &contents.items {
-        let Some(value) = &item.value else {
-            continue;
-        };
-        // A value that is not UTF-8 is malformed and of no use to other
-        // daemons.
-        let Ok(value) = std::str::from_utf8(value) else {
-            continue;
+fn key_group_json(update: ReplicaUpdate) -> KeyGroupJson {
+    let mut items = Vec::with_capacity(update.changes.len());
+    for change in update.changes {
+        let value = match &change.value {
+            Some(value) => match std::str::from_utf8(value) {
+                Ok(value) => Some(value.to_owned()),
+                // A value that is not UTF-8 is malformed and of no use to other
+                // daemons.
+                Err(_) => continue,
+            },
+            None => None,
         };
         items.push(ItemJson {
-            key: item.key.to_string(),
-            revision: item.revision,
-            value: value.to_owned(),
+            key: change.key.into(),
+            revision: change.revision,
+            value,
         });
     }
-    Some(KeyGroupJson {
-        revision: contents.revision,
+    KeyGroupJson {
+        revision: update.revision,
+        changes_only: !update.is_listing,
         items,
-    })
+        kept: update.kept,
+    }
 }
 
-/// Encodes the key groups whose last known change is later than in `known`.
-pub(super) fn encode_contents(contents: &StoreContents, known: &Revisions) -> Vec<u8> {
+/// Encodes what a daemon lacks that knows the contents up to `known`.
+pub(super) fn encode_contents(contents: &StoreContents, known: &KnownContents) -> Vec<u8> {
+    let update = |replica: &Replica, revision: u64| {
+        let complete_to = if known.takes_changes { revision } else { 0 };
+        let is_newer = replica.changed_at() > revision;
+        let update = is_newer.then(|| replica.update_since(complete_to));
+        update.flatten().map(key_group_json)
+    };
+    let revisions = &known.revisions;
     let json = ContentsJson {
-        configuration: key_group_json(&contents.configuration, known.configuration),
-        targets: key_group_json(&contents.targets, known.targets),
-        members: key_group_json(&contents.members, known.members),
+        configuration: update(&contents.configuration, revisions.configuration),
+        targets: update(&contents.targets, revisions.targets),
+        members: update(&contents.members, revisions.members),
     };
     // Strings, numbers and booleans always serialize to JSON.
     serde_json::to_vec(&json).unwrap_or_default()
@@ -325,50 +349,61 @@
 /// knows nothing newer.
 pub(super) struct Fetched {
     /// The operators' configuration.
-    pub(super) configuration: Option<KeyGroupContents>,
+    pub(super) configuration: Option<ReplicaUpdate>,
     /// The registered targets.
-    pub(super) targets: Option<KeyGroupContents>,
+    pub(super) targets: Option<ReplicaUpdate>,
     /// The registered daemons.
-    pub(super) members: Option<KeyGroupContents>,
+    pub(super) members: Option<ReplicaUpdate>,
 }
 
 /// Decodes fetched contents; `None` if they are malformed.
 pub(super) fn decode_contents(bytes: &[u8]) -> Option<Fetched> {
     let json: ContentsJson = serde_json::from_slice(bytes).ok()?;
     Some(Fetched {
-        configuration: json.configuration.map(key_group_contents),
-        targets: json.targets.map(key_group_contents),
-        members: json.members.map(key_group_contents),
+        configuration: json.configuration.map(replica_update),
+        targets: json.targets.map(replica_update),
+        members: json.members.map(replica_update),
     })
 }
 
-fn key_group_contents(json: KeyGroupJson) -> KeyGroupContents {
-    let mut items = Vec::with_capacity(json.items.len());
+fn replica_update(json: KeyGroupJson) -> ReplicaUpdate {
+    let mut changes = Vec::with_capacity(json.items.len());
     for item in json.items {
-        items.push(Item {
+        changes.push(KeyChange {
             key: item.key.into(),
             revision: item.revision,
-            value: Some(item.value.into_bytes().into()),
+            value: item.value.map(|value| value.into_bytes().into()),
         });
     }
-    KeyGroupContents {
+    ReplicaUpdate {
         revision: json.revision,
-        items,
+        is_listing: !json.changes_only,
+        changes,
+        kept: json.kept,
     }
 }
 
+/// What a daemon that fetches contents already knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct KnownContents {
+    /// The revisions that it knows.
+    pub(super) revisions: Revisions,
+    /// Whether it understands answers that hold only what has changed.
+    pub(super) takes_changes: bool,
+}
+
 /// Returns the path and query for fetching the key groups that are newer than
 /// `known`.
 pub(super) fn contents_path(known: &Revisions) -> String {
     format!(
-        "{CONTENTS_PATH}?configuration={}&targets={}&members={}",
+        "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes=1",
         known.configuration, known.targets, known.members
     )
 }
 
 /// Parses the query that [`contents_path`] builds.
-pub(super) fn parse_known(query: &str) -> Revisions {
-    let mut known = Revisions::default();
+pub(super) fn parse_known(query: &str) -> KnownContents {
+    let mut known = KnownContents::default();
     for pair in query.split('&') {
         let Some((name, value)) = pair.split_once('=') else {
             continue;
@@ -376,9 +411,10 @@
         // A malformed revision counts as 0: nothing known.
         let value = value.parse().unwrap_or(0);
         match name {
-            "configuration" => known.configuration = value,
-            "targets" => known.targets = value,
-            "members" => known.members = value,
+            "configuration" => known.revisions.configuration = value,
+            "targets" => known.revisions.targets = value,
+            "members" => known.revisions.members = value,
+            "changes" => known.takes_changes = value == 1,
             _ => {}
         }
     }
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -52,7 +52,7 @@
 impl View {
     /// Returns whether both a configuration and the targets have been loaded.
     pub(crate) fn is_ready(&self) -> bool {
-        self.catalog.is_some() && self.contents.targets.revision > 0
+        self.catalog.is_some() && self.contents.targets.complete_to() > 0
     }
 
     /// Computes the entry daemons of each host name and service.
--- a/crates/agatehold/src/gateway/store.rs
+++ b/crates/agatehold/src/gateway/store.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use quick_error::quick_error;
+use tokio::time::Instant;
 
 use agatehold_platform::DecodeError;
 use agatehold_platform::StoreCall;
@@ -93,8 +94,8 @@
         call: StoreCall,
         timeout: Duration,
     ) -> Result<Bytes, StoreError> {
-        let until = tokio::time::Instant::now() + timeout;
-        let mut connection = self.connect().await?;
+        let until = Instant::now() + timeout;
+        let mut connection = self.connect(until).await?;
         let request = build_request(self.address, call)?;
         let result = tokio::time::timeout_at(until, async {
             let response = connection
@@ -126,7 +127,7 @@
         }
     }
 
-    async fn connect(&self) -> Result<Connection, StoreError> {
+    async fn connect(&self, until: Instant) -> Result<Connection, StoreError> {
         loop {
             let Some(connection) = self.idle.borrow_mut().pop() else {
                 break;
@@ -137,7 +138,8 @@
             connection.close();
         }
         let opening = Connection::open(self.address, TCP_TIMEOUTS);
-        match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+        let until = until.min(Instant::now() + CONNECT_TIMEOUT);
+        match tokio::time::timeout_at(until, opening).await {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(_)) | Err(_) => Err(StoreError::Connect),
         }
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -1,6 +1,7 @@
 //! Tasks that watch or poll keys in the platform's store, and the task that keeps
 //! the daemon registered there under a lease.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,13 +31,17 @@
 use super::store::StoreClient;
 use super::store::StoreError;
 
-/// How long a watch call waits for changes. The store allows 30 s. A shorter wait
-/// lets a watch that the store has lost time out sooner, in case nothing else
-/// reveals the loss.
-const WATCH_WAIT_MS: DurationMs = DurationMs(10_000);
+/// The interval at which some watch of the fleet ends its wait for changes. If the
+/// store has lost the watches of all daemons, the first of them that times out
+/// reveals what was missed.
+const WATCH_TURN_MS: DurationMs = DurationMs(800);
+
+/// The limits of how long a watch call waits for changes. The store allows 30 s.
+const WATCH_WAIT_MIN_MS: DurationMs = DurationMs(1_600);
+const WATCH_WAIT_MAX_MS: DurationMs = DurationMs(10_000);
 
 /// The timeout of a watch call is its wait plus this margin.
-const WATCH_MARGIN: Duration = Duration::from_secs(2);
+const WATCH_MARGIN: Duration = Duration::from_millis(800);
 
 /// The timeout of all other calls.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -101,6 +106,31 @@
     }
 }
 
+/// The place of this daemon among those that watch the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct WatchTurn {
+    /// The position of the daemon; less than `watchers`.
+    pub(crate) rank: u64,
+    /// The number of daemons that watch the store.
+    pub(crate) watchers: u64,
+}
+
+impl WatchTurn {
+    /// Returns how long a watch call waits for changes.
+    ///
+    /// A change ends the waits of all daemons at the same time. The waits that
+    /// follow differ, so that one of them ends in each [`WATCH_TURN_MS`].
+    fn wait(self, follows_change: bool) -> DurationMs {
+        let turns = if follows_change {
+            self.rank + 1
+        } else {
+            self.watchers
+        };
+        let wait_ms = WATCH_TURN_MS.times(turns);
+        wait_ms.clamp(WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS)
+    }
+}
+
 /// An event that the store tasks send to the control loop.
 pub(crate) enum StoreEvent {
     /// A complete listing of a key group, as of a revision of the store.
@@ -147,6 +177,7 @@
 pub(crate) async fn list_and_watch(
     store: Rc<StoreClient>,
     key_group: KeyGroup,
+    turn: Rc<Cell<WatchTurn>>,
     events: Sender<StoreEvent>,
 ) {
     let mut backoff = Backoff::new();
@@ -166,7 +197,7 @@
         let _ = events
             .send(StoreEvent::Listed(key_group, items, revision))
             .await;
-        watch_changes(&store, key_group, revision, &events).await;
+        watch_changes(&store, key_group, revision, &turn, &events).await;
     }
 }
 
@@ -176,12 +207,15 @@
     store: &StoreClient,
     key_group: KeyGroup,
     mut revision: u64,
+    turn: &Cell<WatchTurn>,
     events: &Sender<StoreEvent>,
 ) {
     let mut backoff = Backoff::new();
+    let mut follows_change = true;
     loop {
-        let call = watch(key_group.prefix(), revision, WATCH_WAIT_MS);
-        let timeout = duration(WATCH_WAIT_MS) + WATCH_MARGIN;
+        let wait_ms = turn.get().wait(follows_change);
+        let call = watch(key_group.prefix(), revision, wait_ms);
+        let timeout = duration(wait_ms) + WATCH_MARGIN;
         let response = store.call(call, timeout).await;
         let watched = match response {
             Ok(body) => decode_watch_response(&body).map_err(StoreError::from),
@@ -191,6 +225,7 @@
             Ok(watched) => {
                 backoff.reset();
                 revision = revision.max(watched.store_revision);
+                follows_change = !watched.changes.is_empty();
                 if watched.changes.is_empty() {
                     let _ = events.send(StoreEvent::CallSucceeded).await;
                     continue;
