dispatch: give each target a home among the entry daemons

Cause: at 293 hosts, 17 entry daemons each saw a seventeenth of a target's work. In a simulation of a calm service (30% of the slots busy, 30% of the targets failing three in four), the share of requests that met a full target grew from 4% with 3 daemons to 14% with 5, 18% with 8 and 28% with 17, and 61% of them crossed failure domains. Counting the full arrivals by kind showed, in this order: trials of a target on hold by all daemons within 300 ms, while the first successful one takes half a second; uses of "unused" targets, since daemons in calm don't know what others use; the rest was herding on the target used last, whose load report is older than its answer.

Ruled out: the order of equal targets alone (least loaded in place of the last used: 28% to 20%), fewer daemons alone (4 daemons: 8%), and homes alone, without the other two (20%).

Change: each target has one entry daemon as its home, in its own failure domain where possible, divided evenly by consistent hashing with bounded loads. A daemon spreads its requests over its own targets by load and uses those of others when its own are nearly full. Entry daemons tell each other twice a second which targets they used, also in calm, in place of a guess by the clock. After a hold the home tries a target first; another daemon does so only if the target has been left unused.

Tests: `dispatch_balance.rs`. Full arrivals 0.2% with 5 daemons, 0.5% with 17 and 0.4% with 40 (14.5% and 27.7% before with 5 and 17; bound 1%, from the aim for late answers); failed requests 3.7% to 3.8% of all at each size, so that they don't grow with the daemons. `few_homes_change_when_a_daemon_leaves`. Replaced: `low_load_stays_on_few_targets` stated the order that is gone; `a_daemon_spreads_requests_evenly_over_its_own_targets` states the new one. `pressure_does_not_shorten_holds` lost a parameter that no longer exists, and the second half of `a_target_that_another_daemon_uses...` the order by last use. The tests of reports now expect one each 500 ms in calm.

Missed: the busiest target gets 2.5 to 3.0 times the mean in the simulation (aim 1.4). A target that does not fail for the whole time gets the requests of those that do, and callers are not spread evenly over the failure domains; spilling earlier evens it out and costs full arrivals.

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod failure_detector;
+mod homes;
 mod pick;
 mod service_stats;
 mod step;
@@ -15,6 +16,8 @@
 pub use budget::ResendPolicy;
 pub use failure_detector::FailureDetector;
 pub use failure_detector::attempt_timeout;
+pub use homes::EntryDaemon;
+pub use homes::choose_homes;
 pub use pick::Choice;
 pub use pick::DaemonRank;
 pub use pick::PickRequest;
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -14,9 +14,10 @@
 use super::failure_detector::LONG_HOLDS;
 use super::failure_detector::SHORT_HOLDS;
 
-/// The load, as a share of a target's slots, below which load adds no cost.
-/// Requests rarely wait for a slot below it.
-const COST_FREE_LOAD_SHARE: f64 = 0.65;
+/// The cost of a target whose home is another daemon, as a share of its slots. This
+/// daemon doesn't know how many of its slots are free, so that it uses the target
+/// only if its own ones are nearly full.
+const AWAY_COST: f64 = 0.8;
 
 /// The cost of a target in another failure domain, as a share of its slots. A
 /// target in the daemon's own failure domain is preferred until its load is
@@ -37,20 +38,17 @@
 /// the remaining targets can carry the load.
 const LONG_HOLD_SHARE_MAX: f64 = 0.45;
 
-/// The time without a request after which the daemon that a target is assigned
-/// to sends it one. A floor counts targets without a request for two seconds.
-const UNUSED_AFTER_MS: DurationMs = DurationMs(1_200);
+/// An upper limit of the order of targets with equal cost.
+const ORDER_MAX: f64 = 1e-2;
 
-/// The interval at which a daemon uses a target that is assigned to another
-/// daemon, to be multiplied by the number of entry daemons. If the assigned
-/// daemon has no requests, the others together use the target about once a
-/// second.
-const UNASSIGNED_USE_INTERVAL_MS: DurationMs = DurationMs(1_000);
+/// The time without a request after which the home of a target sends it one. A
+/// floor counts targets without a request for two seconds.
+const UNUSED_AFTER_MS: DurationMs = DurationMs(1_200);
 
-/// The time without a request after which, under pressure, the next daemon
-/// sends one to a target that is assigned to another. It is longer than
-/// [`UNUSED_AFTER_MS`] by the time that reports between daemons take.
-const UNASSIGNED_UNUSED_AFTER_MS: DurationMs = DurationMs(1_450);
+/// The time without a request after which the next daemon sends one to a target
+/// whose home is another daemon. It is longer than [`UNUSED_AFTER_MS`] by the time
+/// that reports between daemons take.
+const AWAY_UNUSED_AFTER_MS: DurationMs = DurationMs(1_450);
 
 /// The time by which each further daemon waits longer than the one before it.
 const UNUSED_STEP_MS: DurationMs = DurationMs(60);
@@ -59,21 +57,29 @@
 /// target before the two seconds of a floor have passed.
 const UNUSED_MAX_MS: DurationMs = DurationMs(1_800);
 
-/// The time by which each further daemon waits longer, after a hold, before it
-/// tries a target. It covers most of the time until a failed trial is answered
-/// and reported to the other daemons.
-const TRIAL_STEP_MS: DurationMs = DurationMs(60);
+/// The time that the first daemon after a target's home waits longer, after a hold,
+/// before it tries the target. It covers a failed trial of the home and its report.
+const TRIAL_AWAY_DELAY_MS: DurationMs = DurationMs(300);
+
+/// The time by which each further daemon waits longer than the one before it. It
+/// covers a successful trial and its report: if the daemons tried at the same time,
+/// the requests of many of them would meet in one target.
+const TRIAL_STEP_MS: DurationMs = DurationMs(600);
 
 /// The upper limit of the wait before a trial.
-const TRIAL_DELAY_MAX_MS: DurationMs = DurationMs(300);
+const TRIAL_DELAY_MAX_MS: DurationMs = DurationMs(3_000);
+
+/// The load, as a share of a target's slots, up to which the target is tried after a
+/// hold. Other daemons may have sent it requests before they learned of the failure.
+const TRIAL_LOAD_MAX: f64 = 0.5;
 
 /// The place of this daemon in the order in which the entry daemons of a
 /// service keep a target in use.
 ///
-/// Each target is assigned to one daemon. If all daemons sent requests to keep
-/// it in use, a target that starts to fail would fail a request of each. The
-/// other daemons come later in the order, since the assigned one may have no
-/// requests.
+/// Each target has one daemon as its home, which sends it most of its requests
+/// (see [`super::choose_homes`]). If all daemons sent requests to keep it in use, a
+/// target that starts to fail would fail a request of each. The other daemons
+/// come later in the order, since the home may have no requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DaemonRank {
     /// The position of the daemon among the entry daemons; less than `daemons`.
@@ -84,72 +90,32 @@
 
 impl DaemonRank {
     /// Returns the number of daemons that come before this one in the order for
-    /// a target; 0 if the target is assigned to this daemon.
-    pub fn daemons_before(&self, name: &TargetName) -> u32 {
-        self.daemons_before_score(assignment_score(name))
-    }
-
-    /// Like [`DaemonRank::daemons_before`], for a target's [`assignment_score`].
-    fn daemons_before_score(&self, score: u64) -> u32 {
+    /// a target; 0 if this daemon is its home.
+    pub fn daemons_before(&self, target: &LiveTarget) -> u32 {
         let daemons = u64::from(self.daemons.max(1));
-        let first = score % daemons;
+        let first = target.home % daemons;
         let before = (u64::from(self.rank) + daemons - first) % daemons;
         u32::try_from(before).unwrap_or(u32::MAX)
     }
 }
 
-/// Returns the hash that determines which daemon a target is assigned to.
-pub(super) fn assignment_score(name: &TargetName) -> u64 {
+/// Returns the home of a target until homes are chosen for its service.
+pub(super) fn default_home(name: &TargetName) -> u64 {
     rendezvous_score(&["share"], name.as_str())
 }
 
-/// How urgently this daemon has to send a request to a target to keep it in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Urgency {
-    /// The target is in use, or other daemons come first.
-    None,
-    /// The daemon that the target is assigned to may have left it unused.
-    Fallback,
-    /// The target is unused and it is this daemon's turn.
-    OwnTurn,
-}
-
-/// Returns how urgently this daemon has to send a request to a target.
+/// Returns whether a target has been without a request for so long that this daemon
+/// has to send it one.
 ///
-/// Targets are also kept in use without pressure: requests may be lost at any
-/// moment, for example when daemons stop, and a floor is then measured over the
-/// time before the loss.
-fn urgency_of(row: &LiveTarget, daemon_rank: DaemonRank, is_pressed: bool, now: TimeMs) -> Urgency {
-    let daemons_before = daemon_rank.daemons_before_score(row.assignment_score);
-    let is_new = row.chosen_number == 0;
-    if is_pressed || is_new || daemons_before == 0 {
-        return if is_use_due(row, daemons_before, now) {
-            Urgency::OwnTurn
-        } else {
-            Urgency::None
-        };
-    }
-    // Without pressure the daemons don't tell each other which targets they use.
-    // The interval differs between daemons so that they don't all use a target
-    // at the same time.
-    let interval_ms = UNASSIGNED_USE_INTERVAL_MS.0 as f64
-        * f64::from(daemon_rank.daemons)
-        * (0.5 + row.tie_break);
-    if row.in_flight == 0 && now.since(row.own_used_at).0 as f64 > interval_ms {
-        Urgency::Fallback
-    } else {
-        Urgency::None
-    }
-}
-
-/// Returns whether a target has been without a request for so long that a daemon
-/// with `daemons_before` others before it has to use it.
-fn is_use_due(row: &LiveTarget, daemons_before: u32, now: TimeMs) -> bool {
-    let after_ms = match daemons_before {
+/// Targets are kept in use at all times: requests may be lost at any moment, for
+/// example when daemons stop, and a floor is then measured over the time before the
+/// loss.
+fn is_use_due(row: &LiveTarget, daemon_rank: DaemonRank, now: TimeMs) -> bool {
+    let after_ms = match daemon_rank.daemons_before(row) {
         0 => UNUSED_AFTER_MS,
         daemons_before => {
             let later = UNUSED_STEP_MS.times(u64::from(daemons_before - 1));
-            (UNASSIGNED_UNUSED_AFTER_MS + later).min(UNUSED_MAX_MS)
+            (AWAY_UNUSED_AFTER_MS + later).min(UNUSED_MAX_MS)
         }
     };
     row.in_flight == 0 && now.since(row.used_at) > after_ms
@@ -169,8 +135,6 @@
     /// Whether the request may be sent to a suspected target that fails fast if
     /// all other targets are full.
     pub may_risk_failure: bool,
-    /// Whether the service is under pressure (see `ServiceStats::is_pressed`).
-    pub is_pressed: bool,
     /// This daemon's place among the entry daemons; `None` if it is not an
     /// entry daemon of the service.
     pub daemon_rank: Option<DaemonRank>,
@@ -192,17 +156,17 @@
 
 /// Chooses the target with the lowest cost among those with a free slot.
 ///
-/// The cost is the load per slot above [`COST_FREE_LOAD_SHARE`], plus the costs
-/// of another failure domain, of warming up and of overdue requests. Of targets
-/// with equal cost, the one that was chosen last is chosen again. Requests are
-/// then spread over few targets, so that few requests meet a target that begins
-/// to fail, and a failing target among those in use is detected quickly.
+/// The cost is the load per slot, plus the costs of another home, of another
+/// failure domain, of warming up and of overdue requests. Of targets with equal
+/// cost, the one that has not been chosen for longest is chosen. Most requests to a
+/// target come from its home, which therefore knows its load, and is the only one to
+/// lose a request when the target begins to fail.
 ///
 /// A target on hold is chosen only if the service has no other target, or if
 /// `may_risk_failure` is set and all other targets are full. A target that has
 /// been without requests is preferred before the two seconds of a floor have
-/// passed. A target that this daemon has never used is preferred if it is
-/// assigned to this daemon, and otherwise once other daemons seem to have left
+/// passed. A target that this daemon has never used is preferred if this daemon is
+/// its home, and otherwise once the home and the daemons before this one have left
 /// it unused.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
     let holds = hold_durations(targets, request.service, now);
@@ -215,15 +179,16 @@
             continue;
         }
         let is_free = request.accepts_full || row.has_free_slot(now);
-        let urgency = request.daemon_rank.map_or(Urgency::None, |daemon_rank| {
-            urgency_of(row, daemon_rank, request.is_pressed, now)
-        });
-        let cost = cost(row, request, urgency, now);
+        let is_due = request
+            .daemon_rank
+            .is_some_and(|daemon_rank| is_use_due(row, daemon_rank, now));
+        let cost = cost(row, request, is_due, now);
         let delay_ms = trial_delay(row, request.daemon_rank);
         let is_candidate = match row.failure_detector.eligibility(&holds, delay_ms, now) {
             _ if row.failure_detector.is_unreachable(now) => false,
-            Eligibility::Trusted | Eligibility::LateTrial => true,
-            Eligibility::Trial => request.may_try,
+            Eligibility::Trusted => true,
+            Eligibility::LateTrial => may_be_tried(row, request.daemon_rank, now),
+            Eligibility::Trial => request.may_try && may_be_tried(row, request.daemon_rank, now),
             Eligibility::Avoided => false,
         };
         if !is_candidate {
@@ -281,40 +246,60 @@
     }
 }
 
+/// Returns whether this daemon may try a target after its hold: the target has few
+/// requests, and its home, if that is another daemon, seems to leave it unused.
+fn may_be_tried(row: &LiveTarget, daemon_rank: Option<DaemonRank>, now: TimeMs) -> bool {
+    let is_left = daemon_rank.is_none_or(|daemon_rank| {
+        daemon_rank.daemons_before(row) == 0 || is_use_due(row, daemon_rank, now)
+    });
+    is_left && row.estimated_load(now) <= f64::from(row.record.slots.0) * TRIAL_LOAD_MAX
+}
+
 /// Returns how long this daemon waits after a hold before it tries a target; 0 at
-/// the daemon that the target is assigned to.
+/// the target's home.
 fn trial_delay(row: &LiveTarget, daemon_rank: Option<DaemonRank>) -> DurationMs {
     let Some(daemon_rank) = daemon_rank else {
         return TRIAL_DELAY_MAX_MS;
     };
-    let daemons_before = u64::from(daemon_rank.daemons_before_score(row.assignment_score));
-    TRIAL_STEP_MS.times(daemons_before).min(TRIAL_DELAY_MAX_MS)
+    match u64::from(daemon_rank.daemons_before(row)) {
+        0 => DurationMs(0),
+        daemons_before => {
+            let delay_ms = TRIAL_AWAY_DELAY_MS + TRIAL_STEP_MS.times(daemons_before - 1);
+            delay_ms.min(TRIAL_DELAY_MAX_MS)
+        }
+    }
 }
 
 /// Returns the cost of a target (see [`pick_live_target`]). The cost of a target
 /// that has to be used now, whatever its load, is well below 0.
-fn cost(row: &LiveTarget, request: &PickRequest<'_>, urgency: Urgency, now: TimeMs) -> f64 {
-    // Orders targets of equal cost: the one chosen last is preferred, but among
-    // unused targets the one that has not been chosen for longest.
-    let order = 1e-9 * (row.chosen_number as f64 + row.tie_break);
+fn cost(row: &LiveTarget, request: &PickRequest<'_>, is_due: bool, now: TimeMs) -> f64 {
+    // Orders targets of equal cost: the one that has not been chosen for longest.
+    let mut order = 1e-9 * (row.chosen_number as f64 + row.tie_break);
+    let is_home = request
+        .daemon_rank
+        .is_some_and(|daemon_rank| daemon_rank.daemons_before(row) == 0);
     let is_suspected = row.failure_detector.is_suspected();
-    if urgency == Urgency::OwnTurn && !is_suspected && row.chosen_number > 0 {
+    if is_due && !is_suspected && row.chosen_number > 0 {
         // Trials and new targets must not take the requests that keep trusted
         // targets in use.
         return order - 3.0;
     }
-    if is_suspected || is_first_use_due(row, request, urgency) {
+    let is_new = row.chosen_number == 0;
+    if is_suspected || (is_new && (is_due || is_home)) {
         // A trial takes place even if other targets are idle. The tie-break
         // differs between daemons, so that daemons that start together don't all
         // choose the same target first.
         return row.tie_break - 2.0;
     }
-    if urgency > Urgency::None {
-        return order - 0.5;
-    }
     let slots = f64::from(row.record.slots.0);
-    let load = row.estimated_load(now) / slots;
-    let mut cost = (load - COST_FREE_LOAD_SHARE).max(0.0);
+    let mut cost = row.estimated_load(now) / slots;
+    if !is_home {
+        cost += AWAY_COST;
+        if is_new {
+            // The home uses it first; those that have been used come before it.
+            order = ORDER_MAX;
+        }
+    }
     if row.record.failure_domain != *request.failure_domain {
         cost += CROSS_DOMAIN_COST;
     }
@@ -322,13 +307,5 @@
         cost += WARMING_COST;
     }
     cost += OVERDUE_COST * f64::from(row.overdue);
-    cost - order
-}
-
-/// Returns whether this daemon has never used a target and has to use it now.
-fn is_first_use_due(row: &LiveTarget, request: &PickRequest<'_>, urgency: Urgency) -> bool {
-    let is_assigned =
-        |daemon_rank: DaemonRank| daemon_rank.daemons_before_score(row.assignment_score) == 0;
-    row.chosen_number == 0
-        && (urgency > Urgency::None || request.daemon_rank.is_some_and(is_assigned))
+    cost + order
 }
--- a/crates/agatehold-core/src/dispatch/service_stats.rs
+++ b/crates/agatehold-core/src/dispatch/service_stats.rs
@@ -1,5 +1,5 @@
-//! Counts served and unserved requests of one service in one daemon and tells
-//! the other entry daemons about them while the service is under pressure.
+//! Counts served and unserved requests of one service in one daemon and decides
+//! when to tell the other entry daemons about them.
 
 use crate::units::DurationMs;
 use crate::units::TimeMs;
@@ -16,10 +16,14 @@
 /// targets after a hold.
 const IDEMPOTENT_RECENT_MS: DurationMs = DurationMs(2_000);
 
-/// The time between two pressure reports of a daemon, short enough for several
-/// of them in the two seconds over which a floor is measured.
+/// The time between two reports of a daemon under pressure, short enough for
+/// several of them in the two seconds over which a floor is measured.
 const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
 
+/// The time between two reports otherwise: two of them arrive before other daemons
+/// take a target for unused, should one be lost.
+const CALM_REPORT_INTERVAL_MS: DurationMs = DurationMs(500);
+
 /// The minimum time between two reported pressure changes, since the state of
 /// a service near [`PRESSURE_THRESHOLD_SHARE`] could change with each request.
 const CHANGE_INTERVAL_MIN_MS: DurationMs = DurationMs(1_000);
@@ -36,8 +40,8 @@
     pub unserved: u32,
 }
 
-/// The report that the entry daemons of a service send each other while one of
-/// them sees the service under pressure.
+/// The report that the entry daemons of a service send each other, more often while
+/// one of them sees the service under pressure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PressureReport {
     /// The daemon's own requests that have ended since `since`.
@@ -123,15 +127,18 @@
 
     /// Returns the report to send to the other entry daemons, if one is due.
     ///
-    /// A report is due if [`REPORT_INTERVAL_MS`] have passed since the last one and
-    /// this daemon sees the service under pressure or another one has reported
-    /// pressure recently. That daemon needs the request counts of the others.
+    /// A report is due [`REPORT_INTERVAL_MS`] after the last one if this daemon sees
+    /// the service under pressure or another one has reported pressure recently, and
+    /// otherwise after [`CALM_REPORT_INTERVAL_MS`].
     pub fn take_report(&mut self, now: TimeMs) -> Option<PressureReport> {
         let is_pressed = self.is_pressed();
         let is_peer_pressed = now.since(self.peer_pressure_at) < REPORT_SPAN_MAX_MS;
-        let is_due =
-            (is_pressed || is_peer_pressed) && now.since(self.last_report_at) >= REPORT_INTERVAL_MS;
-        if !is_due {
+        let interval_ms = if is_pressed || is_peer_pressed {
+            REPORT_INTERVAL_MS
+        } else {
+            CALM_REPORT_INTERVAL_MS
+        };
+        if now.since(self.last_report_at) < interval_ms {
             return None;
         }
         let report = PressureReport {
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -4,6 +4,7 @@
 
 use crate::addresses::rendezvous_fraction;
 use crate::config::TargetState;
+use crate::ids::FailureDomain;
 use crate::ids::HostId;
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
@@ -12,8 +13,10 @@
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
+use super::EntryDaemon;
 use super::FailureDetector;
-use super::pick::assignment_score;
+use super::choose_homes;
+use super::pick::default_home;
 
 /// The time after which the weight of a load report has halved. It is about the
 /// run time of a request, after which other requests run in the target.
@@ -65,8 +68,9 @@
     pub used_at: TimeMs,
     /// When this daemon itself last used the target; 0 if it never did.
     pub(super) own_used_at: TimeMs,
-    /// Determines which daemon the target is assigned to (see `DaemonRank`).
-    pub(super) assignment_score: u64,
+    /// The position of the target's home among the entry daemons, modulo their
+    /// number (see `DaemonRank`).
+    pub(super) home: u64,
     /// Orders targets that are equal otherwise; from 0 to 1, different in each
     /// daemon.
     pub tie_break: f64,
@@ -76,7 +80,7 @@
     fn new(record: TargetRecord, tie_break: f64, seen_at: TimeMs) -> Self {
         let warm_at = seen_at + record.warmup_left_ms;
         let leaving = record.state == TargetState::Leaving;
-        let assignment_score = assignment_score(&record.identity.name);
+        let home = default_home(&record.identity.name);
         Self {
             record,
             warm_at,
@@ -89,7 +93,7 @@
             chosen_number: 0,
             used_at: seen_at,
             own_used_at: TimeMs(0),
-            assignment_score,
+            home,
             tie_break,
         }
     }
@@ -188,6 +192,25 @@
         }
     }
 
+    /// Sets the homes of a service's targets, by the entry daemons of the service
+    /// in the order that all daemons use.
+    pub fn set_homes(&mut self, service: &ServiceName, entries: &[EntryDaemon<'_>]) {
+        if entries.is_empty() {
+            return;
+        }
+        let named: Vec<(TargetName, FailureDomain)> = self
+            .of_service(service)
+            .map(|(name, row)| (name.clone(), row.record.failure_domain.clone()))
+            .collect();
+        let targets: Vec<_> = named.iter().map(|(name, domain)| (name, domain)).collect();
+        let homes = choose_homes(entries, &targets);
+        for ((name, _), home) in named.iter().zip(homes) {
+            if let Some(row) = self.rows.get_mut(name) {
+                row.home = u64::from(home);
+            }
+        }
+    }
+
     /// Returns the targets of a service.
     pub fn of_service(
         &self,
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -142,7 +142,6 @@
         tried,
         may_try: stats.may_try(idempotent, now),
         may_risk_failure: idempotent && tried.is_empty() && has_reserve,
-        is_pressed: stats.is_pressed(),
         daemon_rank: state.daemon_rank(service),
         accepts_full,
     }
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -19,6 +19,7 @@
 use agatehold_core::catalog::CallerLimits;
 use agatehold_core::catalog::match_catalog_route;
 use agatehold_core::dispatch::DaemonRank;
+use agatehold_core::dispatch::EntryDaemon;
 use agatehold_core::dispatch::LiveTargets;
 use agatehold_core::dispatch::ResendBudget;
 use agatehold_core::dispatch::ResendPolicy;
@@ -126,6 +127,14 @@
             let is_entry = newest.is_entry(own, service);
             let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
             budget.set_entries(if is_entry { count } else { 0 }, now);
+            let entries: Vec<EntryDaemon<'_>> = entries
+                .iter()
+                .map(|(host, member)| EntryDaemon {
+                    host,
+                    failure_domain: &member.failure_domain,
+                })
+                .collect();
+            self.targets.borrow_mut().set_homes(service, &entries);
         }
     }
 
