gateway: finish answers before a planned stop ends the process

(1) Requests were taken for half of the grace period, whatever their own time limit: with a grace of 6 s, requests that must not run twice and came 0.5 s to 2.5 s after SIGTERM were passed on, and their connections were closed without an answer at the end (`a_request_that_may_outlast_the_grace_period_is_not_taken`: an empty answer). (2) A request counted as answered before its answer was written, so that the process ended while a slow caller still read it (`an_answer_that_is_being_written_is_finished...`: UnexpectedEof with 15 MB; with 8 MB the socket buffers hid it).

Ruled out: requests in flight at the signal (finished, also before); a reload.

Change: a request is taken only if its own time limit ends before the process does, and refused as not run otherwise. The response holds the count of requests in flight until it is written.

Test: `a_stopping_daemon_takes_only_requests_that_end_before_it_does` with grace periods of 6 s and 10 s.

--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -13,6 +13,8 @@
 use agatehold_core::dispatch::WeightedRoundRobin;
 use agatehold_core::dispatch::after_attempt;
 use agatehold_core::dispatch::attempt_timeout;
+use agatehold_core::dispatch::may_exit;
+use agatehold_core::dispatch::may_take_request;
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::RefusalOutcome;
@@ -449,3 +451,31 @@
     assert!(stats.may_try(true, START + DurationMs(500)));
     assert!(stats.may_try(false, START + DurationMs(3_000)));
 }
+
+/// Guards against requests that are cut at the end of a planned stop, with the grace
+/// periods of small and large deployments, and against a process that waits until it is
+/// killed although nothing is left to do.
+#[test]
+fn a_stopping_daemon_takes_only_requests_that_end_before_it_does() {
+    for limit_ms in [6_000, 10_000] {
+        let limit = DurationMs(limit_ms);
+        for remaining_ms in [500, 2_500, 5_000, 12_000] {
+            let remaining = DurationMs(remaining_ms);
+            for stopping_ms in (0..limit_ms).step_by(50) {
+                let stopping = DurationMs(stopping_ms);
+                let is_taken = may_take_request(stopping, remaining, limit);
+                let ends = stopping + remaining;
+                let is_cut = ends < limit
+                    && may_exit(ends.saturating_sub(DurationMs(1)), 1, DurationMs(0), limit);
+                assert!(
+                    !is_taken || (ends < limit && !is_cut),
+                    "{stopping} {remaining}"
+                );
+                let has_room = ends + DurationMs(1_000) <= limit;
+                assert!(is_taken || !has_room, "{stopping} {remaining}");
+            }
+        }
+        assert!(may_exit(DurationMs(3_000), 0, DurationMs(1_000), limit));
+        assert!(!may_exit(DurationMs(3_000), 1, DurationMs(1_000), limit));
+    }
+}
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -111,5 +111,6 @@
         body: response.body,
         closes_connection: false,
         is_head_response: false,
+        in_flight: None,
     }
 }
--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -33,6 +33,7 @@
 use super::http1::write_header;
 use super::http1::write_headers;
 use super::serve;
+use super::shared::InFlightGuard;
 use super::traffic::TrafficState;
 
 /// How soon a dead connection of a caller is detected.
@@ -106,6 +107,9 @@
     /// Whether this is the response to a HEAD request, which is sent without a body
     /// and without `content-length`.
     pub(super) is_head_response: bool,
+    /// Counts the request as in flight until the response is written; `None` if no
+    /// request is counted.
+    pub(super) in_flight: Option<InFlightGuard>,
 }
 
 /// Binds a listening address. `SO_REUSEADDR` allows an address that another process
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -1,8 +1,6 @@
 //! Handles one caller request: checks that it can be served, finds its route and
 //! passes it to the dispatcher.
 
-use std::sync::atomic::Ordering;
-
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -31,10 +29,10 @@
     incoming: IncomingRequest,
     mut response_sender: oneshot::Sender<Response>,
 ) {
-    state.shared.in_flight.fetch_add(1, Ordering::AcqRel);
+    let in_flight = state.shared.count_request();
     let response = serve(state, &incoming, &mut response_sender).await;
-    state.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
     if let Some(mut response) = response {
+        response.in_flight = Some(in_flight);
         response.closes_connection |=
             !incoming.head.keeps_alive || state.shared.stopping_since().is_some();
         response.is_head_response = incoming.head.method == Method::HEAD;
@@ -70,9 +68,6 @@
     let Some(catalog) = &view.catalog else {
         return refuse(RefusalKind::Starting, ConfigVersion::default());
     };
-    if state.refuses_new() {
-        return refuse(RefusalKind::Stopping, catalog.version);
-    }
     let (host, path) = host_and_path(&incoming.head);
     let Some(position) = match_catalog_route(catalog, &host, path) else {
         // While the store is unreachable, a newer configuration that
@@ -90,7 +85,11 @@
         Err(kind) => return refuse(kind, catalog.version),
     };
     let elapsed_ms = DurationMs(incoming.arrived_at.elapsed().as_millis() as u64);
-    let deadline = state.shared.clock.now() + request_timeout_ms.saturating_sub(elapsed_ms);
+    let remaining_ms = request_timeout_ms.saturating_sub(elapsed_ms);
+    if state.refuses_new(remaining_ms) {
+        return refuse(RefusalKind::Stopping, catalog.version);
+    }
+    let deadline = state.shared.clock.now() + remaining_ms;
     let service = routes::next_service(state, route);
     let plan = Plan {
         route,
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -123,10 +123,22 @@
     stopping: AtomicBool,
     /// When the graceful shutdown began.
     stopping_since_ms: AtomicU64,
-    /// The number of caller requests that have not been answered yet.
+    /// The number of caller requests whose answers are not written yet.
     pub(crate) in_flight: AtomicU64,
 }
 
+/// Counts a caller request as in flight while it exists. The response holds it until
+/// it is written, so that the process does not end before.
+pub(crate) struct InFlightGuard {
+    shared: Arc<GatewayShared>,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl GatewayShared {
     /// Creates the state of a starting daemon, with an empty view.
     pub(crate) fn new(clock: Clock, settings: GatewaySettings, bounds: FleetBounds) -> Self {
@@ -141,6 +153,14 @@
         }
     }
 
+    /// Counts a caller request until the returned guard is dropped.
+    pub(crate) fn count_request(self: &Arc<Self>) -> InFlightGuard {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlightGuard {
+            shared: Arc::clone(self),
+        }
+    }
+
     /// Begins the graceful shutdown.
     pub(crate) fn begin_stop(&self) {
         let now = self.clock.now();
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -25,6 +25,8 @@
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::count_target_states;
+use agatehold_core::dispatch::may_exit;
+use agatehold_core::dispatch::may_take_request;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::units::DurationMs;
@@ -49,23 +51,6 @@
 /// The minimum interval between two updates of the target gauges.
 const GAUGE_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
-/// A daemon that is shutting down refuses new requests after the stop limit
-/// divided by this number, that is, after half of it: a request accepted later
-/// might not finish before the process is killed.
-const REFUSE_AFTER_DIVISOR: u64 = 2;
-
-/// How long before the stop limit the thread exits even if requests are still in
-/// flight.
-const STOP_MARGIN_MS: DurationMs = DurationMs(400);
-
-/// A daemon that is shutting down and has no requests in flight exits once it has
-/// had no new connection for this time.
-const QUIET_BEFORE_EXIT_MS: DurationMs = DurationMs(1_000);
-
-/// The minimum time that a daemon that is shutting down keeps serving. By then,
-/// the other daemons have stopped giving out its address.
-const STOP_MIN_MS: DurationMs = DurationMs(3_000);
-
 /// The state of the traffic thread.
 pub(super) struct TrafficState {
     /// The state shared with the other threads.
@@ -199,37 +184,32 @@
         self.metrics.render()
     }
 
-    /// Returns whether the shutdown has progressed so far that new requests are
-    /// refused.
-    pub(super) fn refuses_new(&self) -> bool {
+    /// Returns whether a request with `remaining_ms` until its deadline is refused
+    /// because the daemon is shutting down.
+    pub(super) fn refuses_new(&self, remaining_ms: DurationMs) -> bool {
         let Some(since) = self.shared.stopping_since() else {
             return false;
         };
-        let limit_ms = self.shared.bounds.stop_limit_ms;
-        self.shared.clock.now().since(since) >= DurationMs(limit_ms.0 / REFUSE_AFTER_DIVISOR)
+        let stopping_ms = self.shared.clock.now().since(since);
+        !may_take_request(stopping_ms, remaining_ms, self.shared.bounds.stop_limit_ms)
     }
 
-    /// Returns whether the thread may exit: after the minimum serving time once no
-    /// request is in flight and no caller connects, or when the stop limit is near.
+    /// Returns whether the thread may exit.
     fn may_exit(&self, now: TimeMs) -> bool {
         let Some(since) = self.shared.stopping_since() else {
             return false;
         };
-        let stopping_ms = now.since(since);
-        let limit_ms = self
-            .shared
-            .bounds
-            .stop_limit_ms
-            .saturating_sub(STOP_MARGIN_MS);
-        if stopping_ms >= limit_ms {
-            return true;
-        }
         let in_flight = self
             .shared
             .in_flight
             .load(std::sync::atomic::Ordering::Acquire);
         let quiet_ms = now.since(self.last_connection_at.get());
-        stopping_ms >= STOP_MIN_MS && in_flight == 0 && quiet_ms >= QUIET_BEFORE_EXIT_MS
+        may_exit(
+            now.since(since),
+            in_flight,
+            quiet_ms,
+            self.shared.bounds.stop_limit_ms,
+        )
     }
 }
 
