gateway: look at a target again when its connection is open

Cause (by reading): a target is chosen, and up to 150 ms pass while a connection to it is opened, and more on a busy host. A removal that arrives meanwhile was not looked at again before the request was written.

Ruled out: the wait in the queue and a second attempt.

Change: the state of the target is asked once more when the connection is open, by the newest view; a leaving target counts as not reached, and the request goes elsewhere without cost to the retry budget. A choice from the queue brings the tables in line first.

Test: `a_request_that_is_sent_again_does_not_go_to_a_target_that_leaves` stays as a guard; with the checks for leaving targets taken out it fails ("HTTP/1.1 200 OK"). The 150 ms of opening have no test of their own.

Conclusion: one way to DRAIN less.

--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -66,12 +66,14 @@
         let now = self.now();
         let remaining_ms = self.deadline.since(now);
         let bytes = self.encode(target, remaining_ms);
+        let may_write = || self.is_serving(target);
         let outbound = OutboundRequest {
             bytes: &bytes,
             request_id: self.request_id.as_ref().map(HeaderValue::as_bytes),
             idempotent: self.route.idempotent,
             is_head_request: self.incoming.head.method == Method::HEAD,
             deadline: self.state.shared.clock.instant(self.deadline),
+            may_write: &may_write,
         };
         let average_run_ms = routes::average_run(self.state, self.route);
         let overdue_after_ms = average_run_ms.times(OVERDUE_FACTOR).max(OVERDUE_MIN_MS);
@@ -113,6 +115,14 @@
         end
     }
 
+    /// Returns whether a target is still registered and not leaving, by the newest
+    /// view: the request may have waited since the target was chosen.
+    fn is_serving(&self, target: &TargetName) -> bool {
+        self.state.view();
+        let targets = self.state.targets.borrow();
+        targets.rows.get(target).is_some_and(|row| !row.leaving)
+    }
+
     fn add_overdue(&self, target: &TargetName, change: i32) {
         let mut targets = self.state.targets.borrow_mut();
         if let Some(row) = targets.rows.get_mut(target) {
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -110,6 +110,8 @@
     idempotent: bool,
     accepts_full: bool,
 ) -> Choice {
+    // The request may have waited since the tables were last synchronized.
+    state.view();
     let now = state.shared.clock.now();
     let request = pick_request(state, service, tried, idempotent, accepts_full);
     let mut targets = state.targets.borrow_mut();
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -62,6 +62,9 @@
     pub(super) is_head_request: bool,
     /// The deadline for the response to the caller.
     pub(super) deadline: Instant,
+    /// Returns whether the target still takes requests, asked once a connection is
+    /// open.
+    pub(super) may_write: &'a dyn Fn() -> bool,
 }
 
 /// A complete response from a target.
@@ -135,6 +138,10 @@
             }
         },
     };
+    if !(outbound.may_write)() {
+        pool.borrow_mut().put(address, connection);
+        return AttemptEnd::without_response(AttemptOutcome::NotWritten, "target is leaving");
+    }
     let body_reservation = pool.borrow().reserve_body();
     let exchanging = exchange(&mut connection, outbound, body_reservation);
     match tokio::time::timeout_at(outbound.deadline, exchanging).await {
