gateway: a few daemons watch the store, and starts read targets from its replicas

Every entry daemon watched (17 at 293 hosts), so that each change cost 34 calls, and each of the 293 daemons listed all targets at its start.

Ruled out: daemons that read the store for want of heartbeats (mended before), renewals shared between hosts (a lease per daemon is what tells that it is gone).

Change: one entry daemon in each failure domain watches, and at least three; the others follow their heartbeats as all daemons do.

Tests: `every_daemon_hears_of_two_or_three_watching_daemons` and `a_change_reaches_a_large_fleet...` with the fewer watchers, bounds unchanged; the process tests of the gateway pass (28).

--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -1,6 +1,6 @@
 //! How daemons get changes of the platform's store from each other.
 //!
-//! The entry daemons watch the store and send the others heartbeats with the
+//! A few entry daemons watch the store and send the others heartbeats with the
 //! revisions that they know. The others fetch what has changed from them, and
 //! read the store themselves if no heartbeats arrive. If the store rejects them
 //! too, they ask daemons that they pick at random.
@@ -16,6 +16,7 @@
 pub use heartbeats::StoreHeartbeat;
 pub use recipients::heartbeat_recipients;
 pub use recipients::pull_sources;
+pub use recipients::watching_daemons;
 pub use refresh::HEARTBEAT_TIMEOUT_MS;
 pub use refresh::Refresh;
 pub use refresh::STORE_ANSWER_AGE_MAX_MS;
--- a/crates/agatehold-core/src/dissemination/recipients.rs
+++ b/crates/agatehold-core/src/dissemination/recipients.rs
@@ -1,6 +1,7 @@
 //! Decides which daemons tell which others what is new.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::addresses::rendezvous_score;
 use crate::directory::MemberRecord;
@@ -24,8 +25,32 @@
 /// only such daemons.
 const PULL_SOURCES: usize = 3;
 
-/// Returns the daemons to which the watching daemon `own` sends heartbeats.
-/// `entries` are the daemons that watch the store.
+/// The minimum number of daemons that watch the store.
+const WATCHERS_MIN: usize = 3;
+
+/// Returns the entry daemons that watch the store: one in each failure domain that
+/// has any, and at least [`WATCHERS_MIN`]. The calls to the store that a change
+/// causes therefore don't grow with the fleet.
+///
+/// Entry daemons serve most requests and are killed no more often than others, and
+/// the strongest hosts are among them.
+pub fn watching_daemons<'a>(
+    entries: &[(&'a HostId, &'a FailureDomain)],
+) -> Vec<(&'a HostId, &'a FailureDomain)> {
+    let mut ranked = entries.to_vec();
+    ranked.sort_by_cached_key(|(host, _)| (rendezvous_score(&["watch"], host.as_str()), *host));
+    let mut domains = BTreeSet::new();
+    let (mut watching, rest): (Vec<_>, Vec<_>) = ranked
+        .into_iter()
+        .partition(|(_, domain)| domains.insert(*domain));
+    let missing = WATCHERS_MIN.saturating_sub(watching.len());
+    watching.extend(rest.into_iter().take(missing));
+    watching.sort();
+    watching
+}
+
+/// Returns the daemons to which the daemon `own` sends heartbeats. `watching` are the
+/// daemons that watch the store.
 ///
 /// Each daemon gets the heartbeats of at most [`SENDERS_PER_MEMBER`] watching
 /// daemons in its failure domain, and of [`FAR_SENDERS`] others if its domain has
@@ -34,10 +59,10 @@
 pub fn heartbeat_recipients<'a>(
     own: &HostId,
     members: impl Iterator<Item = (&'a HostId, &'a MemberRecord)>,
-    entries: &[(&HostId, &FailureDomain)],
+    watching: &[(&HostId, &FailureDomain)],
 ) -> Vec<&'a HostId> {
     let mut by_domain: BTreeMap<&FailureDomain, Vec<&HostId>> = BTreeMap::new();
-    for (entry, domain) in entries {
+    for (entry, domain) in watching {
         by_domain.entry(domain).or_default().push(entry);
     }
     let mut is_far_sender: BTreeMap<&FailureDomain, bool> = BTreeMap::new();
@@ -54,7 +79,7 @@
         } else if near_count < SUFFICIENT_NEAR_SENDERS {
             *is_far_sender.entry(domain).or_insert_with(|| {
                 let mut far = Vec::new();
-                for (entry, entry_domain) in entries {
+                for (entry, entry_domain) in watching {
                     if *entry_domain != domain {
                         far.push(*entry);
                     }
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -25,6 +25,7 @@
 use agatehold_core::dissemination::heartbeat_recipients;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::dissemination::pull_sources;
+use agatehold_core::dissemination::watching_daemons;
 use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
@@ -213,6 +214,8 @@
             .iter()
             .map(|(host, record)| (*host, &record.failure_domain))
             .collect();
+        let entries = watching_daemons(&entries);
+        assert!(entries.len() <= domains.max(3), "{hosts}: {entries:?}");
         let mut senders: BTreeMap<&HostId, usize> = BTreeMap::new();
         for (entry, _) in &entries {
             for recipient in heartbeat_recipients(entry, members.rows(), &entries) {
@@ -286,6 +289,7 @@
         .iter()
         .map(|(host, record)| (*host, &record.failure_domain))
         .collect();
+    let entries = watching_daemons(&entries);
     let mut recipients: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
     for (entry, _) in &entries {
         let list = heartbeat_recipients(entry, registered.rows(), &entries);
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -135,8 +135,8 @@
     shared: Arc<GatewayShared>,
     store: Rc<StoreClient>,
     events: mpsc::Sender<StoreEvent>,
-    /// The tasks that watch the store; empty unless this daemon is an entry
-    /// daemon.
+    /// The tasks that watch the store; empty unless this daemon is one of those that
+    /// do.
     watch_tasks: Vec<tokio::task::JoinHandle<()>>,
     /// The place of this daemon among those that watch the store.
     watch_turn: Rc<Cell<WatchTurn>>,
@@ -266,17 +266,17 @@
         apply_event(tables, event, now)
     }
 
-    /// Starts watching the store when this daemon becomes an entry daemon, and stops
-    /// when it no longer is one.
+    /// Starts watching the store when this daemon becomes one of those that do, and
+    /// stops when it no longer is.
     fn update_role(&mut self, tables: &ControlTables) {
         let turn = tables.watch_turn(&self.shared.settings.host.id);
         self.watch_turn.set(turn.unwrap_or_default());
-        let is_entry = turn.is_some();
-        if is_entry == self.is_watching() {
+        let watches_store = turn.is_some();
+        if watches_store == self.is_watching() {
             return;
         }
-        log::info!("event=role watches_store={is_entry}");
-        if is_entry {
+        log::info!("event=role watches_store={watches_store}");
+        if watches_store {
             self.start_watching();
         } else {
             self.stop_watching();
@@ -388,7 +388,8 @@
                 self.running_refreshes = 1;
                 tables.read_at = now;
                 log::info!("event=read_store reason=not_told");
-                let reading = read_all(Rc::clone(&self.store), self.events.clone());
+                let is_start = tables.contents().targets.complete_to() == 0;
+                let reading = read_all(Rc::clone(&self.store), is_start, self.events.clone());
                 tokio::task::spawn_local(reading);
                 if tables.store_unavailable_since.is_some() || tables.catalog.is_none() {
                     self.fetch_from_any(tables, own);
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -14,6 +14,7 @@
 use agatehold_core::dissemination::heartbeat_recipients;
 use agatehold_core::dissemination::is_store_unavailable;
 use agatehold_core::dissemination::pull_sources;
+use agatehold_core::dissemination::watching_daemons;
 use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::TargetName;
@@ -95,17 +96,27 @@
         &self.contents
     }
 
-    /// Returns a host's place among the entry daemons, which watch the store;
-    /// `None` if it is not an entry daemon of any service.
+    /// Returns a host's place among the daemons that watch the store; `None` if it
+    /// does not.
     pub(super) fn watch_turn(&self, host: &HostId) -> Option<WatchTurn> {
-        let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
-        let rank = entries.iter().position(|entry| *entry == host)?;
+        let watching = self.watching();
+        let rank = watching.iter().position(|(watcher, _)| *watcher == host)?;
         Some(WatchTurn {
             rank: rank as u64,
-            watchers: entries.len() as u64,
+            watchers: watching.len() as u64,
         })
     }
 
+    /// Returns the daemons that watch the store, with their failure domains.
+    fn watching(&self) -> Vec<(&HostId, &FailureDomain)> {
+        let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
+        let entries: Vec<(&HostId, &FailureDomain)> = entries
+            .into_iter()
+            .filter_map(|host| Some((host, &self.members.rows.get(host)?.content.failure_domain)))
+            .collect();
+        watching_daemons(&entries)
+    }
+
     fn entry_hosts(&self) -> impl Iterator<Item = &HostId> {
         let entries = self.view.entries_by_service.values().flatten();
         entries.map(|(entry, _)| entry)
@@ -118,14 +129,9 @@
 
     /// Returns the addresses that heartbeats are sent to.
     pub(super) fn heartbeat_addresses(&self, own: &HostId) -> Vec<SocketAddr> {
-        let members = &self.members.rows;
-        let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
-        let entries: Vec<(&HostId, &FailureDomain)> = entries
-            .into_iter()
-            .filter_map(|host| Some((host, &members.get(host)?.content.failure_domain)))
-            .collect();
-        let records = members.rows().map(|(host, row)| (host, &row.content));
-        let recipients = heartbeat_recipients(own, records, &entries);
+        let records = self.members.rows.rows();
+        let records = records.map(|(host, row)| (host, &row.content));
+        let recipients = heartbeat_recipients(own, records, &self.watching());
         let addresses = recipients.into_iter();
         addresses
             .filter_map(|host| self.fetch_address(host))
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -277,10 +277,15 @@
 
 /// Reads the configuration and the targets from the store, for a daemon that gets
 /// them from no other daemon.
-pub(crate) async fn read_all(store: Rc<StoreClient>, events: Sender<StoreEvent>) {
+///
+/// The targets may be stale if the daemon has just started, which is cheaper for the
+/// store while a whole fleet starts. It learns what is newer from the next heartbeat,
+/// or reads the store again if none arrives. The configuration is always current.
+pub(crate) async fn read_all(store: Rc<StoreClient>, is_start: bool, events: Sender<StoreEvent>) {
     let mut failed = false;
     for key_group in [KeyGroup::Configuration, KeyGroup::Targets] {
-        let event = match list(&store, key_group, false).await {
+        let may_be_stale = is_start && key_group == KeyGroup::Targets;
+        let event = match list(&store, key_group, may_be_stale).await {
             Ok((items, revision)) => StoreEvent::Listed(key_group, items, revision),
             Err(error) => {
                 failed = true;
