gateway: bound the memory of request bodies

Cause: each body was bounded by the operators' limit (64 MB on the users' deployments), their sum was not. Nine callers with 16 MB each took 174,548 kB, more than the 160 MB at which the smallest hosts kill the process.

Ruled out: bodies that are cut or changed (360 kB and 8 MB arrive whole, with a length and in chunks); uploads that run twice (one run after a lost answer).

Change: the bodies of requests that have not ended share 32 MB; beyond that a body over 128 kB is refused at once with `memory-full` (503, not run, another address). A body alone may be as large as the operators allow. The limit for answers uses the same type.

Not built: bodies are read whole before they are passed on, not streamed. A body of 64 MB alone takes up to three times its size, more than a host of 160 MB has.

--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -32,6 +32,7 @@
 use super::http1::take_request_head;
 use super::http1::write_header;
 use super::http1::write_headers;
+use super::pool::BodyReservation;
 use super::serve;
 use super::shared::InFlightGuard;
 use super::traffic::TrafficState;
@@ -92,6 +93,8 @@
     pub(super) body: Bytes,
     /// When the head was received completely.
     pub(super) arrived_at: Instant,
+    /// Holds the memory of the body until the request has ended.
+    _memory: BodyReservation,
 }
 
 /// A complete response.
@@ -142,11 +145,19 @@
     }
 }
 
+/// A request whose body is being read.
+struct IncompleteRequest {
+    head: RequestHead,
+    body: BodyCollector,
+    arrived_at: Instant,
+    memory: BodyReservation,
+}
+
 /// The state of reading requests from a connection.
 struct ReadState {
     buffer: BytesMut,
     /// The request whose body is being read.
-    current: Option<(RequestHead, BodyCollector, Instant)>,
+    current: Option<IncompleteRequest>,
     /// A complete request that can't start before the earlier ones are answered.
     deferred: Option<IncomingRequest>,
     /// When an incomplete head was first seen in the buffer.
@@ -301,19 +312,30 @@
                 // If the write fails, the connection fails on its next use.
                 let _ = write_half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             }
-            read_state.current = Some((head, body, Instant::now()));
+            read_state.current = Some(IncompleteRequest {
+                head,
+                body,
+                arrived_at: Instant::now(),
+                memory: state.request_memory.reserve(),
+            });
         }
-        let Some((head, mut body, arrived_at)) = read_state.current.take() else {
+        let Some(mut current) = read_state.current.take() else {
             return Ok(());
         };
-        if !body.take(&mut read_state.buffer).map_err(refusal_kind)? {
-            read_state.current = Some((head, body, arrived_at));
+        let is_complete = current.body.take(&mut read_state.buffer);
+        let is_complete = is_complete.map_err(refusal_kind)?;
+        if !current.memory.resize(current.body.collected_bytes()) {
+            return Err(RefusalKind::MemoryFull);
+        }
+        if !is_complete {
+            read_state.current = Some(current);
             return Ok(());
         }
         read_state.deferred = Some(IncomingRequest {
-            head,
-            body: body.into_bytes(),
-            arrived_at,
+            head: current.head,
+            body: current.body.into_bytes(),
+            arrived_at: current.arrived_at,
+            _memory: current.memory,
         });
     }
 }
--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -61,26 +61,64 @@
 }
 
 /// The idle connections by target address, most recently used last.
-#[derive(Default)]
 pub(super) struct TargetPool {
     idle: HashMap<SocketAddr, Vec<TargetStream>>,
-    /// The total size of the response bodies that are being read.
-    total_body_bytes: Rc<Cell<usize>>,
+    /// The memory of the response bodies that are being read.
+    body_memory: BodyMemory,
 }
 
-/// The share of one response body in the total size. It is released on drop, also
-/// when the attempt is cancelled.
+impl Default for TargetPool {
+    fn default() -> Self {
+        Self {
+            idle: HashMap::new(),
+            body_memory: BodyMemory::new(TOTAL_BODY_BYTES_MAX),
+        }
+    }
+}
+
+/// A limit on the memory that bodies take together.
+pub(super) struct BodyMemory {
+    total_bytes: Rc<Cell<usize>>,
+    limit_bytes: usize,
+}
+
+impl BodyMemory {
+    /// Creates a limit for bodies of `limit_bytes` in total.
+    pub(super) fn new(limit_bytes: usize) -> Self {
+        Self {
+            total_bytes: Rc::default(),
+            limit_bytes,
+        }
+    }
+
+    /// Starts accounting for the size of a body.
+    pub(super) fn reserve(&self) -> BodyReservation {
+        BodyReservation {
+            total_bytes: Rc::clone(&self.total_bytes),
+            limit_bytes: self.limit_bytes,
+            size_bytes: 0,
+        }
+    }
+}
+
+/// The share of one body in the total size. It is released on drop, also when the
+/// exchange is cancelled.
 pub(super) struct BodyReservation {
-    total: Rc<Cell<usize>>,
-    size: usize,
+    total_bytes: Rc<Cell<usize>>,
+    limit_bytes: usize,
+    size_bytes: usize,
 }
 
 impl BodyReservation {
-    /// Sets the size of this body; returns whether it is within the limits.
-    pub(super) fn resize(&mut self, size: usize) -> bool {
-        self.total.set(self.total.get() - self.size + size);
-        self.size = size;
-        self.size <= GUARANTEED_BODY_BYTES || self.total.get() <= TOTAL_BODY_BYTES_MAX
+    /// Sets the size of this body; returns whether it is within the limits. A body
+    /// without others beside it may exceed the total.
+    pub(super) fn resize(&mut self, size_bytes: usize) -> bool {
+        let others_bytes = self.total_bytes.get() - self.size_bytes;
+        self.total_bytes.set(others_bytes + size_bytes);
+        self.size_bytes = size_bytes;
+        size_bytes <= GUARANTEED_BODY_BYTES
+            || others_bytes + size_bytes <= self.limit_bytes
+            || others_bytes <= GUARANTEED_BODY_BYTES
     }
 }
 
@@ -125,10 +163,7 @@
 
     /// Starts accounting for the size of a response body.
     pub(super) fn reserve_body(&self) -> BodyReservation {
-        BodyReservation {
-            total: Rc::clone(&self.total_body_bytes),
-            size: 0,
-        }
+        self.body_memory.reserve()
     }
 
     /// Closes the idle connections to an address, for example after its target
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -35,6 +35,7 @@
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
+use super::pool::BodyMemory;
 use super::pool::TargetPool;
 use super::queue::ServiceQueue;
 use super::routes::RouteState;
@@ -51,6 +52,11 @@
 /// The minimum interval between two updates of the target gauges.
 const GAUGE_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
+/// The limit on the total size of the bodies of requests that have not ended. A body
+/// takes up to three times its size: while it grows, and encoded for a target. The
+/// smallest hosts have 160 MB.
+const REQUEST_BODIES_BYTES_MAX: usize = 32 * 1024 * 1024;
+
 /// The state of the traffic thread.
 pub(super) struct TrafficState {
     /// The state shared with the other threads.
@@ -61,6 +67,8 @@
     pub(super) targets: RefCell<LiveTargets>,
     /// The pool of idle connections to targets.
     pub(super) pool: RefCell<TargetPool>,
+    /// The memory of the bodies of requests that have not ended.
+    pub(super) request_memory: BodyMemory,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<HashMap<ServiceName, ResendBudget>>,
     /// The counts of served and unserved requests of each service.
@@ -289,6 +297,7 @@
         view: RefCell::default(),
         targets,
         pool: RefCell::default(),
+        request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
         budgets: RefCell::default(),
         service_stats: RefCell::default(),
         queues: RefCell::default(),
