gateway: keep reports, fetches and homes bounded at 300 hosts and 3,000 targets

Change: a daemon reports its uses to the 16 daemons that come after it in the order for its targets; only these keep them in use. The order is by a hash, so that daemons that follow each other are in different failure domains. Homes are scored by two hashes that are mixed in place of one hash for each pair of names. Of the daemons that know something new, one in the own failure domain is asked first. After a failed fetch a daemon reads the store, if it reaches it.

Tests: `a_daemon_reports_to_those_that_keep_its_targets_in_use`; `dispatch_balance.rs` uses it, bounds unchanged. With up to 17 entry daemons reports go to all as before.

--- a/crates/agatehold-core/src/dispatch/homes.rs
+++ b/crates/agatehold-core/src/dispatch/homes.rs
@@ -35,6 +35,10 @@
         near.entry(entry.failure_domain).or_default().push(position);
     }
     let everywhere: Vec<usize> = (0..entries.len()).collect();
+    let mut host_hashes = Vec::with_capacity(entries.len());
+    for entry in entries {
+        host_hashes.push(rendezvous_score(&["host"], entry.host.as_str()));
+    }
     // The targets of a failure domain without entry daemons share one group.
     let mut groups: BTreeMap<Option<&FailureDomain>, Vec<usize>> = BTreeMap::new();
     for (position, (_, domain)) in targets.iter().enumerate() {
@@ -54,9 +58,9 @@
         let mut counts = vec![0; entries.len()];
         members.sort_by_key(|position| rendezvous_score(&["home"], targets[*position].0.as_str()));
         for position in members {
-            let name = targets[position].0.as_str();
+            let target_hash = rendezvous_score(&["target"], targets[position].0.as_str());
             let open = candidates.iter().filter(|entry| counts[**entry] < share);
-            let score = |entry: &&usize| rendezvous_score(&[name], entries[**entry].host.as_str());
+            let score = |entry: &&usize| mix(host_hashes[**entry] ^ target_hash);
             let Some(home) = open.max_by_key(score) else {
                 continue;
             };
@@ -66,3 +70,13 @@
     }
     homes
 }
+
+/// Mixes the bits of a combined hash (the finalizer of MurmurHash3). Hashing each pair
+/// of names anew took most of the time with thousands of targets.
+const fn mix(mut hash: u64) -> u64 {
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -50,6 +50,10 @@
 /// that reports between daemons take.
 const AWAY_UNUSED_AFTER_MS: DurationMs = DurationMs(1_450);
 
+/// The number of daemons after the home of a target that keep it in use. Only they
+/// have to know when it was used.
+pub(super) const FALLBACK_DAEMONS_MAX: u32 = 16;
+
 /// The time by which each further daemon waits longer than the one before it.
 const UNUSED_STEP_MS: DurationMs = DurationMs(60);
 
@@ -97,6 +101,16 @@
         let before = (u64::from(self.rank) + daemons - first) % daemons;
         u32::try_from(before).unwrap_or(u32::MAX)
     }
+
+    /// Returns whether this daemon tells the daemon at position `other` which targets
+    /// it has used: it is among those that come after this one in the order for the
+    /// targets of which this one is the home. What a daemon sends therefore does not
+    /// grow with their number.
+    pub fn reports_to(&self, other: u32) -> bool {
+        let daemons = self.daemons.max(1);
+        let distance = (other % daemons + daemons - self.rank % daemons) % daemons;
+        (1..=FALLBACK_DAEMONS_MAX).contains(&distance)
+    }
 }
 
 /// Returns the home of a target until homes are chosen for its service.
@@ -113,6 +127,7 @@
 fn is_use_due(row: &LiveTarget, daemon_rank: DaemonRank, now: TimeMs) -> bool {
     let after_ms = match daemon_rank.daemons_before(row) {
         0 => UNUSED_AFTER_MS,
+        daemons_before if daemons_before > FALLBACK_DAEMONS_MAX => return false,
         daemons_before => {
             let later = UNUSED_STEP_MS.times(u64::from(daemons_before - 1));
             (AWAY_UNUSED_AFTER_MS + later).min(UNUSED_MAX_MS)
--- a/crates/agatehold-core/tests/dispatch_balance.rs
+++ b/crates/agatehold-core/tests/dispatch_balance.rs
@@ -288,8 +288,12 @@
                 queue.push(Reverse((now_ms + USE_REPORT_MS, event)));
                 let used =
                     tables[daemon].used_since(&service, now - DurationMs(USE_REPORT_MS), now);
+                let rank = DaemonRank {
+                    rank: daemon as u32,
+                    daemons: deployment.daemons as u32,
+                };
                 for (peer, table) in tables.iter_mut().enumerate() {
-                    if peer != daemon && rng.random_bool(0.97) {
+                    if rank.reports_to(peer as u32) && rng.random_bool(0.97) {
                         table.record_peer_use(&used, now);
                     }
                 }
@@ -422,3 +426,18 @@
         assert!(moved <= limit, "{moved} of {targets} moved, {limit} may");
     }
 }
+
+/// Guards against reports whose number grows with the square of the entry daemons.
+#[test]
+fn a_daemon_reports_to_those_that_keep_its_targets_in_use() {
+    for daemons in [1, 3, 17, 300, 880] {
+        for rank in [0, daemons / 2, daemons - 1] {
+            let daemon_rank = DaemonRank { rank, daemons };
+            let recipients: Vec<u32> = (0..daemons)
+                .filter(|other| daemon_rank.reports_to(*other))
+                .collect();
+            assert_eq!(recipients.len() as u32, (daemons - 1).min(16));
+            assert!(!recipients.contains(&rank));
+        }
+    }
+}
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -357,6 +357,16 @@
         }
     }
 
+    /// Starts reading the configuration and the targets from the store.
+    fn read_store(&mut self, tables: &mut ControlTables, reason: &'static str, now: TimeMs) {
+        self.running_refreshes = 1;
+        tables.read_at = now;
+        log::info!("event=read_store reason={reason}");
+        let is_start = tables.contents().targets.complete_to() == 0;
+        let reading = read_all(Rc::clone(&self.store), is_start, self.events.clone());
+        tokio::task::spawn_local(reading);
+    }
+
     /// Starts fetching newer contents from other daemons, or reading the store if no
     /// daemon that reaches the store sends heartbeats.
     fn refresh(&mut self, tables: &mut ControlTables, now: TimeMs) {
@@ -369,7 +379,17 @@
         let own = tables.contents().complete_to();
         match next_refresh(&tables.heartbeats, &own, tables.read_at, now) {
             Refresh::Nothing => {}
+            // The sources may be too slow for a large configuration, or gone.
+            Refresh::Fetch(_)
+                if self.last_fetch_failed && tables.store_unavailable_since.is_none() =>
+            {
+                self.last_fetch_failed = false;
+                self.read_store(tables, "fetch_failed", now);
+            }
             Refresh::Fetch(mut hosts) => {
+                // Bytes between failure domains cost bandwidth.
+                let own_host = &self.shared.settings.host.id;
+                hosts.sort_by_key(|host| !tables.are_near(host, own_host));
                 if !self.last_fetch_failed {
                     hosts.truncate(1);
                 }
@@ -385,12 +405,7 @@
                 }
             }
             Refresh::ReadStore => {
-                self.running_refreshes = 1;
-                tables.read_at = now;
-                log::info!("event=read_store reason=not_told");
-                let is_start = tables.contents().targets.complete_to() == 0;
-                let reading = read_all(Rc::clone(&self.store), is_start, self.events.clone());
-                tokio::task::spawn_local(reading);
+                self.read_store(tables, "not_told", now);
                 if tables.store_unavailable_since.is_some() || tables.catalog.is_none() {
                     self.fetch_from_any(tables, own);
                 }
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -127,6 +127,15 @@
         self.members.rows.get(host).map(|row| row.content.news)
     }
 
+    /// Returns whether two hosts are in the same failure domain.
+    pub(super) fn are_near(&self, host: &HostId, other: &HostId) -> bool {
+        let domain = |host| {
+            let row = self.members.rows.get(host)?;
+            Some(&row.content.failure_domain)
+        };
+        domain(host).is_some() && domain(host) == domain(other)
+    }
+
     /// Returns the addresses that heartbeats are sent to.
     pub(super) fn heartbeat_addresses(&self, own: &HostId) -> Vec<SocketAddr> {
         let records = self.members.rows.rows();
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -25,15 +25,15 @@
 
 /// Sends evidence about a target to the other entry daemons of its service.
 pub(super) fn send_evidence(state: &TrafficState, service: &ServiceName, evidence: &Evidence) {
-    send_to_entry_daemons(state, service, &encode_evidence(evidence));
+    send_to_entry_daemons(state, service, &encode_evidence(evidence), |_| true);
 }
 
 /// Sends a pressure report to the other entry daemons of a service, if this daemon
 /// is one of them and a report is due.
 pub(super) fn send_pressure_report(state: &TrafficState, service: &ServiceName) {
-    if state.daemon_rank(service).is_none() {
+    let Some(daemon_rank) = state.daemon_rank(service) else {
         return;
-    }
+    };
     let now = state.shared.clock.now();
     let (change, report) = {
         let mut service_stats = state.service_stats.borrow_mut();
@@ -57,7 +57,8 @@
             .borrow()
             .used_since(service, report.since, now),
     };
-    send_to_entry_daemons(state, service, &encode_pressure(&message));
+    let bytes = encode_pressure(&message);
+    send_to_entry_daemons(state, service, &bytes, |rank| daemon_rank.reports_to(rank));
 }
 
 /// Logs that a service has come under pressure or has recovered, with the request
@@ -88,14 +89,21 @@
     );
 }
 
-fn send_to_entry_daemons(state: &TrafficState, service: &ServiceName, bytes: &[u8]) {
+/// Sends a datagram to the other entry daemons of a service for whose rank
+/// `is_recipient` returns true.
+fn send_to_entry_daemons(
+    state: &TrafficState,
+    service: &ServiceName,
+    bytes: &[u8],
+    is_recipient: impl Fn(u32) -> bool,
+) {
     let view = state.view();
     let Some(entries) = view.entries_by_service.get(service) else {
         return;
     };
     let own = &state.shared.settings.host.id;
-    for (host, member) in entries {
-        if host == own {
+    for (rank, (host, member)) in (0..).zip(entries) {
+        if host == own || !is_recipient(rank) {
             continue;
         }
         // A lost datagram is acceptable: the next requests bring the same
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::ArcSwap;
 
+use agatehold_core::addresses::rendezvous_score;
 use agatehold_core::catalog::Catalog;
 use agatehold_core::directory::EntryPolicy;
 use agatehold_core::directory::MemberRecord;
@@ -41,7 +42,7 @@
     /// The entry daemons of each host name: the few daemons whose addresses its
     /// callers get.
     pub(crate) entries_by_host: HashMap<Box<str>, Arc<Vec<(HostId, MemberRecord)>>>,
-    /// The entry daemons through which requests reach each service, sorted by host.
+    /// The entry daemons through which requests reach each service, in the order of their ranks.
     pub(crate) entries_by_service: HashMap<ServiceName, Vec<(HostId, MemberRecord)>>,
     /// The contents of the store, served to other daemons.
     pub(super) contents: StoreContents,
@@ -87,8 +88,11 @@
         }
         for entries in self.entries_by_service.values_mut() {
             // All daemons must rank the entry daemons of a service in the same
-            // order.
-            entries.sort_by(|a, b| a.0.cmp(&b.0));
+            // order. Those that follow each other are in different failure domains
+            // as a rule, so that the callers of one may leave without all of them.
+            entries.sort_by_cached_key(|(host, _)| {
+                (rendezvous_score(&["rank"], host.as_str()), host.clone())
+            });
         }
     }
 
