--- a/crates/agatehold-core/src/dispatch/homes.rs
+++ b/crates/agatehold-core/src/dispatch/homes.rs
@@ -71,8 +71,8 @@
     homes
 }
 
-/// Mixes the bits of a combined hash (the finalizer of MurmurHash3). Hashing each pair
-/// of names anew took most of the time with thousands of targets.
+/// Mixes the bits of a combined hash (the finalizer of MurmurHash3), which is cheaper
+/// than to hash each pair of names.
 const fn mix(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -38,7 +38,7 @@
 /// the remaining targets can carry the load.
 const LONG_HOLD_SHARE_MAX: f64 = 0.45;
 
-/// An upper limit of the order of targets with equal cost.
+/// The order of a target that is to come after all others of equal cost.
 const ORDER_MAX: f64 = 1e-2;
 
 /// The time without a request after which the home of a target sends it one. A
