--- a/crates/agatehold-core/src/dispatch/homes.rs
+++ b/crates/agatehold-core/src/dispatch/homes.rs
@@ -56,7 +56,9 @@
         }
         let share = members.len().div_ceil(candidates.len());
         let mut counts = vec![0; entries.len()];
-        members.sort_by_key(|position| rendezvous_score(&["home"], targets[*position].0.as_str()));
+        members.sort_by_cached_key(|position| {
+            rendezvous_score(&["home"], targets[*position].0.as_str())
+        });
         for position in members {
             let target_hash = rendezvous_score(&["target"], targets[position].0.as_str());
             let open = candidates.iter().filter(|entry| counts[**entry] < share);
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -198,13 +198,13 @@
         if entries.is_empty() {
             return;
         }
-        let named: Vec<(TargetName, FailureDomain)> = self
+        let targets: Vec<(&TargetName, &FailureDomain)> = self
             .of_service(service)
-            .map(|(name, row)| (name.clone(), row.record.failure_domain.clone()))
+            .map(|(name, row)| (name, &row.record.failure_domain))
             .collect();
-        let targets: Vec<_> = named.iter().map(|(name, domain)| (name, domain)).collect();
         let homes = choose_homes(entries, &targets);
-        for ((name, _), home) in named.iter().zip(homes) {
+        let names = self.by_service.get(service).into_iter().flatten();
+        for (name, home) in names.zip(homes) {
             if let Some(row) = self.rows.get_mut(name) {
                 row.home = u64::from(home);
             }
--- a/crates/agatehold-core/src/dissemination/recipients.rs
+++ b/crates/agatehold-core/src/dissemination/recipients.rs
@@ -62,8 +62,8 @@
     watching: &[(&HostId, &FailureDomain)],
 ) -> Vec<&'a HostId> {
     let mut by_domain: BTreeMap<&FailureDomain, Vec<&HostId>> = BTreeMap::new();
-    for (entry, domain) in watching {
-        by_domain.entry(domain).or_default().push(entry);
+    for (watcher, domain) in watching {
+        by_domain.entry(domain).or_default().push(watcher);
     }
     let mut is_far_sender: BTreeMap<&FailureDomain, bool> = BTreeMap::new();
     let mut recipients = Vec::new();
@@ -73,18 +73,18 @@
         }
         let domain = &member.failure_domain;
         let near = by_domain.get(domain).map_or(&[][..], |near| near);
-        let near_count = near.iter().filter(|entry| **entry != host).count();
+        let near_count = near.iter().filter(|watcher| **watcher != host).count();
         let is_sender = if near.contains(&own) {
             is_among_top(own, host.as_str(), near, SENDERS_PER_MEMBER)
         } else if near_count < SUFFICIENT_NEAR_SENDERS {
             *is_far_sender.entry(domain).or_insert_with(|| {
                 let mut far = Vec::new();
-                for (entry, entry_domain) in watching {
-                    if *entry_domain != domain {
-                        far.push(*entry);
+                for (watcher, watcher_domain) in watching {
+                    if *watcher_domain != domain {
+                        far.push(*watcher);
                     }
                 }
-                is_among_top(own, domain.as_str(), &far, FAR_SENDERS)
+                far.contains(&own) && is_among_top(own, domain.as_str(), &far, FAR_SENDERS)
             })
         } else {
             false
@@ -96,12 +96,9 @@
     recipients
 }
 
-/// Returns whether `own` is among the `count` hosts with the highest rendezvous
-/// scores for `subject`, not counting the host `subject` itself.
+/// Returns whether `own`, one of `hosts`, is among the `count` of them with the highest
+/// rendezvous scores for `subject`, not counting the host `subject` itself.
 fn is_among_top(own: &HostId, subject: &str, hosts: &[&HostId], count: usize) -> bool {
-    if !hosts.contains(&own) {
-        return false;
-    }
     let own_score = rendezvous_score(&[subject], own.as_str());
     let mut higher = 0;
     for host in hosts {
--- a/crates/agatehold-core/src/dissemination/replica.rs
+++ b/crates/agatehold-core/src/dissemination/replica.rs
@@ -19,7 +19,7 @@
     pub value: Arc<[u8]>,
 }
 
-/// A changed key; `row` is `None` if the key was deleted.
+/// A key that was written or deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyChange {
     /// The key.
--- a/crates/agatehold-core/tests/dispatch_balance.rs
+++ b/crates/agatehold-core/tests/dispatch_balance.rs
@@ -94,7 +94,6 @@
         daemon: usize,
         target: usize,
         failed: bool,
-        ran: bool,
     },
     Report {
         daemon: usize,
@@ -114,6 +113,14 @@
     format!("domain-{number}").parse().expect("a name")
 }
 
+const fn outcome_of(failed: bool) -> AttemptOutcome {
+    if failed {
+        AttemptOutcome::Failed
+    } else {
+        AttemptOutcome::Answered
+    }
+}
+
 fn simulate(deployment: &Deployment, seed: u64) -> Counts {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let service = service();
@@ -166,7 +173,7 @@
         1 => 0.8,
         _ => 1.0,
     };
-    let mut failing: Vec<bool> = Vec::new();
+    let mut failing = vec![false; deployment.targets];
     let mut running = vec![0_u32; deployment.targets];
     let mut used = vec![0_u64; deployment.targets];
     let mut counts = Counts::default();
@@ -179,7 +186,6 @@
     let phases: Vec<u64> = (0..deployment.targets)
         .map(|_| rng.random_range(0..STATE_SPAN_MS))
         .collect();
-    failing.resize(deployment.targets, false);
     let mut spans = vec![u64::MAX; deployment.targets];
     while let Some(Reverse((now_ms, event))) = queue.pop() {
         if now_ms > START_MS + LENGTH_MS {
@@ -227,7 +233,6 @@
                         daemon,
                         target,
                         failed,
-                        ran: false,
                     };
                     queue.push(Reverse((now_ms + FAILURE_RUN_MS, end)));
                     counts.failed += u64::from(is_counted);
@@ -242,7 +247,6 @@
                     daemon,
                     target,
                     failed,
-                    ran: true,
                 };
                 queue.push(Reverse((now_ms + run_ms, end)));
             }
@@ -250,21 +254,16 @@
                 daemon,
                 target,
                 failed,
-                ran,
             } => {
                 let name = &records[target].identity.name;
                 let jitter = rng.random();
-                let outcome = if failed {
-                    AttemptOutcome::Failed
-                } else {
-                    AttemptOutcome::Answered
-                };
+                let outcome = outcome_of(failed);
                 let report = LoadReport {
                     running: running[target],
                     waiting: 0,
                     slots: SLOTS,
                 };
-                running[target] -= u32::from(ran);
+                running[target] -= u32::from(!failed);
                 if let Some(row) = tables[daemon].rows.get_mut(name) {
                     row.report_load(report, now);
                     row.failure_detector
@@ -304,11 +303,7 @@
                 failed,
             } => {
                 let jitter = rng.random();
-                let outcome = if failed {
-                    AttemptOutcome::Failed
-                } else {
-                    AttemptOutcome::Answered
-                };
+                let outcome = outcome_of(failed);
                 let name = &records[target].identity.name;
                 if let Some(row) = tables[daemon].rows.get_mut(name) {
                     row.failure_detector
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -10,7 +10,6 @@
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
 use agatehold_core::dissemination::ReplicaUpdate;
-use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::heartbeat_recipients;
 use agatehold_core::dissemination::is_store_unavailable;
 use agatehold_core::dissemination::pull_sources;
@@ -61,8 +60,6 @@
     contents: StoreContents,
     /// The last published view.
     view: Arc<View>,
-    /// The revisions of the contents in the last published view.
-    published: Revisions,
 }
 
 impl ControlTables {
@@ -80,7 +77,6 @@
             heartbeats: HeartbeatTable::new(own),
             contents: StoreContents::default(),
             view: Arc::default(),
-            published: Revisions::default(),
         }
     }
 
@@ -88,7 +84,7 @@
     /// daemon knows. Heartbeats report what it knows, so that daemons would
     /// fetch in vain.
     pub(super) fn has_unpublished_contents(&self) -> bool {
-        self.contents.changed_at() != self.published
+        self.contents.changed_at() != self.view.contents.changed_at()
     }
 
     /// Returns the contents of the store, as far as they are known.
@@ -440,7 +436,6 @@
         view.members.insert(host.clone(), row.content.clone());
     }
     view.choose_entries(&shared.settings.entries);
-    tables.published = tables.contents.changed_at();
     tables.view = Arc::new(view);
     shared.view.store(Arc::clone(&tables.view));
 }
