review: an upstream that left gets requests again after a daemon restarts

Cause: at a start the older listing of the targets, read with serializable = 1, is applied to the table of targets after the seeds' newer contents, and brings back what was removed.

--- /dev/null
+++ b/review/standin/fleet.rs
@@ -0,0 +1,132 @@
+//! A small deployment: nine machines in three zones, two services, the store.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::client::Route;
+use crate::gateway::{resolve, Gateway, Machine};
+use crate::store::Store;
+use crate::upstream::Upstream;
+
+pub const ZONES: [&str; 3] = ["andina-a", "andina-b", "andina-c"];
+
+pub struct Fleet {
+    pub store: Arc<Store>,
+    pub upstreams: Vec<Arc<Upstream>>,
+    pub gateways: Vec<Gateway>,
+    pub begun: Instant,
+    pub record: String,
+    folder: PathBuf,
+    record_file: PathBuf,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.gateways.clear();
+        let _ = std::fs::write(&self.record_file, &self.record);
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts the store, the upstreams, and `per_zone` daemons in each zone, and waits
+    /// until they are ready.
+    pub fn start(root: &Path, folder: &Path, per_zone: usize, stale: Duration, run_time: Duration) -> Option<Fleet> {
+        let temporary = std::env::temp_dir().join(format!("agatehold-review-{}", std::process::id()));
+        std::fs::create_dir_all(&temporary).ok()?;
+        let store = Store::start(stale);
+        let mut upstreams = Vec::new();
+        for service in ["archivo", "cierres"] {
+            for number in 0..6 {
+                let id = format!("i-{service}-{number}");
+                upstreams.push(Upstream::start(&id, service, ZONES[number % 3], 4, run_time));
+            }
+        }
+        for upstream in &upstreams {
+            store.put(&format!("servers/{}", upstream.id), &upstream.entry("ready"));
+        }
+        store.put("op/config", &configuration(7));
+        let mut machines = Vec::new();
+        for place in 1..=per_zone {
+            for zone in ZONES {
+                machines.push(Machine::new(machines.len(), &format!("frontend-{zone}-{place}"), zone));
+            }
+        }
+        let seeds: Vec<SocketAddr> = machines.iter().take(3).map(|machine| machine.control).collect();
+        let mut fleet = Fleet {
+            store,
+            upstreams,
+            gateways: Vec::new(),
+            begun: Instant::now(),
+            record: String::new(),
+            folder: temporary,
+            record_file: folder.join("record.txt"),
+        };
+        for machine in &machines {
+            let gateway = Gateway::start(root, &fleet.folder, machine, fleet.store.address, &seeds);
+            fleet.gateways.push(gateway);
+        }
+        for gateway in &fleet.gateways {
+            if !gateway.wait_until_ready(Duration::from_secs(15)) {
+                eprintln!("{} is not ready: {}", gateway.machine.name, gateway.log());
+                return None;
+            }
+        }
+        // The daemons take their roles after they know each other.
+        std::thread::sleep(Duration::from_secs(4));
+        fleet.note("all daemons are ready");
+        Some(fleet)
+    }
+
+    /// Adds a line to the record, with the seconds since the start.
+    pub fn note(&mut self, text: &str) {
+        let line = format!("{:8.3} s  {text}", self.begun.elapsed().as_secs_f64());
+        println!("{line}");
+        let _ = writeln!(self.record, "{line}");
+    }
+
+    pub fn directories(&self) -> Vec<SocketAddr> {
+        self.gateways.iter().map(|gateway| gateway.machine.directory).collect()
+    }
+
+    /// The positions of the daemons to which the clients of a host are directed.
+    pub fn entries(&self, host: &str) -> Vec<usize> {
+        let mut found = Vec::new();
+        for zone in ZONES {
+            found.extend(resolve(self.gateways[0].machine.directory, host, zone));
+        }
+        let all = 0..self.gateways.len();
+        all.filter(|at| found.contains(&self.gateways[*at].machine.callers)).collect()
+    }
+
+    pub fn seconds(&self, at: Instant) -> f64 {
+        at.duration_since(self.begun).as_secs_f64()
+    }
+}
+
+pub fn read_route() -> Route {
+    Route { host: "informes.example".into(), path: "/informes/2f".into(), is_unsafe: false, deadline_ms: 4_000 }
+}
+
+pub fn filing_route() -> Route {
+    Route { host: "cierres.example".into(), path: "/cierres/2f".into(), is_unsafe: true, deadline_ms: 5_000 }
+}
+
+/// A configuration with a safe route to `archivo` and an unsafe one to `cierres`.
+pub fn configuration(version: u32) -> String {
+    format!(
+        "{{\"version\":\"{version:08x}\",\"routes\":[\
+         {{\"name\":\"r-informes\",\"host\":\"informes.example\",\"prefix\":\"/informes/\",\"kind\":\"safe\",\
+         \"timeout\":\"4000ms\",\"latency_objective\":\"1500ms\",\"priority\":2,\"service\":\"archivo\",\"max_attempts\":2}},\
+         {{\"name\":\"r-cierres\",\"host\":\"cierres.example\",\"prefix\":\"/cierres/\",\"kind\":\"unsafe\",\
+         \"timeout\":\"2500ms\",\"latency_objective\":\"1500ms\",\"priority\":1,\"service\":\"cierres\",\"max_attempts\":2}}],\
+         \"services\":[{{\"name\":\"archivo\",\"health_path\":\"/health\",\"max_connections\":390,\"protocol\":\"h1\",\"tls\":false}},\
+         {{\"name\":\"cierres\",\"health_path\":\"/health\",\"max_connections\":390,\"protocol\":\"h1\",\"tls\":false}}],\
+         \"limits\":{{\"header_bytes\":16384,\"body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}}}"
+    )
+}
