review: machines that the store serves run requests by an old configuration

Cause: heartbeats of watching daemons that the store turns away count as recent for 2.5 s, longer than config_propagation, and the others read the store only after that. Ruled out: processor load (the script is idle and sees the same delay).

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -41,7 +41,7 @@
         std::fs::create_dir_all(&temporary).ok()?;
         let store = Store::start(stale);
         let mut upstreams = Vec::new();
-        for service in ["archivo", "cierres"] {
+        for service in ["archivo", "certificados"] {
             for number in 0..6 {
                 let id = format!("i-{service}-{number}");
                 upstreams.push(Upstream::start(&id, service, ZONES[number % 3], 4, run_time));
@@ -50,7 +50,7 @@
         for upstream in &upstreams {
             store.put(&format!("servers/{}", upstream.id), &upstream.entry("ready"));
         }
-        store.put("op/config", &configuration(7));
+        store.put("op/config", &configuration(7, "certificados"));
         let mut machines = Vec::new();
         for place in 1..=per_zone {
             for zone in ZONES {
@@ -68,7 +68,7 @@
             record_file: folder.join("record.txt"),
         };
         for machine in &machines {
-            let gateway = Gateway::start(root, &fleet.folder, machine, fleet.store.address, &seeds);
+            let gateway = Gateway::start(root, &fleet.folder, machine, fleet.store.open(), &seeds);
             fleet.gateways.push(gateway);
         }
         for gateway in &fleet.gateways {
@@ -113,20 +113,21 @@
     Route { host: "informes.example".into(), path: "/informes/2f".into(), is_unsafe: false, deadline_ms: 4_000 }
 }
 
-pub fn filing_route() -> Route {
-    Route { host: "cierres.example".into(), path: "/cierres/2f".into(), is_unsafe: true, deadline_ms: 5_000 }
+pub fn issue_route() -> Route {
+    Route { host: "certificados.example".into(), path: "/certificados/2f".into(), is_unsafe: true, deadline_ms: 2_500 }
 }
 
-/// A configuration with a safe route to `archivo` and an unsafe one to `cierres`.
-pub fn configuration(version: u32) -> String {
+/// A configuration with a safe route to `archivo` and an unsafe one to the service
+/// `certificates`.
+pub fn configuration(version: u32, certificates: &str) -> String {
     format!(
         "{{\"version\":\"{version:08x}\",\"routes\":[\
          {{\"name\":\"r-informes\",\"host\":\"informes.example\",\"prefix\":\"/informes/\",\"kind\":\"safe\",\
          \"timeout\":\"4000ms\",\"latency_objective\":\"1500ms\",\"priority\":2,\"service\":\"archivo\",\"max_attempts\":2}},\
-         {{\"name\":\"r-cierres\",\"host\":\"cierres.example\",\"prefix\":\"/cierres/\",\"kind\":\"unsafe\",\
-         \"timeout\":\"2500ms\",\"latency_objective\":\"1500ms\",\"priority\":1,\"service\":\"cierres\",\"max_attempts\":2}}],\
+         {{\"name\":\"r-certificados\",\"host\":\"certificados.example\",\"prefix\":\"/certificados/\",\"kind\":\"unsafe\",\
+         \"timeout\":\"2500ms\",\"latency_objective\":\"1500ms\",\"priority\":1,\"service\":\"{certificates}\",\"max_attempts\":2}}],\
          \"services\":[{{\"name\":\"archivo\",\"health_path\":\"/health\",\"max_connections\":390,\"protocol\":\"h1\",\"tls\":false}},\
-         {{\"name\":\"cierres\",\"health_path\":\"/health\",\"max_connections\":390,\"protocol\":\"h1\",\"tls\":false}}],\
+         {{\"name\":\"certificados\",\"health_path\":\"/health\",\"max_connections\":390,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"header_bytes\":16384,\"body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}}}"
     )
 }
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -64,6 +64,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    pub store: SocketAddr,
     pub started_at: Instant,
 }
 
@@ -102,6 +103,7 @@
             settings,
             log: folder.join(format!("{}.log", machine.name)),
             child: None,
+            store,
             started_at: Instant::now(),
         };
         gateway.start_again();
--- a/review/standin/left.rs
+++ b/review/standin/left.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::client::Clients;
-use crate::fleet::{filing_route, read_route, Fleet, ZONES};
+use crate::fleet::{issue_route, read_route, Fleet, ZONES};
 
 /// How old the store's answers to reads with `serializable` = 1 are ("may be seconds
 /// old").
@@ -21,8 +21,8 @@
     let Some(mut fleet) = Fleet::start(root, folder, 3, STALE, Duration::from_millis(300)) else {
         return 2;
     };
-    let filing = filing_route();
-    let entries = fleet.entries(&filing.host);
+    let issue = issue_route();
+    let entries = fleet.entries(&issue.host);
     // The one that is killed takes clients, and is none of the three that watch the
     // store for the others.
     let Some(killed) = entries.iter().copied().find(|at| !fleet.gateways[*at].watches_store()) else {
@@ -30,17 +30,17 @@
         return 2;
     };
     let names: Vec<String> = entries.iter().map(|at| fleet.gateways[*at].machine.name.clone()).collect();
-    fleet.note(&format!("clients of {} are directed to {}", filing.host, names.join(", ")));
+    fleet.note(&format!("clients of {} are directed to {}", issue.host, names.join(", ")));
     let clients = Clients::new();
     for zone in ZONES {
         for _ in 0..4 {
-            clients.spawn(fleet.directories(), zone, filing.clone(), Duration::from_millis(40));
+            clients.spawn(fleet.directories(), zone, issue.clone(), Duration::from_millis(40));
         }
         clients.spawn(fleet.directories(), zone, read_route(), Duration::from_millis(100));
     }
     std::thread::sleep(Duration::from_secs(6));
     let zone = fleet.gateways[killed].machine.zone.clone();
-    let left = fleet.upstreams.iter().find(|u| u.service == "cierres" && u.zone == zone).map(Arc::clone);
+    let left = fleet.upstreams.iter().find(|u| u.service == "certificados" && u.zone == zone).map(Arc::clone);
     let Some(left) = left else {
         return 2;
     };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,8 @@
 //! FOLDER/record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 //! could not run. With TROUBLE=0 the disruption is left out.
 
+#![allow(dead_code)]
+
 mod client;
 mod fleet;
 mod gateway;
@@ -10,6 +12,7 @@
 mod left;
 mod store;
 mod upstream;
+mod withdrawn;
 
 use std::path::{Path, PathBuf};
 
@@ -24,6 +27,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
         "left" => left::run(&root, folder, trouble),
+        "withdrawn" => withdrawn::run(&root, folder, trouble),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,6 +1,6 @@
 //! A stand-in of the platform's store (PROTOCOL.md, "The platform's metadata store").
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -38,7 +38,8 @@
 }
 
 pub struct Store {
-    pub address: SocketAddr,
+    /// The addresses whose callers are turned away with 503.
+    turned_away: Mutex<HashSet<SocketAddr>>,
     tables: Mutex<Tables>,
     changed: Condvar,
     /// How old the answers to reads with `serializable` = 1 are.
@@ -47,21 +48,13 @@
 
 impl Store {
     pub fn start(stale: Duration) -> Arc<Store> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
         let store = Arc::new(Store {
-            address: listener.local_addr().expect("an address"),
+            turned_away: Mutex::default(),
             tables: Mutex::default(),
             changed: Condvar::new(),
             stale,
         });
         let shared = Arc::clone(&store);
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = Arc::clone(&shared);
-                std::thread::spawn(move || shared.serve(Connection::new(stream)));
-            }
-        });
-        let shared = Arc::clone(&store);
         std::thread::spawn(move || loop {
             std::thread::sleep(Duration::from_millis(50));
             shared.expire();
@@ -69,6 +62,26 @@
         store
     }
 
+    /// Opens an address of the store's; each machine gets one of its own, so that the
+    /// store can tell the machines apart.
+    pub fn open(self: &Arc<Self>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
+        let address = listener.local_addr().expect("an address");
+        let shared = Arc::clone(self);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = Arc::clone(&shared);
+                std::thread::spawn(move || shared.serve(address, Connection::new(stream)));
+            }
+        });
+        address
+    }
+
+    /// Turns the machines at these addresses away from now on, and serves all others.
+    pub fn turn_away(&self, addresses: &[SocketAddr]) {
+        *self.turned_away.lock().unwrap() = addresses.iter().copied().collect();
+    }
+
     /// Writes a key as the operator or an upstream does.
     pub fn put(&self, key: &str, value: &str) {
         let mut tables = self.tables.lock().unwrap();
@@ -98,14 +111,21 @@
         self.changed.notify_all();
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(&self, address: SocketAddr, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read() {
             std::thread::sleep(ANSWER_TIME);
             let method = request.first.split(' ').next().unwrap_or("").to_owned();
             let target = request.second().to_owned();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
             let body = String::from_utf8_lossy(&request.body).into_owned();
-            let (status, answer) = self.answer(&method, path, &parse_query(query), &body);
+            let is_away = || self.turned_away.lock().unwrap().contains(&address);
+            let (status, answer) = match is_away() {
+                true => (503, "{}".to_owned()),
+                false => self.answer(&method, path, &parse_query(query), &body),
+            };
+            // A watch may have waited since before.
+            let is_cut = path == "/kv-watch" && is_away();
+            let (status, answer) = if is_cut { (503, "{}".to_owned()) } else { (status, answer) };
             let first = format!("HTTP/1.1 {status} X");
             let headers = [("Content-Type", "application/json".to_owned())];
             if connection.write(&first, &headers, answer.as_bytes()).is_err() {
