review: a page that many read is refused everywhere after two upstreams crash

Cause: a lost connection marks the request by method, path and body, whoever the caller is; two marks of different upstreams refuse it at all daemons for 600 s, and nothing clears the marks.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -1,6 +1,7 @@
 //! A stand-in of the clients (PROTOCOL.md, "Ingress", "Requests" and "Answers").
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::os::fd::FromRawFd;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,6 +17,7 @@
 pub struct Attempt {
     pub id: String,
     pub gateway: SocketAddr,
+    pub path: String,
     pub is_unsafe: bool,
     pub sent_at: Instant,
     pub ended_at: Instant,
@@ -33,7 +35,10 @@
 #[derive(Clone)]
 pub struct Route {
     pub host: String,
+    /// The path, or its first part if each request has one of its own.
     pub path: String,
+    /// Whether all requests are for the same path.
+    pub is_page: bool,
     pub is_unsafe: bool,
     pub deadline_ms: u64,
 }
@@ -109,6 +114,7 @@
         self.attempts.lock().unwrap().push(Attempt {
             id,
             gateway: address,
+            path: route.path.clone(),
             is_unsafe: route.is_unsafe,
             sent_at,
             ended_at: Instant::now(),
@@ -127,6 +133,50 @@
     Some(Connection::new(stream))
 }
 
+extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn bind(socket: i32, address: *const InternetAddress, length: u32) -> i32;
+    #[link_name = "connect"]
+    fn connect_socket(socket: i32, address: *const InternetAddress, length: u32) -> i32;
+}
+
+/// `struct sockaddr_in`.
+#[repr(C)]
+struct InternetAddress {
+    family: u16,
+    port: u16,
+    address: u32,
+    zero: [u8; 8],
+}
+
+impl InternetAddress {
+    fn new(ip: Ipv4Addr, port: u16) -> Self {
+        let address = u32::from_ne_bytes(ip.octets());
+        Self { family: 2, port: port.to_be(), address, zero: [0; 8] }
+    }
+}
+
+/// Connects from a loopback address of the caller's own.
+pub fn connect_from(caller: Ipv4Addr, to: SocketAddr) -> Option<Connection> {
+    let SocketAddr::V4(to) = to else {
+        return None;
+    };
+    let (from, to) = (InternetAddress::new(caller, 0), InternetAddress::new(*to.ip(), to.port()));
+    // SAFETY: the addresses live through the calls, and the socket is owned by the stream.
+    let stream = unsafe {
+        let number = socket(2, 1, 0);
+        if number < 0 {
+            return None;
+        }
+        let stream = TcpStream::from_raw_fd(number);
+        if bind(number, &from, 16) != 0 || connect_socket(number, &to, 16) != 0 {
+            return None;
+        }
+        stream
+    };
+    Some(Connection::new(stream))
+}
+
 pub fn exchange(connection: &mut Connection, route: &Route, id: &str) -> Option<crate::http::Message> {
     let limit = Duration::from_millis(route.deadline_ms);
     connection.stream.set_read_timeout(Some(limit)).ok()?;
@@ -136,7 +186,11 @@
         ("Request-Attempt-Id", id.to_owned()),
         ("Deadline-Remaining", route.deadline_ms.to_string()),
     ];
+    let path = match route.is_page {
+        true => route.path.clone(),
+        false => format!("{}{id}", route.path),
+    };
     let body: &[u8] = if route.is_unsafe { b"a closure" } else { b"" };
-    connection.write(&format!("{method} {} HTTP/1.1", route.path), &headers, body).ok()?;
+    connection.write(&format!("{method} {path} HTTP/1.1"), &headers, body).ok()?;
     connection.read().ok()?
 }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -13,6 +13,18 @@
 
 pub const ZONES: [&str; 3] = ["andina-a", "andina-b", "andina-c"];
 
+/// The size and the speed of a deployment.
+pub struct Setup {
+    /// The number of daemons in each zone.
+    pub per_zone: usize,
+    /// The number of upstreams of each service.
+    pub upstreams: usize,
+    /// How long an upstream works on a request.
+    pub run_time: Duration,
+    /// How old the store's answers to reads with `serializable` = 1 are.
+    pub stale: Duration,
+}
+
 pub struct Fleet {
     pub store: Arc<Store>,
     pub upstreams: Vec<Arc<Upstream>>,
@@ -34,15 +46,15 @@
 }
 
 impl Fleet {
-    /// Starts the store, the upstreams, and `per_zone` daemons in each zone, and waits
-    /// until they are ready.
-    pub fn start(root: &Path, folder: &Path, per_zone: usize, stale: Duration, run_time: Duration) -> Option<Fleet> {
+    /// Starts the store, the upstreams and the daemons, and waits until these are ready.
+    pub fn start(root: &Path, folder: &Path, setup: Setup) -> Option<Fleet> {
         let temporary = std::env::temp_dir().join(format!("agatehold-review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).ok()?;
+        let Setup { per_zone, stale, run_time, upstreams: count } = setup;
         let store = Store::start(stale);
         let mut upstreams = Vec::new();
         for service in ["archivo", "certificados"] {
-            for number in 0..6 {
+            for number in 0..count {
                 let id = format!("i-{service}-{number}");
                 upstreams.push(Upstream::start(&id, service, ZONES[number % 3], 4, run_time));
             }
@@ -50,7 +62,7 @@
         for upstream in &upstreams {
             store.put(&format!("servers/{}", upstream.id), &upstream.entry("ready"));
         }
-        store.put("op/config", &configuration(7, "certificados"));
+        store.put("op/config", &configuration(7, "certificados", false));
         let mut machines = Vec::new();
         for place in 1..=per_zone {
             for zone in ZONES {
@@ -110,18 +122,23 @@
 }
 
 pub fn read_route() -> Route {
-    Route { host: "informes.example".into(), path: "/informes/2f".into(), is_unsafe: false, deadline_ms: 4_000 }
+    Route { host: "informes.example".into(), path: "/informes/".into(), is_page: false, is_unsafe: false, deadline_ms: 4_000 }
 }
 
 pub fn issue_route() -> Route {
-    Route { host: "certificados.example".into(), path: "/certificados/2f".into(), is_unsafe: true, deadline_ms: 2_500 }
+    Route { host: "certificados.example".into(), path: "/certificados/".into(), is_page: false, is_unsafe: true, deadline_ms: 2_500 }
 }
 
 /// A configuration with a safe route to `archivo` and an unsafe one to the service
-/// `certificates`.
-pub fn configuration(version: u32, certificates: &str) -> String {
+/// `certificates`; with `adds_route`, also a safe route for `/resumen/` to `archivo`.
+pub fn configuration(version: u32, certificates: &str, adds_route: bool) -> String {
+    let added = match adds_route {
+        true => "{\"name\":\"r-resumen\",\"host\":\"informes.example\",\"prefix\":\"/resumen/\",\"kind\":\"safe\",\
+                 \"timeout\":\"4000ms\",\"latency_objective\":\"1500ms\",\"priority\":2,\"service\":\"archivo\",\"max_attempts\":2},",
+        false => "",
+    };
     format!(
-        "{{\"version\":\"{version:08x}\",\"routes\":[\
+        "{{\"version\":\"{version:08x}\",\"routes\":[{added}\
          {{\"name\":\"r-informes\",\"host\":\"informes.example\",\"prefix\":\"/informes/\",\"kind\":\"safe\",\
          \"timeout\":\"4000ms\",\"latency_objective\":\"1500ms\",\"priority\":2,\"service\":\"archivo\",\"max_attempts\":2}},\
          {{\"name\":\"r-certificados\",\"host\":\"certificados.example\",\"prefix\":\"/certificados/\",\"kind\":\"unsafe\",\
--- a/review/standin/left.rs
+++ b/review/standin/left.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::client::Clients;
-use crate::fleet::{issue_route, read_route, Fleet, ZONES};
+use crate::fleet::{issue_route, read_route, Fleet, Setup, ZONES};
 
 /// How old the store's answers to reads with `serializable` = 1 are ("may be seconds
 /// old").
@@ -18,7 +18,9 @@
 const SERVES_ON: Duration = Duration::from_secs(12);
 
 pub fn run(root: &Path, folder: &Path, trouble: bool) -> i32 {
-    let Some(mut fleet) = Fleet::start(root, folder, 3, STALE, Duration::from_millis(300)) else {
+    let run_time = Duration::from_millis(300);
+    let setup = Setup { per_zone: 3, upstreams: 6, run_time, stale: STALE };
+    let Some(mut fleet) = Fleet::start(root, folder, setup) else {
         return 2;
     };
     let issue = issue_route();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod left;
+mod crashed;
 mod store;
 mod upstream;
 mod withdrawn;
@@ -28,6 +29,7 @@
     let code = match case.as_str() {
         "left" => left::run(&root, folder, trouble),
         "withdrawn" => withdrawn::run(&root, folder, trouble),
+        "crashed" => crashed::run(&root, folder, trouble),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -52,7 +52,8 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if shared.has_exited.load(Ordering::SeqCst) {
-                    return;
+                    // Closes the connection.
+                    continue;
                 }
                 if let Ok(copy) = stream.try_clone() {
                     shared.connections.lock().unwrap().push(copy);
@@ -86,6 +87,20 @@
         }
     }
 
+    /// Crashes the upstream: its connections are reset or end, and for a while nothing
+    /// is accepted. It then serves again at its address, and holds nothing of before.
+    pub fn crash(self: &Arc<Self>, down: Duration) {
+        self.has_exited.store(true, Ordering::SeqCst);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let upstream = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(down);
+            upstream.has_exited.store(false, Ordering::SeqCst);
+        });
+    }
+
     fn serve(&self, mut connection: Connection) {
         let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(10)));
         while let Ok(Some(request)) = connection.read() {
--- a/review/standin/withdrawn.rs
+++ b/review/standin/withdrawn.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::{connect, Clients};
-use crate::fleet::{configuration, issue_route, Fleet};
+use crate::fleet::{configuration, issue_route, Fleet, Setup};
 
 /// The bound of the site.
 const CONFIG_PROPAGATION: Duration = Duration::from_secs(2);
@@ -18,7 +18,8 @@
 
 pub fn run(root: &Path, folder: &Path, trouble: bool) -> i32 {
     let run_time = Duration::from_millis(210);
-    let Some(mut fleet) = Fleet::start(root, folder, 3, Duration::ZERO, run_time) else {
+    let setup = Setup { per_zone: 3, upstreams: 6, run_time, stale: Duration::ZERO };
+    let Some(mut fleet) = Fleet::start(root, folder, setup) else {
         return 2;
     };
     // Every daemon gets requests on the route, as the platform sends them to see which
@@ -55,7 +56,7 @@
         fleet.note(&format!("the store turns {} away (503) and serves the others", names.join(", ")));
     }
     std::thread::sleep(Duration::from_millis(50));
-    fleet.store.put("op/config", &configuration(8, "archivo"));
+    fleet.store.put("op/config", &configuration(8, "archivo", false));
     let confirmed_at = Instant::now();
     fleet.note("version 8 is confirmed: the route moves from certificados to archivo");
     std::thread::sleep(TURNED_AWAY);
