--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -107,6 +107,11 @@
 
     /// Sends a request and records how it ended; `None` if the connection is closed.
     pub fn send(&self, address: SocketAddr, connection: &mut Connection, route: &Route) -> Option<()> {
+        self.send_once(address, connection, route).1
+    }
+
+    /// As [`Self::send`]; returns the status, too.
+    pub fn send_once(&self, address: SocketAddr, connection: &mut Connection, route: &Route) -> (u16, Option<()>) {
         let id = format!("{:016x}", self.number.fetch_add(1, Ordering::SeqCst) + 0x9c41_0000_0000);
         let sent_at = Instant::now();
         let answer = exchange(connection, route, &id);
@@ -120,7 +125,7 @@
             ended_at: Instant::now(),
             status,
         });
-        (!answer?.closes()).then_some(())
+        (status, answer.and_then(|answer| (!answer.closes()).then_some(())))
     }
 
     pub fn stop(&self) {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod json;
 mod left;
 mod crashed;
+mod promised;
 mod store;
 mod upstream;
 mod withdrawn;
@@ -30,6 +31,7 @@
         "left" => left::run(&root, folder, trouble),
         "withdrawn" => withdrawn::run(&root, folder, trouble),
         "crashed" => crashed::run(&root, folder, trouble),
+        "promised" => promised::run(&root, folder, trouble),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -31,6 +31,8 @@
     arrivals: Mutex<Vec<Arrival>>,
     connections: Mutex<Vec<TcpStream>>,
     has_exited: AtomicBool,
+    /// How many of 100 requests fail after they have run.
+    failing: AtomicUsize,
 }
 
 impl Upstream {
@@ -47,6 +49,7 @@
             arrivals: Mutex::default(),
             connections: Mutex::default(),
             has_exited: AtomicBool::new(false),
+            failing: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&upstream);
         std::thread::spawn(move || {
@@ -87,6 +90,11 @@
         }
     }
 
+    /// Lets so many of 100 requests fail after they have run.
+    pub fn fail(&self, percent: usize) {
+        self.failing.store(percent, Ordering::SeqCst);
+    }
+
     /// Crashes the upstream: its connections are reset or end, and for a while nothing
     /// is accepted. It then serves again at its address, and holds nothing of before.
     pub fn crash(self: &Arc<Self>, down: Duration) {
@@ -133,6 +141,13 @@
         if !is_whole {
             return Err(io::ErrorKind::BrokenPipe.into());
         }
+        if (number * 37) % 100 < self.failing.load(Ordering::SeqCst) {
+            // Its own failure, after the run: without `Not-Executed`, since it has run.
+            self.arrivals.lock().unwrap()[number].end = "503 after its run".to_owned();
+            let signature = ("Response-Signature", format!("{}.failed", self.id));
+            let text = b"the work could not be completed";
+            return connection.write("HTTP/1.1 503 Service Unavailable", &[echo, signature], text);
+        }
         let body = format!("answer of {} to {} {}", self.id, request.first, id);
         let signature = ("Response-Signature", format!("{}.{}", self.id, body.len()));
         let load = ("Server-Load", format!("{left},0,{}", self.slots));
