--- a/review/standin/crashed.rs
+++ b/review/standin/crashed.rs
@@ -95,6 +95,7 @@
         shares.push((of_route.len(), share));
     }
     let is_broken = shares[1].0 >= 20 && shares[1].1 < shares[0].1 / 4.0;
+    fleet.list(&attempts);
     i32::from(is_broken)
 }
 
@@ -116,6 +117,6 @@
                 let _ = clients.send(*address, &mut connection, route);
             }
         }
-        std::thread::sleep(Duration::from_millis(100));
+        std::thread::sleep(Duration::from_millis(500));
     }
 }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::client::Route;
+use crate::client::{Attempt, Route};
 use crate::gateway::{resolve, Gateway, Machine};
 use crate::store::Store;
 use crate::upstream::Upstream;
@@ -102,6 +102,33 @@
         let _ = writeln!(self.record, "{line}");
     }
 
+    /// Adds to the record what was sent and answered, and what reached the upstreams.
+    pub fn list(&mut self, attempts: &[Attempt]) {
+        let mut lines = Vec::new();
+        for attempt in attempts {
+            let gateway = self.gateways.iter().find(|g| g.machine.callers == attempt.gateway);
+            let name = gateway.map_or("-", |gateway| gateway.machine.name.as_str());
+            let (sent, ended) = (self.seconds(attempt.sent_at), self.seconds(attempt.ended_at));
+            let answer = match attempt.status {
+                0 => "no answer".to_owned(),
+                status => status.to_string(),
+            };
+            lines.push((sent, format!("{} {} sent to {name}; {answer} at {ended:.3} s", attempt.id, attempt.path)));
+        }
+        for upstream in &self.upstreams {
+            for arrival in upstream.arrivals() {
+                let run = if arrival.ran { "runs" } else { "does not run" };
+                let text = format!("{} {run} at {}; {}", arrival.id, upstream.id, arrival.end);
+                lines.push((self.seconds(arrival.at), text));
+            }
+        }
+        lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let _ = writeln!(self.record, "\nWhat was sent, answered and run:");
+        for (at, text) in lines {
+            let _ = writeln!(self.record, "{at:8.3} s  {text}");
+        }
+    }
+
     pub fn directories(&self) -> Vec<SocketAddr> {
         self.gateways.iter().map(|gateway| gateway.machine.directory).collect()
     }
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -2,6 +2,7 @@
 //! deploy file.
 
 use std::fs::{File, OpenOptions};
+use std::os::unix::process::CommandExt;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -11,6 +12,7 @@
 
 extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
@@ -40,7 +42,9 @@
 impl Machine {
     /// Chooses free ports on a loopback address of the machine's own.
     pub fn new(number: usize, name: &str, zone: &str) -> Machine {
-        let ip = Ipv4Addr::new(127, 88, (number / 250) as u8, (number % 250 + 1) as u8);
+        // Scripts that run at the same time use other addresses.
+        let process = std::process::id();
+        let ip = Ipv4Addr::new(127, 128 + (process % 100) as u8, (process / 100 % 250) as u8, number as u8 + 1);
         let mut held = Vec::new();
         let mut port = || loop {
             let listener = TcpListener::bind((ip, 0)).expect("a port of the machine");
@@ -122,7 +126,8 @@
         let mut words = run.split(' ');
         let log = OpenOptions::new().create(true).append(true).open(&self.log).expect("a log file");
         let errors: File = log.try_clone().expect("a log file");
-        let child = Command::new(self.root.join(words.next().unwrap_or("")))
+        let mut command = Command::new(self.root.join(words.next().unwrap_or("")));
+        command
             .args(words)
             .current_dir(&self.root)
             .env_clear()
@@ -130,9 +135,16 @@
             .env("AGATEHOLD_NODE_FILE", &self.settings)
             .stdin(Stdio::null())
             .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("the program");
+            .stderr(errors);
+        // SAFETY: `prctl` may be called between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                // Ends the process with this one (PR_SET_PDEATHSIG), whatever ends this one.
+                prctl(1, 9);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the program");
         self.child = Some(child);
         self.started_at = Instant::now();
     }
--- a/review/standin/left.rs
+++ b/review/standin/left.rs
@@ -106,5 +106,6 @@
     fleet.note(&format!(
         "{late} requests reached the upstream later than {DRAIN:?} after its removal, {lost} of them were cut at its exit"
     ));
+    fleet.list(&attempts);
     i32::from(late > 0)
 }
--- a/review/standin/promised.rs
+++ b/review/standin/promised.rs
@@ -105,5 +105,6 @@
     fleet.note(&format!(
         "{refused} unsafe requests that had run were answered with 503; {doubled} certificates were issued more than once"
     ));
+    fleet.list(&attempts);
     i32::from(refused > 0)
 }
--- a/review/standin/withdrawn.rs
+++ b/review/standin/withdrawn.rs
@@ -94,5 +94,6 @@
     fleet.note(&format!(
         "{late} requests, sent later than {CONFIG_PROPAGATION:?} after the confirmation to machines that the store served all the while, were run by the old service"
     ));
+    fleet.list(&attempts);
     i32::from(late > 0)
 }
