gateway: stop trusting heartbeats of senders that the store turns away

Cause: a heartbeat counted while its sender's last answer from the store was up to 2.5 s old, and the read that followed waited for a tick of 500 ms. The bound is 2 s.

Change: that age is at most 1.5 s; daemons that watch renew their lease each 600 ms, so that served senders stay below it; the control loop wakes when the last heartbeat stops counting.

--- a/crates/agatehold-core/src/dissemination/refresh.rs
+++ b/crates/agatehold-core/src/dissemination/refresh.rs
@@ -9,14 +9,24 @@
 use super::HeartbeatTable;
 use super::Revisions;
 
+/// The interval at which a daemon that watches the store sends heartbeats.
+pub const HEARTBEAT_INTERVAL_MS: DurationMs = DurationMs(600);
+
+/// The interval at which a daemon that watches the store checks that the store still
+/// answers it.
+pub const STORE_CHECK_INTERVAL_MS: DurationMs = DurationMs(600);
+
 /// The heartbeat timeout after which a daemon reads the store itself; two lost
 /// heartbeats. Even then, including the read that follows, a change is known
 /// within two seconds.
 pub const HEARTBEAT_TIMEOUT_MS: DurationMs = DurationMs(1_300);
 
 /// The maximum age of the store's last answer to a daemon whose heartbeats
-/// count as recent.
-pub const STORE_ANSWER_AGE_MAX_MS: DurationMs = DurationMs(2_500);
+/// count as recent. A sender that the store has begun to turn away can miss a change
+/// right after that answer, so the age and the read that follows stay below two
+/// seconds. A served sender reaches [`STORE_CHECK_INTERVAL_MS`] plus
+/// [`HEARTBEAT_INTERVAL_MS`].
+pub const STORE_ANSWER_AGE_MAX_MS: DurationMs = DurationMs(1_500);
 
 /// The maximum number of daemons that are asked in one fetch.
 const FETCH_SOURCES_MAX: usize = 3;
@@ -35,10 +45,25 @@
 /// Returns whether a recent heartbeat arrived from any daemon that reaches the
 /// store.
 pub fn has_recent_heartbeat(heartbeats: &HeartbeatTable, now: TimeMs) -> bool {
-    heartbeats.rows.rows().any(|(_, heartbeat)| {
-        now.since(heartbeat.heard_at) <= HEARTBEAT_TIMEOUT_MS
-            && now.since(heartbeat.store_answered_at) <= STORE_ANSWER_AGE_MAX_MS
+    recent_until(heartbeats).is_some_and(|until| now <= until)
+}
+
+/// Returns until when the known heartbeats count as recent; `None` if there are none.
+fn recent_until(heartbeats: &HeartbeatTable) -> Option<TimeMs> {
+    let rows = heartbeats.rows.rows();
+    rows.map(|(_, heartbeat)| {
+        let heard_until = heartbeat.heard_at + HEARTBEAT_TIMEOUT_MS;
+        heard_until.min(heartbeat.store_answered_at + STORE_ANSWER_AGE_MAX_MS)
     })
+    .max()
+}
+
+/// Returns when [`next_refresh`] decides to read the store if no further heartbeat
+/// arrives, so that the read does not wait for the next tick.
+pub fn read_due_at(heartbeats: &HeartbeatTable, own_answer_at: TimeMs) -> TimeMs {
+    let own_until = own_answer_at + HEARTBEAT_TIMEOUT_MS;
+    let until = recent_until(heartbeats).map_or(own_until, |recent| recent.max(own_until));
+    until + DurationMs(1)
 }
 
 /// Returns whether the store counts as unavailable to the whole fleet.
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -16,15 +16,19 @@
 use agatehold_core::directory::EntryDemand;
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::directory::entry_daemons;
+use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS as BEAT_INTERVAL_MS;
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
 use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::Replica;
 use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
 use agatehold_core::dissemination::StoreHeartbeat;
+use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::heartbeat_recipients;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::dissemination::pull_sources;
+use agatehold_core::dissemination::read_due_at;
 use agatehold_core::dissemination::watching_daemons;
 use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::HostId;
@@ -470,3 +474,91 @@
         }
     }
 }
+
+/// The time within which a daemon that the store serves must know a change
+/// (`config_propagation` and `drain` of the smallest deployments).
+const PROPAGATION_MS: u64 = 2_000;
+
+/// The part of it left for the read itself: a page each of the configuration and the
+/// targets, and decoding them on a fifth of a core.
+const READ_ALLOWANCE_MS: u64 = 400;
+
+fn heartbeat_of(host: &str, store_age_ms: u64) -> StoreHeartbeat {
+    StoreHeartbeat {
+        host: host.parse().expect("a name"),
+        revisions: Revisions {
+            configuration: 1,
+            targets: 1,
+            members: 1,
+        },
+        store_age_ms: DurationMs(store_age_ms),
+    }
+}
+
+/// Guards against daemons that follow heartbeats of senders which the store has begun to
+/// turn away: the store serves them, and yet they kept an old configuration and targets
+/// that had left for over two seconds.
+#[test]
+fn served_daemons_read_the_store_in_time_when_all_their_senders_are_turned_away() {
+    let mut rng = Pcg64Mcg::seed_from_u64(2_801);
+    let own_revisions = heartbeat_of("own", 0).revisions;
+    for round in 0..500 {
+        let own: HostId = "own".parse().expect("a name");
+        let mut heartbeats = HeartbeatTable::new(&own);
+        // The change is confirmed right after the last answers that the senders get.
+        let changed_at = 60_000;
+        let mut beats = Vec::new();
+        for sender in ["a", "b", "c"] {
+            let answered_at = changed_at - rng.random_range(0..STORE_CHECK_INTERVAL_MS.0);
+            let mut sent_at = answered_at + rng.random_range(0..BEAT_INTERVAL_MS.0);
+            while sent_at < changed_at + 10_000 {
+                beats.push((sent_at, sender, sent_at - answered_at));
+                sent_at += BEAT_INTERVAL_MS.0;
+            }
+        }
+        beats.sort_unstable();
+        let mut read_at = None;
+        let own_answer_at = TimeMs(1_000);
+        for (beat, next) in beats.iter().zip(&beats[1..]) {
+            heartbeats.record(&heartbeat_of(beat.1, beat.2), TimeMs(beat.0));
+            let due_at = read_due_at(&heartbeats, own_answer_at).max(TimeMs(beat.0));
+            if beat.0 < changed_at || due_at.0 >= next.0 {
+                continue;
+            }
+            let refresh = next_refresh(&heartbeats, &own_revisions, own_answer_at, due_at);
+            assert_eq!(refresh, Refresh::ReadStore, "round {round}");
+            read_at = Some(due_at.0 - changed_at);
+            break;
+        }
+        let read_at = read_at.expect("a read");
+        assert!(
+            read_at + READ_ALLOWANCE_MS <= PROPAGATION_MS,
+            "round {round}: read {read_at} ms after the change"
+        );
+    }
+}
+
+/// Guards against a fleet that reads the store although it hears from a daemon that the
+/// store serves: the reads of all daemons would load the store in calm.
+#[test]
+fn heartbeats_of_a_served_sender_stay_recent_although_one_is_lost() {
+    let check = STORE_CHECK_INTERVAL_MS.0;
+    for phase_ms in (0..check).step_by(20) {
+        let own: HostId = "own".parse().expect("a name");
+        let mut heartbeats = HeartbeatTable::new(&own);
+        let mut sent_at = 10_000 + phase_ms;
+        while sent_at < 20_000 {
+            let store_age_ms = sent_at % check;
+            heartbeats.record(&heartbeat_of("a", store_age_ms), TimeMs(sent_at));
+            sent_at += BEAT_INTERVAL_MS.0;
+            let just_before = TimeMs(sent_at - 1);
+            assert!(has_recent_heartbeat(&heartbeats, just_before));
+            let is_due = read_due_at(&heartbeats, TimeMs(0)) <= just_before;
+            assert!(!is_due, "phase {phase_ms}");
+        }
+        // Of three senders, the two others are lost for one more interval.
+        heartbeats.record(&heartbeat_of("b", 0), TimeMs(sent_at - BEAT_INTERVAL_MS.0));
+        let after_a_lost_one = TimeMs(sent_at + BEAT_INTERVAL_MS.0 - 1);
+        assert!(has_recent_heartbeat(&heartbeats, after_a_lost_one));
+    }
+}
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -15,10 +15,13 @@
 use tokio::task::LocalSet;
 
 use agatehold_core::directory::MemberRecord;
+use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
 use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::next_refresh;
+use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -30,6 +33,7 @@
 use super::store_tasks::KeyGroup;
 use super::store_tasks::MEMBERS_POLL_INTERVAL;
 use super::store_tasks::MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS;
+use super::store_tasks::RENEWAL_INTERVAL;
 use super::store_tasks::StoreEvent;
 use super::store_tasks::WatchTurn;
 use super::store_tasks::list_and_watch;
@@ -46,9 +50,6 @@
 /// The capacity of the queue of events for the control loop.
 const EVENT_QUEUE_LENGTH: usize = 64;
 
-/// The heartbeat interval of a daemon that watches the store.
-const HEARTBEAT_INTERVAL_MS: DurationMs = DurationMs(600);
-
 /// The maximum time between two iterations of the control loop.
 const TICK_MS: DurationMs = DurationMs(500);
 
@@ -179,12 +180,14 @@
         pull_round: 0,
     };
     let (poll_pause, poll_pause_receiver) = watch::channel(MEMBERS_POLL_INTERVAL);
+    let (renewal_interval, renewal_interval_receiver) = watch::channel(RENEWAL_INTERVAL);
     let (record, record_receiver) = watch::channel(encode_member(&own.borrow()));
     let key = member_key(&shared.settings.host.id);
     tokio::task::spawn_local(stay_registered(
         Rc::clone(&store_sync.store),
         key,
         record_receiver,
+        renewal_interval_receiver,
         store_sync.events.clone(),
     ));
     tokio::task::spawn_local(poll_members(
@@ -228,6 +231,8 @@
         store_sync.refresh(&mut tables, now);
         let pause = store_sync.members_poll_interval(&tables, now);
         poll_pause.send_if_modified(|current| std::mem::replace(current, pause) != pause);
+        let renewal = store_sync.renewal_interval();
+        renewal_interval.send_if_modified(|current| std::mem::replace(current, renewal) != renewal);
         if store_sync.is_watching()
             && (changed || now.since(store_sync.heartbeat_sent_at) >= HEARTBEAT_INTERVAL_MS)
         {
@@ -329,6 +334,15 @@
         false
     }
 
+    /// Returns the interval for renewing the lease. The renewals of a daemon that sends
+    /// heartbeats keep the age of the store's last answer in them low.
+    fn renewal_interval(&self) -> Duration {
+        if self.is_watching() {
+            return crate::clock::duration(STORE_CHECK_INTERVAL_MS);
+        }
+        RENEWAL_INTERVAL
+    }
+
     /// Returns the interval for polling the registered daemons: short if this daemon
     /// sends heartbeats or receives none.
     fn members_poll_interval(&self, tables: &ControlTables, now: TimeMs) -> Duration {
@@ -423,6 +437,10 @@
     if store_sync.is_watching() {
         due = due.min(store_sync.heartbeat_sent_at + HEARTBEAT_INTERVAL_MS);
     }
+    let follows_heartbeats = !store_sync.is_watching() || tables.store_unavailable_since.is_some();
+    if follows_heartbeats && store_sync.running_refreshes == 0 {
+        due = due.min(read_due_at(&tables.heartbeats, tables.read_at));
+    }
     for sweep in [tables.targets.next_sweep(), tables.members.next_sweep()] {
         due = due.min(sweep.unwrap_or(due));
     }
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -60,8 +60,9 @@
 /// The TTL of the lease that holds the daemon's registration.
 const LEASE_TTL_MS: DurationMs = DurationMs(5_000);
 
-/// The interval between lease renewals, which also check that the store responds.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
+/// The interval between lease renewals of a daemon that does not watch the store. The
+/// renewals also check that the store responds.
+pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// The interval at which a daemon reads the registered daemons if it sends
 /// heartbeats or receives none.
@@ -331,6 +332,7 @@
     store: Rc<StoreClient>,
     key: String,
     mut record: tokio::sync::watch::Receiver<Vec<u8>>,
+    renewal_interval: tokio::sync::watch::Receiver<Duration>,
     events: Sender<StoreEvent>,
 ) {
     let mut backoff = Backoff::new();
@@ -346,7 +348,7 @@
         };
         backoff.reset();
         log::info!("event=registered lease={} ttl={}", lease.id, lease.ttl_ms);
-        keep_lease(&store, lease, &key, &mut record, &events).await;
+        keep_lease(&store, lease, &key, &mut record, &renewal_interval, &events).await;
     }
 }
 
@@ -366,10 +368,12 @@
     lease: Lease,
     key: &str,
     record: &mut tokio::sync::watch::Receiver<Vec<u8>>,
+    renewal_interval: &tokio::sync::watch::Receiver<Duration>,
     events: &Sender<StoreEvent>,
 ) {
     loop {
-        let changed = tokio::time::timeout(RENEWAL_INTERVAL, record.changed())
+        let interval = *renewal_interval.borrow();
+        let changed = tokio::time::timeout(interval, record.changed())
             .await
             .is_ok();
         let call = if changed {
