gateway: apply only what is new to the replica to the tables

Cause: at a start a daemon asks its seeds and the store at once. The replica ignored the store's older listing, but the table of targets got it all the same, and no heartbeat brought the removal again. The same held for older updates from other daemons and for polls of the registered daemons.

Ruled out: stale seeds (they had logged the removal), a new registration.

Change: the replica returns what it has changed and the tables get only that; a change of an unknown key before the known revision is no news; a listing removes no row that is newer than itself. StoreMirror::remove_unlisted had no use left. Its three tests state the same with delete, and an_older_listing_changes_nothing states for listings what a_listing_does_not_remove_newer_rows did.

--- a/crates/agatehold-core/src/dissemination/replica.rs
+++ b/crates/agatehold-core/src/dissemination/replica.rs
@@ -79,45 +79,60 @@
         &self.rows
     }
 
-    /// Applies changes that directly follow what is known.
-    pub fn apply_changes(&mut self, changes: &[KeyChange]) {
+    /// Applies changes of keys; returns those that were new.
+    ///
+    /// A change at or before `complete_to` is contained already. If its key is not
+    /// known, the key was deleted later.
+    pub fn apply_changes(&mut self, changes: &[KeyChange]) -> Vec<KeyChange> {
+        let complete_to = self.complete_to;
+        let mut applied = Vec::new();
         for change in changes {
-            let held = self.rows.get(&change.key);
-            if held.is_some_and(|row| row.revision > change.revision) {
+            let is_outdated = match self.rows.get(&change.key) {
+                Some(row) => row.revision >= change.revision,
+                // Two keys may have been changed at the same revision.
+                None => change.revision < complete_to,
+            };
+            if is_outdated {
                 continue;
             }
             self.changed_at = self.changed_at.max(change.revision);
             self.complete_to = self.complete_to.max(change.revision);
             match &change.value {
-                Some(value) => {
-                    let row = ReplicaRow {
-                        revision: change.revision,
-                        value: Arc::clone(value),
-                    };
-                    self.rows.insert(change.key.clone(), row);
-                }
+                Some(value) => self.insert(&change.key, change.revision, value),
                 None => self.delete(&change.key, change.revision),
             }
+            applied.push(change.clone());
         }
+        applied
     }
 
-    /// Replaces the replica by a listing, as of a revision of the store.
+    /// Replaces the replica by a listing, as of a revision of the store. Returns what
+    /// has changed; keys that are not listed are deletions.
     ///
     /// A listing that is older than what is known is ignored. One without any
     /// difference is no change, so that it causes no fetches by other daemons.
-    pub fn apply_listing(&mut self, listed: &[KeyChange], revision: u64) {
-        self.replace(listed, &[], revision);
+    pub fn apply_listing(&mut self, listed: &[KeyChange], revision: u64) -> Vec<KeyChange> {
+        self.replace(listed, &[], revision)
     }
 
     /// Replaces the replica by `listed` and those of its own rows that are in
-    /// `kept`.
-    fn replace(&mut self, listed: &[KeyChange], kept: &[Box<str>], revision: u64) {
+    /// `kept`; returns what has changed.
+    fn replace(
+        &mut self,
+        listed: &[KeyChange],
+        kept: &[Box<str>],
+        revision: u64,
+    ) -> Vec<KeyChange> {
+        let mut applied = Vec::new();
         if revision < self.complete_to {
-            return;
+            return applied;
         }
         let mut absent: Table<Box<str>, ()> = Table::new();
-        for key in self.rows.keys() {
-            absent.insert(key.clone(), ());
+        for (key, row) in self.rows.rows() {
+            // The pages of a listing may be older than a change that is known.
+            if row.revision <= revision {
+                absent.insert(key.clone(), ());
+            }
         }
         for key in kept {
             absent.remove(key);
@@ -133,11 +148,8 @@
                 continue;
             }
             newest = newest.max(item.revision);
-            let row = ReplicaRow {
-                revision: item.revision,
-                value: Arc::clone(value),
-            };
-            self.rows.insert(item.key.clone(), row);
+            self.insert(&item.key, item.revision, value);
+            applied.push(item.clone());
         }
         // A listing does not tell when a key was deleted, nor which keys existed only
         // since the last one. A daemon that knew nothing can't tell whether a key
@@ -147,19 +159,26 @@
         self.deletions.clear();
         for key in absent.keys() {
             self.rows.remove(key);
+            applied.push(KeyChange {
+                key: key.clone(),
+                revision,
+                value: None,
+            });
         }
         self.changed_at = if may_hide_deletions { revision } else { newest };
         self.complete_to = revision;
+        applied
     }
 
-    /// Applies an update from another daemon.
-    pub fn apply_update(&mut self, update: &ReplicaUpdate) {
-        if update.is_listing {
-            self.replace(&update.changes, &update.kept, update.revision);
+    /// Applies an update from another daemon; returns what has changed.
+    pub fn apply_update(&mut self, update: &ReplicaUpdate) -> Vec<KeyChange> {
+        let applied = if update.is_listing {
+            self.replace(&update.changes, &update.kept, update.revision)
         } else {
-            self.apply_changes(&update.changes);
-        }
+            self.apply_changes(&update.changes)
+        };
         self.complete_to = self.complete_to.max(update.revision);
+        applied
     }
 
     /// Returns what a daemon lacks that knows the group up to `known`; `None` if it
@@ -202,6 +221,14 @@
         })
     }
 
+    fn insert(&mut self, key: &str, revision: u64, value: &Arc<[u8]>) {
+        let row = ReplicaRow {
+            revision,
+            value: Arc::clone(value),
+        };
+        self.rows.insert(key.into(), row);
+    }
+
     /// Removes a key and remembers its deletion.
     fn delete(&mut self, key: &str, revision: u64) {
         self.rows.remove(&key.into());
--- a/crates/agatehold-core/src/target_registry/store_mirror.rs
+++ b/crates/agatehold-core/src/target_registry/store_mirror.rs
@@ -1,8 +1,6 @@
 //! A local mirror of a key prefix of the platform's store that keeps its rows
 //! during outages of the store.
 
-use std::collections::BTreeSet;
-
 use crate::table::Table;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
@@ -112,25 +110,6 @@
         true
     }
 
-    /// Deletes the rows whose keys are not in `listed`, as [`Self::delete`]
-    /// does. Returns whether any row was removed.
-    ///
-    /// Rows with a higher revision than the listing are kept.
-    pub fn remove_unlisted(&mut self, listed: &[K], store_revision: u64, now: TimeMs) -> bool {
-        let listed: BTreeSet<&K> = listed.iter().collect();
-        let mut absent = Vec::new();
-        for key in self.rows.keys() {
-            if !listed.contains(key) {
-                absent.push(key.clone());
-            }
-        }
-        let mut changed = false;
-        for key in absent {
-            changed |= self.delete(&key, store_revision, now);
-        }
-        changed
-    }
-
     /// Removes the rows that are still missing at the end of the grace period.
     /// Returns whether any row was removed.
     pub fn sweep(&mut self, now: TimeMs) -> bool {
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -34,6 +34,7 @@
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::table::Table;
+use agatehold_core::target_registry::StoreMirror;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -125,6 +126,114 @@
     }
 }
 
+/// A listing may be older than what a watch has added since. It must neither remove the
+/// newer row nor bring a deleted one back.
+#[test]
+fn an_older_listing_changes_nothing() {
+    let mut replica = Replica::default();
+    replica.apply_listing(&[change(1, 30, Some(1)), change(2, 31, Some(1))], 40);
+    replica.apply_changes(&[change(1, 45, None), change(3, 50, Some(1))]);
+    let before = replica.clone();
+    let older = [change(1, 30, Some(1)), change(2, 31, Some(1))];
+    assert_eq!(replica.apply_listing(&older, 42), []);
+    assert_eq!(replica, before);
+    // The first page was read before the change, so that the listing counts as of then,
+    // and is none the less as new as what is known.
+    let same_age = [change(2, 31, Some(1)), change(3, 50, Some(1))];
+    assert_eq!(replica.apply_listing(&same_age, 50), []);
+    let newer = replica.apply_listing(&[], 60);
+    assert_eq!(newer, [change(2, 60, None), change(3, 60, None)]);
+}
+
+proptest! {
+    #![proptest_config(support::settings(256))]
+
+    /// Guards against a target that has left and is in use again: a daemon that starts
+    /// asks its seeds and the store at once, and the older of the answers came last.
+    /// Listings, updates and watched changes of any age arrive in any order; what they
+    /// are said to change must lead to the same rows as the replica holds, and no key
+    /// may return without a newer write.
+    #[test]
+    fn deleted_keys_do_not_return_with_older_contents(
+        writes in prop::collection::vec((0_u8..5, prop::bool::weighted(0.4)), 2..40),
+        deliveries in prop::collection::vec((any::<prop::sample::Index>(), any::<prop::sample::Index>(), 0_u8..3), 1..12),
+    ) {
+        let mut store: BTreeMap<u8, u64> = BTreeMap::new();
+        let mut history: Vec<KeyChange> = Vec::new();
+        // The daemon elsewhere that follows every change, as of each revision.
+        let mut source = Replica::default();
+        source.apply_listing(&[], 1);
+        let mut past = vec![(store.clone(), source.clone(), 1)];
+        for (number, (key, is_deletion)) in writes.into_iter().enumerate() {
+            let revision = number as u64 + 2;
+            if is_deletion {
+                store.remove(&key);
+            } else {
+                store.insert(key, revision);
+            }
+            let change = change(key, revision, (!is_deletion).then_some(key));
+            source.apply_changes(std::slice::from_ref(&change));
+            history.push(change);
+            past.push((store.clone(), source.clone(), revision));
+        }
+        let mut replica = Replica::default();
+        let mut mirror: StoreMirror<Box<str>, u64> = StoreMirror::new();
+        let mut newest = 0;
+        for (at, asked_at, kind) in deliveries {
+            let (rows, source, revision) = &past[at.index(past.len())];
+            let applied = match kind {
+                0 => {
+                    let listed: Vec<KeyChange> =
+                        rows.iter().map(|(key, at)| change(*key, *at, Some(*key))).collect();
+                    replica.apply_listing(&listed, *revision)
+                }
+                // Asked when less was known than now.
+                1 => {
+                    let known = past[asked_at.index(past.len())].2.min(replica.complete_to());
+                    match source.update_since(known) {
+                        Some(update) => replica.apply_update(&update),
+                        None => continue,
+                    }
+                }
+                _ if replica.complete_to() == 0 => continue,
+                _ => {
+                    let known = past[asked_at.index(past.len())].2.min(replica.complete_to());
+                    let watched: Vec<KeyChange> = history
+                        .iter()
+                        .filter(|change| change.revision > known && change.revision <= *revision)
+                        .cloned()
+                        .collect();
+                    replica.apply_changes(&watched)
+                }
+            };
+            newest = newest.max(replica.complete_to());
+            prop_assert_eq!(replica.complete_to(), newest);
+            for change in applied {
+                if change.value.is_some() {
+                    mirror.put(change.key.clone(), change.revision, change.revision, TimeMs(1));
+                } else {
+                    mirror.delete(&change.key, change.revision, TimeMs(1));
+                }
+            }
+            let mirrored: Vec<(Box<str>, u64)> =
+                mirror.rows.rows().map(|(key, row)| (key.clone(), row.content)).collect();
+            prop_assert_eq!(&mirrored, &contents(&replica));
+            if replica.complete_to() > 0 {
+                let (rows, _, _) = past
+                    .iter()
+                    .rev()
+                    .find(|(_, _, revision)| *revision == replica.complete_to())
+                    .expect("a revision");
+                let expected: Vec<(Box<str>, u64)> = rows
+                    .iter()
+                    .map(|(key, revision)| (format!("key-{key}").into(), *revision))
+                    .collect();
+                prop_assert_eq!(mirrored, expected);
+            }
+        }
+    }
+}
+
 /// Guards against transferring all targets at each change: at 293 hosts and 480
 /// targets, 1,200 such transfers a second filled the links of small hosts.
 #[test]
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -132,7 +132,9 @@
     rows.store_lost();
     let back = START + DurationMs(9_000);
     rows.store_returned(back);
-    rows.remove_unlisted(&[], 30, back + DurationMs(10));
+    for row in [1, 2] {
+        rows.delete(&row, 30, back + DurationMs(10));
+    }
     assert_eq!(rows.rows.len(), 2, "both rows are kept for now");
     rows.put(1, "a", 31, back + DurationMs(900));
     assert!(!rows.sweep(back + DurationMs(1_500)));
@@ -141,14 +143,14 @@
     assert_eq!(left, [1], "the row that was not written again is removed");
 }
 
-/// A listing may be older than a row that a watch has added since. It must not remove
+/// A removal may be older than a row that a watch has added since. It must not remove
 /// that row.
 #[test]
-fn a_listing_does_not_remove_newer_rows() {
+fn an_older_removal_does_not_remove_newer_rows() {
     let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
     rows.put(1, "a", 50, START);
-    assert!(!rows.remove_unlisted(&[], 40, START));
-    assert!(rows.remove_unlisted(&[], 60, START));
+    assert!(!rows.delete(&1, 40, START));
+    assert!(rows.delete(&1, 60, START));
 }
 
 fn host(number: u32) -> HostId {
@@ -241,10 +243,7 @@
     heartbeats.record(&heartbeat(1, 10, 200), START);
     assert!(!is_store_unavailable(&heartbeats, true, START));
     rows.store_returned(START);
-    assert!(
-        rows.remove_unlisted(&[], 10, START),
-        "the row is removed immediately"
-    );
+    assert!(rows.delete(&1, 10, START), "the row is removed immediately");
     let later = START + HEARTBEAT_TIMEOUT_MS + DurationMs(1);
     assert!(
         is_store_unavailable(&heartbeats, true, later),
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -9,7 +9,6 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
-use agatehold_core::dissemination::ReplicaUpdate;
 use agatehold_core::dissemination::heartbeat_recipients;
 use agatehold_core::dissemination::is_store_unavailable;
 use agatehold_core::dissemination::pull_sources;
@@ -162,23 +161,18 @@
         StoreEvent::Listed(key_group, items, revision) => {
             let recovered = record_store_response(tables, now);
             update_store_state(tables, now);
-            let update = ReplicaUpdate {
-                revision,
-                is_listing: true,
-                changes: items.into_iter().map(key_change).collect(),
-                kept: Vec::new(),
-            };
+            let listed: Vec<KeyChange> = items.into_iter().map(key_change).collect();
             let replica = tables.contents.replica_mut(key_group);
-            replica.apply_listing(&update.changes, revision);
-            apply_update(tables, key_group, &update, now) || recovered
+            let applied = replica.apply_listing(&listed, revision);
+            apply_changes(tables, key_group, &applied, now) || recovered
         }
         StoreEvent::Changed(key_group, items) => {
             let recovered = record_store_response(tables, now);
             update_store_state(tables, now);
             let changes: Vec<KeyChange> = items.into_iter().map(key_change).collect();
             let replica = tables.contents.replica_mut(key_group);
-            replica.apply_changes(&changes);
-            apply_changes(tables, key_group, &changes, now) || recovered
+            let applied = replica.apply_changes(&changes);
+            apply_changes(tables, key_group, &applied, now) || recovered
         }
         StoreEvent::Fetched(address, fetched) => apply_fetched(tables, address, fetched, now),
     }
@@ -222,8 +216,8 @@
             update.changes.len(),
             update.is_listing
         );
-        tables.contents.replica_mut(key_group).apply_update(&update);
-        changed |= apply_update(tables, key_group, &update, now);
+        let applied = tables.contents.replica_mut(key_group).apply_update(&update);
+        changed |= apply_changes(tables, key_group, &applied, now);
     }
     changed
 }
@@ -236,18 +230,8 @@
     }
 }
 
-/// Applies an update to the table of a key group.
-fn apply_update(
-    tables: &mut ControlTables,
-    key_group: KeyGroup,
-    update: &ReplicaUpdate,
-    now: TimeMs,
-) -> bool {
-    let is_listing = update.is_listing;
-    let removed = is_listing && remove_unlisted(tables, key_group, update, now);
-    apply_changes(tables, key_group, &update.changes, now) || removed
-}
-
+/// Applies changes that the replica of a key group did not contain yet to the group's
+/// table.
 fn apply_changes(
     tables: &mut ControlTables,
     key_group: KeyGroup,
@@ -286,29 +270,6 @@
     true
 }
 
-fn remove_unlisted(
-    tables: &mut ControlTables,
-    key_group: KeyGroup,
-    listing: &ReplicaUpdate,
-    now: TimeMs,
-) -> bool {
-    let changed = listing.changes.iter().map(|change| &*change.key);
-    let keys = changed.chain(listing.kept.iter().map(|key| &**key));
-    match key_group {
-        KeyGroup::Configuration => false,
-        KeyGroup::Targets => {
-            let listed: Vec<TargetName> = keys.filter_map(target_name).collect();
-            let targets = &mut tables.targets;
-            targets.remove_unlisted(&listed, listing.revision, now)
-        }
-        KeyGroup::Members => {
-            let listed: Vec<HostId> = keys.filter_map(member_host).collect();
-            let members = &mut tables.members;
-            members.remove_unlisted(&listed, listing.revision, now)
-        }
-    }
-}
-
 fn apply_change(
     tables: &mut ControlTables,
     key_group: KeyGroup,
