gateway: tell callers apart when a request counts as the cause of crashes

Seen by callers: three targets crashed for 4.5 s while they worked on a page that 60 callers read.

Cause (first of three): a request in flight at a crash is marked, and the fingerprint of the mark held method, path and body. All requests of the page were one, with marks of three targets.

Ruled out: failed targets (the first route was served whole); a crash by the page itself (it ran hundreds of times before).

Change: the fingerprint is made in agatehold-core of caller address, host, method, path and body.

Conclusion: other callers are served.

--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -4,6 +4,7 @@
 //! that has crashed two targets. A request is recognised by its fingerprint.
 
 mod admit;
+mod fingerprint;
 mod rows;
 
 pub use admit::Admission;
@@ -12,6 +13,8 @@
 pub use admit::is_blamed;
 pub use admit::mark_crash;
 pub use admit::merge_marks;
+pub use fingerprint::RequestIdentity;
+pub use fingerprint::fingerprint;
 pub use rows::CrashMark;
 pub use rows::PoisonRow;
 pub use rows::PoisonTable;
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -6,8 +6,10 @@
 use agatehold_core::poison::Admission;
 use agatehold_core::poison::CrashMark;
 use agatehold_core::poison::PoisonTable;
+use agatehold_core::poison::RequestIdentity;
 use agatehold_core::poison::admit;
 use agatehold_core::poison::clear;
+use agatehold_core::poison::fingerprint;
 use agatehold_core::poison::is_blamed;
 use agatehold_core::poison::mark_crash;
 use agatehold_core::poison::merge_marks;
@@ -127,3 +129,77 @@
         Admission::Admitted
     );
 }
+
+/// The pattern: several targets crash at once while they work on a page that many
+/// callers read. Guards against refusing that page to all callers.
+#[test]
+fn a_page_that_many_callers_read_is_not_refused_after_crashes_elsewhere() {
+    let own = host("host-1");
+    let later = NOW + DurationMs(1_000);
+    let mut table = PoisonTable::default();
+    let page = |caller: u8| {
+        fingerprint(&RequestIdentity {
+            caller: [10, 0, 0, caller].into(),
+            host: b"reports.example",
+            method: b"GET",
+            path: b"/reports/7",
+            body: b"",
+        })
+    };
+    for (caller, target_name) in [(1, "a"), (2, "b"), (3, "c")] {
+        let mark = CrashMark {
+            fingerprint: page(caller),
+            target: target(target_name),
+            reporter: host("host-2"),
+            at: NOW,
+            cleared: false,
+        };
+        mark_crash(&mut table, mark, NOW);
+    }
+    for caller in 4..=60 {
+        assert_eq!(
+            admit(&mut table, &page(caller), &own, later),
+            Admission::Admitted,
+            "caller {caller}"
+        );
+    }
+}
+
+/// A request that comes again is the same only with the same caller, host, method, path
+/// and body.
+#[test]
+fn a_fingerprint_depends_on_every_part_of_the_identity() {
+    let first = RequestIdentity {
+        caller: [10, 0, 0, 1].into(),
+        host: b"reports.example",
+        method: b"POST",
+        path: b"/reports/7",
+        body: b"body",
+    };
+    assert_eq!(fingerprint(&first), fingerprint(&first.clone()));
+    let others = [
+        RequestIdentity {
+            caller: [10, 0, 0, 2].into(),
+            ..first
+        },
+        RequestIdentity {
+            host: b"filings.example",
+            ..first
+        },
+        RequestIdentity {
+            method: b"PUT",
+            ..first
+        },
+        RequestIdentity {
+            path: b"/reports/8",
+            ..first
+        },
+        RequestIdentity {
+            body: b"other",
+            ..first
+        },
+    ];
+    for other in others {
+        assert_ne!(fingerprint(&first), fingerprint(&other), "{other:?}");
+    }
+}
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -1,6 +1,7 @@
 //! Records the result of an attempt: target health, crash marks of the request,
 //! run times, and the slot.
 
+use http::header;
 use rand::RngExt;
 
 use agatehold_core::ids::Digest;
@@ -8,6 +9,7 @@
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
+use agatehold_core::poison::RequestIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -123,11 +125,15 @@
     }
 
     fn fingerprint(&self) -> Digest {
-        Digest::of_parts(&[
-            self.incoming.head.method.as_str().as_bytes(),
-            self.incoming.head.target.as_bytes(),
-            &self.incoming.body,
-        ])
+        let head = &self.incoming.head;
+        let host = head.headers.get(header::HOST);
+        poison::fingerprint(&RequestIdentity {
+            caller: self.incoming.caller,
+            host: host.map_or(&[], |value| value.as_bytes()),
+            method: head.method.as_str().as_bytes(),
+            path: head.target.as_bytes(),
+            body: &self.incoming.body,
+        })
     }
 
     /// Returns whether the request may be sent, given the target crashes that it was
--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -87,6 +88,8 @@
 
 /// A completely received request.
 pub(super) struct IncomingRequest {
+    /// The address of the caller, without the port.
+    pub(super) caller: IpAddr,
     /// The head.
     pub(super) head: RequestHead,
     /// The body.
@@ -128,11 +131,11 @@
 pub(super) async fn accept(state: Rc<TrafficState>, listener: TcpListener, endpoint: Endpoint) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let state = Rc::clone(&state);
                 state.count_connection(endpoint);
                 tokio::task::spawn_local(async move {
-                    run_connection(&state, stream, endpoint).await;
+                    run_connection(&state, stream, peer.ip(), endpoint).await;
                     state.count_close(endpoint);
                 });
             }
@@ -155,6 +158,8 @@
 
 /// The state of reading requests from a connection.
 struct ReadState {
+    /// The address of the caller.
+    caller: IpAddr,
     buffer: BytesMut,
     /// The request whose body is being read.
     current: Option<IncompleteRequest>,
@@ -168,12 +173,18 @@
     parsing_ended: bool,
 }
 
-async fn run_connection(state: &Rc<TrafficState>, stream: TcpStream, endpoint: Endpoint) {
+async fn run_connection(
+    state: &Rc<TrafficState>,
+    stream: TcpStream,
+    caller: IpAddr,
+    endpoint: Endpoint,
+) {
     if set_socket_options(&stream, TCP_TIMEOUTS).is_err() {
         return;
     }
     let (mut read_half, mut write_half) = stream.into_split();
     let mut read_state = ReadState {
+        caller,
         buffer: BytesMut::new(),
         current: None,
         deferred: None,
@@ -332,6 +343,7 @@
             return Ok(());
         }
         read_state.deferred = Some(IncomingRequest {
+            caller: read_state.caller,
             head: current.head,
             body: current.body.into_bytes(),
             arrived_at: current.arrived_at,
