gateway: tell other daemons that a target has answered a request with crash marks

After one crash, every daemon but the reporter went on refusing the request for ten minutes, although it had been answered since.

Cause (second of three): daemons told each other of crashes and not of answers, and an answer revoked only the daemon's own marks.

Ruled out: lost datagrams (the process test waits in vain without the message).

Change: an answer revokes the marks of all reporters, since a poison request crashes every target that runs it; the report of that attempt carries the fingerprint to the other entry daemons. Older daemons ignore the field.

Before: an_answer_after_a_crash_is_known_to_all_daemons waited 30 s in vain with the message left out. After: it passes, and so does an_answer_revokes_the_marks_of_all_daemons.

Conclusion: one answer ends the refusals everywhere.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -163,6 +163,22 @@
     cleared
 }
 
+/// Revokes the marks of all daemons on a request that a target has answered, since a
+/// poison request crashes every target that runs it. Returns whether there were any;
+/// the peers then have to be told.
+pub fn revoke_marks(table: &mut PoisonTable, fingerprint: &Digest) -> bool {
+    let Some(row) = table.rows.get_mut(fingerprint) else {
+        return false;
+    };
+    row.resent_at = None;
+    let mut had_marks = false;
+    for mark in &mut row.marks {
+        had_marks |= !mark.cleared;
+        mark.cleared = true;
+    }
+    had_marks
+}
+
 /// Returns whether the request, rather than `target`, counts as the cause of a
 /// lost connection to `target`, because it was involved in a crash of another
 /// target.
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -13,6 +13,7 @@
 use agatehold_core::poison::is_blamed;
 use agatehold_core::poison::mark_crash;
 use agatehold_core::poison::merge_marks;
+use agatehold_core::poison::revoke_marks;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -203,3 +204,30 @@
         assert_ne!(fingerprint(&first), fingerprint(&other), "{other:?}");
     }
 }
+
+/// Guards against refusing a request for good although a target has run it to the end
+/// since the crashes: the marks of all reporters are revoked, and later copies of them
+/// don't count.
+#[test]
+fn an_answer_revokes_the_marks_of_all_daemons() {
+    let mut table = PoisonTable::default();
+    let request = Digest::of_parts(&[b"request"]);
+    let marks = [
+        mark(b"request", "a", "host-1", NOW),
+        mark(b"request", "b", "host-2", NOW),
+        mark(b"request", "c", "host-3", NOW),
+    ];
+    let later = NOW + DurationMs(400);
+    merge_marks(&mut table, &marks, NOW);
+    assert_eq!(
+        admit(&mut table, &request, &host("host-1"), later),
+        Admission::Refused
+    );
+    assert!(revoke_marks(&mut table, &request));
+    merge_marks(&mut table, &marks, later);
+    assert_eq!(
+        admit(&mut table, &request, &host("host-1"), later),
+        Admission::Admitted
+    );
+    assert!(!revoke_marks(&mut table, &request), "nothing left to tell");
+}
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -35,6 +35,8 @@
         let jitter = self.state.rng.borrow_mut().random();
         let own = &self.state.shared.settings.host.id;
         let is_entry = self.state.view().is_entry(own, &self.service);
+        let answered = end.outcome == AttemptOutcome::Answered;
+        let answered = (answered && self.revoke_crash_marks()).then(|| self.fingerprint());
         let mut report = None;
         if let Some(row) = self.state.targets.borrow_mut().rows.get_mut(target) {
             let had_evidence = row.failure_detector.nats() > 0.0;
@@ -88,7 +90,7 @@
             // entry daemons.
             let is_reportable =
                 is_shared && (had_evidence || row.failure_detector.nats() > 0.0 || !is_entry);
-            if is_reportable || end.is_wrong_target {
+            if is_reportable || end.is_wrong_target || answered.is_some() {
                 let crashed = end.outcome == AttemptOutcome::ConnectionLost;
                 report = Some(Evidence {
                     target: row.record.identity.clone(),
@@ -96,6 +98,7 @@
                     run_ms,
                     moved: end.is_wrong_target,
                     crash: crashed.then(|| self.fingerprint()),
+                    answered,
                     reporter: self.state.shared.settings.host.id.clone(),
                 });
             }
@@ -107,7 +110,6 @@
             AttemptOutcome::Answered => {
                 routes::record_run(self.state, self.route, run_ms);
                 queue::record_run(self.state, &self.service, run_ms);
-                self.clear_crash_marks();
             }
             AttemptOutcome::ConnectionLost => {
                 self.state.pool.borrow_mut().close_address(address);
@@ -174,12 +176,9 @@
         poison::mark_crash(&mut self.state.poison.borrow_mut(), mark, now);
     }
 
-    pub(super) fn clear_crash_marks(&self) {
+    /// Revokes the crash marks of the request; returns whether it had any.
+    fn revoke_crash_marks(&self) -> bool {
         let mut table = self.state.poison.borrow_mut();
-        if table.rows.is_empty() {
-            return;
-        }
-        let own = &self.state.shared.settings.host.id;
-        poison::clear(&mut table, &self.fingerprint(), own);
+        !table.rows.is_empty() && poison::revoke_marks(&mut table, &self.fingerprint())
     }
 }
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -172,6 +172,9 @@
         };
         poison::mark_crash(&mut state.poison.borrow_mut(), mark, now);
     }
+    if let Some(fingerprint) = &evidence.answered {
+        poison::revoke_marks(&mut state.poison.borrow_mut(), fingerprint);
+    }
     let jitter = state.rng.borrow_mut().random();
     let mut targets = state.targets.borrow_mut();
     let Some(row) = targets.rows.get_mut(&evidence.target.name) else {
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -94,6 +94,9 @@
     /// The fingerprint of the request that was running in the target when the
     /// connection was lost; `None` if no connection was lost.
     pub(super) crash: Option<Digest>,
+    /// The fingerprint of the request, if it had crash marks and the target has
+    /// answered it.
+    pub(super) answered: Option<Digest>,
     /// The daemon that made the attempt.
     pub(super) reporter: HostId,
 }
@@ -139,6 +142,9 @@
     run_ms: u64,
     moved: bool,
     crash: Option<String>,
+    /// Absent in the datagrams of daemons that don't tell others about answers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    answered: Option<String>,
     reporter: String,
 }
 
@@ -226,6 +232,7 @@
         run_ms: evidence.run_ms.0,
         moved: evidence.moved,
         crash: evidence.crash.map(|crash| crash.to_string()),
+        answered: evidence.answered.map(|answered| answered.to_string()),
         reporter: evidence.reporter.to_string(),
     };
     // Strings, numbers and booleans always serialize to JSON.
@@ -265,10 +272,7 @@
 }
 
 fn decode_evidence(json: EvidenceJson) -> Option<Evidence> {
-    let crash = match json.crash {
-        Some(crash) => Some(crash.parse().ok()?),
-        None => None,
-    };
+    let fingerprint = |text: Option<String>| text.map(|text| text.parse::<Digest>()).transpose();
     Some(Evidence {
         target: TargetIdentity {
             name: json.target.parse::<TargetName>().ok()?,
@@ -277,7 +281,8 @@
         outcome: json.outcome.parse().ok()?,
         run_ms: DurationMs(json.run_ms),
         moved: json.moved,
-        crash,
+        crash: fingerprint(json.crash).ok()?,
+        answered: fingerprint(json.answered).ok()?,
         reporter: json.reporter.parse().ok()?,
     })
 }
