poison: let other daemons send a request again some seconds after one crash

Seen by callers: a request that was in flight at one crash was refused by every daemon but the one that reported the crash, for ten minutes. A request that must not run twice is never resent by the reporter, and its caller may go elsewhere.

Ruled out: 3 s, as tried first: a_resent_request_crashes_at_most_two_targets went red, since a lost mark is repaired within 6 s only.

Change: other daemons defer for 10 s.

Before: other_daemons_admit_a_request_some_seconds_after_one_crash is deferred with the old limit.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -32,6 +32,12 @@
 /// crashes six targets instead of three.
 const RESEND_DELAY_MS: DurationMs = DurationMs(50);
 
+/// How long the daemons that did not report a crash leave the request to the one that
+/// did. It resends an idempotent request at once and reports the outcome; after that it
+/// may have exited, or wait for a caller that goes elsewhere. Gossip, which repairs lost
+/// marks, takes up to 6 s.
+const DEFERRAL_MAX_MS: DurationMs = DurationMs(10_000);
+
 /// How long a daemon waits for the outcome of a resent request before it may
 /// resend it once more.
 const RESEND_TIMEOUT_MS: DurationMs = DurationMs(30_000);
@@ -44,8 +50,8 @@
     /// The request crashed one target. If it is idempotent it may be resent
     /// once, to a different target.
     AdmittedOnce,
-    /// The request crashed one target, and may not be sent for now: only the
-    /// daemon that reported the crash resends it, after a short wait.
+    /// The request crashed one target, and may not be sent for now: at first only
+    /// the daemon that reported the crash resends it, after a short wait.
     Deferred,
     /// The request crashed at least two targets and must not be sent.
     Refused,
@@ -53,9 +59,10 @@
 
 /// Decides whether a request may be sent.
 ///
-/// After the first crash only the daemon that reported it resends the request,
-/// one attempt at a time. If every daemon allowed one more target, a caller that
-/// resent the request to all daemons could crash one target through each.
+/// After the first crash only the daemon that reported it resends the request for
+/// [`DEFERRAL_MAX_MS`], one attempt at a time. If every daemon allowed one more target
+/// at once, a caller that resent the request to all daemons could crash one target
+/// through each.
 pub fn admit(
     table: &mut PoisonTable,
     fingerprint: &Digest,
@@ -77,8 +84,13 @@
     let is_resend_in_flight = row
         .resent_at
         .is_some_and(|since| now.since(since) <= RESEND_TIMEOUT_MS);
-    let too_early = now.since(mark.at) < RESEND_DELAY_MS;
-    if mark.reporter != *own || is_resend_in_flight || too_early {
+    let age_ms = now.since(mark.at);
+    let wait_ms = if mark.reporter == *own {
+        RESEND_DELAY_MS
+    } else {
+        DEFERRAL_MAX_MS
+    };
+    if is_resend_in_flight || age_ms < wait_ms {
         return Admission::Deferred;
     }
     row.resent_at = Some(now);
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -231,3 +231,35 @@
     );
     assert!(!revoke_marks(&mut table, &request), "nothing left to tell");
 }
+
+/// A request that must not run twice was in flight at a crash, and its caller comes again
+/// at other daemons. Guards against refusing it there until the mark expires, since the
+/// daemon that reported the crash never resends it.
+#[test]
+fn other_daemons_admit_a_request_some_seconds_after_one_crash() {
+    let mut table = PoisonTable::default();
+    let request = Digest::of_parts(&[b"request"]);
+    let own = host("host-2");
+    mark_crash(&mut table, mark(b"request", "a", "host-1", NOW), NOW);
+    let early = NOW + DurationMs(9_900);
+    assert_eq!(
+        admit(&mut table, &request, &own, early),
+        Admission::Deferred
+    );
+    let later = NOW + DurationMs(10_000);
+    assert_eq!(
+        admit(&mut table, &request, &own, later),
+        Admission::AdmittedOnce
+    );
+    assert_eq!(
+        admit(&mut table, &request, &own, later),
+        Admission::Deferred,
+        "one attempt at a time"
+    );
+    mark_crash(&mut table, mark(b"request", "b", "host-2", later), later);
+    let much_later = later + DurationMs(60_000);
+    assert_eq!(
+        admit(&mut table, &request, &own, much_later),
+        Admission::Refused
+    );
+}
