dispatch: don't pass on a target's status that claims a run never happened

Seen by callers: a target that had issued a certificate answered 503 without Not-Executed.

Cause: after a failure that may have run, the target's answer was passed on whatever its status claims. The same held for a signed 408 or 429.

Ruled out: a second send by the daemon (each run has an id of its own); the daemon's own refusals (status_by_outcome).

Change: for a request that must not run twice, such an answer becomes a refusal whose outcome is unknown: 502 without the target's signature. Requests that may run again, and all other statuses, are passed on as before.

--- a/crates/agatehold-core/src/dispatch/step.rs
+++ b/crates/agatehold-core/src/dispatch/step.rs
@@ -14,6 +14,9 @@
 pub struct AttemptFacts {
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether the attempt's answer has a status that callers take as the promise that
+    /// the request has not run, although the target does not say so.
+    pub answer_claims_not_run: bool,
     /// The maximum number of targets that the request may reach.
     pub attempts_max: u32,
     /// The number of targets at which the request was tried so far.
@@ -42,23 +45,26 @@
 /// returns false if none is left.
 ///
 /// A request that is not idempotent is sent again only if none of its attempts
-/// may have run.
+/// may have run. Its caller sends it again after a status that claims so; such an
+/// answer of a target that has run it is replaced by a refusal.
 pub fn after_attempt(
     outcome: AttemptOutcome,
     facts: &AttemptFacts,
     attempts: &mut Attempts,
     take_resend: impl FnOnce() -> bool,
 ) -> Decision {
+    let may_pass_on = facts.idempotent || !facts.answer_claims_not_run;
     let kind = match outcome {
-        AttemptOutcome::Answered => return Decision::Answer,
+        AttemptOutcome::Answered if may_pass_on => return Decision::Answer,
         AttemptOutcome::Cancelled => return Decision::CallerGone,
         AttemptOutcome::Shed => RefusalKind::TargetShed,
         AttemptOutcome::ConnectFailed | AttemptOutcome::NotWritten => {
             RefusalKind::TargetUnreachable
         }
-        AttemptOutcome::ConnectionLost | AttemptOutcome::Silent | AttemptOutcome::Failed => {
-            RefusalKind::TargetFailed
-        }
+        AttemptOutcome::Answered
+        | AttemptOutcome::ConnectionLost
+        | AttemptOutcome::Silent
+        | AttemptOutcome::Failed => RefusalKind::TargetFailed,
         AttemptOutcome::TimedOut | AttemptOutcome::Overdue => RefusalKind::TargetTimeout,
         AttemptOutcome::Cut => RefusalKind::AnswerCut,
         AttemptOutcome::Mismatched => RefusalKind::AnswerMismatched,
@@ -84,7 +90,7 @@
     if may_repeat && (!is_resend || take_resend()) {
         return Decision::SendAgain;
     }
-    if outcome == AttemptOutcome::Failed {
+    if outcome == AttemptOutcome::Failed && may_pass_on {
         return Decision::Answer;
     }
     Decision::Refuse(attempts.failure.unwrap_or(kind))
--- a/crates/agatehold-core/src/refusal/mod.rs
+++ b/crates/agatehold-core/src/refusal/mod.rs
@@ -126,14 +126,20 @@
     Internal, "internal", 500, Unknown, AfterLookup, "An internal error ended the request.";
 }
 
+/// Returns whether callers take an HTTP status as the promise that the request has not
+/// run and never will.
+pub const fn claims_not_run(http_status: u16) -> bool {
+    matches!(http_status, 408 | 421 | 429 | 503)
+}
+
 impl RefusalKind {
     /// Returns the answer for this kind.
     pub const fn answer(self) -> &'static RefusalAnswer {
         &REFUSAL_ANSWERS[self as usize]
     }
 
-    /// Returns the status for callers that take 408, 421, 429 and 503 as the
-    /// promise that the request has not run and never will.
+    /// Returns the status for callers that take some statuses as the promise that the
+    /// request has not run ([`claims_not_run`]).
     ///
     /// `outcome` tells whether this request may have run, which may differ from
     /// the outcome of its kind.
@@ -141,7 +147,7 @@
         let status = self.answer().http_status;
         match outcome {
             RefusalOutcome::NotRun if status >= 500 => 503,
-            RefusalOutcome::Unknown if matches!(status, 408 | 409 | 421 | 422 | 429 | 503) => 502,
+            RefusalOutcome::Unknown if claims_not_run(status) || matches!(status, 409 | 422) => 502,
             _ => status,
         }
     }
--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -48,6 +48,7 @@
 fn facts(idempotent: bool, tries: u32) -> AttemptFacts {
     AttemptFacts {
         idempotent,
+        answer_claims_not_run: false,
         attempts_max: 2,
         tries,
         is_poisoned: false,
@@ -250,6 +251,36 @@
     }
 }
 
+/// A target runs a request that must not run twice and then answers with a status that
+/// callers take as the promise that it has not run. Guards against passing that on: the
+/// caller would send the request again.
+#[test]
+fn an_answer_that_claims_too_much_is_refused_if_the_request_must_not_run_twice() {
+    for outcome in [AttemptOutcome::Answered, AttemptOutcome::Failed] {
+        let mut attempts = Attempts::default();
+        let claiming = AttemptFacts {
+            answer_claims_not_run: true,
+            ..facts(false, 1)
+        };
+        let decision = after_attempt(outcome, &claiming, &mut attempts, || true);
+        assert_eq!(decision, Decision::Refuse(RefusalKind::TargetFailed));
+        assert_eq!(attempts.may_have_run, 1, "{outcome}");
+        let honest = after_attempt(outcome, &facts(false, 1), &mut Attempts::default(), || true);
+        assert_eq!(honest, Decision::Answer, "{outcome}");
+    }
+    let repeatable = AttemptFacts {
+        answer_claims_not_run: true,
+        ..facts(true, 2)
+    };
+    let decision = after_attempt(
+        AttemptOutcome::Failed,
+        &repeatable,
+        &mut Attempts::default(),
+        || false,
+    );
+    assert_eq!(decision, Decision::Answer, "a request that may run again");
+}
+
 /// Guards against a first attempt that uses up the whole time of a request, so that
 /// it can't be sent to another target, and against one that ends before a usual
 /// answer arrives.
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -19,6 +19,7 @@
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::refusal::RefusalKind;
+use agatehold_core::refusal::claims_not_run;
 use agatehold_core::retry::Attempts;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -30,6 +31,7 @@
 use crate::gateway::queue::SlotOutcome;
 use crate::gateway::queue::SlotRequest;
 use crate::gateway::serve::request_id_text;
+use crate::gateway::target::AttemptEnd;
 use crate::gateway::target::TargetResponse;
 use crate::gateway::traffic::TrafficState;
 
@@ -141,7 +143,7 @@
             self.tried.push(target.clone());
             let end = self.attempt(&target, response_sender).await;
             self.detail = end.detail;
-            let facts = self.facts();
+            let facts = self.facts(&end);
             let now = self.now();
             let mut attempts = self.attempts;
             let mut is_over_budget = false;
@@ -185,9 +187,12 @@
         }
     }
 
-    fn facts(&self) -> AttemptFacts {
+    fn facts(&self, end: &AttemptEnd) -> AttemptFacts {
+        let response = end.response.as_ref();
         AttemptFacts {
             idempotent: self.route.idempotent,
+            answer_claims_not_run: response
+                .is_some_and(|response| claims_not_run(response.status.as_u16())),
             attempts_max: self.route.attempts_max,
             tries: u32::try_from(self.tried.len()).unwrap_or(u32::MAX),
             is_poisoned: self.crash_count() >= CRASHES_MAX,
