gateway: send nothing to a target that says in an answer that it is leaving

Targets that leave now say so in all their answers (Server-Leaving: 1). Nothing read it: a daemon learned it from the store alone, up to two seconds later, or not at all while the store turned it away.

Change: the header of any complete answer to a daemon's own request counts, also of a failure or a refusal; with 421 it is the word of whoever has the address now. It is kept by name and start time, apart from the registration, so that no entry, listing or peer takes the process back, until ten minutes after the registration was last seen. The state is looked at again, by identity, right before the first byte is written. If all targets of a service are leaving, waiting requests are refused at once as well.

--- /dev/null
+++ b/crates/agatehold-core/src/dispatch/statements.rs
@@ -0,0 +1,68 @@
+//! What targets say of themselves in their answers to this daemon.
+
+use crate::table::Table;
+use crate::target_registry::TargetIdentity;
+use crate::units::DurationMs;
+use crate::units::TimeMs;
+
+/// How long a statement is kept after the target's registration was last seen. An
+/// entry that lapsed while the store was away is back within seconds of its return, and
+/// a leaving target exits within less than a minute.
+const KEPT_MS: DurationMs = DurationMs(600_000);
+
+/// What one target process has said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// Whether it is leaving; never revoked, since a process that leaves ends.
+    pub is_leaving: bool,
+    /// When the target's registration was last seen.
+    registered_at: TimeMs,
+}
+
+/// The statements of all targets, by identity: a process that starts again under the
+/// same name has said nothing yet.
+#[derive(Clone, Debug, Default)]
+pub struct Statements {
+    rows: Table<TargetIdentity, Statement>,
+}
+
+impl Statements {
+    /// Returns what a target has said, if anything.
+    pub fn get(&self, identity: &TargetIdentity) -> Option<&Statement> {
+        self.rows.get(identity)
+    }
+
+    /// Returns the number of targets that have said anything.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether no target has said anything.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Records that a target is leaving. Returns whether that is new.
+    pub fn record_leaving(&mut self, identity: &TargetIdentity, now: TimeMs) -> bool {
+        let row = self.row(identity, now);
+        !std::mem::replace(&mut row.is_leaving, true)
+    }
+
+    /// Drops the statements of targets that have not been registered for a long time.
+    /// `is_registered` tells whether a target is registered now.
+    pub fn expire(&mut self, is_registered: impl Fn(&TargetIdentity) -> bool, now: TimeMs) {
+        self.rows.retain(|identity, row| {
+            if is_registered(identity) {
+                row.registered_at = now;
+            }
+            now.since(row.registered_at) <= KEPT_MS
+        });
+    }
+
+    fn row(&mut self, identity: &TargetIdentity, now: TimeMs) -> &mut Statement {
+        self.rows.get_or_insert(identity.clone(), || Statement {
+            registered_at: now,
+            ..Statement::default()
+        })
+    }
+}
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -9,12 +9,14 @@
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
 use crate::table::Table;
+use crate::target_registry::TargetIdentity;
 use crate::target_registry::TargetRecord;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
 use super::EntryDaemon;
 use super::FailureDetector;
+use super::Statements;
 use super::choose_homes;
 use super::pick::default_home;
 
@@ -142,6 +144,9 @@
     by_service: HashMap<ServiceName, Vec<TargetName>>,
     /// The host's id; makes the tie-breaks differ between daemons.
     salt: Box<str>,
+    /// What the targets have said in their answers. It outlives `rows`: a target whose
+    /// registration lapses and returns must not be taken back.
+    statements: Statements,
     /// The number of times that a target was chosen so far.
     choices: u64,
 }
@@ -165,7 +170,7 @@
         self.by_service.clear();
         for (record, seen_at) in records {
             let name = record.identity.name.clone();
-            let row = match held.remove(&name) {
+            let mut row = match held.remove(&name) {
                 Some(mut row) if row.record.identity == record.identity => {
                     if row.record != *record {
                         // A target that registers as serving after it was
@@ -184,6 +189,8 @@
                     LiveTarget::new(record.clone(), tie_break, seen_at)
                 }
             };
+            let statement = self.statements.get(&record.identity);
+            row.leaving |= statement.is_some_and(|statement| statement.is_leaving);
             self.by_service
                 .entry(record.service.clone())
                 .or_default()
@@ -268,6 +275,36 @@
         row.in_flight = row.in_flight.saturating_sub(1);
     }
 
+    /// Records that a target said in an answer that it is leaving. Returns whether that
+    /// is new.
+    pub fn record_leaving(&mut self, identity: &TargetIdentity, now: TimeMs) -> bool {
+        if self.is_registered(identity)
+            && let Some(row) = self.rows.get_mut(&identity.name)
+        {
+            row.leaving = true;
+        }
+        self.statements.record_leaving(identity, now)
+    }
+
+    /// Returns whether a target process is registered.
+    pub fn is_registered(&self, identity: &TargetIdentity) -> bool {
+        row_of(&self.rows, identity).is_some()
+    }
+
+    /// Returns whether a request may be written to a target process now.
+    pub fn takes_requests(&self, identity: &TargetIdentity) -> bool {
+        row_of(&self.rows, identity).is_some_and(|row| !row.leaving)
+    }
+
+    /// Drops what targets have said that have not been registered for a long time.
+    /// Returns the number of targets whose statements are kept.
+    pub fn expire_statements(&mut self, now: TimeMs) -> usize {
+        let rows = &self.rows;
+        self.statements
+            .expire(|identity| row_of(rows, identity).is_some(), now);
+        self.statements.len()
+    }
+
     /// Returns whether a service has a target that is neither leaving nor in
     /// `tried`.
     pub fn takes_work(&self, service: &ServiceName, tried: &[TargetName]) -> bool {
@@ -275,3 +312,12 @@
             .any(|(name, row)| !tried.contains(name) && !row.leaving)
     }
 }
+
+/// Returns the row of a target process, `None` if it is not registered.
+fn row_of<'a>(
+    rows: &'a Table<TargetName, LiveTarget>,
+    identity: &TargetIdentity,
+) -> Option<&'a LiveTarget> {
+    rows.get(&identity.name)
+        .filter(|row| row.record.identity == *identity)
+}
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -11,6 +11,7 @@
 use agatehold_core::dispatch::pick_live_target;
 use agatehold_core::ids::TargetName;
 use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::request_headers;
 use agatehold_platform::target_headers;
@@ -43,30 +44,33 @@
         target: &TargetName,
         response_sender: &mut oneshot::Sender<Response>,
     ) -> AttemptEnd {
-        let address = {
+        let record = {
             let targets = self.state.targets.borrow();
-            targets.rows.get(target).map(|row| row.record.address)
+            let row = targets.rows.get(target);
+            row.map(|row| (row.record.identity.clone(), row.record.address))
         };
-        let Some(address) = address else {
+        let Some((identity, address)) = record else {
             return AttemptEnd::without_response(AttemptOutcome::NotWritten, "target removed");
         };
         let sent_at = Instant::now();
-        let end = self.exchange(target, address, response_sender).await;
+        let end = self.exchange(&identity, address, response_sender).await;
         let run_ms = DurationMs(sent_at.elapsed().as_millis() as u64);
+        self.record_statements(&identity, address, &end);
         self.record_attempt(target, address, &end, run_ms);
         end
     }
 
     async fn exchange(
         &self,
-        target: &TargetName,
+        identity: &TargetIdentity,
         address: std::net::SocketAddr,
         response_sender: &mut oneshot::Sender<Response>,
     ) -> AttemptEnd {
+        let target = &identity.name;
         let now = self.now();
         let remaining_ms = self.deadline.since(now);
         let bytes = self.encode(target, remaining_ms);
-        let may_write = || self.is_serving(target);
+        let may_write = || self.takes_requests(identity);
         let outbound = OutboundRequest {
             bytes: &bytes,
             request_id: self.request_id.as_ref().map(HeaderValue::as_bytes),
@@ -115,12 +119,11 @@
         end
     }
 
-    /// Returns whether a target is still registered and not leaving, by the newest
-    /// view: the request may have waited since the target was chosen.
-    fn is_serving(&self, target: &TargetName) -> bool {
+    /// Returns whether a target process still takes requests, by the newest view: the
+    /// request may have waited since the target was chosen.
+    fn takes_requests(&self, identity: &TargetIdentity) -> bool {
         self.state.view();
-        let targets = self.state.targets.borrow();
-        targets.rows.get(target).is_some_and(|row| !row.leaving)
+        self.state.targets.borrow().takes_requests(identity)
     }
 
     fn add_overdue(&self, target: &TargetName, change: i32) {
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod finish;
 mod record_attempt;
+mod record_statements;
 
 use http::HeaderValue;
 use tokio::sync::oneshot;
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -12,14 +12,17 @@
 use agatehold_core::ids::ServiceName;
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
+use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::TimeMs;
 
 use super::messages::DATAGRAM_BYTES_MAX;
 use super::messages::Evidence;
+use super::messages::LeavingMessage;
 use super::messages::PressureMessage;
 use super::messages::TrafficMessage;
 use super::messages::decode_traffic_message;
 use super::messages::encode_evidence;
+use super::messages::encode_leaving;
 use super::messages::encode_pressure;
 use super::traffic::TrafficState;
 
@@ -28,6 +31,16 @@
     send_to_entry_daemons(state, service, &encode_evidence(evidence), |_| true);
 }
 
+/// Tells the other entry daemons of a service that a target is leaving, which they hear
+/// from the store up to two seconds later.
+pub(super) fn send_leaving(state: &TrafficState, service: &ServiceName, target: &TargetIdentity) {
+    let message = LeavingMessage {
+        target: target.clone(),
+        reporter: state.shared.settings.host.id.clone(),
+    };
+    send_to_entry_daemons(state, service, &encode_leaving(&message), |_| true);
+}
+
 /// Sends a pressure report to the other entry daemons of a service, if this daemon
 /// is one of them and a report is due.
 pub(super) fn send_pressure_report(state: &TrafficState, service: &ServiceName) {
@@ -136,11 +149,28 @@
         match decode_traffic_message(&buffer[..length]) {
             Some(TrafficMessage::Evidence(evidence)) => apply_evidence(&state, &evidence),
             Some(TrafficMessage::Pressure(message)) => apply_pressure(&state, &message),
+            Some(TrafficMessage::Leaving(message)) => apply_leaving(&state, &message),
             None => log::debug!("event=news_skipped bytes={length}"),
         }
     }
 }
 
+fn apply_leaving(state: &TrafficState, message: &LeavingMessage) {
+    state.view();
+    let now = state.shared.clock.now();
+    let mut targets = state.targets.borrow_mut();
+    // Unknown targets are ignored, so that they can't fill the table.
+    if !targets.is_registered(&message.target) || !targets.record_leaving(&message.target, now) {
+        return;
+    }
+    log::info!(
+        "event=target_leaving target={} told_by={}",
+        message.target.name,
+        message.reporter
+    );
+    metrics::counter!("agatehold_leaving_targets_total", "told_by" => "daemon").increment(1);
+}
+
 fn apply_pressure(state: &TrafficState, message: &PressureMessage) {
     let now = state.shared.clock.now();
     if !state
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -116,6 +116,15 @@
     pub(super) used: Vec<TargetUse>,
 }
 
+/// A report that a target said in an answer that it is leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LeavingMessage {
+    /// The target.
+    pub(super) target: TargetIdentity,
+    /// The daemon that got the answer.
+    pub(super) reporter: HostId,
+}
+
 /// A datagram from another daemon's traffic thread.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum TrafficMessage {
@@ -123,6 +132,8 @@
     Evidence(Evidence),
     /// A pressure report.
     Pressure(PressureMessage),
+    /// A target is leaving.
+    Leaving(LeavingMessage),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -159,11 +170,19 @@
     used: Vec<(String, u64)>,
 }
 
+#[derive(Serialize, Deserialize)]
+struct LeavingJson {
+    leaving: String,
+    started_unix_ms: u64,
+    reporter: String,
+}
+
 #[derive(Deserialize)]
 #[serde(untagged)]
 enum TrafficMessageJson {
     Evidence(EvidenceJson),
     Pressure(PressureJson),
+    Leaving(LeavingJson),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -263,14 +282,36 @@
     serde_json::to_vec(&json).unwrap_or_default()
 }
 
+/// Encodes the report that a target is leaving.
+pub(super) fn encode_leaving(message: &LeavingMessage) -> Vec<u8> {
+    let json = LeavingJson {
+        leaving: message.target.name.to_string(),
+        started_unix_ms: message.target.started_unix_ms,
+        reporter: message.reporter.to_string(),
+    };
+    // Strings and numbers always serialize to JSON.
+    serde_json::to_vec(&json).unwrap_or_default()
+}
+
 /// Decodes a datagram; `None` if it is malformed.
 pub(super) fn decode_traffic_message(bytes: &[u8]) -> Option<TrafficMessage> {
     match serde_json::from_slice(bytes).ok()? {
         TrafficMessageJson::Evidence(json) => decode_evidence(json).map(TrafficMessage::Evidence),
         TrafficMessageJson::Pressure(json) => decode_pressure(json).map(TrafficMessage::Pressure),
+        TrafficMessageJson::Leaving(json) => decode_leaving(&json).map(TrafficMessage::Leaving),
     }
 }
 
+fn decode_leaving(json: &LeavingJson) -> Option<LeavingMessage> {
+    Some(LeavingMessage {
+        target: TargetIdentity {
+            name: json.leaving.parse().ok()?,
+            started_unix_ms: json.started_unix_ms,
+        },
+        reporter: json.reporter.parse().ok()?,
+    })
+}
+
 fn decode_evidence(json: EvidenceJson) -> Option<Evidence> {
     let fingerprint = |text: Option<String>| text.map(|text| text.parse::<Digest>()).transpose();
     Some(Evidence {
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -90,6 +90,20 @@
         self.queue.is_empty()
     }
 
+    /// Refuses all waiting requests, which can't be served.
+    fn refuse_all(&mut self, kind: RefusalKind) {
+        for waiter in self.queue.drain_all() {
+            let Some(result_sender) = self.waiting.remove(&waiter) else {
+                continue;
+            };
+            // Sending fails only if the caller has disconnected.
+            let _ = result_sender.send(Err(QueueRefusal {
+                kind,
+                backlog_ms: DurationMs(0),
+            }));
+        }
+    }
+
     fn refuse(&mut self, dropped: DroppedWaiter, now: TimeMs) {
         let Some(result_sender) = self.waiting.remove(&dropped.waiter) else {
             return;
@@ -268,8 +282,13 @@
         row.refuse(dropped, now);
     }
     while !row.queue.is_empty() {
-        let Choice::Target(name) = claim(state, service, &[], false, false) else {
-            return;
+        let name = match claim(state, service, &[], false, false) {
+            Choice::Target(name) => name,
+            Choice::AllBusy => return,
+            Choice::NoTarget => {
+                row.refuse_all(RefusalKind::NoTarget);
+                return;
+            }
         };
         let Some(waiter) = row.queue.assign_free_slot(now) else {
             state.targets.borrow_mut().release(&name);
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -18,6 +18,7 @@
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_platform::parse_load;
 use agatehold_platform::request_headers;
+use agatehold_platform::says_leaving;
 use agatehold_platform::target_headers;
 
 use super::http1::BodyCollector;
@@ -62,8 +63,8 @@
     pub(super) is_head_request: bool,
     /// The deadline for the response to the caller.
     pub(super) deadline: Instant,
-    /// Returns whether the target still takes requests, asked once a connection is
-    /// open.
+    /// Returns whether the target still takes requests, asked right before the first
+    /// write.
     pub(super) may_write: &'a dyn Fn() -> bool,
 }
 
@@ -87,6 +88,8 @@
     pub(super) load: Option<LoadReport>,
     /// Whether the address now belongs to another target (status 421).
     pub(super) is_wrong_target: bool,
+    /// Whether the target that answered says that it is leaving.
+    pub(super) says_leaving: bool,
     /// Whether this daemon abandoned the attempt before the request's deadline.
     pub(super) is_abandoned: bool,
     /// A description of the failure for the log.
@@ -100,6 +103,7 @@
             response: None,
             load: None,
             is_wrong_target: false,
+            says_leaving: false,
             is_abandoned: false,
             detail,
         }
@@ -346,6 +350,8 @@
         .get(target_headers::LOAD)
         .and_then(|value| value.to_str().ok())
         .and_then(parse_load);
+    let leaving = head.headers.get(target_headers::LEAVING);
+    let says_leaving = leaving.is_some_and(|value| says_leaving(value.as_bytes()));
     let is_signed = head.headers.contains_key(target_headers::SIGNATURE);
     let is_wrong_target = head.status == StatusCode::MISDIRECTED_REQUEST;
     let is_not_run = is_wrong_target || head.headers.contains_key(target_headers::NOT_RUN);
@@ -375,6 +381,7 @@
         response,
         load,
         is_wrong_target,
+        says_leaving,
         is_abandoned: false,
         detail,
     }
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -382,6 +382,7 @@
         return;
     }
     state.gauges_updated_at.set(now);
+    state.targets.borrow_mut().expire_statements(now);
     for service in &services {
         update_target_gauges(state, service, now);
     }
--- a/crates/agateholdctl/src/commands/explain.rs
+++ b/crates/agateholdctl/src/commands/explain.rs
@@ -35,10 +35,11 @@
 ];
 
 /// The events that show a daemon's view of a target.
-const TARGET_EVENTS: [&str; 5] = [
+const TARGET_EVENTS: [&str; 6] = [
     "target",
     "target_avoided",
     "target_gone",
+    "target_leaving",
     "target_skipped",
     "address_moved",
 ];
