gateway: leave targets alone that reject a request and ask for a pause

Targets may add Retry-After to a 503: they want nothing from that daemon for so long. Nothing read it: a daemon sent on, and took the rejections of a target with free slots as failures.

The choice of a target, trials, uses that are due and the moment of writing leave a paused target alone; its rejection is no evidence against it, and it counts apart in logs and gauges. If all targets of a service pause, requests that can wait for the first end wait; the others are refused at once as targets-paused, with a Retry-After after that end.

explain names the targets of the service that pause or leave, also for a request that none of them got.

--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -165,6 +165,9 @@
     Target(TargetName),
     /// All targets are full; the request has to wait.
     AllBusy,
+    /// All targets that could take the request have asked for a pause; the first of them
+    /// takes requests again at this time.
+    AllPaused(TimeMs),
     /// The service has no target that takes new work.
     NoTarget,
 }
@@ -177,6 +180,9 @@
 /// target come from its home, which therefore knows its load, and is the only one to
 /// lose a request when the target begins to fail.
 ///
+/// A target that has asked this daemon for a pause is never chosen before its end,
+/// neither as a trial nor to keep it in use.
+///
 /// A target on hold is chosen only if the service has no other target, or if
 /// `may_risk_failure` is set and all other targets are full. A target that has
 /// been without requests is preferred before the two seconds of a floor have
@@ -189,10 +195,16 @@
     let mut last_resort: Option<(f64, &TargetName)> = None;
     let mut fast_failing: Option<(f64, &TargetName)> = None;
     let mut has_candidate = false;
+    let mut first_pause_ends_at: Option<TimeMs> = None;
     for (name, row) in targets.of_service(request.service) {
         if row.leaving || request.tried.contains(name) {
             continue;
         }
+        if row.is_paused(now) {
+            let ends_at = first_pause_ends_at.unwrap_or(row.paused_until);
+            first_pause_ends_at = Some(ends_at.min(row.paused_until));
+            continue;
+        }
         let is_free = request.accepts_full || row.has_free_slot(now);
         let is_due = request
             .daemon_rank
@@ -230,19 +242,21 @@
             None => Choice::AllBusy,
         },
         (None, Some((_, name))) => Choice::Target(name.clone()),
-        (None, None) if targets.takes_work(request.service, request.tried) => Choice::AllBusy,
-        (None, None) => Choice::NoTarget,
+        (None, None) if targets.takes_work(request.service, request.tried, now) => Choice::AllBusy,
+        (None, None) => first_pause_ends_at.map_or(Choice::NoTarget, Choice::AllPaused),
     }
 }
 
-/// Returns the targets of a service that are neither leaving nor unreachable.
+/// Returns the targets of a service that are neither leaving, pausing nor unreachable.
 fn reachable_targets<'a>(
     targets: &'a LiveTargets,
     service: &'a ServiceName,
     now: TimeMs,
 ) -> impl Iterator<Item = &'a LiveTarget> {
     let rows = targets.of_service(service).map(|(_, row)| row);
-    rows.filter(move |row| !row.leaving && !row.failure_detector.is_unreachable(now))
+    rows.filter(move |row| {
+        !row.leaving && !row.is_paused(now) && !row.failure_detector.is_unreachable(now)
+    })
 }
 
 /// Returns how long the targets of a service are on hold, which depends on the
--- a/crates/agatehold-core/src/dispatch/statements.rs
+++ b/crates/agatehold-core/src/dispatch/statements.rs
@@ -15,6 +15,8 @@
 pub struct Statement {
     /// Whether it is leaving; never revoked, since a process that leaves ends.
     pub is_leaving: bool,
+    /// Until when it wants no requests from this daemon; never decreases.
+    pub paused_until: TimeMs,
     /// When the target's registration was last seen.
     registered_at: TimeMs,
 }
@@ -48,6 +50,19 @@
         !std::mem::replace(&mut row.is_leaving, true)
     }
 
+    /// Records that a target wants no requests until `until`. A shorter pause does not end
+    /// a longer one. Returns the end of the pause.
+    pub fn record_pause(
+        &mut self,
+        identity: &TargetIdentity,
+        until: TimeMs,
+        now: TimeMs,
+    ) -> TimeMs {
+        let row = self.row(identity, now);
+        row.paused_until = row.paused_until.max(until);
+        row.paused_until
+    }
+
     /// Drops the statements of targets that have not been registered for a long time.
     /// `is_registered` tells whether a target is registered now.
     pub fn expire(&mut self, is_registered: impl Fn(&TargetIdentity) -> bool, now: TimeMs) {
--- a/crates/agatehold-core/src/dispatch/target_counts.rs
+++ b/crates/agatehold-core/src/dispatch/target_counts.rs
@@ -26,6 +26,8 @@
     pub unreachable: u32,
     /// Targets that are leaving.
     pub leaving: u32,
+    /// Targets that have asked this daemon for a pause.
+    pub paused: u32,
 }
 
 /// Counts the targets of a service by their state in this daemon.
@@ -47,6 +49,9 @@
         if row.leaving {
             return &mut self.leaving;
         }
+        if row.is_paused(now) {
+            return &mut self.paused;
+        }
         if row.failure_detector.is_unreachable(now) {
             return &mut self.unreachable;
         }
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -62,6 +62,9 @@
     /// Whether the target is leaving according to its registration or its own
     /// answers.
     pub leaving: bool,
+    /// Until when the target wants no requests from this daemon; 0 if it never asked for
+    /// a pause.
+    pub paused_until: TimeMs,
     /// The value of the table's choice counter when this daemon last chose the
     /// target, 0 if it never did; orders targets of equal cost.
     pub chosen_number: u64,
@@ -92,6 +95,7 @@
             reported_at: TimeMs(0),
             failure_detector: FailureDetector::default(),
             leaving,
+            paused_until: TimeMs(0),
             chosen_number: 0,
             used_at: seen_at,
             own_used_at: TimeMs(0),
@@ -120,6 +124,11 @@
         f64::from(self.in_flight) + f64::from(self.reported_others) * weight
     }
 
+    /// Returns whether the target has asked this daemon for a pause that has not ended.
+    pub fn is_paused(&self, now: TimeMs) -> bool {
+        now < self.paused_until
+    }
+
     /// Returns whether the target has a free slot according to the estimated load.
     pub fn has_free_slot(&self, now: TimeMs) -> bool {
         self.estimated_load(now) + 0.5 < f64::from(self.record.slots.0)
@@ -189,8 +198,10 @@
                     LiveTarget::new(record.clone(), tie_break, seen_at)
                 }
             };
-            let statement = self.statements.get(&record.identity);
-            row.leaving |= statement.is_some_and(|statement| statement.is_leaving);
+            if let Some(statement) = self.statements.get(&record.identity) {
+                row.leaving |= statement.is_leaving;
+                row.paused_until = statement.paused_until;
+            }
             self.by_service
                 .entry(record.service.clone())
                 .or_default()
@@ -286,14 +297,31 @@
         self.statements.record_leaving(identity, now)
     }
 
+    /// Records that a target wants no requests from this daemon for `pause_ms`. Returns
+    /// the end of the pause.
+    pub fn record_pause(
+        &mut self,
+        identity: &TargetIdentity,
+        pause_ms: DurationMs,
+        now: TimeMs,
+    ) -> TimeMs {
+        let until = self.statements.record_pause(identity, now + pause_ms, now);
+        if self.is_registered(identity)
+            && let Some(row) = self.rows.get_mut(&identity.name)
+        {
+            row.paused_until = until;
+        }
+        until
+    }
+
     /// Returns whether a target process is registered.
     pub fn is_registered(&self, identity: &TargetIdentity) -> bool {
         row_of(&self.rows, identity).is_some()
     }
 
     /// Returns whether a request may be written to a target process now.
-    pub fn takes_requests(&self, identity: &TargetIdentity) -> bool {
-        row_of(&self.rows, identity).is_some_and(|row| !row.leaving)
+    pub fn takes_requests(&self, identity: &TargetIdentity, now: TimeMs) -> bool {
+        row_of(&self.rows, identity).is_some_and(|row| !row.leaving && !row.is_paused(now))
     }
 
     /// Drops what targets have said that have not been registered for a long time.
@@ -305,11 +333,11 @@
         self.statements.len()
     }
 
-    /// Returns whether a service has a target that is neither leaving nor in
+    /// Returns whether a service has a target that is neither leaving, pausing nor in
     /// `tried`.
-    pub fn takes_work(&self, service: &ServiceName, tried: &[TargetName]) -> bool {
+    pub fn takes_work(&self, service: &ServiceName, tried: &[TargetName], now: TimeMs) -> bool {
         self.of_service(service)
-            .any(|(name, row)| !tried.contains(name) && !row.leaving)
+            .any(|(name, row)| !tried.contains(name) && !row.leaving && !row.is_paused(now))
     }
 }
 
--- a/crates/agatehold-core/src/refusal/mod.rs
+++ b/crates/agatehold-core/src/refusal/mod.rs
@@ -103,6 +103,7 @@
     QueueFull, "queue-full", 503, NotRun, Later, "The queue of the service is full.";
     QueueTimeout, "queue-timeout", 503, NotRun, Later, "No target had a free slot in time.";
     NoTarget, "no-target", 503, NotRun, Later, "The service has no target in service.";
+    TargetsPaused, "targets-paused", 503, NotRun, Later, "All targets of the service have asked for a pause.";
     TargetUnreachable, "target-unreachable", 502, NotRun, OtherAddress, "No connection to a target could be opened.";
     TargetShed, "target-shed", 503, NotRun, Later, "The targets shed the request without running it.";
     ClaimUnavailable, "claim-unavailable", 503, NotRun, Later, "The idempotency key could not be claimed.";
--- a/crates/agatehold-core/tests/dispatch_target_counts.rs
+++ b/crates/agatehold-core/tests/dispatch_target_counts.rs
@@ -73,6 +73,7 @@
             held: 1,
             unreachable: 1,
             leaving: 1,
+            paused: 0,
         }
     );
 }
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -123,7 +123,8 @@
     /// request may have waited since the target was chosen.
     fn takes_requests(&self, identity: &TargetIdentity) -> bool {
         self.state.view();
-        self.state.targets.borrow().takes_requests(identity)
+        let now = self.now();
+        self.state.targets.borrow().takes_requests(identity, now)
     }
 
     fn add_overdue(&self, target: &TargetName, change: i32) {
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -180,6 +180,11 @@
             let idempotent = self.route.idempotent;
             match queue::claim(self.state, &self.service, &self.tried, idempotent, true) {
                 Choice::Target(name) => target = name,
+                Choice::AllPaused(until) => {
+                    self.backlog_ms = Some(until.since(self.now()));
+                    let kind = self.attempts.failure.unwrap_or(RefusalKind::TargetsPaused);
+                    return DispatchEnd::Refused(kind);
+                }
                 Choice::AllBusy | Choice::NoTarget => {
                     let kind = self.attempts.failure.unwrap_or(RefusalKind::TargetShed);
                     return DispatchEnd::Refused(kind);
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -48,6 +48,12 @@
                 log::warn!("event=address_moved target={target} address={address}");
             }
             let outcome = match end.outcome {
+                // A target that asks for a pause is overloaded, not failing.
+                AttemptOutcome::Shed | AttemptOutcome::Failed
+                    if matches!(end.pause, Some(Ok(_))) =>
+                {
+                    AttemptOutcome::Shed
+                }
                 // A timeout caused by a short deadline of the request is no
                 // evidence against the target.
                 AttemptOutcome::TimedOut
--- a/crates/agatehold/src/gateway/dispatch/record_statements.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_statements.rs
@@ -17,6 +17,7 @@
         address: SocketAddr,
         end: &AttemptEnd,
     ) {
+        self.record_pause(identity, end);
         if !end.says_leaving {
             return;
         }
@@ -36,6 +37,33 @@
         }
     }
 
+    /// Starts the pause that a target asks for.
+    fn record_pause(&self, identity: &TargetIdentity, end: &AttemptEnd) {
+        let now = self.now();
+        let pause_ms = match &end.pause {
+            None => return,
+            Some(Ok(pause_ms)) => *pause_ms,
+            Some(Err(error)) => {
+                log::warn!(
+                    "event=pause_ignored target={} service={} error=\"{error}\"",
+                    identity.name,
+                    self.service
+                );
+                return;
+            }
+        };
+        let mut targets = self.state.targets.borrow_mut();
+        let until = targets.record_pause(identity, pause_ms, now);
+        log::info!(
+            "event=target_paused target={} service={} asked={pause_ms} left={}",
+            identity.name,
+            self.service,
+            until.since(now)
+        );
+        metrics::counter!("agatehold_pauses_total", "service" => self.service.to_string())
+            .increment(1);
+    }
+
     fn record_leaving(&self, identity: &TargetIdentity) {
         let now = self.now();
         if !self
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -89,7 +89,7 @@
     };
     let state_counts = count_target_states(&state.targets.borrow(), service, now);
     log::info!(
-        "event={event} service={service} own_served={} own_unserved={} served={:.1} unserved={:.1} used={} idle={} held={} unreachable={} leaving={}",
+        "event={event} service={service} own_served={} own_unserved={} served={:.1} unserved={:.1} used={} idle={} held={} unreachable={} leaving={} paused={}",
         change.own.served,
         change.own.unserved,
         change.served,
@@ -98,7 +98,8 @@
         state_counts.idle,
         state_counts.held,
         state_counts.unreachable,
-        state_counts.leaving
+        state_counts.leaving,
+        state_counts.paused
     );
 }
 
@@ -160,11 +161,18 @@
     let now = state.shared.clock.now();
     let mut targets = state.targets.borrow_mut();
     // Unknown targets are ignored, so that they can't fill the table.
-    if !targets.is_registered(&message.target) || !targets.record_leaving(&message.target, now) {
+    if !targets.is_registered(&message.target) {
+        return;
+    }
+    let row = targets.rows.get(&message.target.name);
+    let Some(service) = row.map(|row| row.record.service.clone()) else {
+        return;
+    };
+    if !targets.record_leaving(&message.target, now) {
         return;
     }
     log::info!(
-        "event=target_leaving target={} told_by={}",
+        "event=target_leaving target={} service={service} told_by={}",
         message.target.name,
         message.reporter
     );
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -90,29 +90,40 @@
         self.queue.is_empty()
     }
 
-    /// Refuses all waiting requests, which can't be served.
-    fn refuse_all(&mut self, kind: RefusalKind) {
+    /// Refuses all waiting requests, since no target takes them.
+    fn refuse_all(&mut self) {
         for waiter in self.queue.drain_all() {
-            let Some(result_sender) = self.waiting.remove(&waiter) else {
-                continue;
-            };
-            // Sending fails only if the caller has disconnected.
-            let _ = result_sender.send(Err(QueueRefusal {
-                kind,
+            let refusal = QueueRefusal {
+                kind: RefusalKind::NoTarget,
                 backlog_ms: DurationMs(0),
-            }));
+            };
+            self.refuse(waiter, refusal);
+        }
+    }
+
+    /// Returns the refusal of a request that the queue has dropped.
+    fn refusal(&self, dropped: &DroppedWaiter, now: TimeMs) -> QueueRefusal {
+        QueueRefusal {
+            kind: dropped.kind,
+            backlog_ms: self.queue.backlog(now),
         }
     }
 
-    fn refuse(&mut self, dropped: DroppedWaiter, now: TimeMs) {
-        let Some(result_sender) = self.waiting.remove(&dropped.waiter) else {
+    fn refuse(&mut self, waiter: WaiterId, refusal: QueueRefusal) {
+        let Some(result_sender) = self.waiting.remove(&waiter) else {
             return;
         };
         // Sending fails only if the caller has disconnected.
-        let _ = result_sender.send(Err(QueueRefusal {
-            kind: dropped.kind,
-            backlog_ms: self.queue.backlog(now),
-        }));
+        let _ = result_sender.send(Err(refusal));
+    }
+}
+
+/// Returns the refusal of a request that can't wait until the first target takes requests
+/// again.
+fn paused(until: TimeMs, now: TimeMs) -> QueueRefusal {
+    QueueRefusal {
+        kind: RefusalKind::TargetsPaused,
+        backlog_ms: until.since(now),
     }
 }
 
@@ -193,6 +204,12 @@
                     backlog_ms: DurationMs(0),
                 });
             }
+            Choice::AllPaused(until) => {
+                let latest = slot_request.deadline.min(now + slot_request.wait_ms);
+                if until >= latest {
+                    return SlotOutcome::Refused(paused(until, now));
+                }
+            }
             Choice::AllBusy => {}
         }
     }
@@ -216,7 +233,8 @@
             let (result_sender, result_receiver) = oneshot::channel();
             row.waiting.insert(waiter, result_sender);
             if let Some(dropped) = displaced {
-                row.refuse(dropped, now);
+                let refusal = row.refusal(&dropped, now);
+                row.refuse(dropped.waiter, refusal);
             }
             SlotOutcome::Waiting(waiter, result_receiver)
         }
@@ -279,14 +297,22 @@
         return;
     }
     for dropped in row.queue.expire(now) {
-        row.refuse(dropped, now);
+        let refusal = row.refusal(&dropped, now);
+        row.refuse(dropped.waiter, refusal);
     }
     while !row.queue.is_empty() {
         let name = match claim(state, service, &[], false, false) {
             Choice::Target(name) => name,
             Choice::AllBusy => return,
+            Choice::AllPaused(until) => {
+                // Those that can't wait until then.
+                for dropped in row.queue.expire(until) {
+                    row.refuse(dropped.waiter, paused(until, now));
+                }
+                return;
+            }
             Choice::NoTarget => {
-                row.refuse_all(RefusalKind::NoTarget);
+                row.refuse_all();
                 return;
             }
         };
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -16,7 +17,10 @@
 
 use agatehold_core::dispatch::LoadReport;
 use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::units::DurationMs;
+use agatehold_platform::DecodeError;
 use agatehold_platform::parse_load;
+use agatehold_platform::parse_pause;
 use agatehold_platform::request_headers;
 use agatehold_platform::says_leaving;
 use agatehold_platform::target_headers;
@@ -90,6 +94,9 @@
     pub(super) is_wrong_target: bool,
     /// Whether the target that answered says that it is leaving.
     pub(super) says_leaving: bool,
+    /// The pause that the target asks for, or why its value can't be used; `None` if it
+    /// asks for none.
+    pub(super) pause: Option<Result<DurationMs, DecodeError>>,
     /// Whether this daemon abandoned the attempt before the request's deadline.
     pub(super) is_abandoned: bool,
     /// A description of the failure for the log.
@@ -104,6 +111,7 @@
             load: None,
             is_wrong_target: false,
             says_leaving: false,
+            pause: None,
             is_abandoned: false,
             detail,
         }
@@ -352,6 +360,7 @@
         .and_then(parse_load);
     let leaving = head.headers.get(target_headers::LEAVING);
     let says_leaving = leaving.is_some_and(|value| says_leaving(value.as_bytes()));
+    let pause = asked_pause(&head);
     let is_signed = head.headers.contains_key(target_headers::SIGNATURE);
     let is_wrong_target = head.status == StatusCode::MISDIRECTED_REQUEST;
     let is_not_run = is_wrong_target || head.headers.contains_key(target_headers::NOT_RUN);
@@ -382,7 +391,20 @@
         load,
         is_wrong_target,
         says_leaving,
+        pause,
         is_abandoned: false,
         detail,
     }
 }
+
+/// Returns the pause that a target asks for with a rejection.
+fn asked_pause(head: &ResponseHead) -> Option<Result<DurationMs, DecodeError>> {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let value = head.headers.get(target_headers::PAUSE)?;
+    let answered = head.headers.get(header::DATE);
+    let answered = answered.and_then(|value| value.to_str().ok());
+    let value = value.to_str().unwrap_or("");
+    Some(parse_pause(value, answered, SystemTime::now()))
+}
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -397,6 +397,7 @@
         ("held", state_counts.held),
         ("unreachable", state_counts.unreachable),
         ("leaving", state_counts.leaving),
+        ("paused", state_counts.paused),
     ];
     for (state_name, count) in counts {
         metrics::gauge!("agatehold_targets",
--- a/crates/agateholdctl/src/commands/explain.rs
+++ b/crates/agateholdctl/src/commands/explain.rs
@@ -1,6 +1,7 @@
 //! The `explain` command, which shows from saved logs of daemons how a request
 //! ended and why.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -39,11 +40,19 @@
     "target",
     "target_avoided",
     "target_gone",
-    "target_leaving",
     "target_skipped",
     "address_moved",
+    "pause_ignored",
 ];
 
+/// The events that show why targets of a service take no requests, which matter also to
+/// a request that none of them got.
+const SERVICE_EVENTS: [&str; 2] = ["target_leaving", "target_paused"];
+
+/// How long before the last line of a request the [`SERVICE_EVENTS`] are included; a pause
+/// may have begun long before.
+const SERVICE_CONTEXT_DURATION: Duration = Duration::seconds(60);
+
 /// A parsed log line.
 #[derive(Clone, Debug, PartialEq)]
 struct LogLine {
@@ -143,9 +152,15 @@
     if request_lines.contains(&line) {
         return true;
     }
-    let is_recent = line.at <= last.at && last.at - line.at <= CONTEXT_DURATION;
     let is_own_daemon = request_lines.iter().any(|other| other.file == line.file);
-    if !is_recent || !is_own_daemon {
+    if !is_own_daemon || line.at > last.at {
+        return false;
+    }
+    let age = last.at - line.at;
+    if line.is_event(&SERVICE_EVENTS) && line.field("service") == last.field("service") {
+        return age <= SERVICE_CONTEXT_DURATION;
+    }
+    if age > CONTEXT_DURATION {
         return false;
     }
     if line.is_event(&DAEMON_EVENTS) {
@@ -205,5 +220,16 @@
     if avoided {
         sentences.push("the daemon was avoiding a target of the request".to_owned());
     }
+    for (event, what) in [
+        ("target_leaving", "said that they leave"),
+        ("target_paused", "asked for a pause"),
+    ] {
+        let lines = relevant_lines.iter().filter(|line| line.is_event(&[event]));
+        let targets: BTreeSet<&str> = lines.filter_map(|line| line.field("target")).collect();
+        if !targets.is_empty() {
+            let names: Vec<&str> = targets.into_iter().collect();
+            sentences.push(format!("targets that {what}: {}", names.join(", ")));
+        }
+    }
     sentences
 }
--- a/crates/agateholdctl/tests/explain.rs
+++ b/crates/agateholdctl/tests/explain.rs
@@ -29,6 +29,15 @@
 not a line of a daemon
 ";
 
+/// A request that was refused since all targets of its service wanted a pause; another
+/// service's target doesn't matter.
+const PAUSED: &str = "\
+2026-12-05T04:07:00.000000000Z [INFO] event=target_paused target=i-1 service=mije82c asked=60000ms left=60000ms
+2026-12-05T04:07:01.000000000Z [INFO] event=target_leaving target=i-2 service=mije82c told_by=target
+2026-12-05T04:07:02.000000000Z [INFO] event=target_paused target=i-3 service=goxa70a asked=60000ms left=60000ms
+2026-12-05T04:07:28.000000000Z [WARN] event=refused id=77ac95740492cd83 path=/x kind=targets-paused outcome=not-run route=r service=mije82c target=- sent=0 over_budget=false detail=\"\" backlog=32000ms ms=1 config=00000004
+";
+
 /// The log of a daemon that did not handle the requests.
 const OTHER_DAEMON: &str = "\
 2026-08-10T04:07:28.000000000Z [WARN] event=store_lost call=members fault=\"status Busy\"
@@ -124,3 +133,22 @@
     assert_eq!(code, Some(1));
     assert!(text.contains("no line with id=ffff"), "{text}");
 }
+
+#[test]
+fn a_refusal_while_targets_pause_is_explained() {
+    let (code, text) = explain("77ac95740492cd83", &[("a1.log", PAUSED)]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(
+        text.contains("verdict: refused as targets-paused"),
+        "{text}"
+    );
+    assert!(
+        text.contains("targets that asked for a pause: i-1"),
+        "{text}"
+    );
+    assert!(
+        text.contains("targets that said that they leave: i-2"),
+        "{text}"
+    );
+    assert!(!text.contains("i-3"), "{text}");
+}
