--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -28,8 +28,6 @@
 pub use service_stats::PressureReport;
 pub use service_stats::ServedCounts;
 pub use service_stats::ServiceStats;
-pub use statements::Statement;
-pub use statements::Statements;
 pub use step::AttemptFacts;
 pub use step::Decision;
 pub use step::after_attempt;
--- a/crates/agatehold-core/src/dispatch/statements.rs
+++ b/crates/agatehold-core/src/dispatch/statements.rs
@@ -12,11 +12,11 @@
 
 /// What one target process has said.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Statement {
+pub(super) struct Statement {
     /// Whether it is leaving; never revoked, since a process that leaves ends.
-    pub is_leaving: bool,
+    pub(super) is_leaving: bool,
     /// Until when it wants no requests from this daemon; never decreases.
-    pub paused_until: TimeMs,
+    pub(super) paused_until: TimeMs,
     /// When the target's registration was last seen.
     registered_at: TimeMs,
 }
@@ -24,35 +24,30 @@
 /// The statements of all targets, by identity: a process that starts again under the
 /// same name has said nothing yet.
 #[derive(Clone, Debug, Default)]
-pub struct Statements {
+pub(super) struct Statements {
     rows: Table<TargetIdentity, Statement>,
 }
 
 impl Statements {
     /// Returns what a target has said, if anything.
-    pub fn get(&self, identity: &TargetIdentity) -> Option<&Statement> {
+    pub(super) fn get(&self, identity: &TargetIdentity) -> Option<&Statement> {
         self.rows.get(identity)
     }
 
     /// Returns the number of targets that have said anything.
-    pub fn len(&self) -> usize {
+    pub(super) fn len(&self) -> usize {
         self.rows.len()
     }
 
-    /// Returns whether no target has said anything.
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
-    }
-
     /// Records that a target is leaving. Returns whether that is new.
-    pub fn record_leaving(&mut self, identity: &TargetIdentity, now: TimeMs) -> bool {
+    pub(super) fn record_leaving(&mut self, identity: &TargetIdentity, now: TimeMs) -> bool {
         let row = self.row(identity, now);
         !std::mem::replace(&mut row.is_leaving, true)
     }
 
     /// Records that a target wants no requests until `until`. A shorter pause does not end
     /// a longer one. Returns the end of the pause.
-    pub fn record_pause(
+    pub(super) fn record_pause(
         &mut self,
         identity: &TargetIdentity,
         until: TimeMs,
@@ -65,7 +60,7 @@
 
     /// Drops the statements of targets that have not been registered for a long time.
     /// `is_registered` tells whether a target is registered now.
-    pub fn expire(&mut self, is_registered: impl Fn(&TargetIdentity) -> bool, now: TimeMs) {
+    pub(super) fn expire(&mut self, is_registered: impl Fn(&TargetIdentity) -> bool, now: TimeMs) {
         self.rows.retain(|identity, row| {
             if is_registered(identity) {
                 row.registered_at = now;
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -16,9 +16,10 @@
 
 use super::EntryDaemon;
 use super::FailureDetector;
-use super::Statements;
 use super::choose_homes;
 use super::pick::default_home;
+use super::statements::Statement;
+use super::statements::Statements;
 
 /// The time after which the weight of a load report has halved. It is about the
 /// run time of a request, after which other requests run in the target.
@@ -124,6 +125,12 @@
         f64::from(self.in_flight) + f64::from(self.reported_others) * weight
     }
 
+    /// Applies what the target has said of itself.
+    fn apply_statement(&mut self, statement: &Statement) {
+        self.leaving |= statement.is_leaving;
+        self.paused_until = statement.paused_until;
+    }
+
     /// Returns whether the target has asked this daemon for a pause that has not ended.
     pub fn is_paused(&self, now: TimeMs) -> bool {
         now < self.paused_until
@@ -199,8 +206,7 @@
                 }
             };
             if let Some(statement) = self.statements.get(&record.identity) {
-                row.leaving |= statement.is_leaving;
-                row.paused_until = statement.paused_until;
+                row.apply_statement(statement);
             }
             self.by_service
                 .entry(record.service.clone())
@@ -289,12 +295,9 @@
     /// Records that a target said in an answer that it is leaving. Returns whether that
     /// is new.
     pub fn record_leaving(&mut self, identity: &TargetIdentity, now: TimeMs) -> bool {
-        if self.is_registered(identity)
-            && let Some(row) = self.rows.get_mut(&identity.name)
-        {
-            row.leaving = true;
-        }
-        self.statements.record_leaving(identity, now)
+        let is_new = self.statements.record_leaving(identity, now);
+        self.apply_statement(identity);
+        is_new
     }
 
     /// Records that a target wants no requests from this daemon for `pause_ms`. Returns
@@ -306,12 +309,20 @@
         now: TimeMs,
     ) -> TimeMs {
         let until = self.statements.record_pause(identity, now + pause_ms, now);
-        if self.is_registered(identity)
-            && let Some(row) = self.rows.get_mut(&identity.name)
+        self.apply_statement(identity);
+        until
+    }
+
+    /// Applies what a target has said to its row, if it is registered.
+    fn apply_statement(&mut self, identity: &TargetIdentity) {
+        let Some(row) = self.rows.get_mut(&identity.name) else {
+            return;
+        };
+        if row.record.identity == *identity
+            && let Some(statement) = self.statements.get(identity)
         {
-            row.paused_until = until;
+            row.apply_statement(statement);
         }
-        until
     }
 
     /// Returns whether a target process is registered.
--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -161,34 +161,34 @@
 /// whose connection was lost without a crash. Returns the cleared marks, which
 /// have to be pushed to peers.
 pub fn clear(table: &mut PoisonTable, fingerprint: &Digest, own: &HostId) -> Vec<CrashMark> {
-    let mut cleared = Vec::new();
-    let Some(row) = table.rows.get_mut(fingerprint) else {
-        return cleared;
-    };
-    row.resent_at = None;
-    for mark in &mut row.marks {
-        if mark.reporter == *own && !mark.cleared {
-            mark.cleared = true;
-            cleared.push(mark.clone());
-        }
-    }
-    cleared
+    clear_marks(table, fingerprint, |mark| mark.reporter == *own)
 }
 
 /// Revokes the marks of all daemons on a request that a target has answered, since a
 /// poison request crashes every target that runs it. Returns whether there were any;
 /// the peers then have to be told.
 pub fn revoke_marks(table: &mut PoisonTable, fingerprint: &Digest) -> bool {
+    !clear_marks(table, fingerprint, |_| true).is_empty()
+}
+
+/// Clears those marks on a request for which `is_revoked` returns true, and returns them.
+fn clear_marks(
+    table: &mut PoisonTable,
+    fingerprint: &Digest,
+    is_revoked: impl Fn(&CrashMark) -> bool,
+) -> Vec<CrashMark> {
+    let mut cleared = Vec::new();
     let Some(row) = table.rows.get_mut(fingerprint) else {
-        return false;
+        return cleared;
     };
     row.resent_at = None;
-    let mut had_marks = false;
     for mark in &mut row.marks {
-        had_marks |= !mark.cleared;
-        mark.cleared = true;
+        if !mark.cleared && is_revoked(mark) {
+            mark.cleared = true;
+            cleared.push(mark.clone());
+        }
     }
-    had_marks
+    cleared
 }
 
 /// Returns whether the request, rather than `target`, counts as the cause of a
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -16,7 +16,7 @@
 use agatehold_core::directory::EntryDemand;
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::directory::entry_daemons;
-use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS as BEAT_INTERVAL_MS;
+use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
 use agatehold_core::dissemination::Refresh;
@@ -370,7 +370,6 @@
     Timeout(usize),
 }
 
-const HEARTBEAT_INTERVAL_MS: u64 = 600;
 const TICK_MS: u64 = 500;
 const FETCH_TIMEOUT_MS: u64 = 400;
 
@@ -431,7 +430,7 @@
                     to: number,
                 },
             )));
-            let beat_ms = rng.random_range(0..HEARTBEAT_INTERVAL_MS);
+            let beat_ms = rng.random_range(0..HEARTBEAT_INTERVAL_MS.0);
             queue.push(Reverse((beat_ms, Event::Beat(number))));
         }
     }
@@ -453,7 +452,10 @@
                         queue.push(Reverse((now_ms + 2, heartbeat)));
                     }
                 }
-                queue.push(Reverse((now_ms + HEARTBEAT_INTERVAL_MS, Event::Beat(from))));
+                queue.push(Reverse((
+                    now_ms + HEARTBEAT_INTERVAL_MS.0,
+                    Event::Beat(from),
+                )));
                 continue;
             }
             Event::Heartbeat { from, to, revision } => {
@@ -619,10 +621,10 @@
         let mut beats = Vec::new();
         for sender in ["a", "b", "c"] {
             let answered_at = changed_at - rng.random_range(0..STORE_CHECK_INTERVAL_MS.0);
-            let mut sent_at = answered_at + rng.random_range(0..BEAT_INTERVAL_MS.0);
+            let mut sent_at = answered_at + rng.random_range(0..HEARTBEAT_INTERVAL_MS.0);
             while sent_at < changed_at + 10_000 {
                 beats.push((sent_at, sender, sent_at - answered_at));
-                sent_at += BEAT_INTERVAL_MS.0;
+                sent_at += HEARTBEAT_INTERVAL_MS.0;
             }
         }
         beats.sort_unstable();
@@ -659,15 +661,18 @@
         while sent_at < 20_000 {
             let store_age_ms = sent_at % check;
             heartbeats.record(&heartbeat_of("a", store_age_ms), TimeMs(sent_at));
-            sent_at += BEAT_INTERVAL_MS.0;
+            sent_at += HEARTBEAT_INTERVAL_MS.0;
             let just_before = TimeMs(sent_at - 1);
             assert!(has_recent_heartbeat(&heartbeats, just_before));
             let is_due = read_due_at(&heartbeats, TimeMs(0)) <= just_before;
             assert!(!is_due, "phase {phase_ms}");
         }
         // Of three senders, the two others are lost for one more interval.
-        heartbeats.record(&heartbeat_of("b", 0), TimeMs(sent_at - BEAT_INTERVAL_MS.0));
-        let after_a_lost_one = TimeMs(sent_at + BEAT_INTERVAL_MS.0 - 1);
+        heartbeats.record(
+            &heartbeat_of("b", 0),
+            TimeMs(sent_at - HEARTBEAT_INTERVAL_MS.0),
+        );
+        let after_a_lost_one = TimeMs(sent_at + HEARTBEAT_INTERVAL_MS.0 - 1);
         assert!(has_recent_heartbeat(&heartbeats, after_a_lost_one));
     }
 }
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -101,12 +101,13 @@
         }
     }
 
-    /// Returns the refusal of a request that the queue has dropped.
-    fn refusal(&self, dropped: &DroppedWaiter, now: TimeMs) -> QueueRefusal {
-        QueueRefusal {
+    /// Refuses a request that the queue has dropped.
+    fn refuse_dropped(&mut self, dropped: DroppedWaiter, now: TimeMs) {
+        let refusal = QueueRefusal {
             kind: dropped.kind,
             backlog_ms: self.queue.backlog(now),
-        }
+        };
+        self.refuse(dropped.waiter, refusal);
     }
 
     fn refuse(&mut self, waiter: WaiterId, refusal: QueueRefusal) {
@@ -120,7 +121,7 @@
 
 /// Returns the refusal of a request that can't wait until the first target takes requests
 /// again.
-fn paused(until: TimeMs, now: TimeMs) -> QueueRefusal {
+fn pause_refusal(until: TimeMs, now: TimeMs) -> QueueRefusal {
     QueueRefusal {
         kind: RefusalKind::TargetsPaused,
         backlog_ms: until.since(now),
@@ -207,7 +208,7 @@
             Choice::AllPaused(until) => {
                 let latest = slot_request.deadline.min(now + slot_request.wait_ms);
                 if until >= latest {
-                    return SlotOutcome::Refused(paused(until, now));
+                    return SlotOutcome::Refused(pause_refusal(until, now));
                 }
             }
             Choice::AllBusy => {}
@@ -233,8 +234,7 @@
             let (result_sender, result_receiver) = oneshot::channel();
             row.waiting.insert(waiter, result_sender);
             if let Some(dropped) = displaced {
-                let refusal = row.refusal(&dropped, now);
-                row.refuse(dropped.waiter, refusal);
+                row.refuse_dropped(dropped, now);
             }
             SlotOutcome::Waiting(waiter, result_receiver)
         }
@@ -297,8 +297,7 @@
         return;
     }
     for dropped in row.queue.expire(now) {
-        let refusal = row.refusal(&dropped, now);
-        row.refuse(dropped.waiter, refusal);
+        row.refuse_dropped(dropped, now);
     }
     while !row.queue.is_empty() {
         let name = match claim(state, service, &[], false, false) {
@@ -307,7 +306,7 @@
             Choice::AllPaused(until) => {
                 // Those that can't wait until then.
                 for dropped in row.queue.expire(until) {
-                    row.refuse(dropped.waiter, paused(until, now));
+                    row.refuse(dropped.waiter, pause_refusal(until, now));
                 }
                 return;
             }
