gateway: log the connection of an attempt and the state of the retry budget

Callers saw refusals of requests that had run and targets too many repeats; nothing in the logs told which hypothesis holds.

`answered`, `refused` and `send_again` name the connection: its number in the process and the requests that it had carried before. `send_again` and the new `resend_denied` show what the budget has counted, and `budget_share` each change of the daemon's part of the slack. No decision changes.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -1,6 +1,7 @@
 //! Limits how often the requests of a service are sent again.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use crate::units::DurationMs;
 use crate::units::TimeMs;
@@ -53,6 +54,30 @@
     buckets: VecDeque<Bucket>,
 }
 
+/// What a budget has counted in its window, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetState {
+    /// The requests of the window.
+    pub requests: u32,
+    /// The resends of the window.
+    pub resends: u32,
+    /// This daemon's part of the slack, in resends.
+    pub own_slack: f64,
+    /// The resends that are left; below 0 after the part of the slack has become
+    /// smaller.
+    pub left: f64,
+}
+
+impl fmt::Display for BudgetState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "requests={} resends={} slack={:.1} left={:.1}",
+            self.requests, self.resends, self.own_slack, self.left
+        )
+    }
+}
+
 /// The counts of one bucket of the window.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -133,13 +158,23 @@
 
     /// Returns whether at least `needed` resends are left.
     fn has_left(&mut self, needed: f64, now: TimeMs) -> bool {
+        self.state(now).left >= needed
+    }
+
+    /// Returns what the budget has counted in the window that ends now.
+    pub fn state(&mut self, now: TimeMs) -> BudgetState {
         self.apply_pending_slack(now);
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let resends: u32 = self.buckets.iter().map(|bucket| bucket.resends).sum();
-        let allowed =
-            f64::from(requests) * self.policy.ratio * RATIO_USED_SHARE + f64::from(self.own_slack);
-        f64::from(resends) + needed <= allowed
+        let own_slack = f64::from(self.own_slack);
+        let allowed = f64::from(requests) * self.policy.ratio * RATIO_USED_SHARE + own_slack;
+        BudgetState {
+            requests,
+            resends,
+            own_slack,
+            left: allowed - f64::from(resends),
+        }
     }
 
     /// Returns the current bucket after dropping those that ended at least a
--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod targets;
 mod weighted_round_robin;
 
+pub use budget::BudgetState;
 pub use budget::ResendBudget;
 pub use budget::ResendPolicy;
 pub use failure_detector::FailureDetector;
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -43,10 +43,11 @@
                     "service" => self.service.to_string())
                 .record(self.incoming.arrived_at.elapsed().as_secs_f64());
                 log::info!(
-                    "event=answered id={id} path={} route={} service={} target={target} sent={} status={} over_budget={} ms={} config={}",
+                    "event=answered id={id} path={} route={} service={} target={target} connection={} sent={} status={} over_budget={} ms={} config={}",
                     self.incoming.head.target,
                     self.route.name,
                     self.service,
+                    self.connection_text(),
                     self.tried.len(),
                     response.status.as_u16(),
                     self.is_over_budget,
@@ -74,10 +75,11 @@
                     "kind" => kind.answer().name)
                 .increment(1);
                 log::warn!(
-                    "event=refused id={id} path={} kind={kind} outcome={outcome} route={} service={} target={target} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
+                    "event=refused id={id} path={} kind={kind} outcome={outcome} route={} service={} target={target} connection={} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
                     self.incoming.head.target,
                     self.route.name,
                     self.service,
+                    self.connection_text(),
                     self.attempts.sent,
                     self.is_over_budget,
                     self.detail,
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::gateway::endpoint::IncomingRequest;
 use crate::gateway::endpoint::Response;
+use crate::gateway::pool::ConnectionUse;
 use crate::gateway::queue;
 use crate::gateway::queue::SlotOutcome;
 use crate::gateway::queue::SlotRequest;
@@ -70,6 +71,8 @@
     tried: Vec<TargetName>,
     /// Why the last attempt failed, for the log.
     detail: &'static str,
+    /// The connection of the last attempt, for the log.
+    connection_use: Option<ConnectionUse>,
     /// Whether a retry was denied because the retry budget was used up.
     is_over_budget: bool,
     /// The queue's estimated drain time, if the queue refused the request.
@@ -109,6 +112,7 @@
         attempts: Attempts::default(),
         tried: Vec::new(),
         detail: "",
+        connection_use: None,
         is_over_budget: false,
         backlog_ms: None,
     };
@@ -144,6 +148,7 @@
             self.tried.push(target.clone());
             let end = self.attempt(&target, response_sender).await;
             self.detail = end.detail;
+            self.connection_use = end.connection_use;
             let facts = self.facts(&end);
             let now = self.now();
             let mut attempts = self.attempts;
@@ -155,6 +160,15 @@
             });
             self.attempts = attempts;
             self.is_over_budget |= is_over_budget;
+            if is_over_budget {
+                log::info!(
+                    "event=resend_denied id={} service={} target={target} outcome={} budget=\"{}\"",
+                    request_id_text(self.request_id.as_ref()),
+                    self.service,
+                    end.outcome,
+                    self.with_budget(|budget| budget.state(now))
+                );
+            }
             match decision {
                 Decision::Answer => {
                     return match end.response {
@@ -167,12 +181,14 @@
                 Decision::SendAgain => {}
             }
             log::info!(
-                "event=send_again id={} service={} target={target} outcome={} detail=\"{}\" sent={}",
+                "event=send_again id={} service={} target={target} connection={} outcome={} detail=\"{}\" sent={} budget=\"{}\"",
                 request_id_text(self.request_id.as_ref()),
                 self.service,
+                self.connection_text(),
                 end.outcome,
                 end.detail,
-                self.attempts.sent
+                self.attempts.sent,
+                self.with_budget(|budget| budget.state(now))
             );
             metrics::counter!("agatehold_retries_total",
                 "service" => self.service.to_string())
@@ -193,6 +209,12 @@
         }
     }
 
+    /// Returns the connection of the last attempt for the log; `-` if it used none.
+    fn connection_text(&self) -> String {
+        self.connection_use
+            .map_or_else(|| "-".to_owned(), |connection| connection.to_string())
+    }
+
     fn facts(&self, end: &AttemptEnd) -> AttemptFacts {
         let response = end.response.as_ref();
         AttemptFacts {
--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,6 +40,20 @@
 /// The size up to which a body is read even if the total limit is exceeded.
 const GUARANTEED_BODY_BYTES: usize = 128 * 1024;
 
+/// Which connection an attempt used, for logs: its number in this process, and the
+/// number of requests that it had carried before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct ConnectionUse {
+    pub(super) number: u64,
+    pub(super) earlier_requests: u32,
+}
+
+impl fmt::Display for ConnectionUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.number, self.earlier_requests)
+    }
+}
+
 /// A connection to a target.
 pub(super) struct TargetStream {
     pub(super) stream: TcpStream,
@@ -47,6 +62,8 @@
     /// The time after which the connection is not reused: the end of the keep-alive
     /// time that the target announced, or one hour after opening.
     pub(super) usable_until: Instant,
+    /// The connection's number and the requests that it has carried.
+    pub(super) connection_use: ConnectionUse,
     idle_since: Instant,
 }
 
@@ -62,6 +79,8 @@
 
 /// The idle connections by target address, most recently used last.
 pub(super) struct TargetPool {
+    /// The number of connections opened so far.
+    opened: u64,
     idle: HashMap<SocketAddr, Vec<TargetStream>>,
     /// The memory of the response bodies that are being read.
     body_memory: BodyMemory,
@@ -70,6 +89,7 @@
 impl Default for TargetPool {
     fn default() -> Self {
         Self {
+            opened: 0,
             idle: HashMap::new(),
             body_memory: BodyMemory::new(TOTAL_BODY_BYTES_MAX),
         }
@@ -152,6 +172,12 @@
         None
     }
 
+    /// Numbers a new connection.
+    pub(super) fn count_opened(&mut self, connection: &mut TargetStream) {
+        self.opened += 1;
+        connection.connection_use.number = self.opened;
+    }
+
     /// Returns a connection to the pool for reuse.
     pub(super) fn put(&mut self, address: SocketAddr, mut connection: TargetStream) {
         connection.idle_since = Instant::now();
@@ -207,6 +233,7 @@
         stream,
         buffer: BytesMut::new(),
         usable_until: now + Duration::from_secs(3_600),
+        connection_use: ConnectionUse::default(),
         idle_since: now,
     })
 }
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -30,6 +30,7 @@
 use super::http1::ResponseHead;
 use super::http1::take_response_head;
 use super::pool::BodyReservation;
+use super::pool::ConnectionUse;
 use super::pool::IDLE_MAX;
 use super::pool::TargetPool;
 use super::pool::TargetStream;
@@ -99,6 +100,8 @@
     pub(super) pause: Option<Result<DurationMs, DecodeError>>,
     /// Whether this daemon abandoned the attempt before the request's deadline.
     pub(super) is_abandoned: bool,
+    /// The connection that carried the request; `None` if none did.
+    pub(super) connection_use: Option<ConnectionUse>,
     /// A description of the failure for the log.
     pub(super) detail: &'static str,
 }
@@ -113,6 +116,7 @@
             says_leaving: false,
             pause: None,
             is_abandoned: false,
+            connection_use: None,
             detail,
         }
     }
@@ -144,7 +148,10 @@
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match open(address, outbound.deadline).await {
-            Ok(connection) => connection,
+            Ok(mut connection) => {
+                pool.borrow_mut().count_opened(&mut connection);
+                connection
+            }
             Err(detail) => {
                 return AttemptEnd::without_response(AttemptOutcome::ConnectFailed, detail);
             }
@@ -154,20 +161,29 @@
         pool.borrow_mut().put(address, connection);
         return AttemptEnd::without_response(AttemptOutcome::NotWritten, "target is leaving");
     }
+    let connection_use = connection.connection_use;
     let body_reservation = pool.borrow().reserve_body();
     let exchanging = exchange(&mut connection, outbound, body_reservation);
-    match tokio::time::timeout_at(outbound.deadline, exchanging).await {
+    let end = match tokio::time::timeout_at(outbound.deadline, exchanging).await {
         Err(_) => AttemptEnd::without_response(AttemptOutcome::TimedOut, "deadline passed"),
         Ok(Err(error)) => AttemptEnd::without_response(error.outcome, error.detail),
         Ok(Ok(received)) => {
-            if received.is_reusable && connection.buffer.is_empty() {
+            // A copy of a rejection may follow on the connection, and nothing tells it
+            // from the response to the same request sent once more.
+            let is_reusable = received.is_reusable;
+            if is_reusable && connection.buffer.is_empty() {
                 if let Some(lifetime) = announced_keep_alive(&received.head.headers) {
                     connection.usable_until = Instant::now() + lifetime;
                 }
+                connection.connection_use.earlier_requests += 1;
                 pool.borrow_mut().put(address, connection);
             }
             classify(received)
         }
+    };
+    AttemptEnd {
+        connection_use: Some(connection_use),
+        ..end
     }
 }
 
@@ -363,7 +379,7 @@
     let pause = asked_pause(&head);
     let is_signed = head.headers.contains_key(target_headers::SIGNATURE);
     let is_wrong_target = head.status == StatusCode::MISDIRECTED_REQUEST;
-    let is_not_run = is_wrong_target || head.headers.contains_key(target_headers::NOT_RUN);
+    let is_not_run = claims_not_run(&head);
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     let (outcome, detail) = if is_not_run {
         (AttemptOutcome::Shed, "target did not run the request")
@@ -393,10 +409,17 @@
         says_leaving,
         pause,
         is_abandoned: false,
+        connection_use: None,
         detail,
     }
 }
 
+/// Returns whether a target says that it has not run the request.
+fn claims_not_run(head: &ResponseHead) -> bool {
+    head.status == StatusCode::MISDIRECTED_REQUEST
+        || head.headers.contains_key(target_headers::NOT_RUN)
+}
+
 /// Returns the pause that a target asks for with a rejection.
 fn asked_pause(head: &ResponseHead) -> Option<Result<DurationMs, DecodeError>> {
     if head.status != StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -119,7 +119,14 @@
                 .or_insert_with(|| ResendBudget::new(self.resend_policy()));
             let is_entry = newest.is_entry(own, service);
             let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+            let before = budget.state(now).own_slack;
             budget.set_entries(if is_entry { count } else { 0 }, now);
+            let after = budget.state(now).own_slack;
+            if before.to_bits() != after.to_bits() {
+                log::info!(
+                    "event=budget_share service={service} is_entry={is_entry} entries={count} slack={after:.1}"
+                );
+            }
             let entries: Vec<EntryDaemon<'_>> = entries
                 .iter()
                 .map(|(host, member)| EntryDaemon {
