dispatch: tests of the retry budget over all daemons and windows, which fail

Targets got more repeats than the budget of the fleet allows. Each daemon kept to its own budget; the tests judge the sum, in each window, as the rule counts it.

--- /dev/null
+++ b/crates/agatehold-core/tests/dispatch_budget.rs
@@ -0,0 +1,231 @@
+//! Tests that the resends of all daemons together stay within the fleet's bound in
+//! every window, whatever happens to the daemons and their callers.
+
+mod support;
+
+use proptest::prelude::*;
+
+use agatehold_core::dispatch::ResendBudget;
+use agatehold_core::dispatch::ResendPolicy;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::TimeMs;
+
+use support::settings;
+
+/// The limits of a service on a fleet of a hundred hosts.
+const POLICY: ResendPolicy = ResendPolicy {
+    ratio: 0.2,
+    slack: 170,
+    window_ms: DurationMs(10_000),
+};
+
+/// When the daemons learn of each other; their first requests come a window later.
+const JOINED_AT: TimeMs = TimeMs(3_600_000);
+
+/// When the requests begin.
+const START: TimeMs = TimeMs(3_612_000);
+
+/// The time between two requests of the service.
+const REQUEST_INTERVAL_MS: DurationMs = DurationMs(2);
+
+/// A fleet whose requests all fail while the targets reject them, and are sent again
+/// for as long as a budget allows.
+struct Fleet {
+    /// One budget a daemon; `None` while its process is down.
+    budgets: Vec<Option<ResendBudget>>,
+    /// The daemons that the requests go to in turn.
+    callers_use: Vec<usize>,
+    requests_sent: u64,
+    /// When the callers sent a request, in ascending order.
+    requests_at: Vec<TimeMs>,
+    /// When a request was sent again, in ascending order.
+    resends_at: Vec<TimeMs>,
+    now: TimeMs,
+}
+
+impl Fleet {
+    /// Starts daemons that are all entry daemons of the service.
+    fn start(daemons: usize) -> Self {
+        let mut fleet = Self {
+            budgets: Vec::new(),
+            callers_use: (0..daemons).collect(),
+            requests_sent: 0,
+            requests_at: Vec::new(),
+            resends_at: Vec::new(),
+            now: START,
+        };
+        for _ in 0..daemons {
+            fleet.budgets.push(Some(ResendBudget::new(POLICY)));
+        }
+        for budget in fleet.budgets.iter_mut().flatten() {
+            budget.set_entries(daemons as u32, JOINED_AT);
+        }
+        fleet
+    }
+
+    /// Sends requests for `length_ms`; `rejects` tells whether targets reject them.
+    fn run(&mut self, length_ms: u64, rejects: bool) {
+        let until = self.now + DurationMs(length_ms);
+        while self.now < until {
+            self.now = self.now + REQUEST_INTERVAL_MS;
+            self.requests_at.push(self.now);
+            let turn = self.requests_sent as usize % self.callers_use.len();
+            self.requests_sent += 1;
+            let Some(budget) = &mut self.budgets[self.callers_use[turn]] else {
+                continue;
+            };
+            budget.record_request(self.now);
+            while rejects && budget.take(self.now) {
+                self.resends_at.push(self.now);
+            }
+        }
+    }
+
+    /// Kills daemons. Callers use the others at once, which learn of it later.
+    fn kill(&mut self, killed: &[usize]) {
+        for daemon in killed {
+            self.budgets[*daemon] = None;
+        }
+        let budgets = &self.budgets;
+        self.callers_use.retain(|daemon| budgets[*daemon].is_some());
+    }
+
+    /// Starts the daemons that are down; callers use them at once.
+    fn start_again(&mut self) {
+        for daemon in 0..self.budgets.len() {
+            if self.budgets[daemon].is_none() {
+                self.budgets[daemon] = Some(ResendBudget::new(POLICY));
+                self.callers_use.push(daemon);
+            }
+        }
+    }
+
+    /// Lets all daemons know which of them are alive.
+    fn tell_entries(&mut self) {
+        let now = self.now;
+        let alive = self.budgets.iter().flatten().count();
+        for budget in self.budgets.iter_mut().flatten() {
+            budget.set_entries(alive as u32, now);
+        }
+    }
+
+    /// Returns the largest excess over the bound, of all windows; negative if the bound
+    /// holds. The bound counts the requests in the window, in the one half a window
+    /// earlier or in the one before it, whichever has most.
+    fn worst_excess(&self) -> f64 {
+        let count = |times: &[TimeMs], from: TimeMs, to: TimeMs| {
+            let before = |limit: TimeMs| times.partition_point(|at| *at <= limit);
+            before(to) - before(from)
+        };
+        let mut worst = f64::NEG_INFINITY;
+        for end in &self.resends_at {
+            let resends = count(&self.resends_at, *end - POLICY.window_ms, *end);
+            let mut requests = 0;
+            for shift_ms in [0, 5_000, 10_000] {
+                let to = *end - DurationMs(shift_ms);
+                requests = requests.max(count(&self.requests_at, to - POLICY.window_ms, to));
+            }
+            let bound = POLICY.ratio * requests as f64 + f64::from(POLICY.slack);
+            worst = worst.max(resends as f64 - bound);
+        }
+        worst
+    }
+
+    fn assert_within_bound(&self) {
+        assert!(!self.resends_at.is_empty(), "nothing was sent again");
+        let excess = self.worst_excess();
+        assert!(excess <= 0.0, "{excess:.1} resends over the bound");
+    }
+}
+
+/// Guards against a window of the budget that is longer than the policy's, which counts
+/// too many requests under a steady load.
+#[test]
+fn a_steady_load_of_rejections_stays_within_the_bound() {
+    let mut fleet = Fleet::start(24);
+    fleet.run(15_000, false);
+    fleet.run(35_000, true);
+    fleet.assert_within_bound();
+}
+
+/// Daemons are killed after they have sent what they saved up. Guards against counting
+/// the requests of their callers once more at the daemons that get them next.
+#[test]
+fn callers_of_killed_daemons_bring_no_second_allowance() {
+    for killed in [6, 12, 20] {
+        let mut fleet = Fleet::start(24);
+        fleet.run(15_000, false);
+        fleet.run(1_000, true);
+        fleet.kill(&(0..killed).collect::<Vec<_>>());
+        fleet.run(1_000, true);
+        fleet.tell_entries();
+        fleet.run(20_000, true);
+        fleet.assert_within_bound();
+    }
+}
+
+/// Callers leave a part of the daemons for others, all of which stay alive. Guards
+/// against the same double count without any process that ends.
+#[test]
+fn callers_that_move_bring_no_second_allowance() {
+    let mut fleet = Fleet::start(24);
+    fleet.callers_use = (0..12).collect();
+    fleet.run(15_000, false);
+    fleet.run(1_000, true);
+    fleet.callers_use = (12..24).collect();
+    fleet.run(20_000, true);
+    fleet.assert_within_bound();
+}
+
+/// All processes are killed and started again several times within one window. Guards
+/// against an allowance that each start brings anew.
+#[test]
+fn repeated_starts_bring_no_allowance() {
+    let mut fleet = Fleet::start(24);
+    fleet.run(15_000, false);
+    for _ in 0..6 {
+        fleet.run(700, true);
+        fleet.kill(&(0..24).collect::<Vec<_>>());
+        fleet.start_again();
+        fleet.run(300, true);
+        fleet.tell_entries();
+    }
+    fleet.run(15_000, true);
+    fleet.assert_within_bound();
+}
+
+proptest! {
+    #![proptest_config(settings(48))]
+
+    /// Daemons are killed and started, callers move, and targets reject requests for
+    /// some of the time, in any order.
+    #[test]
+    fn the_fleet_stays_within_the_bound_whatever_happens(
+        steps in prop::collection::vec((0_u8..6, 200_u64..6_000, 1_usize..20, any::<bool>()), 4..14),
+    ) {
+        let mut fleet = Fleet::start(20);
+        fleet.run(11_000, false);
+        for (event, length_ms, count, rejects) in steps {
+            match event {
+                0 => {
+                    let alive: Vec<usize> = fleet.callers_use.clone();
+                    let killed = count.min(alive.len() - 1);
+                    fleet.kill(&alive[..killed]);
+                }
+                1 => fleet.start_again(),
+                2 => fleet.tell_entries(),
+                3 => {
+                    let alive = fleet.budgets.iter().enumerate();
+                    let alive: Vec<usize> = alive.filter_map(|(at, budget)| {
+                        budget.as_ref().map(|_| at)
+                    }).collect();
+                    fleet.callers_use = alive.into_iter().rev().take(count).collect();
+                }
+                _ => {}
+            }
+            fleet.run(length_ms, rejects);
+        }
+        let excess = fleet.worst_excess();
+        prop_assert!(excess <= 0.0, "{excess:.1} resends over the bound");
+    }
+}
