gateway: close a connection that has brought a rejection

Callers got 503, which promises that a request has not run, for requests that had run: a target may write the copy of a rejection late, with the id of the rejected request, and if that request is under way again on the same connection the copy is its first answer.

Cause: a connection went back to the pool after a rejection, and the id was all that told whose answer comes next. A request meets a connection twice if two listed targets have one address (a target that was replaced while its entry is still there), the first of which answers 421, and if a caller sends a refused request again under its id.

A connection is now closed after an answer that says that the request has not run, so that the copy of such an answer can't follow on any connection in use. Weighed: to remember the ids rejected on each connection, which keeps the connection but believes the id again for whatever is forgotten.

Ruled out by reading: evidence that nothing was written (it rests on a write that never succeeded), a refused or late connect (the stream is dropped unused), two sends of one request at once (only an idempotent request is abandoned).

--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -170,7 +170,7 @@
         Ok(Ok(received)) => {
             // A copy of a rejection may follow on the connection, and nothing tells it
             // from the response to the same request sent once more.
-            let is_reusable = received.is_reusable;
+            let is_reusable = received.is_reusable && !claims_not_run(&received.head);
             if is_reusable && connection.buffer.is_empty() {
                 if let Some(lifetime) = announced_keep_alive(&received.head.headers) {
                     connection.usable_until = Instant::now() + lifetime;
