dispatch: count the requests of one window for the retry budget, not of eleven buckets

Targets got more repeats than the retry budget allows under a steady load of rejections.

Cause: the window is divided into ten buckets, and the one in which it begins was kept as an eleventh, with requests of up to eleven tenths of a window. The share of the ratio that is used, 0.95, covers half of that; at 591 requests a second the daemons allowed 1,380 repeats where the fleet may send 1,353.

The eleventh bucket now counts for the resends only. To drop it for both is no fix: a resend in its second half still lies in the window.

Ruled out: the part of the slack, which stays the same in this test.

Before: 6 resends over the bound. After: none; the four tests with kills, moves and starts still fail, with 126, 774, 644 and 30 over the bound.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -164,8 +164,12 @@
     /// Returns what the budget has counted in the window that ends now.
     pub fn state(&mut self, now: TimeMs) -> BudgetState {
         self.apply_pending_slack(now);
-        self.current_bucket(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let newest = self.current_bucket(now).number;
+        // The bucket in which the window begins counts for the resends only: part of
+        // its requests are older than the window.
+        let is_within = |bucket: &&Bucket| bucket.number + WINDOW_BUCKETS > newest;
+        let within = self.buckets.iter().filter(is_within);
+        let requests: u32 = within.map(|bucket| bucket.requests).sum();
         let resends: u32 = self.buckets.iter().map(|bucket| bucket.resends).sum();
         let own_slack = f64::from(self.own_slack);
         let allowed = f64::from(requests) * self.policy.ratio * RATIO_USED_SHARE + own_slack;
