--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -334,9 +334,10 @@
     );
 }
 
-/// A new entry daemon gets a few resends immediately, and its full share of the slack
-/// after the window in which other daemons may have spent it. All entry daemons
-/// together use 85% of the slack, since the rest is for the other daemons.
+/// A new entry daemon gets nothing of the slack immediately, since it may be the third
+/// start of a process in one window, and its full share after the window in which other
+/// daemons may have spent it. All entry daemons together use 85% of the slack, since the
+/// rest is for the other daemons.
 #[test]
 fn a_new_entry_daemon_gets_its_share_of_the_slack_after_a_window() {
     let spent_at = |now: TimeMs| {
@@ -350,11 +351,34 @@
         }
         spent
     };
-    assert_eq!(spent_at(START), POLICY.slack / 10);
+    assert_eq!(spent_at(START), 0);
+    assert_eq!(spent_at(START + DurationMs(9_999)), 0);
     let later = START + POLICY.window_ms;
     assert_eq!(spent_at(later), POLICY.slack * 85 / 100);
 }
 
+/// A process was suspended with resends saved up. Guards against spending them after it,
+/// when the requests that they were saved for lie before the last two windows.
+#[test]
+fn what_was_saved_before_a_suspension_is_not_spent_after_it() {
+    let mut budget = ResendBudget::new(POLICY);
+    budget.set_entries(1, LONG_BEFORE_START);
+    for request in 0..1_000 {
+        budget.record_request(START + DurationMs(request));
+    }
+    let resumed_at = START + DurationMs(1_000);
+    budget.clear_saved();
+    assert!(!budget.take(resumed_at));
+    for request in 0..12 {
+        budget.record_request(resumed_at + DurationMs(request));
+    }
+    let mut spent = 0;
+    while budget.take(resumed_at + DurationMs(12)) {
+        spent += 1;
+    }
+    assert_eq!(spent, 1, "twelve requests earn one resend");
+}
+
 /// Guards against pressure that is not noticed, or that does not end when requests
 /// succeed again.
 #[test]
