traffic: close a connection that has brought a shed answer

Callers got `not-run` for requests that ran, and one request ran twice: a target may write the copy of a shed answer late, where the next answer on the connection is due. If targets do not echo the request id, the copy was taken for the answer to the next request. If two targets have one address, a shed request meets its connection again under its own id, and the copy was taken for the answer of the second target.

Cause: a connection went back to the pool after a shed answer. hyper closes an idle connection that brings bytes, but not one on which the next request has been written. The id, where there is one, was all that told whose answer comes next.

A connection is now closed after a shed answer, as in the gateway.

Ruled out: bytes between two exchanges (hyper reports them and closes the connection, `doubled_answers_without_echo`); a request that hyper gives back (it was never started); a copy with the id of another request (mismatched, `unknown`); answers above the buffer size (their connection is not reused).

--- a/crates/agatehold/src/traffic/attempt.rs
+++ b/crates/agatehold/src/traffic/attempt.rs
@@ -103,8 +103,9 @@
 /// Sends a request once and reads its answer.
 ///
 /// The connection is returned to the pool only after a complete, well-framed
-/// answer. In all other cases it is closed, so that a late answer can't be
-/// taken for the answer to a later request.
+/// answer of a target that has not shed the request. In all other cases it is
+/// closed, so that a late answer or the copy of one that says "not run" can't
+/// be taken for the answer to a later request.
 pub(crate) async fn run_attempt(
     pool: &RefCell<Pool>,
     clock: Clock,
@@ -266,8 +267,15 @@
             };
         }
     }
-    let max = outbound.idle_connections_max;
-    pool.borrow_mut().put(address, connection, clock.now(), max);
+    if outcome == AttemptOutcome::Shed {
+        // A copy of the answer may follow, and nothing tells it from the answer to the
+        // next request: a target need not echo the id, and the next request may be the
+        // same one, for another target with the same address.
+        connection.close();
+    } else {
+        let max = outbound.idle_connections_max;
+        pool.borrow_mut().put(address, connection, clock.now(), max);
+    }
     Attempt {
         outcome,
         received: Some(ReceivedAnswer {
