traffic: believe a shed answer without the request id only on a new connection

Callers got `not-run` for requests that ran, where targets do not echo the request id and are one answer behind on a connection.

Connections are now kept, and a shed answer without the id on a connection that has carried earlier requests counts as an answer that may belong to another request (`unknown`). Targets that echo the id, or shed the first request of a connection, keep their promise.

--- a/crates/agatehold/src/traffic/attempt.rs
+++ b/crates/agatehold/src/traffic/attempt.rs
@@ -103,9 +103,10 @@
 /// Sends a request once and reads its answer.
 ///
 /// The connection is returned to the pool only after a complete, well-framed
-/// answer that has the request's id, and only if the target has not shed the
-/// request. In all other cases it is closed, so that neither a late answer nor
-/// a copy can be taken for the answer to a later request.
+/// answer of a target that has not shed the request. In all other cases it is
+/// closed, so that a late answer or the copy of one that says "not run" can't
+/// be taken for the answer to a later request. A shed answer without the
+/// request's id is believed only on a new connection.
 pub(crate) async fn run_attempt(
     pool: &RefCell<Pool>,
     clock: Clock,
@@ -236,6 +237,12 @@
         return Attempt::without_answer(AttemptOutcome::Mismatched);
     }
     let outcome = classify_response(head.status, &head.headers);
+    let was_used_before = connection.idle_ms.is_some();
+    if outcome == AttemptOutcome::Shed && echo == Echo::Missing && was_used_before {
+        // The answer may be that to an earlier request on the connection.
+        connection.close();
+        return Attempt::without_answer(AttemptOutcome::Mismatched);
+    }
     let deadline = clock.instant(outbound.deadline);
     let mut buffer = BytesMut::new();
     loop {
@@ -268,10 +275,10 @@
             };
         }
     }
-    // A copy of the answer may follow. Without an id, nothing tells it from the answer to
-    // the next request. With the id, nothing does if the next request is the same one,
-    // which is sent again after a shed answer, to a target with the same address.
-    if outcome == AttemptOutcome::Shed || echo == Echo::Missing {
+    if outcome == AttemptOutcome::Shed {
+        // A copy of the answer may follow, and nothing tells it from the answer to the
+        // next request: a target need not echo the id, and the next request may be the
+        // same one, for another target with the same address.
         connection.close();
     } else {
         let max = outbound.idle_connections_max;
--- a/crates/agatehold/tests/own_answer.rs
+++ b/crates/agatehold/tests/own_answer.rs
@@ -150,8 +150,8 @@
     fleet.close().unwrap();
 }
 
-/// Targets need not echo the request id, so a doubled answer must not reach
-/// another request without the id either.
+/// Targets need not echo the request id, so a doubled answer must also be
+/// detected without the id, by the unexpected bytes on the connection.
 #[test]
 fn doubled_answers_without_echo() {
     let fleet = start_fleet();
