dispatch: one table of retry budgets; a test of a service that vanishes, which fails

The daemon's budgets and their parts of the slack are brought in line with the entry daemons by a system of the core, so that a test can drive it without a process. `budget_share` names the number of daemons that divide the slack, 0 where this daemon is none of them, in place of `is_entry`.

The new test fails: a service that has left the configuration is not among the services with entry daemons, and keeps its part of the slack.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -1,8 +1,10 @@
 //! Limits how often the requests of a service are sent again.
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
 
+use crate::ids::ServiceName;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
@@ -215,3 +217,72 @@
         f64::from(self.requests()) * self.policy.ratio * SAVED_SHARE + self.own_slack
     }
 }
+
+/// The budgets of all services in one daemon.
+#[derive(Clone, Debug)]
+pub struct ResendBudgets {
+    policy: ResendPolicy,
+    /// The services that have had requests or entry daemons since the process started.
+    rows: HashMap<ServiceName, ResendBudget>,
+}
+
+/// A change of this daemon's part of the slack of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShareChange {
+    /// The service.
+    pub service: ServiceName,
+    /// The number of entry daemons that divide the slack; 0 if this daemon is not one
+    /// of them.
+    pub entries: u32,
+    /// This daemon's part of the slack, in resends.
+    pub own_slack: f64,
+}
+
+impl ResendBudgets {
+    /// Creates the budgets of a process that has had no requests.
+    pub fn new(policy: ResendPolicy) -> Self {
+        Self {
+            policy,
+            rows: HashMap::new(),
+        }
+    }
+
+    /// Returns the budget of a service.
+    pub fn of_service(&mut self, service: &ServiceName) -> &mut ResendBudget {
+        let policy = self.policy;
+        self.rows
+            .entry(service.clone())
+            .or_insert_with(|| ResendBudget::new(policy))
+    }
+
+    /// Sets the number of entry daemons of each service (see
+    /// [`ResendBudget::set_entries`]) and returns the parts of the slack that changed.
+    pub fn set_entries<'a>(
+        &mut self,
+        entries: impl Iterator<Item = (&'a ServiceName, u32)>,
+        now: TimeMs,
+    ) -> Vec<ShareChange> {
+        let mut changes = Vec::new();
+        for (service, entries) in entries {
+            let budget = self.of_service(service);
+            let before = budget.state(now).own_slack;
+            budget.set_entries(entries, now);
+            let own_slack = budget.state(now).own_slack;
+            if before.to_bits() != own_slack.to_bits() {
+                changes.push(ShareChange {
+                    service: service.clone(),
+                    entries,
+                    own_slack,
+                });
+            }
+        }
+        changes
+    }
+
+    /// Forgets what was saved for all services (see [`ResendBudget::clear_saved`]).
+    pub fn clear_saved(&mut self) {
+        for budget in self.rows.values_mut() {
+            budget.clear_saved();
+        }
+    }
+}
--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -16,7 +16,9 @@
 
 pub use budget::BudgetState;
 pub use budget::ResendBudget;
+pub use budget::ResendBudgets;
 pub use budget::ResendPolicy;
+pub use budget::ShareChange;
 pub use failure_detector::FailureDetector;
 pub use failure_detector::attempt_timeout;
 pub use homes::EntryDaemon;
--- a/crates/agatehold-core/tests/dispatch_budget.rs
+++ b/crates/agatehold-core/tests/dispatch_budget.rs
@@ -6,7 +6,9 @@
 use proptest::prelude::*;
 
 use agatehold_core::dispatch::ResendBudget;
+use agatehold_core::dispatch::ResendBudgets;
 use agatehold_core::dispatch::ResendPolicy;
+use agatehold_core::ids::ServiceName;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -194,6 +196,27 @@
     fleet.assert_within_bound();
 }
 
+/// A service leaves the configuration and comes back. Guards against a part of the
+/// slack that a daemon keeps all the while and spends at once at the return, when other
+/// entry daemons may have spent theirs.
+#[test]
+fn a_service_that_comes_back_has_its_slack_after_a_window() {
+    let service: ServiceName = "historial".parse().expect("a service name");
+    let mut budgets = ResendBudgets::new(POLICY);
+    budgets.set_entries([(&service, 3)].into_iter(), JOINED_AT);
+    assert!(budgets.of_service(&service).has_resend(START), "the slack");
+    let changes = budgets.set_entries(std::iter::empty(), START);
+    assert_eq!(changes.len(), 1, "the service has no entry daemons");
+    assert_eq!(changes[0].own_slack, 0.0);
+    let back_at = START + DurationMs(1_000);
+    budgets.set_entries([(&service, 3)].into_iter(), back_at);
+    assert!(!budgets.of_service(&service).take(back_at));
+    let just_before = back_at + DurationMs(POLICY.window_ms.0 - 1);
+    assert!(!budgets.of_service(&service).take(just_before));
+    let later = back_at + POLICY.window_ms;
+    assert!(budgets.of_service(&service).take(later));
+}
+
 proptest! {
     #![proptest_config(settings(48))]
 
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -230,10 +230,7 @@
 
     fn with_budget<T>(&self, decide: impl FnOnce(&mut ResendBudget) -> T) -> T {
         let mut budgets = self.state.budgets.borrow_mut();
-        let budget = budgets
-            .entry(self.service.clone())
-            .or_insert_with(|| ResendBudget::new(self.state.resend_policy()));
-        decide(budget)
+        decide(budgets.of_service(&self.service))
     }
 
     fn with_service_stats(&self, change: impl FnOnce(&mut ServiceStats)) {
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -161,9 +161,7 @@
     let service_stats = state.service_stats.borrow();
     let stats = service_stats.get(service).copied().unwrap_or_default();
     let mut budgets = state.budgets.borrow_mut();
-    let has_reserve = budgets
-        .get_mut(service)
-        .is_some_and(|budget| budget.has_reserve(now));
+    let has_reserve = budgets.of_service(service).has_reserve(now);
     PickRequest {
         service,
         failure_domain: &state.shared.settings.host.failure_domain,
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -21,7 +21,7 @@
 use agatehold_core::dispatch::DaemonRank;
 use agatehold_core::dispatch::EntryDaemon;
 use agatehold_core::dispatch::LiveTargets;
-use agatehold_core::dispatch::ResendBudget;
+use agatehold_core::dispatch::ResendBudgets;
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::count_target_states;
@@ -31,6 +31,7 @@
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
+use agatehold_platform::FleetBounds;
 
 use super::endpoint;
 use super::endpoint::Endpoint;
@@ -70,7 +71,7 @@
     /// The memory of the bodies of requests that have not ended.
     pub(super) request_memory: BodyMemory,
     /// The retry budget of each service.
-    pub(super) budgets: RefCell<HashMap<ServiceName, ResendBudget>>,
+    pub(super) budgets: RefCell<ResendBudgets>,
     /// The counts of served and unserved requests of each service.
     pub(super) service_stats: RefCell<HashMap<ServiceName, ServiceStats>>,
     /// The queue of requests that wait for a slot, of each service.
@@ -112,21 +113,20 @@
         );
         let own = &self.shared.settings.host.id;
         let now = self.shared.clock.now();
-        let mut budgets = self.budgets.borrow_mut();
-        for (service, entries) in &newest.entries_by_service {
-            let budget = budgets
-                .entry(service.clone())
-                .or_insert_with(|| ResendBudget::new(self.resend_policy()));
+        let counts = newest.entries_by_service.iter().map(|(service, entries)| {
             let is_entry = newest.is_entry(own, service);
             let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-            let before = budget.state(now).own_slack;
-            budget.set_entries(if is_entry { count } else { 0 }, now);
-            let after = budget.state(now).own_slack;
-            if before.to_bits() != after.to_bits() {
-                log::info!(
-                    "event=budget_share service={service} is_entry={is_entry} entries={count} slack={after:.1}"
-                );
-            }
+            (service, if is_entry { count } else { 0 })
+        });
+        for change in self.budgets.borrow_mut().set_entries(counts, now) {
+            log::info!(
+                "event=budget_share service={} entries={} slack={:.1}",
+                change.service,
+                change.entries,
+                change.own_slack
+            );
+        }
+        for (service, entries) in &newest.entries_by_service {
             let entries: Vec<EntryDaemon<'_>> = entries
                 .iter()
                 .map(|(host, member)| EntryDaemon {
@@ -138,16 +138,6 @@
         }
     }
 
-    /// Returns the fleet-wide limit on retries.
-    pub(super) fn resend_policy(&self) -> ResendPolicy {
-        let bounds = &self.shared.bounds;
-        ResendPolicy {
-            ratio: bounds.retry_budget_ratio,
-            slack: bounds.retry_slack,
-            window_ms: bounds.retry_window_ms,
-        }
-    }
-
     /// Returns this daemon's rank among the entry daemons of a service; `None` if it
     /// is not one of them.
     pub(super) fn daemon_rank(&self, service: &ServiceName) -> Option<DaemonRank> {
@@ -299,13 +289,14 @@
         }
     };
     let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
+    let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
     let state = Rc::new(TrafficState {
         shared,
         view: RefCell::default(),
         targets,
         pool: RefCell::default(),
         request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
-        budgets: RefCell::default(),
+        budgets,
         service_stats: RefCell::default(),
         queues: RefCell::default(),
         routes: RefCell::default(),
@@ -321,6 +312,15 @@
     local.block_on(&runtime, run(&state, wake, bind_result_sender));
 }
 
+/// Returns the fleet-wide limit on retries.
+fn resend_policy(bounds: &FleetBounds) -> ResendPolicy {
+    ResendPolicy {
+        ratio: bounds.retry_budget_ratio,
+        slack: bounds.retry_slack,
+        window_ms: bounds.retry_window_ms,
+    }
+}
+
 async fn run(
     state: &Rc<TrafficState>,
     mut wake: watch::Receiver<bool>,
