gateway: a service without entry daemons keeps no part of the slack

A service that left the configuration and came back had its old part of the retry budget's fixed number at once, without the window for which a larger part waits. Nobody has seen a broken rule by it: the part lasts only until the daemon's next view of the entry daemons.

Cause: the budgets were brought in line only for the services that have entry daemons in the newest view.

Before: a_service_that_comes_back_has_its_slack_after_a_window fails.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -257,14 +257,20 @@
 
     /// Sets the number of entry daemons of each service (see
     /// [`ResendBudget::set_entries`]) and returns the parts of the slack that changed.
-    pub fn set_entries<'a>(
+    ///
+    /// A service that is not in `entries` has no entry daemons, since no route leads to
+    /// it or no daemon is registered. Its slack waits for a window when it comes back.
+    pub fn set_entries(
         &mut self,
-        entries: impl Iterator<Item = (&'a ServiceName, u32)>,
+        entries: &HashMap<ServiceName, u32>,
         now: TimeMs,
     ) -> Vec<ShareChange> {
+        for service in entries.keys() {
+            self.of_service(service);
+        }
         let mut changes = Vec::new();
-        for (service, entries) in entries {
-            let budget = self.of_service(service);
+        for (service, budget) in &mut self.rows {
+            let entries = entries.get(service).copied().unwrap_or(0);
             let before = budget.state(now).own_slack;
             budget.set_entries(entries, now);
             let own_slack = budget.state(now).own_slack;
--- a/crates/agatehold-core/tests/dispatch_budget.rs
+++ b/crates/agatehold-core/tests/dispatch_budget.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::collections::HashMap;
+
 use proptest::prelude::*;
 
 use agatehold_core::dispatch::ResendBudget;
@@ -203,13 +205,13 @@
 fn a_service_that_comes_back_has_its_slack_after_a_window() {
     let service: ServiceName = "historial".parse().expect("a service name");
     let mut budgets = ResendBudgets::new(POLICY);
-    budgets.set_entries([(&service, 3)].into_iter(), JOINED_AT);
+    budgets.set_entries(&HashMap::from([(service.clone(), 3)]), JOINED_AT);
     assert!(budgets.of_service(&service).has_resend(START), "the slack");
-    let changes = budgets.set_entries(std::iter::empty(), START);
+    let changes = budgets.set_entries(&HashMap::new(), START);
     assert_eq!(changes.len(), 1, "the service has no entry daemons");
     assert_eq!(changes[0].own_slack, 0.0);
     let back_at = START + DurationMs(1_000);
-    budgets.set_entries([(&service, 3)].into_iter(), back_at);
+    budgets.set_entries(&HashMap::from([(service.clone(), 3)]), back_at);
     assert!(!budgets.of_service(&service).take(back_at));
     let just_before = back_at + DurationMs(POLICY.window_ms.0 - 1);
     assert!(!budgets.of_service(&service).take(just_before));
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -113,12 +113,12 @@
         );
         let own = &self.shared.settings.host.id;
         let now = self.shared.clock.now();
-        let counts = newest.entries_by_service.iter().map(|(service, entries)| {
-            let is_entry = newest.is_entry(own, service);
-            let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-            (service, if is_entry { count } else { 0 })
-        });
-        for change in self.budgets.borrow_mut().set_entries(counts, now) {
+        let mut counts = HashMap::new();
+        for service in newest.entries_by_service.keys() {
+            let daemon_rank = newest.daemon_rank(own, service);
+            counts.insert(service.clone(), daemon_rank.map_or(0, |rank| rank.daemons));
+        }
+        for change in self.budgets.borrow_mut().set_entries(&counts, now) {
             log::info!(
                 "event=budget_share service={} entries={} slack={:.1}",
                 change.service,
