gateway: save no resends over a suspension of the machine

A daemon on a machine that is suspended and goes on has resends saved for requests that lie before the last two windows by the time of its callers and targets, and may spend them beside what the fleet has spent meanwhile.

Cause: the steady clock stands still while the machine is suspended, and ResendBudget::clear_saved had no caller. A process that is stopped by a signal isn't concerned: the steady clock goes on, and the requests leave the window.

The traffic thread compares the steady clock with CLOCK_BOOTTIME before each resend, so that none is taken from what was saved before, and with the gauges once a second, so that the log has the suspension (`event=suspended ms=`). Requests cost no clock reading more, and no wake-up is added.

--- a/crates/agatehold/src/clock/mod.rs
+++ b/crates/agatehold/src/clock/mod.rs
@@ -2,6 +2,10 @@
 
 use std::time::Instant;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+use agatehold_core::dispatch::ClockReading;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -46,3 +50,22 @@
 pub(crate) fn duration(duration_ms: DurationMs) -> std::time::Duration {
     std::time::Duration::from_millis(duration_ms.0)
 }
+
+/// Reads the two clocks that together show whether the machine was suspended.
+///
+/// Both are read in the same way, so that they keep pace wherever they come from.
+pub(crate) fn read_suspension_clocks() -> ClockReading {
+    ClockReading {
+        steady: read_clock(ClockId::Monotonic),
+        with_suspensions: read_clock(ClockId::Boottime),
+    }
+}
+
+fn read_clock(clock: ClockId) -> TimeMs {
+    let time = clock_gettime(clock);
+    let seconds_ms = u64::try_from(time.tv_sec)
+        .unwrap_or(0)
+        .saturating_mul(1_000);
+    let rest_ms = u64::try_from(time.tv_nsec / 1_000_000).unwrap_or(0);
+    TimeMs(seconds_ms.saturating_add(rest_ms))
+}
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -154,6 +154,7 @@
             let mut attempts = self.attempts;
             let mut is_over_budget = false;
             let decision = after_attempt(end.outcome, &facts, &mut attempts, || {
+                self.state.check_suspension();
                 let taken = self.with_budget(|budget| budget.take(now));
                 is_over_budget = !taken;
                 taken
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -24,6 +24,7 @@
 use agatehold_core::dispatch::ResendBudgets;
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceStats;
+use agatehold_core::dispatch::SuspensionDetector;
 use agatehold_core::dispatch::count_target_states;
 use agatehold_core::dispatch::may_exit;
 use agatehold_core::dispatch::may_take_request;
@@ -33,6 +34,8 @@
 use agatehold_core::units::TimeMs;
 use agatehold_platform::FleetBounds;
 
+use crate::clock::read_suspension_clocks;
+
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
@@ -72,6 +75,8 @@
     pub(super) request_memory: BodyMemory,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<ResendBudgets>,
+    /// Detects suspensions of the machine.
+    suspension: RefCell<SuspensionDetector>,
     /// The counts of served and unserved requests of each service.
     pub(super) service_stats: RefCell<HashMap<ServiceName, ServiceStats>>,
     /// The queue of requests that wait for a slot, of each service.
@@ -138,6 +143,17 @@
         }
     }
 
+    /// Forgets the saved resends if the machine was suspended since the last call. Call
+    /// this before a resend is taken.
+    pub(super) fn check_suspension(&self) {
+        let suspended = self.suspension.borrow_mut().check(read_suspension_clocks());
+        let Some(suspended_ms) = suspended else {
+            return;
+        };
+        self.budgets.borrow_mut().clear_saved();
+        log::warn!("event=suspended ms={}", suspended_ms.0);
+    }
+
     /// Returns this daemon's rank among the entry daemons of a service; `None` if it
     /// is not one of them.
     pub(super) fn daemon_rank(&self, service: &ServiceName) -> Option<DaemonRank> {
@@ -297,6 +313,7 @@
         pool: RefCell::default(),
         request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
         budgets,
+        suspension: RefCell::new(SuspensionDetector::new(read_suspension_clocks())),
         service_stats: RefCell::default(),
         queues: RefCell::default(),
         routes: RefCell::default(),
@@ -389,6 +406,7 @@
         return;
     }
     state.gauges_updated_at.set(now);
+    state.check_suspension();
     state.targets.borrow_mut().expire_statements(now);
     for service in &services {
         update_target_gauges(state, service, now);
