--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -154,6 +154,7 @@
             let mut attempts = self.attempts;
             let mut is_over_budget = false;
             let decision = after_attempt(end.outcome, &facts, &mut attempts, || {
+                self.state.check_suspension();
                 let taken = self.with_budget(|budget| budget.take(now));
                 is_over_budget = !taken;
                 taken
@@ -230,10 +231,7 @@
 
     fn with_budget<T>(&self, decide: impl FnOnce(&mut ResendBudget) -> T) -> T {
         let mut budgets = self.state.budgets.borrow_mut();
-        let budget = budgets
-            .entry(self.service.clone())
-            .or_insert_with(|| ResendBudget::new(self.state.resend_policy()));
-        decide(budget)
+        decide(budgets.of_service(&self.service))
     }
 
     fn with_service_stats(&self, change: impl FnOnce(&mut ServiceStats)) {
