--- a/crates/agatehold-core/src/dispatch/suspension.rs
+++ b/crates/agatehold-core/src/dispatch/suspension.rs
@@ -1,4 +1,4 @@
-//! Detects that the machine was suspended, during which the steady clock stands still.
+//! Detects that the host was suspended, during which the steady clock stands still.
 
 use crate::units::DurationMs;
 use crate::units::TimeMs;
--- a/crates/agatehold-core/tests/dispatch_suspension.rs
+++ b/crates/agatehold-core/tests/dispatch_suspension.rs
@@ -1,11 +1,11 @@
-//! Tests that a suspension of the machine is noticed from two clocks.
+//! Tests that a suspension of the host is noticed from two clocks.
 
 use agatehold_core::dispatch::ClockReading;
 use agatehold_core::dispatch::SuspensionDetector;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
-/// A machine that has been suspended for a day since its start.
+/// A host that has been suspended for a day since its start.
 const START: ClockReading = ClockReading {
     steady: TimeMs(50_000),
     with_suspensions: TimeMs(86_450_000),
--- a/crates/agatehold/src/clock/mod.rs
+++ b/crates/agatehold/src/clock/mod.rs
@@ -51,7 +51,7 @@
     std::time::Duration::from_millis(duration_ms.0)
 }
 
-/// Reads the two clocks that together show whether the machine was suspended.
+/// Reads the two clocks that together show whether the host was suspended.
 ///
 /// Both are read in the same way, so that they keep pace wherever they come from.
 pub(crate) fn read_suspension_clocks() -> ClockReading {
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -75,7 +75,7 @@
     pub(super) request_memory: BodyMemory,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<ResendBudgets>,
-    /// Detects suspensions of the machine.
+    /// Detects suspensions of the host.
     suspension: RefCell<SuspensionDetector>,
     /// The counts of served and unserved requests of each service.
     pub(super) service_stats: RefCell<HashMap<ServiceName, ServiceStats>>,
@@ -143,14 +143,15 @@
         }
     }
 
-    /// Forgets the saved resends if the machine was suspended since the last call. Call
+    /// Forgets the saved resends if the host was suspended since the last call. Call
     /// this before a resend is taken.
     pub(super) fn check_suspension(&self) {
         let suspended = self.suspension.borrow_mut().check(read_suspension_clocks());
         let Some(suspended_ms) = suspended else {
             return;
         };
-        self.budgets.borrow_mut().clear_saved();
+        let now = self.shared.clock.now();
+        self.budgets.borrow_mut().clear_saved(now);
         log::warn!("event=suspended ms={}", suspended_ms.0);
     }
 
