gateway: keep what an attempt showed apart from the target's next process

Callers were refused with no-target for a target that served: it was started again under its name at another address while a request ran at the previous one, whose late 421 took the new process out of use.

Cause: the result of an attempt was recorded in the row of the target's name, whichever process that stands for by then. It now counts only for the process that the request was sent to, and a 421 only for the address that it came from; the slot of an ended process is not given back to the next one.

--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -56,7 +56,7 @@
         let end = self.exchange(&identity, address, response_sender).await;
         let run_ms = DurationMs(sent_at.elapsed().as_millis() as u64);
         self.record_statements(&identity, address, &end);
-        self.record_attempt(target, address, &end, run_ms);
+        self.record_attempt(&identity, address, &end, run_ms);
         end
     }
 
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -10,6 +10,7 @@
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
 use agatehold_core::poison::RequestIdentity;
+use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -24,13 +25,17 @@
 impl Dispatch<'_> {
     /// Releases the slot and records what the attempt showed about the target and
     /// the request.
+    ///
+    /// If the target has been started again meanwhile, the row is that of the next
+    /// process, of which the attempt showed nothing.
     pub(super) fn record_attempt(
         &mut self,
-        target: &TargetName,
+        identity: &TargetIdentity,
         address: std::net::SocketAddr,
         end: &AttemptEnd,
         run_ms: DurationMs,
     ) {
+        let target = &identity.name;
         let now = self.now();
         let jitter = self.state.rng.borrow_mut().random();
         let own = &self.state.shared.settings.host.id;
@@ -38,12 +43,18 @@
         let answered = end.outcome == AttemptOutcome::Answered;
         let answered = (answered && self.revoke_crash_marks()).then(|| self.fingerprint());
         let mut report = None;
-        if let Some(row) = self.state.targets.borrow_mut().rows.get_mut(target) {
+        let mut is_same_process = false;
+        let mut targets = self.state.targets.borrow_mut();
+        let row = targets.rows.get_mut(target);
+        if let Some(row) = row.filter(|row| row.record.identity == *identity) {
+            is_same_process = true;
+            // A target that moved may have answered for its previous address.
+            let has_moved = end.is_wrong_target && row.record.address == address;
             let had_evidence = row.failure_detector.nats() > 0.0;
             if let Some(load) = end.load {
                 row.report_load(load, now);
             }
-            if end.is_wrong_target {
+            if has_moved {
                 row.leaving = true;
                 log::warn!("event=address_moved target={target} address={address}");
             }
@@ -96,19 +107,20 @@
             // entry daemons.
             let is_reportable =
                 is_shared && (had_evidence || row.failure_detector.nats() > 0.0 || !is_entry);
-            if is_reportable || end.is_wrong_target || answered.is_some() {
+            if is_reportable || has_moved || answered.is_some() {
                 let crashed = end.outcome == AttemptOutcome::ConnectionLost;
                 report = Some(Evidence {
                     target: row.record.identity.clone(),
                     outcome,
                     run_ms,
-                    moved: end.is_wrong_target,
+                    moved: has_moved,
                     crash: crashed.then(|| self.fingerprint()),
                     answered,
                     reporter: self.state.shared.settings.host.id.clone(),
                 });
             }
         }
+        drop(targets);
         if let Some(evidence) = report {
             evidence::send_evidence(self.state, &self.service, &evidence);
         }
@@ -129,7 +141,11 @@
         metrics::counter!("agatehold_attempts_total",
             "service" => self.service.to_string(), "outcome" => end.outcome.as_str())
         .increment(1);
-        self.release(target);
+        if is_same_process {
+            self.release(target);
+        } else {
+            queue::assign_free_slots(self.state, &self.service);
+        }
     }
 
     fn fingerprint(&self) -> Digest {
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -131,9 +131,9 @@
 
 /// Sends a request once and reads the complete response.
 ///
-/// The connection is returned to the pool only after a complete response that is
-/// followed by no further bytes. Otherwise it is closed, so that late bytes can't
-/// be taken for the response to another request.
+/// The connection is returned to the pool only after a complete response that is no
+/// rejection and is followed by no further bytes. Otherwise it is closed, so that late
+/// bytes can't be taken for the response to another request.
 pub(super) async fn run_attempt(
     pool: &RefCell<TargetPool>,
     address: SocketAddr,
