gateway: tell a started daemon which requests crash targets

A request that crashes the targets that run it could crash two more at each daemon that started, or became an entry daemon, after its crashes. The rule of the operators allows three retries in all.

Cause: crash marks are told when they are made, to the entry daemons of that moment, and are kept nowhere else.

When a view shows an entry daemon that was none before, or one with another incarnation, the first three of the entry daemons that were there send it the marks of up to 32 requests that are refused, those with the newest crash first, one datagram each. Without such requests nothing is sent.

Weighed: the marks in the contents that daemons fetch from each other (the control thread doesn't have them), and to answer a crash report with what is known (each started daemon would still let one more crash happen). A daemon that is no entry daemon, and serves callers with old addresses, still has no marks.

A unit test for the choice of requests.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -191,6 +191,25 @@
     cleared
 }
 
+/// Returns the requests that are refused, at most `most`, those whose last crash is the
+/// newest first.
+pub fn refused_requests(table: &PoisonTable, most: usize, now: TimeMs) -> Vec<Digest> {
+    let mut refused = Vec::new();
+    for (fingerprint, row) in table.rows.rows() {
+        let counts = |mark: &&CrashMark| !mark.cleared && now.since(mark.at) <= MARK_LIFETIME_MS;
+        let crashed_at = row.marks.iter().filter(counts).map(|mark| mark.at);
+        if crashed_at.clone().count() >= 2 {
+            refused.push((crashed_at.max(), *fingerprint));
+        }
+    }
+    refused.sort_by(|a, b| b.cmp(a));
+    refused.truncate(most);
+    refused
+        .into_iter()
+        .map(|(_, fingerprint)| fingerprint)
+        .collect()
+}
+
 /// Returns whether the request, rather than `target`, counts as the cause of a
 /// lost connection to `target`, because it was involved in a crash of another
 /// target.
--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -13,6 +13,7 @@
 pub use admit::is_blamed;
 pub use admit::mark_crash;
 pub use admit::merge_marks;
+pub use admit::refused_requests;
 pub use admit::revoke_marks;
 pub use fingerprint::RequestIdentity;
 pub use fingerprint::fingerprint;
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -13,6 +13,7 @@
 use agatehold_core::poison::is_blamed;
 use agatehold_core::poison::mark_crash;
 use agatehold_core::poison::merge_marks;
+use agatehold_core::poison::refused_requests;
 use agatehold_core::poison::revoke_marks;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -263,3 +264,33 @@
         Admission::Refused
     );
 }
+
+/// Guards against a daemon that starts and is told of requests that may be sent, of old
+/// crashes, or of so many that the newest are left out.
+#[test]
+fn a_started_daemon_is_told_of_the_newest_refused_requests() {
+    let mut table = PoisonTable::default();
+    let later = NOW + DurationMs(5_000);
+    mark_crash(&mut table, mark(b"once", "a", "host-1", NOW), NOW);
+    for (request, at) in [(b"older", NOW), (b"newer", later)] {
+        mark_crash(&mut table, mark(request, "a", "host-1", at), at);
+        mark_crash(&mut table, mark(request, "b", "host-2", at), at);
+    }
+    let older = Digest::of_parts(&[b"older"]);
+    let newer = Digest::of_parts(&[b"newer"]);
+    assert_eq!(refused_requests(&table, 9, later), [newer, older]);
+    assert_eq!(refused_requests(&table, 1, later), [newer]);
+    let expired = NOW + DurationMs(600_001);
+    assert_eq!(refused_requests(&table, 9, expired), [newer]);
+    revoke_marks(&mut table, &newer);
+    assert_eq!(refused_requests(&table, 9, later), [older]);
+
+    let mut started = PoisonTable::default();
+    merge_marks(
+        &mut started,
+        &table.rows.get(&older).expect("a row").marks,
+        later,
+    );
+    let own = host("host-3");
+    assert_eq!(admit(&mut started, &older, &own, later), Admission::Refused);
+}
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -7,25 +7,39 @@
 use rand::RngExt;
 use tokio::net::UdpSocket;
 
+use agatehold_core::directory::MemberRecord;
 use agatehold_core::dispatch::PressureChange;
 use agatehold_core::dispatch::count_target_states;
+use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::TimeMs;
 
+use super::messages::CrashMarkAge;
+use super::messages::CrashMarksMessage;
 use super::messages::DATAGRAM_BYTES_MAX;
 use super::messages::Evidence;
 use super::messages::LeavingMessage;
 use super::messages::PressureMessage;
 use super::messages::TrafficMessage;
 use super::messages::decode_traffic_message;
+use super::messages::encode_crash_marks;
 use super::messages::encode_evidence;
 use super::messages::encode_leaving;
 use super::messages::encode_pressure;
+use super::shared::View;
 use super::traffic::TrafficState;
 
+/// The number of entry daemons that tell a new one which requests crash targets, so that
+/// it hears of them also if a datagram is lost or one of them is gone.
+const CRASH_MARK_SENDERS: usize = 3;
+
+/// The maximum number of requests that a new daemon is told of; few requests ever crash
+/// two targets.
+const CRASH_MARK_REQUESTS_MAX: usize = 32;
+
 /// Sends evidence about a target to the other entry daemons of its service.
 pub(super) fn send_evidence(state: &TrafficState, service: &ServiceName, evidence: &Evidence) {
     send_to_entry_daemons(state, service, &encode_evidence(evidence), |_| true);
@@ -41,6 +55,62 @@
     send_to_entry_daemons(state, service, &encode_leaving(&message), |_| true);
 }
 
+/// Tells the daemons that are new among the entry daemons of a service, or that have
+/// started again, which requests have crashed two targets. They would let each of them
+/// crash two more.
+pub(super) fn send_crash_marks(state: &TrafficState, before: &View, newest: &View) {
+    let now = state.shared.clock.now();
+    let poison = state.poison.borrow();
+    let refused = poison::refused_requests(&poison, CRASH_MARK_REQUESTS_MAX, now);
+    if refused.is_empty() {
+        return;
+    }
+    let own = &state.shared.settings.host.id;
+    let mut told = Vec::new();
+    for (service, entries) in &newest.entries_by_service {
+        let known = before.entries_by_service.get(service);
+        let is_known = |host: &HostId, member: &MemberRecord| {
+            known.into_iter().flatten().any(|(known_host, known)| {
+                known_host == host && known.incarnation == member.incarnation
+            })
+        };
+        let mut senders = entries
+            .iter()
+            .filter(|(host, member)| is_known(host, member));
+        if !senders
+            .by_ref()
+            .take(CRASH_MARK_SENDERS)
+            .any(|(host, _)| host == own)
+        {
+            continue;
+        }
+        for (host, member) in entries {
+            if is_known(host, member) || host == own || told.contains(&host) {
+                continue;
+            }
+            told.push(host);
+            for fingerprint in &refused {
+                let marks = poison.rows.get(fingerprint);
+                let marks = marks.into_iter().flat_map(|row| &row.marks);
+                let message = CrashMarksMessage {
+                    fingerprint: *fingerprint,
+                    marks: marks
+                        .filter(|mark| !mark.cleared)
+                        .map(|mark| CrashMarkAge {
+                            target: mark.target.clone(),
+                            reporter: mark.reporter.clone(),
+                            age_ms: now.since(mark.at),
+                        })
+                        .collect(),
+                };
+                // A lost datagram is acceptable: other daemons send the same.
+                let bytes = encode_crash_marks(&message);
+                let _ = state.evidence.try_send_to(&bytes, member.evidence);
+            }
+        }
+    }
+}
+
 /// Sends a pressure report to the other entry daemons of a service, if this daemon
 /// is one of them and a report is due.
 pub(super) fn send_pressure_report(state: &TrafficState, service: &ServiceName) {
@@ -151,11 +221,32 @@
             Some(TrafficMessage::Evidence(evidence)) => apply_evidence(&state, &evidence),
             Some(TrafficMessage::Pressure(message)) => apply_pressure(&state, &message),
             Some(TrafficMessage::Leaving(message)) => apply_leaving(&state, &message),
+            Some(TrafficMessage::CrashMarks(message)) => apply_crash_marks(&state, &message),
             None => log::debug!("event=news_skipped bytes={length}"),
         }
     }
 }
 
+fn apply_crash_marks(state: &TrafficState, message: &CrashMarksMessage) {
+    let now = state.shared.clock.now();
+    let mut marks = Vec::new();
+    for mark in &message.marks {
+        marks.push(CrashMark {
+            fingerprint: message.fingerprint,
+            target: mark.target.clone(),
+            reporter: mark.reporter.clone(),
+            at: now - mark.age_ms,
+            cleared: false,
+        });
+    }
+    poison::merge_marks(&mut state.poison.borrow_mut(), &marks, now);
+    log::info!(
+        "event=crash_marks fingerprint={} marks={}",
+        message.fingerprint,
+        marks.len()
+    );
+}
+
 fn apply_leaving(state: &TrafficState, message: &LeavingMessage) {
     state.view();
     let now = state.shared.clock.now();
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -125,6 +125,26 @@
     pub(super) reporter: HostId,
 }
 
+/// The crash marks of a request, for a daemon that has not seen them made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct CrashMarksMessage {
+    /// The fingerprint of the request.
+    pub(super) fingerprint: Digest,
+    /// The marks that are not cleared.
+    pub(super) marks: Vec<CrashMarkAge>,
+}
+
+/// A crash mark and its age.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct CrashMarkAge {
+    /// The target that crashed.
+    pub(super) target: TargetName,
+    /// The daemon that reported the crash.
+    pub(super) reporter: HostId,
+    /// The time since the crash.
+    pub(super) age_ms: DurationMs,
+}
+
 /// A datagram from another daemon's traffic thread.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum TrafficMessage {
@@ -134,6 +154,8 @@
     Pressure(PressureMessage),
     /// A target is leaving.
     Leaving(LeavingMessage),
+    /// The crash marks of a request.
+    CrashMarks(CrashMarksMessage),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -183,6 +205,14 @@
     Evidence(EvidenceJson),
     Pressure(PressureJson),
     Leaving(LeavingJson),
+    CrashMarks(CrashMarksJson),
+}
+
+#[derive(Serialize, Deserialize)]
+struct CrashMarksJson {
+    crashed_by: String,
+    /// The target, the reporter, and the age in milliseconds.
+    marks: Vec<(String, String, u64)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -299,9 +329,45 @@
         TrafficMessageJson::Evidence(json) => decode_evidence(json).map(TrafficMessage::Evidence),
         TrafficMessageJson::Pressure(json) => decode_pressure(json).map(TrafficMessage::Pressure),
         TrafficMessageJson::Leaving(json) => decode_leaving(&json).map(TrafficMessage::Leaving),
+        TrafficMessageJson::CrashMarks(json) => {
+            decode_crash_marks(&json).map(TrafficMessage::CrashMarks)
+        }
     }
 }
 
+/// Encodes the crash marks of a request.
+pub(super) fn encode_crash_marks(message: &CrashMarksMessage) -> Vec<u8> {
+    let mut marks = Vec::new();
+    for mark in &message.marks {
+        marks.push((
+            mark.target.to_string(),
+            mark.reporter.to_string(),
+            mark.age_ms.0,
+        ));
+    }
+    let json = CrashMarksJson {
+        crashed_by: message.fingerprint.to_string(),
+        marks,
+    };
+    // Strings and numbers always serialize to JSON.
+    serde_json::to_vec(&json).unwrap_or_default()
+}
+
+fn decode_crash_marks(json: &CrashMarksJson) -> Option<CrashMarksMessage> {
+    let mut marks = Vec::new();
+    for (target, reporter, age_ms) in &json.marks {
+        marks.push(CrashMarkAge {
+            target: target.parse().ok()?,
+            reporter: reporter.parse().ok()?,
+            age_ms: DurationMs(*age_ms),
+        });
+    }
+    Some(CrashMarksMessage {
+        fingerprint: json.crashed_by.parse().ok()?,
+        marks,
+    })
+}
+
 fn decode_leaving(json: &LeavingJson) -> Option<LeavingMessage> {
     Some(LeavingMessage {
         target: TargetIdentity {
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -109,7 +109,8 @@
     }
 
     fn sync_tables(&self, newest: &Arc<View>) {
-        self.view.replace(Arc::clone(newest));
+        let before = self.view.replace(Arc::clone(newest));
+        super::evidence::send_crash_marks(self, &before, newest);
         self.targets.borrow_mut().sync(
             newest
                 .targets
