--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -676,3 +676,27 @@
         assert!(has_recent_heartbeat(&heartbeats, after_a_lost_one));
     }
 }
+
+/// A listing of several pages may hold a row that is newer than its first page, which is
+/// the revision that counts. Guards against a source that tells of a revision that
+/// nobody gets complete to by fetching from it: all that hear it fetch without end.
+#[test]
+fn a_fetch_leaves_nothing_of_which_its_source_tells() {
+    let mut source = Replica::default();
+    source.apply_listing(&[change(1, 5, Some(1))], 5);
+    source.apply_listing(&[change(1, 5, Some(1)), change(2, 7, Some(2))], 6);
+    let mut receiver = Replica::default();
+    for _ in 0..3 {
+        let Some(update) = source.update_since(receiver.complete_to()) else {
+            break;
+        };
+        receiver.apply_update(&update);
+    }
+    assert_eq!(contents(&receiver), contents(&source));
+    assert!(
+        source.changed_at() <= receiver.complete_to(),
+        "the source tells of {}, a fetch completes to {}",
+        source.changed_at(),
+        receiver.complete_to()
+    );
+}
