dispatch: tell a larger part of the slack when it begins to apply

Callers saw nothing; operators did not see `budget_share` when the larger part of the retry slack, which waits for a window, began to apply: the log line came from a comparison inside `set_entries`, which runs only when the view changes and which applied the waiting part before it compared.

The table of budgets moves to a file of its own. It remembers the part that was told last and returns the changes when it is asked, which the traffic thread does at each new view and once a second. `set_entries` no longer computes the whole state of each budget for one field, and `record_request` drops old buckets once instead of twice: the cap on the savings after the request is the same with either order, since a request earns more (0.7 of the ratio) than it lets be saved (0.25).

`a_part_of_the_slack_is_told_when_it_applies` covers the late part; the old interface could not return it. `a_service_that_comes_back_has_its_slack_after_a_window` takes the changes from the new function and checks one more of them.

--- a/crates/agatehold-core/src/dispatch/budget.rs
+++ b/crates/agatehold-core/src/dispatch/budget.rs
@@ -1,10 +1,8 @@
 //! Limits how often the requests of a service are sent again.
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
 
-use crate::ids::ServiceName;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
@@ -164,6 +162,12 @@
         self.current_bucket(now).slack_spent = own_slack;
     }
 
+    /// Returns this daemon's part of the slack, in resends.
+    pub fn own_slack(&mut self, now: TimeMs) -> f64 {
+        self.apply_pending_slack(now);
+        self.own_slack
+    }
+
     /// Switches to the larger part of the slack once it applies.
     fn apply_pending_slack(&mut self, now: TimeMs) {
         if let Some((slack, at)) = self.pending_slack
@@ -176,7 +180,6 @@
 
     /// Records a request that is sent for the first time or is refused.
     pub fn record_request(&mut self, now: TimeMs) {
-        self.update(now);
         self.current_bucket(now).requests += 1;
         self.saved += self.policy.ratio * EARNED_SHARE;
         self.update(now);
@@ -264,78 +267,3 @@
         f64::from(requests) * self.policy.ratio * SAVED_SHARE
     }
 }
-
-/// The budgets of all services in one daemon.
-#[derive(Clone, Debug)]
-pub struct ResendBudgets {
-    policy: ResendPolicy,
-    /// The services that have had requests or entry daemons since the process started.
-    rows: HashMap<ServiceName, ResendBudget>,
-}
-
-/// A change of this daemon's part of the slack of a service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ShareChange {
-    /// The service.
-    pub service: ServiceName,
-    /// The number of entry daemons that divide the slack; 0 if this daemon is not one
-    /// of them.
-    pub entries: u32,
-    /// This daemon's part of the slack, in resends.
-    pub own_slack: f64,
-}
-
-impl ResendBudgets {
-    /// Creates the budgets of a process that has had no requests.
-    pub fn new(policy: ResendPolicy) -> Self {
-        Self {
-            policy,
-            rows: HashMap::new(),
-        }
-    }
-
-    /// Returns the budget of a service.
-    pub fn of_service(&mut self, service: &ServiceName) -> &mut ResendBudget {
-        let policy = self.policy;
-        self.rows
-            .entry(service.clone())
-            .or_insert_with(|| ResendBudget::new(policy))
-    }
-
-    /// Sets the number of entry daemons of each service (see
-    /// [`ResendBudget::set_entries`]) and returns the parts of the slack that changed.
-    ///
-    /// A service that is not in `entries` has no entry daemons, since no route leads to
-    /// it or no daemon is registered. Its slack waits for a window when it comes back.
-    pub fn set_entries(
-        &mut self,
-        entries: &HashMap<ServiceName, u32>,
-        now: TimeMs,
-    ) -> Vec<ShareChange> {
-        for service in entries.keys() {
-            self.of_service(service);
-        }
-        let mut changes = Vec::new();
-        for (service, budget) in &mut self.rows {
-            let entries = entries.get(service).copied().unwrap_or(0);
-            let before = budget.state(now).own_slack;
-            budget.set_entries(entries, now);
-            let own_slack = budget.state(now).own_slack;
-            if before.to_bits() != own_slack.to_bits() {
-                changes.push(ShareChange {
-                    service: service.clone(),
-                    entries,
-                    own_slack,
-                });
-            }
-        }
-        changes
-    }
-
-    /// Forgets what was saved for all services (see [`ResendBudget::clear_saved`]).
-    pub fn clear_saved(&mut self, now: TimeMs) {
-        for budget in self.rows.values_mut() {
-            budget.clear_saved(now);
-        }
-    }
-}
--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! again.
 
 mod budget;
+mod budgets;
 mod failure_detector;
 mod homes;
 mod pick;
@@ -17,9 +18,9 @@
 
 pub use budget::BudgetState;
 pub use budget::ResendBudget;
-pub use budget::ResendBudgets;
 pub use budget::ResendPolicy;
-pub use budget::ShareChange;
+pub use budgets::ResendBudgets;
+pub use budgets::ShareChange;
 pub use failure_detector::FailureDetector;
 pub use failure_detector::attempt_timeout;
 pub use homes::EntryDaemon;
--- a/crates/agatehold-core/tests/dispatch_budget.rs
+++ b/crates/agatehold-core/tests/dispatch_budget.rs
@@ -244,7 +244,9 @@
     let mut budgets = ResendBudgets::new(POLICY);
     budgets.set_entries(&HashMap::from([(service.clone(), 3)]), JOINED_AT);
     assert!(budgets.of_service(&service).has_resend(START), "the slack");
-    let changes = budgets.set_entries(&HashMap::new(), START);
+    assert_eq!(budgets.take_share_changes(START).len(), 1, "the slack");
+    budgets.set_entries(&HashMap::new(), START);
+    let changes = budgets.take_share_changes(START);
     assert_eq!(changes.len(), 1, "the service has no entry daemons");
     assert_eq!(changes[0].own_slack, 0.0);
     let back_at = START + DurationMs(1_000);
@@ -263,6 +265,27 @@
     assert!(budgets.of_service(&service).take(later));
 }
 
+/// Guards against a log without the larger part of the slack, which applies some time
+/// after the entry daemons have changed.
+#[test]
+fn a_part_of_the_slack_is_told_when_it_applies() {
+    let service: ServiceName = "historial".parse().expect("a service name");
+    let mut budgets = ResendBudgets::new(POLICY);
+    budgets.set_entries(&HashMap::from([(service.clone(), 3)]), START);
+    let at_once = budgets.take_share_changes(START);
+    assert_eq!(at_once.len(), 1);
+    assert!(at_once[0].own_slack < f64::from(POLICY.slack) / 4.0 / 3.0);
+    assert!(budgets.take_share_changes(START).is_empty(), "told once");
+    let later = START + POLICY.window_ms + DurationMs(3_000);
+    // A request in between applies the part before anyone asks for the change.
+    budgets.of_service(&service).record_request(later);
+    let applied = budgets.take_share_changes(later);
+    assert_eq!(applied.len(), 1, "the larger part");
+    assert_eq!(applied[0].entries, 3);
+    assert!(applied[0].own_slack > at_once[0].own_slack);
+    assert!(budgets.take_share_changes(later).is_empty(), "told once");
+}
+
 proptest! {
     #![proptest_config(settings(48))]
 
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -124,14 +124,8 @@
             let daemon_rank = newest.daemon_rank(own, service);
             counts.insert(service.clone(), daemon_rank.map_or(0, |rank| rank.daemons));
         }
-        for change in self.budgets.borrow_mut().set_entries(&counts, now) {
-            log::info!(
-                "event=budget_share service={} entries={} slack={:.1}",
-                change.service,
-                change.entries,
-                change.own_slack
-            );
-        }
+        self.budgets.borrow_mut().set_entries(&counts, now);
+        self.log_share_changes(now);
         for (service, entries) in &newest.entries_by_service {
             let entries: Vec<EntryDaemon<'_>> = entries
                 .iter()
@@ -144,6 +138,18 @@
         }
     }
 
+    /// Logs the parts of the slack that have changed.
+    fn log_share_changes(&self, now: TimeMs) {
+        for change in self.budgets.borrow_mut().take_share_changes(now) {
+            log::info!(
+                "event=budget_share service={} entries={} slack={:.1}",
+                change.service,
+                change.entries,
+                change.own_slack
+            );
+        }
+    }
+
     /// Forgets the saved resends if the host was suspended since the last call. Call
     /// this before a resend is taken.
     pub(super) fn check_suspension(&self) {
@@ -409,6 +415,7 @@
     }
     state.gauges_updated_at.set(now);
     state.check_suspension();
+    state.log_share_changes(now);
     state.targets.borrow_mut().expire_statements(now);
     for service in &services {
         update_target_gauges(state, service, now);
