dissemination: tell of no revision beyond the one a fetch completes to

Cause: a listing of several pages counts as of its first page, and a row of a later page may be newer. The replica then told others of that row's revision, to which nobody gets by fetching from it, since an update completes its receiver only to the listing's revision.

Ruled out: a source that lacks rows (contents are equal after one fetch), and the choice of sources (one source and one receiver show it).

Change: a replica tells of no revision beyond the listing's. The row's own revision counts once the change itself arrives, by a watch or by an update, also though the row is held already. A receiver doesn't count the rows of an update beyond the revision of the update.

Tests of agatehold-core passed.

--- a/crates/agatehold-core/src/dissemination/replica.rs
+++ b/crates/agatehold-core/src/dissemination/replica.rs
@@ -92,11 +92,15 @@
                 // Two keys may have been changed at the same revision.
                 None => change.revision < complete_to,
             };
+            // A row that came with a later page of a listing completes the replica to
+            // its revision only with the change itself.
+            if !is_outdated || change.revision > complete_to {
+                self.changed_at = self.changed_at.max(change.revision);
+                self.complete_to = self.complete_to.max(change.revision);
+            }
             if is_outdated {
                 continue;
             }
-            self.changed_at = self.changed_at.max(change.revision);
-            self.complete_to = self.complete_to.max(change.revision);
             match &change.value {
                 Some(value) => self.insert(&change.key, change.revision, value),
                 None => self.delete(&change.key, change.revision),
@@ -147,7 +151,9 @@
             if held.is_some_and(|row| row.revision == item.revision) {
                 continue;
             }
-            newest = newest.max(item.revision);
+            // A row of a later page may be newer than `revision`, to which others get
+            // complete by fetching from here.
+            newest = newest.max(item.revision.min(revision));
             self.insert(&item.key, item.revision, value);
             applied.push(item.clone());
         }
@@ -172,12 +178,14 @@
 
     /// Applies an update from another daemon; returns what has changed.
     pub fn apply_update(&mut self, update: &ReplicaUpdate) -> Vec<KeyChange> {
-        let applied = if update.is_listing {
-            self.replace(&update.changes, &update.kept, update.revision)
-        } else {
-            self.apply_changes(&update.changes)
-        };
-        self.complete_to = self.complete_to.max(update.revision);
+        if update.is_listing {
+            return self.replace(&update.changes, &update.kept, update.revision);
+        }
+        let complete_to = self.complete_to.max(update.revision);
+        let applied = self.apply_changes(&update.changes);
+        // The source's rows of later pages don't make it complete to their revisions.
+        self.complete_to = complete_to;
+        self.changed_at = self.changed_at.min(complete_to);
         applied
     }
 
