dissemination: keep what is newer than a page of a listing

What callers could see: a request sent to a target that had left, for as long as a watch took to bring the deletion once more.

Of two listings that run at once the one whose later pages were read first may be applied last. Its rows replaced newer ones, and a row that the other listing had shown to be deleted came back.

Ruled out: updates between daemons and watched changes, which compare the revision of each row already.

Change: a listed row that is not newer than the one held is skipped, and so is one without a row whose revision the replica has contained: it was deleted since. The store's revisions only grow, so that no other case skips a row.

--- a/crates/agatehold-core/src/dissemination/replica.rs
+++ b/crates/agatehold-core/src/dissemination/replica.rs
@@ -147,8 +147,13 @@
                 continue;
             };
             absent.remove(&item.key);
-            let held = self.rows.get(&item.key);
-            if held.is_some_and(|row| row.revision == item.revision) {
+            let is_outdated = match self.rows.get(&item.key) {
+                Some(row) => row.revision >= item.revision,
+                // The replica has contained the row; a later page has shown that the
+                // key was deleted since.
+                None => item.revision <= self.complete_to,
+            };
+            if is_outdated {
                 continue;
             }
             // A row of a later page may be newer than `revision`, to which others get
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -700,3 +700,128 @@
         receiver.complete_to()
     );
 }
+
+/// Two listings run at once, and the page with the target's row is read by one before and
+/// by the other after the target has left. Guards against a target that is in use again
+/// since the older page comes last.
+#[test]
+fn a_page_that_is_older_than_a_known_deletion_brings_nothing_back() {
+    let mut replica = Replica::default();
+    let both = [change(1, 2, Some(1)), change(7, 3, Some(1))];
+    replica.apply_listing(&both, 6);
+    let applied = replica.apply_listing(&[change(1, 2, Some(1))], 6);
+    assert_eq!(applied, [change(7, 6, None)]);
+    assert_eq!(replica.apply_listing(&both, 6), []);
+    assert_eq!(replica.apply_listing(&both, 8), []);
+    assert_eq!(contents(&replica), [("key-1".into(), 2)]);
+}
+
+/// The first key of the second page of a listing.
+const SECOND_PAGE: u8 = 6;
+
+/// A listing whose first page is read and whose second one is not.
+#[derive(Clone)]
+struct StartedListing {
+    revision: u64,
+    first_page: Vec<KeyChange>,
+}
+
+fn listed_keys(store: &BTreeMap<u8, u64>, keys: std::ops::Range<u8>) -> Vec<KeyChange> {
+    let rows = store.range(keys);
+    rows.map(|(key, revision)| change(*key, *revision, Some(*key)))
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(support::settings(512))]
+
+    /// The second page of a listing is read later than the first, whose revision counts.
+    /// Guards against rows that become older again, against replicas that lack a change
+    /// up to the revision to which they are complete, and against sources that tell of a
+    /// revision to which nobody gets by fetching from them.
+    #[test]
+    fn replicas_are_complete_although_pages_differ_in_age(
+        steps in prop::collection::vec((0_u8..8, 0_u8..12, 0_usize..3, 0_usize..3), 1..100),
+    ) {
+        let mut store: BTreeMap<u8, u64> = BTreeMap::new();
+        let mut changed_at: BTreeMap<u8, u64> = BTreeMap::new();
+        let mut history: Vec<KeyChange> = Vec::new();
+        let mut revision = 1;
+        let mut replicas = vec![Replica::default(); 3];
+        let mut started: Vec<Option<StartedListing>> = vec![None; 3];
+        // The newest revision of each key that each replica has held.
+        let mut newest_held: Vec<BTreeMap<Box<str>, u64>> = vec![BTreeMap::new(); 3];
+        for (kind, key, one, other) in steps {
+            let before = replicas.clone();
+            match kind {
+                0 | 1 => {
+                    revision += 1;
+                    store.insert(key, revision);
+                    changed_at.insert(key, revision);
+                    history.push(change(key, revision, Some(key)));
+                }
+                2 if store.remove(&key).is_some() => {
+                    revision += 1;
+                    changed_at.insert(key, revision);
+                    history.push(change(key, revision, None));
+                }
+                3 if replicas[one].complete_to() > 0 => {
+                    let known = replicas[one].complete_to();
+                    let missed: Vec<KeyChange> = history
+                        .iter()
+                        .filter(|change| change.revision > known)
+                        .cloned()
+                        .collect();
+                    replicas[one].apply_changes(&missed);
+                }
+                4 => {
+                    started[one] = Some(StartedListing {
+                        revision,
+                        first_page: listed_keys(&store, 0..SECOND_PAGE),
+                    });
+                }
+                5 => {
+                    let Some(listing) = started[one].take() else {
+                        continue;
+                    };
+                    let mut listed = listing.first_page;
+                    listed.extend(listed_keys(&store, SECOND_PAGE..u8::MAX));
+                    replicas[one].apply_listing(&listed, listing.revision);
+                }
+                6 | 7 if one != other => {
+                    let source = replicas[other].clone();
+                    let Some(update) = source.update_since(replicas[one].complete_to()) else {
+                        continue;
+                    };
+                    replicas[one].apply_update(&update);
+                    prop_assert!(
+                        source.changed_at() <= replicas[one].complete_to(),
+                        "the source tells of {}, a fetch completes to {}",
+                        source.changed_at(),
+                        replicas[one].complete_to()
+                    );
+                }
+                _ => {}
+            }
+            let numbered = replicas.iter().zip(&before).zip(&mut newest_held);
+            for ((replica, before), newest_held) in numbered {
+                prop_assert!(replica.changed_at() <= replica.complete_to());
+                for (key, row) in replica.rows().rows() {
+                    let newest = newest_held.entry(key.clone()).or_default();
+                    let is_back = before.rows().get(key).is_none() && row.revision <= *newest;
+                    prop_assert!(!is_back, "{key} is back with {}", row.revision);
+                    prop_assert!(row.revision >= *newest, "{key} was {newest}, is {}", row.revision);
+                    *newest = row.revision;
+                }
+                for (key, at) in &changed_at {
+                    if *at > replica.complete_to() {
+                        continue;
+                    }
+                    let name: Box<str> = format!("key-{key}").into();
+                    let held = replica.rows().get(&name).map(|row| row.revision);
+                    prop_assert_eq!(held, store.get(key).copied(), "{}", name);
+                }
+            }
+        }
+    }
+}
