gateway: use the connections behind an expired one

Callers saw nothing but the time of a new connection; targets saw a connection for each such request, up to their limit.

Cause: the pool took an idle connection that was used last and had passed the keep-alive time which its target announced for it as a sign that all the others were older than the limit too. They were closed, or passed over for a request that must not run twice.

Ruled out: a wrong answer. A connection is checked for bytes and for its end before each use, so that only connections were lost, no requests.

Change: an expired connection is dropped and the next one is looked at. The order by idle time still ends the search.

Conclusion: the fault was real and cost connections only.

--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -155,7 +155,12 @@
         let idle_connections = self.idle.get_mut(&address)?;
         let now = Instant::now();
         while let Some(connection) = idle_connections.pop() {
-            if now >= connection.usable_until || now - connection.idle_since > idle_max {
+            // The end of the keep-alive time may differ between connections, so that an expired
+            // connection says nothing about those that were used before.
+            if now >= connection.usable_until {
+                continue;
+            }
+            if now - connection.idle_since > idle_max {
                 // The remaining connections have been idle for even longer. With
                 // a shorter `idle_max`, they are left for other requests.
                 if idle_max >= IDLE_MAX {
