gateway: write 100 Continue behind the answers that are due before it

Callers that send a request with 'Expect: 100-continue' behind another one got the interim response before the answer to the first. By RFC 9110 it is a part of the first response that is due, so that they went on waiting for their own.

Cause: the interim response was written when the head was read, whatever was pending on the connection.

Ruled out: that an answer went to the wrong request; final answers are written in the order of their requests.

Change: the interim response is written once no answer is due before it, and only if the body is still incomplete then. If an answer before it closes the connection, none is written, and no body is sent for nothing.

--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -154,6 +154,8 @@
     body: BodyCollector,
     arrived_at: Instant,
     memory: BodyReservation,
+    /// Whether the caller waits for an interim response before it sends the body.
+    awaits_continue: bool,
 }
 
 /// The state of reading requests from a connection.
@@ -319,15 +321,13 @@
             read_state.incomplete_head_since = None;
             let body_max = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
             let body = BodyCollector::new(head.framing, body_max).map_err(refusal_kind)?;
-            if expects_continue(&head) && read_state.buffer.is_empty() {
-                // If the write fails, the connection fails on its next use.
-                let _ = write_half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-            }
+            let awaits_continue = expects_continue(&head) && read_state.buffer.is_empty();
             read_state.current = Some(IncompleteRequest {
                 head,
                 body,
                 arrived_at: Instant::now(),
                 memory: state.request_memory.reserve(),
+                awaits_continue,
             });
         }
         let Some(mut current) = read_state.current.take() else {
@@ -339,6 +339,13 @@
             return Err(RefusalKind::MemoryFull);
         }
         if !is_complete {
+            // The caller takes an interim response for a part of the first response
+            // that is still due.
+            if current.awaits_continue && pending.is_empty() {
+                current.awaits_continue = false;
+                // If the write fails, the connection fails on its next use.
+                let _ = write_half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            }
             read_state.current = Some(current);
             return Ok(());
         }
