gateway: end the wait for a body at the time limit of its request

A caller that sent a byte of its body every few seconds held its connection and the memory of the body for as long as it liked, and got no answer at the time limit of its request.

Cause: the limit for a body (5 s) was one for the time between two reads and began anew with each piece.

Ruled out: that such a request ran. It is passed on only when it is whole, with what is left of its time.

Change: a body must be complete by the request's own time limit, counted from its head; 10 s if no route matches. The limit between two pieces stays. The refusal is slow-sender (408, not run), as before.

--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -60,6 +60,10 @@
 /// The maximum time between two reads of a request body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The maximum time for reading the body of a request that matches no route. That of
+/// others is their time limit.
+const UNROUTED_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How long to wait for the caller to close the connection after the last response.
 /// Closing a socket with unread bytes would reset the connection, and the caller
 /// could lose the response.
@@ -154,6 +158,9 @@
     body: BodyCollector,
     arrived_at: Instant,
     memory: BodyReservation,
+    /// When the body must be complete: an answer after the request's time limit would
+    /// be of no use.
+    body_deadline: Instant,
     /// Whether the caller waits for an interim response before it sends the body.
     awaits_continue: bool,
 }
@@ -270,8 +277,12 @@
     if read_state.parsing_ended {
         return None;
     }
-    if read_state.current.is_some() {
-        return Some(Instant::now() + BODY_PART_TIMEOUT);
+    if let Some(current) = &read_state.current {
+        return Some(
+            current
+                .body_deadline
+                .min(Instant::now() + BODY_PART_TIMEOUT),
+        );
     }
     let limits = state.limits();
     if let Some(since) = read_state.incomplete_head_since {
@@ -322,10 +333,13 @@
             let body_max = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
             let body = BodyCollector::new(head.framing, body_max).map_err(refusal_kind)?;
             let awaits_continue = expects_continue(&head) && read_state.buffer.is_empty();
+            let body_timeout = serve::time_limit(state, &head);
+            let arrived_at = Instant::now();
             read_state.current = Some(IncompleteRequest {
                 head,
                 body,
-                arrived_at: Instant::now(),
+                arrived_at,
+                body_deadline: arrived_at + body_timeout.map_or(UNROUTED_BODY_TIMEOUT, duration),
                 memory: state.request_memory.reserve(),
                 awaits_continue,
             });
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -49,6 +49,20 @@
     (host_name(&head.headers, None), path)
 }
 
+/// Returns how long after the arrival of a request its answer is of use: the time that the
+/// caller states or the route's timeout, whichever is shorter; `None` if no route matches.
+pub(super) fn time_limit(state: &TrafficState, head: &RequestHead) -> Option<DurationMs> {
+    let view = state.view();
+    let catalog = view.catalog.as_ref()?;
+    let (host, path) = host_and_path(head);
+    let route = &catalog.routes[match_catalog_route(catalog, &host, path)?];
+    match parse_remaining(&head.headers) {
+        Ok(Some(remaining_ms)) => Some(remaining_ms.min(route.timeout_ms)),
+        // A request with an invalid value is refused once it has been read.
+        Ok(None) | Err(_) => Some(route.timeout_ms),
+    }
+}
+
 async fn serve(
     state: &TrafficState,
     incoming: &IncomingRequest,
