gateway: send no body with the refusal of an unreadable HEAD request

Callers of HEAD got a body with a refusal that was made before the request had been read: a head or body over its limit, two lengths, a body that came too slowly. A caller of HEAD takes those bytes for something that belongs to no request.

Cause: only requests that had been read whole were known as HEAD requests.

Ruled out: the missing Content-Length in other responses to HEAD is no fault. RFC 9110, section 8.6, leaves it to the server, and such a response ends with its head. nothing_follows_the_head_of_a_response_to_head guards it; it was red with the mark of a HEAD response taken out (a body behind the 404).

Change: the reader notes from the first bytes whether it reads a HEAD request.

Figures: a_refusal_of_an_unreadable_head_request_has_no_body got the JSON text behind the 413 before, and nothing now with 413, 400, 431 and 408.

Conclusion: the fault seen (no Content-Length) is none; one beside it was.

--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -172,6 +172,9 @@
     buffer: BytesMut,
     /// The request whose body is being read.
     current: Option<IncompleteRequest>,
+    /// Whether the request that is being read is a HEAD request, to which no body is
+    /// sent, not even with a refusal.
+    reads_head_request: bool,
     /// A complete request that can't start before the earlier ones are answered.
     deferred: Option<IncomingRequest>,
     /// When an incomplete head was first seen in the buffer.
@@ -196,6 +199,7 @@
         caller,
         buffer: BytesMut::new(),
         current: None,
+        reads_head_request: false,
         deferred: None,
         incomplete_head_since: None,
         idle_since: Instant::now(),
@@ -214,7 +218,7 @@
         {
             read_state.parsing_ended = true;
             read_state.deferred = None;
-            pending.push_back(ready_refusal(state, kind));
+            pending.push_back(ready_refusal(state, kind, read_state.reads_head_request));
         }
         let timeout = read_deadline(state, &read_state, pending.is_empty());
         let can_read = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
@@ -258,7 +262,8 @@
                 read_state.current = None;
                 read_state.incomplete_head_since = None;
                 read_state.buffer.clear();
-                pending.push_back(ready_refusal(state, RefusalKind::SlowSender));
+                let kind = RefusalKind::SlowSender;
+                pending.push_back(ready_refusal(state, kind, read_state.reads_head_request));
             }
         }
     }
@@ -320,6 +325,8 @@
                 read_state.incomplete_head_since = None;
                 return Ok(());
             }
+            read_state.reads_head_request =
+                read_state.buffer.trim_ascii_start().starts_with(b"HEAD ");
             let head_max = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
             let Some(head) =
                 take_request_head(&mut read_state.buffer, head_max).map_err(refusal_kind)?
@@ -410,10 +417,15 @@
     receiver
 }
 
-fn ready_refusal(state: &Rc<TrafficState>, kind: RefusalKind) -> oneshot::Receiver<Response> {
+fn ready_refusal(
+    state: &Rc<TrafficState>,
+    kind: RefusalKind,
+    is_head_response: bool,
+) -> oneshot::Receiver<Response> {
     let (response_sender, receiver) = oneshot::channel();
     let mut refusal = super::responses::refusal(state, kind, kind.outcome(), None, None);
     refusal.closes_connection = true;
+    refusal.is_head_response = is_head_response;
     log::warn!("event=refused id=- kind={kind} reason=unreadable");
     // The receiver still exists, so this can't fail.
     let _ = response_sender.send(refusal);
