gateway: refuse a remaining time that is no number

A caller that sent 'nan' as the time it has left got 504, which promises nothing, for a request with no time at all; 'inf' counted as any number.

Cause: these words parse as floating-point numbers. NaN is not below 1 ms and becomes 0 ms when it is converted; infinity becomes the largest number.

Ruled out: negative, zero and absurdly long numbers. The first two are refused as deadline-passed (408), the last counts as unlimited, so that the route's timeout holds; the target gets at most that.

Change: a value without a digit is a bad request (400).

Conclusion: the fault was real for words; numbers were handled.

--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -116,16 +116,18 @@
 
 /// Parses the header with the time left until the request's deadline; `None` if
 /// it is absent. Fails with `DeadlinePassed` if less than 1 ms is left, and with
-/// `BadRequest` if the value is not a number.
+/// `BadRequest` if the value is not a number. A number that is too large for its type
+/// counts as unlimited.
 fn parse_remaining(headers: &HeaderMap) -> Result<Option<DurationMs>, RefusalKind> {
     let Some(value) = headers.get(request_headers::DEADLINE_REMAINING_MS) else {
         return Ok(None);
     };
-    let remaining_ms: f64 = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok())
-        .ok_or(RefusalKind::BadRequest)?;
+    let text = value.to_str().map_err(|_| RefusalKind::BadRequest)?.trim();
+    // Words such as `nan` and `inf` parse too.
+    if !text.bytes().any(|byte| byte.is_ascii_digit()) {
+        return Err(RefusalKind::BadRequest);
+    }
+    let remaining_ms: f64 = text.parse().map_err(|_| RefusalKind::BadRequest)?;
     if remaining_ms < 1.0 {
         return Err(RefusalKind::DeadlinePassed);
     }
