gateway: refuse requests whose time has passed before they start

Callers that send several requests on a connection got 504 for one whose time had passed while it waited for the answers before it. 504 leaves open whether it has run, so that it could not be sent again.

Cause: the time that is left was worked out after the wait, but a request with none of it was dispatched like any other.

Ruled out: a time of zero that the caller states itself; it was refused already.

Change: such a request is refused as deadline-passed (408, not run), and no target is asked.

Conclusion: the fault was real; it was found while the remaining time was read.

--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -100,6 +100,9 @@
     };
     let elapsed_ms = DurationMs(incoming.arrived_at.elapsed().as_millis() as u64);
     let remaining_ms = request_timeout_ms.saturating_sub(elapsed_ms);
+    if remaining_ms.0 == 0 {
+        return refuse(RefusalKind::DeadlinePassed, catalog.version);
+    }
     if state.refuses_new(remaining_ms) {
         return refuse(RefusalKind::Stopping, catalog.version);
     }
