gateway, explain: keep the bytes of others inside their log fields

A caller could put spaces and names of fields into the id of its request, and a quote into its path; the log line then said something else of the request, and 'agateholdctl explain' gave a verdict by the forged fields, which come first. An entry of the store that could not be read did the same through the text of its error, which quotes the entry.

Cause: ids and paths were written as they came, errors between quotes without escapes, and explain ended a quoted value at the first quote.

Ruled out: new lines. A head with a line break in a value is malformed; httparse takes none. 'detail' holds fixed texts only. Names of targets, services and hosts are checked when they are read.

Change: FieldText writes ids, paths, names of routes and texts of errors as they are if they consist of visible ASCII characters without quotes and backslashes, else in quotes and escaped. explain reads the escapes.

Conclusion: the fault was real for ids, paths and errors, not for 'detail'.

--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -21,6 +21,7 @@
 use crate::gateway::messages::encode_heartbeat;
 use crate::gateway::store::StoreClient;
 use crate::gateway::store_tasks::StoreEvent;
+use crate::telemetry::FieldText;
 
 use super::tables::ControlTables;
 
@@ -109,7 +110,11 @@
     match client.call(call, timeout).await {
         Ok(body) => decode_contents(&body),
         Err(error) => {
-            log::warn!("event=fetch_failed from={address} fault=\"{error}\"");
+            let fault = error.to_string();
+            log::warn!(
+                "event=fetch_failed from={address} fault={}",
+                FieldText(&fault)
+            );
             None
         }
     }
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -34,6 +34,7 @@
 use crate::gateway::store_tasks::KeyGroup;
 use crate::gateway::store_tasks::StoreEvent;
 use crate::gateway::store_tasks::WatchTurn;
+use crate::telemetry::FieldText;
 
 /// The tables of the control thread.
 pub(super) struct ControlTables {
@@ -256,7 +257,10 @@
         return false;
     }
     tables.store_unavailable_since = Some(now);
-    log::warn!("event=store_lost call={call} fault=\"{error}\"");
+    log::warn!(
+        "event=store_lost call={call} fault={}",
+        FieldText(&error.to_string())
+    );
     true
 }
 
@@ -294,8 +298,9 @@
             metrics::counter!("agatehold_entries_skipped_total", "subject" => "configuration")
                 .increment(1);
             log::warn!(
-                "event=configuration_skipped revision={} error=\"{error}\"",
-                item.revision
+                "event=configuration_skipped revision={} error={}",
+                item.revision,
+                FieldText(&error.to_string())
             );
             return false;
         }
@@ -347,8 +352,9 @@
             metrics::counter!("agatehold_entries_skipped_total", "subject" => "targets")
                 .increment(1);
             log::warn!(
-                "event=target_skipped target={name} revision={} error=\"{error}\"",
-                item.revision
+                "event=target_skipped target={name} revision={} error={}",
+                item.revision,
+                FieldText(&error.to_string())
             );
             false
         }
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -8,6 +8,7 @@
 use agatehold_core::units::DurationMs;
 use agatehold_platform::target_headers;
 
+use crate::telemetry::FieldText;
 use crate::traffic::strip_hop_by_hop;
 
 use crate::gateway::endpoint::Response;
@@ -44,8 +45,8 @@
                 .record(self.incoming.arrived_at.elapsed().as_secs_f64());
                 log::info!(
                     "event=answered id={id} path={} route={} service={} target={target} connection={} sent={} status={} over_budget={} ms={} config={}",
-                    self.incoming.head.target,
-                    self.route.name,
+                    FieldText(&self.incoming.head.target),
+                    FieldText(&self.route.name),
                     self.service,
                     self.connection_text(),
                     self.tried.len(),
@@ -59,7 +60,7 @@
             DispatchEnd::CallerGone => {
                 log::info!(
                     "event=caller_gone id={id} route={} service={} target={target} ms={}",
-                    self.route.name,
+                    FieldText(&self.route.name),
                     self.service,
                     self.elapsed_ms()
                 );
@@ -76,8 +77,8 @@
                 .increment(1);
                 log::warn!(
                     "event=refused id={id} path={} kind={kind} outcome={outcome} route={} service={} target={target} connection={} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
-                    self.incoming.head.target,
-                    self.route.name,
+                    FieldText(&self.incoming.head.target),
+                    FieldText(&self.route.name),
                     self.service,
                     self.connection_text(),
                     self.attempts.sent,
--- a/crates/agatehold/src/gateway/dispatch/record_statements.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_statements.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::evidence;
 use crate::gateway::target::AttemptEnd;
+use crate::telemetry::FieldText;
 
 use super::Dispatch;
 
@@ -45,9 +46,10 @@
             Some(Ok(pause_ms)) => *pause_ms,
             Some(Err(error)) => {
                 log::warn!(
-                    "event=pause_ignored target={} service={} error=\"{error}\"",
+                    "event=pause_ignored target={} service={} error={}",
                     identity.name,
-                    self.service
+                    self.service,
+                    FieldText(&error.to_string())
                 );
                 return;
             }
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 use crate::daemon::level_filter;
 use crate::daemon::start_metrics_upkeep;
 use crate::telemetry;
+use crate::telemetry::FieldText;
 
 use control::ControlThread;
 use shared::GatewayShared;
@@ -128,7 +129,8 @@
         }
         Err(errors) => {
             for error in errors {
-                log::warn!("event=reload outcome=invalid error=\"{error}\"");
+                let error = error.to_string();
+                log::warn!("event=reload outcome=invalid error={}", FieldText(&error));
             }
         }
     }
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 use agatehold_core::units::DurationMs;
 use agatehold_platform::request_headers;
 
+use crate::telemetry::FieldText;
 use crate::traffic::host_name;
 
 use super::dispatch;
@@ -153,13 +154,13 @@
     log::warn!(
         "event=refused id={} path={} kind={kind} outcome=not-run config={version} view={} store_away={store_unavailable_ms}",
         request_id_text(incoming.head.headers.get(request_headers::REQUEST_ID)),
-        incoming.head.target,
+        FieldText(&incoming.head.target),
         view.number
     );
 }
 
-/// Returns a request id as text for the log; `-` if there is none or it is not
+/// Returns a request id as the value of a log field; `-` if there is none or it is not
 /// text.
-pub(super) fn request_id_text(id: Option<&HeaderValue>) -> &str {
-    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+pub(super) fn request_id_text(id: Option<&HeaderValue>) -> FieldText<'_> {
+    FieldText(id.and_then(|id| id.to_str().ok()).unwrap_or("-"))
 }
--- a/crates/agatehold/src/telemetry/mod.rs
+++ b/crates/agatehold/src/telemetry/mod.rs
@@ -1,5 +1,6 @@
 //! Logs and metrics of the process.
 
+mod field_text;
 mod line_writer;
 
 use std::hash::BuildHasher;
@@ -17,6 +18,8 @@
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TenantName;
 
+pub(crate) use field_text::FieldText;
+
 /// The number of metric series that all tenants are hashed into. With 63,000
 /// tenants, one histogram per tenant would take most of the daemon's memory.
 const TENANT_SERIES: u64 = 64;
--- a/crates/agateholdctl/src/commands/explain.rs
+++ b/crates/agateholdctl/src/commands/explain.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::path::PathBuf;
+use std::str::Chars;
 
 use serde_json::json;
 use time::Duration;
@@ -132,10 +133,13 @@
     let mut fields = Vec::new();
     while let Some((key, value)) = rest.split_once('=') {
         let (value, next) = match value.strip_prefix('"') {
-            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
-            None => value.split_once(' ').unwrap_or((value, "")),
+            Some(quoted) => unquote(quoted),
+            None => {
+                let (value, next) = value.split_once(' ').unwrap_or((value, ""));
+                (value.into(), next)
+            }
         };
-        fields.push((key.trim().into(), value.into()));
+        fields.push((key.trim().into(), value));
         rest = next;
     }
     Some(LogLine {
@@ -146,6 +150,37 @@
     })
 }
 
+/// Reads a quoted value with its escapes, from behind the first quote; returns it and what
+/// follows the last quote.
+fn unquote(quoted: &str) -> (Box<str>, &str) {
+    let mut value = String::new();
+    let mut rest = quoted.chars();
+    while let Some(char) = rest.next() {
+        match char {
+            '"' => return (value.into(), rest.as_str()),
+            '\\' => match rest.next() {
+                Some('t') => value.push('\t'),
+                Some('r') => value.push('\r'),
+                Some('n') => value.push('\n'),
+                Some('u') => value.extend(unescape_code(&mut rest)),
+                Some(escaped) => value.push(escaped),
+                None => {}
+            },
+            _ => value.push(char),
+        }
+    }
+    (value.into(), "")
+}
+
+/// Reads the rest of an escape such as `\u{1b}`; `None` if it names no character.
+fn unescape_code(rest: &mut Chars<'_>) -> Option<char> {
+    let (digits, next) = rest.as_str().strip_prefix('{')?.split_once('}')?;
+    *rest = next.chars();
+    u32::from_str_radix(digits, 16)
+        .ok()
+        .and_then(char::from_u32)
+}
+
 /// Returns whether a line belongs to the request, or shows a state of the
 /// request's daemon that may have influenced its decisions.
 fn is_relevant(line: &LogLine, request_lines: &[&LogLine], last: &LogLine) -> bool {
--- a/crates/agateholdctl/tests/explain.rs
+++ b/crates/agateholdctl/tests/explain.rs
@@ -38,13 +38,23 @@
 2026-12-05T04:07:28.000000000Z [WARN] event=refused id=77ac95740492cd83 path=/x kind=targets-paused outcome=not-run route=r service=mije82c target=- sent=0 over_budget=false detail=\"\" backlog=32000ms ms=1 config=00000004
 ";
 
+/// Requests whose callers put quotes and names of fields into their ids and paths, as a
+/// daemon logs them.
+const FORGED: &str = "\
+2026-08-10T04:07:28.100000000Z [WARN] event=refused id=\"a1 kind=isolated outcome=not-run\" path=\"/x\\\"7\" kind=target-failed outcome=unknown route=r service=s target=i-1 sent=1 over_budget=false detail=\"connection lost before the answer\" backlog=0ms ms=1 config=00000004
+2026-08-10T04:07:28.200000000Z [WARN] event=refused id=\"a2\\\" detail=\\\"forged\\\\\" path=/x?kind=isolated kind=target-failed outcome=unknown route=r service=s target=i-1 sent=1 over_budget=false detail=\"connection lost before the answer\" backlog=0ms ms=1 config=00000004
+2026-08-10T04:07:28.300000000Z [WARN] event=refused id=\"\\\"a4\\tid=a5\" path=/x kind=target-failed outcome=unknown route=r service=s target=i-1 sent=1 over_budget=false detail=\"connection lost before the answer\" backlog=0ms ms=1 config=00000004
+";
+
 /// The log of a daemon that did not handle the requests.
 const OTHER_DAEMON: &str = "\
 2026-08-10T04:07:28.000000000Z [WARN] event=store_lost call=members fault=\"status Busy\"
 ";
 
 fn explain(id: &str, logs: &[(&str, &str)]) -> (Option<i32>, String) {
-    let dir = std::env::temp_dir().join(format!("agateholdctl-{}-{id}", std::process::id()));
+    // Ids may hold any bytes.
+    let name: String = id.bytes().map(|byte| format!("{byte:02x}")).collect();
+    let dir = std::env::temp_dir().join(format!("agateholdctl-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a directory");
     let mut files: Vec<PathBuf> = Vec::new();
     for (name, text) in logs {
@@ -152,3 +162,26 @@
     );
     assert!(!text.contains("i-3"), "{text}");
 }
+
+/// Guards against a verdict by fields that a caller has put into its id or path.
+#[test]
+fn quoted_ids_and_paths_add_no_fields() {
+    for id in [
+        "a1 kind=isolated outcome=not-run",
+        "a2\" detail=\"forged\\",
+        "\"a4\tid=a5",
+    ] {
+        let (code, text) = explain(id, &[("a1.log", FORGED)]);
+        assert_eq!(code, Some(0), "{text}");
+        assert!(text.contains("verdict: refused as target-failed"), "{text}");
+        assert!(text.contains("the request may have run"), "{text}");
+        assert!(
+            text.contains("ended with: connection lost before the answer"),
+            "{text}"
+        );
+    }
+    for id in ["a1", "a2", "a4", "a5"] {
+        let (code, text) = explain(id, &[("a1.log", FORGED)]);
+        assert_eq!(code, Some(1), "{text}");
+    }
+}
