gateway: name an unsigned status below 500 as what it is in the log

Operators read 'detail="server error"' for a target that had answered 404 or 302 without its signature.

Cause: one text for two cases of a failed attempt.

Ruled out: the outcome. An answer without the signature counts as a failure of the target, whatever its status; what callers get stays as it was.

Change: 'status without the target's signature header' for any status below 500.

Figures: an_unsigned_status_below_500_is_not_logged_as_a_server_error read 'server error' for 404 before.

Conclusion: the fault was one of the log only.

--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -390,8 +390,13 @@
         )
     } else if is_encoded {
         (AttemptOutcome::Mismatched, "unexpected content-encoding")
-    } else if head.status.is_server_error() || !is_signed {
+    } else if head.status.is_server_error() {
         (AttemptOutcome::Failed, "server error")
+    } else if !is_signed {
+        (
+            AttemptOutcome::Failed,
+            "status without the target's signature header",
+        )
     } else {
         (AttemptOutcome::Answered, "")
     };
