platform: log a write-back as written only if its head was stored

Operators who had restored the platform read 'written=true' from several daemons, of which one had written the head; the others had lost the compare-and-swap.

Cause: any answer to the last write counted as success, also a conflict.

Ruled out: a wrong head in the platform. The write was conditional, and each daemon reads the head again after it.

Change: only an answer that says that the value was stored counts.

Conclusion: the fault was one of the log only.

--- a/crates/agatehold/src/platform/notes.rs
+++ b/crates/agatehold/src/platform/notes.rs
@@ -190,8 +190,11 @@
             lease: None,
         },
     };
-    client.call(&request)?;
-    Some(())
+    match client.call(&request)? {
+        PlatformAnswer::Stored { .. } => Some(()),
+        // Another daemon or an operator has changed the head since it was read.
+        _ => None,
+    }
 }
 
 fn write_note(client: &PlatformClient, note: &StoredNote) -> Option<()> {
--- a/crates/agatehold/tests/recovery.rs
+++ b/crates/agatehold/tests/recovery.rs
@@ -16,6 +16,7 @@
 use agatehold_testing::common::call_platform;
 use agatehold_testing::common::get_control;
 use agatehold_testing::common::post_control;
+use agatehold_testing::fleet::DaemonProcess;
 use agatehold_testing::fleet::Fleet;
 use agatehold_testing::fleet::FleetOptions;
 use agatehold_testing::fleet::Signal;
@@ -190,6 +191,38 @@
     fleet.close().unwrap();
 }
 
+/// Several daemons write the notes back to a restored platform at the same time, and the
+/// write of the head succeeds for one. Guards against logs of the others that say it
+/// succeeded for them too.
+#[test]
+fn only_the_daemon_that_wrote_the_head_back_logs_it_as_written() {
+    const DONE: &str = "write-back of the current notes to the platform";
+    let mut fleet = start(3);
+    let control = fleet.platform.control;
+    post_control(control, &json!({ "save": "backup" })).unwrap();
+    for limit in 50..56 {
+        let number = fleet
+            .notes
+            .release(&format!("{QUEUE_LIMIT_CHANGE}{limit}\n"))
+            .unwrap();
+        fleet.wait_for_note(number).unwrap();
+    }
+    // The notes are written one after the other, so that a write-back takes longer than
+    // the time between the daemons' readings of the head.
+    post_control(control, &json!({ "restore": "backup", "delay_ms": 300 })).unwrap();
+    let logs = || -> String { fleet.daemons.iter().map(DaemonProcess::log).collect() };
+    wait_until("two write-backs, one of them done", || {
+        let logs = logs();
+        logs.matches(DONE).count() >= 2 && logs.contains("written=true")
+    })
+    .unwrap();
+    let logs = logs();
+    let lines: Vec<&str> = logs.lines().filter(|line| line.contains(DONE)).collect();
+    let written = lines.iter().filter(|line| line.ends_with("written=true"));
+    assert_eq!(written.count(), 1, "{lines:?}");
+    fleet.close().unwrap();
+}
+
 /// A daemon that was suspended while a note was released must apply it after it
 /// resumes, because it may serve by its old note only for the isolation time.
 #[test]
