--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -60,6 +60,10 @@
 /// The maximum time between two reads of a request body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The maximum time for reading the body of a request that matches no route. That of
+/// others is their time limit.
+const UNROUTED_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How long to wait for the caller to close the connection after the last response.
 /// Closing a socket with unread bytes would reset the connection, and the caller
 /// could lose the response.
@@ -154,6 +158,11 @@
     body: BodyCollector,
     arrived_at: Instant,
     memory: BodyReservation,
+    /// When the body must be complete: an answer after the request's time limit would
+    /// be of no use.
+    body_deadline: Instant,
+    /// Whether the caller waits for an interim response before it sends the body.
+    awaits_continue: bool,
 }
 
 /// The state of reading requests from a connection.
@@ -163,6 +172,9 @@
     buffer: BytesMut,
     /// The request whose body is being read.
     current: Option<IncompleteRequest>,
+    /// Whether the request that is being read is a HEAD request, to which no body is
+    /// sent, not even with a refusal.
+    reads_head_request: bool,
     /// A complete request that can't start before the earlier ones are answered.
     deferred: Option<IncomingRequest>,
     /// When an incomplete head was first seen in the buffer.
@@ -187,6 +199,7 @@
         caller,
         buffer: BytesMut::new(),
         current: None,
+        reads_head_request: false,
         deferred: None,
         incomplete_head_since: None,
         idle_since: Instant::now(),
@@ -205,7 +218,7 @@
         {
             read_state.parsing_ended = true;
             read_state.deferred = None;
-            pending.push_back(ready_refusal(state, kind));
+            pending.push_back(ready_refusal(state, kind, read_state.reads_head_request));
         }
         let timeout = read_deadline(state, &read_state, pending.is_empty());
         let can_read = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
@@ -249,7 +262,8 @@
                 read_state.current = None;
                 read_state.incomplete_head_since = None;
                 read_state.buffer.clear();
-                pending.push_back(ready_refusal(state, RefusalKind::SlowSender));
+                let kind = RefusalKind::SlowSender;
+                pending.push_back(ready_refusal(state, kind, read_state.reads_head_request));
             }
         }
     }
@@ -268,8 +282,12 @@
     if read_state.parsing_ended {
         return None;
     }
-    if read_state.current.is_some() {
-        return Some(Instant::now() + BODY_PART_TIMEOUT);
+    if let Some(current) = &read_state.current {
+        return Some(
+            current
+                .body_deadline
+                .min(Instant::now() + BODY_PART_TIMEOUT),
+        );
     }
     let limits = state.limits();
     if let Some(since) = read_state.incomplete_head_since {
@@ -307,6 +325,8 @@
                 read_state.incomplete_head_since = None;
                 return Ok(());
             }
+            read_state.reads_head_request =
+                read_state.buffer.trim_ascii_start().starts_with(b"HEAD ");
             let head_max = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
             let Some(head) =
                 take_request_head(&mut read_state.buffer, head_max).map_err(refusal_kind)?
@@ -319,15 +339,16 @@
             read_state.incomplete_head_since = None;
             let body_max = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
             let body = BodyCollector::new(head.framing, body_max).map_err(refusal_kind)?;
-            if expects_continue(&head) && read_state.buffer.is_empty() {
-                // If the write fails, the connection fails on its next use.
-                let _ = write_half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-            }
+            let awaits_continue = expects_continue(&head) && read_state.buffer.is_empty();
+            let body_timeout = serve::time_limit(state, &head);
+            let arrived_at = Instant::now();
             read_state.current = Some(IncompleteRequest {
                 head,
                 body,
-                arrived_at: Instant::now(),
+                arrived_at,
+                body_deadline: arrived_at + body_timeout.map_or(UNROUTED_BODY_TIMEOUT, duration),
                 memory: state.request_memory.reserve(),
+                awaits_continue,
             });
         }
         let Some(mut current) = read_state.current.take() else {
@@ -339,6 +360,13 @@
             return Err(RefusalKind::MemoryFull);
         }
         if !is_complete {
+            // The caller takes an interim response for a part of the first response
+            // that is still due.
+            if current.awaits_continue && pending.is_empty() {
+                current.awaits_continue = false;
+                // If the write fails, the connection fails on its next use.
+                let _ = write_half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            }
             read_state.current = Some(current);
             return Ok(());
         }
@@ -389,10 +417,15 @@
     receiver
 }
 
-fn ready_refusal(state: &Rc<TrafficState>, kind: RefusalKind) -> oneshot::Receiver<Response> {
+fn ready_refusal(
+    state: &Rc<TrafficState>,
+    kind: RefusalKind,
+    is_head_response: bool,
+) -> oneshot::Receiver<Response> {
     let (response_sender, receiver) = oneshot::channel();
     let mut refusal = super::responses::refusal(state, kind, kind.outcome(), None, None);
     refusal.closes_connection = true;
+    refusal.is_head_response = is_head_response;
     log::warn!("event=refused id=- kind={kind} reason=unreadable");
     // The receiver still exists, so this can't fail.
     let _ = response_sender.send(refusal);
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 use agatehold_core::units::DurationMs;
 use agatehold_platform::request_headers;
 
+use crate::telemetry::FieldText;
 use crate::traffic::host_name;
 
 use super::dispatch;
@@ -49,6 +50,20 @@
     (host_name(&head.headers, None), path)
 }
 
+/// Returns how long after the arrival of a request its answer is of use: the time that the
+/// caller states or the route's timeout, whichever is shorter; `None` if no route matches.
+pub(super) fn time_limit(state: &TrafficState, head: &RequestHead) -> Option<DurationMs> {
+    let view = state.view();
+    let catalog = view.catalog.as_ref()?;
+    let (host, path) = host_and_path(head);
+    let route = &catalog.routes[match_catalog_route(catalog, &host, path)?];
+    match parse_remaining(&head.headers) {
+        Ok(Some(remaining_ms)) => Some(remaining_ms.min(route.timeout_ms)),
+        // A request with an invalid value is refused once it has been read.
+        Ok(None) | Err(_) => Some(route.timeout_ms),
+    }
+}
+
 async fn serve(
     state: &TrafficState,
     incoming: &IncomingRequest,
@@ -86,6 +101,9 @@
     };
     let elapsed_ms = DurationMs(incoming.arrived_at.elapsed().as_millis() as u64);
     let remaining_ms = request_timeout_ms.saturating_sub(elapsed_ms);
+    if remaining_ms.0 == 0 {
+        return refuse(RefusalKind::DeadlinePassed, catalog.version);
+    }
     if state.refuses_new(remaining_ms) {
         return refuse(RefusalKind::Stopping, catalog.version);
     }
@@ -102,16 +120,18 @@
 
 /// Parses the header with the time left until the request's deadline; `None` if
 /// it is absent. Fails with `DeadlinePassed` if less than 1 ms is left, and with
-/// `BadRequest` if the value is not a number.
+/// `BadRequest` if the value is not a number. A number that is too large for its type
+/// counts as unlimited.
 fn parse_remaining(headers: &HeaderMap) -> Result<Option<DurationMs>, RefusalKind> {
     let Some(value) = headers.get(request_headers::DEADLINE_REMAINING_MS) else {
         return Ok(None);
     };
-    let remaining_ms: f64 = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok())
-        .ok_or(RefusalKind::BadRequest)?;
+    let text = value.to_str().map_err(|_| RefusalKind::BadRequest)?.trim();
+    // Words such as `nan` and `inf` parse too.
+    if !text.bytes().any(|byte| byte.is_ascii_digit()) {
+        return Err(RefusalKind::BadRequest);
+    }
+    let remaining_ms: f64 = text.parse().map_err(|_| RefusalKind::BadRequest)?;
     if remaining_ms < 1.0 {
         return Err(RefusalKind::DeadlinePassed);
     }
@@ -134,13 +154,13 @@
     log::warn!(
         "event=refused id={} path={} kind={kind} outcome=not-run config={version} view={} store_away={store_unavailable_ms}",
         request_id_text(incoming.head.headers.get(request_headers::REQUEST_ID)),
-        incoming.head.target,
+        FieldText(&incoming.head.target),
         view.number
     );
 }
 
-/// Returns a request id as text for the log; `-` if there is none or it is not
+/// Returns a request id as the value of a log field; `-` if there is none or it is not
 /// text.
-pub(super) fn request_id_text(id: Option<&HeaderValue>) -> &str {
-    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+pub(super) fn request_id_text(id: Option<&HeaderValue>) -> FieldText<'_> {
+    FieldText(id.and_then(|id| id.to_str().ok()).unwrap_or("-"))
 }
