gateway: write the registration again with the same lease

Seen by callers: the address of a daemon that serves is missing from all answers to address look-ups, until the daemon is restarted. Named in the review by reading only.

Cause: each attempt to register took a new lease. The store may execute a write that got no answer seconds later, after the second attempt. The key then belonged to the first lease and went away with it, while the daemon renewed the second one and was told that all is well. Beside it, in the same function: a changed record that could not be written was written again at once, without a pause.

Ruled out: ending the old lease before a new registration costs a call more, which can be lost too; a condition on the key's revision does not hold back a first write that is executed before the second attempt's.

Change: a write without an answer is repeated with the same lease, until the store says that the lease has ended; after that the store rejects what it executes late. No call is added, and the creation of a lease at each repetition is saved. The stand-in of the store can hold a write back and execute it late.

Before: a_registration_that_is_executed_late_does_not_end_with_its_lease fails (no member left, 4.2 s after the start of the test), and a_changed_record_is_not_written_again_without_a_pause counts 2026 calls in a second. After: both pass.

Conclusion: a late write of the same process can't take its entry away.

--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -337,8 +337,7 @@
 ) {
     let mut backoff = Backoff::new();
     loop {
-        let value = record.borrow_and_update().clone();
-        let lease = match register(&store, &key, &value).await {
+        let lease = match obtain_lease(&store).await {
             Ok(lease) => lease,
             Err(error) => {
                 let _ = events.send(StoreEvent::CallFailed("lease", error)).await;
@@ -347,22 +346,21 @@
             }
         };
         backoff.reset();
-        log::info!("event=registered lease={} ttl={}", lease.id, lease.ttl_ms);
         keep_lease(&store, lease, &key, &mut record, &renewal_interval, &events).await;
     }
 }
 
-async fn register(store: &StoreClient, key: &str, value: &[u8]) -> Result<Lease, StoreError> {
+async fn obtain_lease(store: &StoreClient) -> Result<Lease, StoreError> {
     let body = store.call(create_lease(LEASE_TTL_MS), CALL_TIMEOUT).await?;
-    let lease = decode_lease(&body)?;
-    store
-        .call(write(key, value, lease.id), CALL_TIMEOUT)
-        .await?;
-    Ok(lease)
+    Ok(decode_lease(&body)?)
 }
 
-/// Renews the lease until the store reports that it has expired. Writes the
-/// record again whenever it changes.
+/// Writes the record and renews the lease until the store reports that it has expired.
+/// Writes the record again whenever it changes.
+///
+/// A write without an answer is repeated with the same lease: the store may execute it
+/// seconds later, and the key then belongs to the lease of the last write. With a lease
+/// that is no longer renewed the key would go away.
 async fn keep_lease(
     store: &StoreClient,
     lease: Lease,
@@ -371,19 +369,28 @@
     renewal_interval: &tokio::sync::watch::Receiver<Duration>,
     events: &Sender<StoreEvent>,
 ) {
+    let mut backoff = Backoff::new();
+    let mut is_registered = false;
+    let mut is_written = false;
     loop {
-        let interval = *renewal_interval.borrow();
-        let changed = tokio::time::timeout(interval, record.changed())
-            .await
-            .is_ok();
-        let call = if changed {
+        if is_written {
+            let interval = *renewal_interval.borrow();
+            let changed = tokio::time::timeout(interval, record.changed()).await;
+            is_written = changed.is_err();
+        }
+        let call = if is_written {
+            renew_lease(lease.id)
+        } else {
             let value = record.borrow_and_update().clone();
             write(key, &value, lease.id)
-        } else {
-            renew_lease(lease.id)
         };
         match store.call(call, CALL_TIMEOUT).await {
             Ok(_) => {
+                is_written = true;
+                backoff.reset();
+                if !std::mem::replace(&mut is_registered, true) {
+                    log::info!("event=registered lease={} ttl={}", lease.id, lease.ttl_ms);
+                }
                 let _ = events.send(StoreEvent::CallSucceeded).await;
             }
             Err(StoreError::Status(StoreStatus::NotFound)) => {
@@ -391,10 +398,10 @@
                 return;
             }
             Err(error) => {
-                if changed {
-                    record.mark_changed();
-                }
                 let _ = events.send(StoreEvent::CallFailed("lease", error)).await;
+                if !is_written {
+                    backoff.pause().await;
+                }
             }
         }
     }
