gateway: write the daemon's entry again when it is lost

Cause: the store may execute a registration of the killed process after that of the next one. The entry then goes away with the lease of the killed process. The next process renews its own lease, which tells it nothing of the entry.

Ruled out: a periodic read of the entry (a call a daemon and period); a key for each start (other daemons know a host by its key, and the keys of killed processes would stay for the length of a lease).

Change: the listing of the registered daemons, which each daemon reads anyway, is compared with the revision of the daemon's last acknowledged write. If the entry is missing or newer, it is written again with the present lease. A listing that is older than the write tells nothing. One call for each lost entry, none otherwise.

Conclusion: an entry that is lost for any reason while the store serves comes back.

--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -33,6 +33,7 @@
 use super::store_tasks::KeyGroup;
 use super::store_tasks::MEMBERS_POLL_INTERVAL;
 use super::store_tasks::MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS;
+use super::store_tasks::OwnEntry;
 use super::store_tasks::RENEWAL_INTERVAL;
 use super::store_tasks::StoreEvent;
 use super::store_tasks::WatchTurn;
@@ -183,15 +184,17 @@
     let (renewal_interval, renewal_interval_receiver) = watch::channel(RENEWAL_INTERVAL);
     let (record, record_receiver) = watch::channel(encode_member(&own.borrow()));
     let key = member_key(&shared.settings.host.id);
+    let own_entry = Rc::new(OwnEntry::new(&key));
     tokio::task::spawn_local(stay_registered(
         Rc::clone(&store_sync.store),
-        key,
+        Rc::clone(&own_entry),
         record_receiver,
         renewal_interval_receiver,
         store_sync.events.clone(),
     ));
     tokio::task::spawn_local(poll_members(
         Rc::clone(&store_sync.store),
+        own_entry,
         poll_pause_receiver,
         store_sync.events.clone(),
     ));
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::Sender;
 
 use agatehold_platform::Item;
@@ -16,6 +17,7 @@
 use agatehold_platform::decode_lease;
 use agatehold_platform::decode_page;
 use agatehold_platform::decode_watch_response;
+use agatehold_platform::decode_write;
 use agatehold_platform::read_page;
 use agatehold_platform::renew_lease;
 use agatehold_platform::watch;
@@ -151,6 +153,54 @@
     RefreshEnded(Option<HostId>),
 }
 
+/// The daemon's own entry in the store, as last written.
+///
+/// The store may execute a write of an earlier process on this host late, and the entry
+/// then goes away with that process's lease. The daemon sees it in the listings of the
+/// registered daemons that it reads anyway.
+pub(crate) struct OwnEntry {
+    /// The key of the entry.
+    key: Box<str>,
+    /// The revision of the last write; `None` until a write is acknowledged, and while
+    /// another one may be executed.
+    revision: Cell<Option<u64>>,
+    /// Notified when the entry is found to be missing or replaced.
+    lost: Notify,
+}
+
+impl OwnEntry {
+    /// Creates the row of an entry that is not written yet.
+    pub(crate) fn new(key: &str) -> Self {
+        Self {
+            key: key.into(),
+            revision: Cell::new(None),
+            lost: Notify::new(),
+        }
+    }
+
+    /// Compares the entry with a listing as of `revision`. One that is older than the
+    /// last write tells nothing.
+    fn check(&self, listed: &[Item], revision: u64) {
+        let Some(written) = self.revision.get() else {
+            return;
+        };
+        if revision < written {
+            return;
+        }
+        let found = listed.iter().find(|item| item.key == self.key);
+        if found.is_some_and(|item| item.revision <= written) {
+            return;
+        }
+        log::warn!(
+            "event=registration_lost written={written} found={} listed={revision}",
+            found.map_or(0, |item| item.revision)
+        );
+        metrics::counter!("agatehold_registrations_lost_total").increment(1);
+        self.revision.set(None);
+        self.lost.notify_one();
+    }
+}
+
 /// Exponential backoff with jitter: the pause doubles after each failure.
 struct Backoff {
     next: Duration,
@@ -309,6 +359,7 @@
 /// another one.
 pub(crate) async fn poll_members(
     store: Rc<StoreClient>,
+    own_entry: Rc<OwnEntry>,
     mut pause: tokio::sync::watch::Receiver<Duration>,
     events: Sender<StoreEvent>,
 ) {
@@ -316,7 +367,10 @@
     tokio::time::sleep(FIRST_POLL_JITTER.mul_f64(jitter)).await;
     loop {
         let event = match list(&store, KeyGroup::Members, true).await {
-            Ok((items, revision)) => StoreEvent::Listed(KeyGroup::Members, items, revision),
+            Ok((items, revision)) => {
+                own_entry.check(&items, revision);
+                StoreEvent::Listed(KeyGroup::Members, items, revision)
+            }
             Err(error) => StoreEvent::CallFailed(KeyGroup::Members.name(), error),
         };
         let _ = events.send(event).await;
@@ -330,7 +384,7 @@
 /// store whenever it changes.
 pub(crate) async fn stay_registered(
     store: Rc<StoreClient>,
-    key: String,
+    own_entry: Rc<OwnEntry>,
     mut record: tokio::sync::watch::Receiver<Vec<u8>>,
     renewal_interval: tokio::sync::watch::Receiver<Duration>,
     events: Sender<StoreEvent>,
@@ -346,7 +400,15 @@
             }
         };
         backoff.reset();
-        keep_lease(&store, lease, &key, &mut record, &renewal_interval, &events).await;
+        keep_lease(
+            &store,
+            lease,
+            &own_entry,
+            &mut record,
+            &renewal_interval,
+            &events,
+        )
+        .await;
     }
 }
 
@@ -356,7 +418,7 @@
 }
 
 /// Writes the record and renews the lease until the store reports that it has expired.
-/// Writes the record again whenever it changes.
+/// Writes the record again whenever it changes, or its entry is lost.
 ///
 /// A write without an answer is repeated with the same lease: the store may execute it
 /// seconds later, and the key then belongs to the lease of the last write. With a lease
@@ -364,7 +426,7 @@
 async fn keep_lease(
     store: &StoreClient,
     lease: Lease,
-    key: &str,
+    own_entry: &OwnEntry,
     record: &mut tokio::sync::watch::Receiver<Vec<u8>>,
     renewal_interval: &tokio::sync::watch::Receiver<Duration>,
     events: &Sender<StoreEvent>,
@@ -375,17 +437,25 @@
     loop {
         if is_written {
             let interval = *renewal_interval.borrow();
-            let changed = tokio::time::timeout(interval, record.changed()).await;
-            is_written = changed.is_err();
+            is_written = tokio::select! {
+                _ = record.changed() => false,
+                () = own_entry.lost.notified() => false,
+                () = tokio::time::sleep(interval) => true,
+            };
         }
         let call = if is_written {
             renew_lease(lease.id)
         } else {
             let value = record.borrow_and_update().clone();
-            write(key, &value, lease.id)
+            own_entry.revision.set(None);
+            write(&own_entry.key, &value, lease.id)
         };
         match store.call(call, CALL_TIMEOUT).await {
-            Ok(_) => {
+            Ok(body) => {
+                if !is_written {
+                    // Without the revision, a lost entry is not noticed.
+                    own_entry.revision.set(decode_write(&body).ok());
+                }
                 is_written = true;
                 backoff.reset();
                 if !std::mem::replace(&mut is_registered, true) {
@@ -395,6 +465,7 @@
             }
             Err(StoreError::Status(StoreStatus::NotFound)) => {
                 log::warn!("event=lease_ended lease={}", lease.id);
+                own_entry.revision.set(None);
                 return;
             }
             Err(error) => {
