queue: end the trial of a slot that is given back unused

Seen by callers: a target that had failed once and works again gets no requests, for as long as others serve; with others full, requests wait or are refused. Named in the review by reading only.

Cause: the queue claims a slot for a waiting request, which makes it the trial of a suspected target. If the caller leaves before the request's task runs, the slot was given back, but nothing ended the trial: no further one is made until it has ended.

Ruled out: a result that is sent and never received. Tasks of requests are never dropped, and the branch for a caller that left reads what was sent. A slot that is left to requests that already wait: it is only ever that of a trusted target, but it counted as a use of the target, which nothing had been sent to.

Change: LiveTargets::release_unused ends the trial unless other requests are in flight, one of which may be it. The queue claims a slot only when a request takes it. A caller that has left goes before a slot that was handed over, so that nothing is sent for it.

Conclusion: every claim now ends with a recorded attempt or with release_unused.

--- a/crates/agatehold-core/src/dispatch/failure_detector.rs
+++ b/crates/agatehold-core/src/dispatch/failure_detector.rs
@@ -205,6 +205,11 @@
         }
     }
 
+    /// Records that the request of a trial was not sent.
+    pub(super) fn cancel_trial(&mut self) {
+        self.on_trial = false;
+    }
+
     /// Returns whether requests may be sent to the target, at a daemon that
     /// waits a further `delay_ms` after a hold.
     pub(super) fn eligibility(
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -292,6 +292,20 @@
         row.in_flight = row.in_flight.saturating_sub(1);
     }
 
+    /// Gives back a slot that was claimed for a request which was not sent. If it was to
+    /// be a trial of a suspected target, another request may be one.
+    pub fn release_unused(&mut self, name: &TargetName) {
+        self.release(name);
+        let Some(row) = self.rows.get_mut(name) else {
+            return;
+        };
+        // With other requests in flight the trial may be one of them, whose end is
+        // recorded.
+        if row.in_flight == 0 {
+            row.failure_detector.cancel_trial();
+        }
+    }
+
     /// Records that a target said in an answer that it is leaving. Returns whether that
     /// is new.
     pub fn record_leaving(&mut self, identity: &TargetIdentity, now: TimeMs) -> bool {
--- a/crates/agatehold-core/tests/dispatch_pick.rs
+++ b/crates/agatehold-core/tests/dispatch_pick.rs
@@ -664,3 +664,42 @@
         Choice::NoTarget
     );
 }
+
+/// A slot of a suspected target is handed to a request whose caller leaves before it is
+/// sent. Guards against a trial that never ends, after which the target is avoided for as
+/// long as others serve.
+#[test]
+fn a_slot_that_is_given_back_unused_ends_its_trial() {
+    let mut targets = targets(2);
+    fail(&mut targets, 0, START);
+    let options = PickOptions {
+        may_try: true,
+        ..PickOptions::default()
+    };
+    let now = START + DurationMs(4_000);
+    use_all(&mut targets, 1..2, now);
+    assert_eq!(pick(&targets, &options, now), Choice::Target(name(0)));
+    targets.claim(&name(0), now);
+    use_all(&mut targets, 1..2, now);
+    assert_eq!(pick(&targets, &options, now), Choice::Target(name(1)));
+    targets.release_unused(&name(0));
+    assert_eq!(targets.rows.get(&name(0)).expect("a target").in_flight, 0);
+    assert_eq!(pick(&targets, &options, now), Choice::Target(name(0)));
+}
+
+/// Guards against a second trial beside the first one.
+#[test]
+fn a_slot_that_is_given_back_unused_leaves_the_trial_of_another_request() {
+    let mut targets = targets(2);
+    fail(&mut targets, 0, START);
+    let options = PickOptions {
+        may_try: true,
+        ..PickOptions::default()
+    };
+    let now = START + DurationMs(4_000);
+    targets.claim(&name(0), now);
+    targets.claim(&name(0), now);
+    targets.release_unused(&name(0));
+    use_all(&mut targets, 1..2, now);
+    assert_eq!(pick(&targets, &options, now), Choice::Target(name(1)));
+}
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -264,16 +264,19 @@
             SlotOutcome::Waiting(waiter, result_receiver) => (waiter, result_receiver),
         };
         let result = tokio::select! {
-            result = &mut result_receiver => result,
+            biased;
+            // First, so that nothing is sent for a caller that has left.
             () = response_sender.closed() => {
                 queue::cancel(self.state, &self.service, waiter);
-                // The queue may have assigned a slot in the meantime; release it.
+                // The queue may have assigned a slot in the meantime.
                 result_receiver.close();
                 if let Ok(Ok(name)) = result_receiver.try_recv() {
-                    self.release(&name);
+                    self.state.targets.borrow_mut().release_unused(&name);
+                    queue::assign_free_slots(self.state, &self.service);
                 }
                 return Err(DispatchEnd::CallerGone);
             }
+            result = &mut result_receiver => result,
         };
         match result {
             Ok(Ok(name)) => Ok(name),
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -135,17 +135,32 @@
     tried: &[TargetName],
     idempotent: bool,
     accepts_full: bool,
+) -> Choice {
+    let choice = pick(state, service, tried, idempotent, accepts_full);
+    if let Choice::Target(name) = &choice {
+        claim_slot(state, name);
+    }
+    choice
+}
+
+/// Picks a target by the newest view.
+fn pick(
+    state: &TrafficState,
+    service: &ServiceName,
+    tried: &[TargetName],
+    idempotent: bool,
+    accepts_full: bool,
 ) -> Choice {
     // The request may have waited since the tables were last synchronized.
     state.view();
     let now = state.shared.clock.now();
     let request = pick_request(state, service, tried, idempotent, accepts_full);
-    let mut targets = state.targets.borrow_mut();
-    let choice = pick_live_target(&targets, &request, now);
-    if let Choice::Target(name) = &choice {
-        targets.claim(name, now);
-    }
-    choice
+    pick_live_target(&state.targets.borrow(), &request, now)
+}
+
+fn claim_slot(state: &TrafficState, name: &TargetName) {
+    let now = state.shared.clock.now();
+    state.targets.borrow_mut().claim(name, now);
 }
 
 /// Builds the input for picking a target, from the service's statistics, its
@@ -185,7 +200,7 @@
         .or_insert_with(ServiceQueue::new);
     let is_queue_empty = row.queue.is_empty();
     if is_queue_empty || slot_request.idempotent {
-        match claim(
+        match pick(
             state,
             slot_request.service,
             &[],
@@ -193,10 +208,11 @@
             false,
         ) {
             Choice::Target(name) if is_queue_empty || is_target_suspected(state, &name) => {
+                claim_slot(state, &name);
                 return SlotOutcome::Target(name);
             }
             // The slot is left to the requests that already wait.
-            Choice::Target(name) => state.targets.borrow_mut().release(&name),
+            Choice::Target(_) => {}
             Choice::NoTarget => {
                 return SlotOutcome::Refused(QueueRefusal {
                     kind: RefusalKind::NoTarget,
@@ -298,7 +314,7 @@
         row.refuse_dropped(dropped, now);
     }
     while !row.queue.is_empty() {
-        let name = match claim(state, service, &[], false, false) {
+        let name = match pick(state, service, &[], false, false) {
             Choice::Target(name) => name,
             Choice::AllBusy => return,
             Choice::AllPaused(until) => {
@@ -314,16 +330,17 @@
             }
         };
         let Some(waiter) = row.queue.assign_free_slot(now) else {
-            state.targets.borrow_mut().release(&name);
             return;
         };
         let Some(result_sender) = row.waiting.remove(&waiter) else {
-            state.targets.borrow_mut().release(&name);
             continue;
         };
-        if let Err(Ok(name)) = result_sender.send(Ok(name)) {
+        if result_sender.is_closed() {
             // The caller has disconnected in the meantime.
-            state.targets.borrow_mut().release(&name);
+            continue;
         }
+        claim_slot(state, &name);
+        // The receiver still exists, so this can't fail.
+        let _ = result_sender.send(Ok(name));
     }
 }
