--- a/crates/agatehold-core/tests/dispatch_floor.rs
+++ b/crates/agatehold-core/tests/dispatch_floor.rs
@@ -59,6 +59,12 @@
 /// The time after which a failure is answered.
 const FAILURE_RUN_MS: u64 = 3;
 
+/// How long a target takes or rejects requests before its state is drawn again.
+const REJECTING_SPAN_MS: u64 = 2_000;
+
+/// The pause that a target asks for when it rejects a request.
+const PAUSE_MS: u64 = 3_000;
+
 /// The parameters of a simulation.
 #[derive(Clone, Copy)]
 struct Scenario {
@@ -69,6 +75,8 @@
     idempotent_share: f64,
     /// The number of daemons without callers.
     idle_daemons: u32,
+    /// The share of targets that reject requests at a time and ask for a pause.
+    rejecting_share: f64,
     seed: u64,
 }
 
@@ -82,6 +90,8 @@
     daemon: usize,
     target: TargetName,
     is_failure: bool,
+    /// Whether the target rejects the request and asks for a pause.
+    is_rejected: bool,
     run_ms: u64,
 }
 
@@ -91,6 +101,10 @@
 struct History {
     arrivals_ms: BTreeMap<TargetName, Vec<u64>>,
     failures_ms: BTreeMap<TargetName, Vec<u64>>,
+    /// The times of the answers that ask for a pause, with the daemon that got them.
+    rejections_ms: BTreeMap<TargetName, Vec<(usize, u64)>>,
+    /// The requests that a daemon sent to a target within a pause that it asked for.
+    sent_in_pause: u32,
     failed: u32,
     requests: u32,
 }
@@ -125,6 +139,23 @@
     rng.random_bool(GRAY_SHARE)
 }
 
+/// Returns whether a target rejects requests at a time.
+fn is_rejecting(number: usize, at_ms: u64, scenario: &Scenario) -> bool {
+    let phase_ms = number as u64 * 613 % REJECTING_SPAN_MS;
+    let span = (at_ms + phase_ms) / REJECTING_SPAN_MS;
+    let seed = scenario.seed ^ (number as u64) << 40 ^ span << 4;
+    Pcg64Mcg::seed_from_u64(seed).random_bool(scenario.rejecting_share)
+}
+
+/// Returns whether a target has asked a daemon for a pause that has not ended.
+fn is_paused(history: &History, target: &TargetName, daemon: usize, at_ms: u64) -> bool {
+    let rejections = history.rejections_ms.get(target);
+    rejections
+        .into_iter()
+        .flatten()
+        .any(|(asked, from_ms)| *asked == daemon && (*from_ms..from_ms + PAUSE_MS).contains(&at_ms))
+}
+
 /// Runs a simulation.
 fn simulate(scenario: &Scenario) -> History {
     let records: Vec<TargetRecord> = (0..scenario.targets).map(record).collect();
@@ -182,6 +213,7 @@
             continue;
         };
         daemon.targets.claim(&target, now);
+        history.sent_in_pause += u32::from(is_paused(&history, &target, rank as usize, at_ms));
         history
             .arrivals_ms
             .entry(target.clone())
@@ -192,8 +224,9 @@
         } else {
             HEALTHY_FAILURE_RATE
         };
-        let is_failure = rng.random_bool(failure_rate);
-        let run_ms = if is_failure {
+        let is_rejected = is_rejecting(numbers[&target], at_ms, scenario);
+        let is_failure = rng.random_bool(failure_rate) && !is_rejected;
+        let run_ms = if is_failure || is_rejected {
             FAILURE_RUN_MS
         } else {
             SUCCESS_RUN_MS
@@ -202,6 +235,7 @@
             daemon: rank as usize,
             target,
             is_failure,
+            is_rejected,
             run_ms,
         };
         running.entry(at_ms + run_ms).or_default().push(ended);
@@ -219,6 +253,10 @@
     rng: &mut Pcg64Mcg,
 ) {
     let now = START + DurationMs(at_ms);
+    if ended.is_rejected {
+        end_rejected(daemons, ended, history, at_ms);
+        return;
+    }
     let outcome = if ended.is_failure {
         AttemptOutcome::Failed
     } else {
@@ -253,6 +291,27 @@
     send_report(daemons, ended.daemon, now);
 }
 
+/// Ends a request that its target has rejected, asking the daemon for a pause.
+fn end_rejected(daemons: &mut [Daemon], ended: &InFlight, history: &mut History, at_ms: u64) {
+    let now = START + DurationMs(at_ms);
+    history
+        .rejections_ms
+        .entry(ended.target.clone())
+        .or_default()
+        .push((ended.daemon, at_ms));
+    let own = &mut daemons[ended.daemon];
+    own.targets.release(&ended.target);
+    own.stats.record_end(false, now);
+    let row = own.targets.rows.get_mut(&ended.target).expect("a target");
+    let run_ms = DurationMs(ended.run_ms);
+    row.failure_detector
+        .record(AttemptOutcome::Shed, run_ms, 0.0, now);
+    let identity = row.record.identity.clone();
+    own.targets
+        .record_pause(&identity, DurationMs(PAUSE_MS), now);
+    send_report(daemons, ended.daemon, now);
+}
+
 /// Sends the request counts and the used targets of a daemon to the others if a
 /// report is due.
 fn send_report(daemons: &mut [Daemon], reporter: usize, now: TimeMs) {
@@ -274,7 +333,8 @@
 
 /// Returns the number of sound targets in the window that begins at `from_ms`, and
 /// those of them that got no request in it. A target is sound unless it failed in
-/// the window or less than [`FLOOR_SPAN_MS`] before it.
+/// the window or less than [`FLOOR_SPAN_MS`] before it, or a pause that it asked for
+/// lies in the window.
 fn sound_and_unused(
     history: &History,
     scenario: &Scenario,
@@ -290,7 +350,12 @@
             let counts_until = *at + FLOOR_SPAN_MS;
             *at <= until_ms && counts_until > from_ms
         });
-        if has_failed {
+        let rejections = history.rejections_ms.get(&name);
+        let has_paused = rejections
+            .into_iter()
+            .flatten()
+            .any(|(_, at)| *at <= until_ms && at + PAUSE_MS > from_ms);
+        if has_failed || has_paused {
             continue;
         }
         sound += 1;
@@ -340,6 +405,7 @@
             requests_per_s: 465.0,
             idempotent_share,
             idle_daemons: 0,
+            rejecting_share: 0.0,
             seed,
         };
         let history = simulate(&scenario);
@@ -365,6 +431,7 @@
             requests_per_s,
             idempotent_share: 0.0,
             idle_daemons: 1,
+            rejecting_share: 0.0,
             seed: 5,
         };
         assert_floor(&scenario);
@@ -383,8 +450,34 @@
             requests_per_s: 60.0,
             idempotent_share: 0.0,
             idle_daemons: 0,
+            rejecting_share: 0.0,
             seed,
         };
         assert_floor(&scenario);
     }
 }
+
+/// Targets reject requests and ask for pauses while others fail. Guards against sound
+/// targets that get no requests since trials, uses that are due or the length of holds
+/// take paused targets for capacity, and against any request within a pause.
+#[test]
+fn floor_holds_over_the_targets_that_do_not_pause() {
+    for (targets, daemons, requests_per_s, seed) in
+        [(117, 6, 465.0, 1), (48, 6, 190.0, 2), (109, 25, 450.0, 3)]
+    {
+        let scenario = Scenario {
+            targets,
+            daemons,
+            requests_per_s,
+            idempotent_share: 0.2,
+            idle_daemons: 0,
+            rejecting_share: 0.15,
+            seed,
+        };
+        let history = simulate(&scenario);
+        let rejections: usize = history.rejections_ms.values().map(Vec::len).sum();
+        assert!(rejections > 100, "only {rejections} rejections");
+        assert_eq!(history.sent_in_pause, 0, "seed {seed}");
+        assert_floor(&scenario);
+    }
+}
