gateway: write nothing after a request's time limit

Seen by callers: nothing yet; found by reading while the SIGSTOP test was written. A request that was handed a slot and then suspended with the process beyond its time limit was written on a pooled connection, and ended with 504, which promises nothing.

Cause: the time limit of an exchange is polled after its first write.

Ruled out: requests that wait in the queue; they expire before a slot is assigned.

Change: the time limit is looked at right before the first write, as the target's state is. The request is then refused as not run.

Before: with the queue's expiry taken out, so that the slot is handed over late, a_request_that_ran_out_in_a_suspension_is_not_written ends with 504; with this change it ends with 503 and nothing is written, with the expiry in place or not. The window between the hand-over and the write is too short for a test without taking it out.

--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -157,9 +157,17 @@
             }
         },
     };
+    if Instant::now() >= outbound.deadline {
+        // The process was suspended since the target was chosen.
+        pool.borrow_mut().put(address, connection);
+        return AttemptEnd::without_response(AttemptOutcome::NotWritten, "deadline passed");
+    }
     if !(outbound.may_write)() {
         pool.borrow_mut().put(address, connection);
-        return AttemptEnd::without_response(AttemptOutcome::NotWritten, "target is leaving");
+        return AttemptEnd::without_response(
+            AttemptOutcome::NotWritten,
+            "target takes no requests",
+        );
     }
     let connection_use = connection.connection_use;
     let body_reservation = pool.borrow().reserve_body();
