Keep a trial that meets no free slot

What callers saw: nothing at once. A target on hold whose slots were taken got its next trial up to a tick (100 ms) later, at each arrival anew, so that it came back later than its trials allow.

Cause: pick_trial took the permission for the trial before it claimed the slot; without a free slot the permission was gone.

Ruled out: a permission lost for good; the control thread sets it again at each tick while the target is on trial.

Change: the slot is claimed first, then the permission is taken; if another thread has taken it meanwhile, the slot is released.

Before: a_target_without_a_free_slot_keeps_its_trial failed (no target after the slot was free). After: it passes, as does the guard against slots that stay claimed.

Also a guard for pauses: an exclusion that ran out is not used at the next choice, before the control thread runs. It needed no change.

--- a/crates/agatehold-core/src/routing/cell.rs
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -160,6 +160,11 @@
         self.trial.store(trial, Ordering::Release);
     }
 
+    /// Returns whether a trial may be sent to the target.
+    pub fn has_trial(&self) -> bool {
+        self.trial.load(Ordering::Acquire)
+    }
+
     /// Takes the permission to send a trial; returns false if there was none.
     pub fn take_trial(&self) -> bool {
         self.trial.swap(false, Ordering::AcqRel)
--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -125,9 +125,16 @@
         if tried.contains(index) || !takes_new_work(target, now) {
             continue;
         }
-        if target.cell.take_trial() && target.cell.try_claim(target.slots) {
+        // The slot is claimed first: a permission that is taken for a target without
+        // a free slot is lost.
+        if !target.cell.has_trial() || !target.cell.try_claim(target.slots) {
+            continue;
+        }
+        if target.cell.take_trial() {
             return Some(*index);
         }
+        // Another thread took the permission after it was seen.
+        target.cell.release();
     }
     None
 }
