Assign home slots without overflow

What callers saw: with a note that states billions of slots for several targets of a service, a daemon got slots of other daemons or none; a build with overflow checks panicked in the control thread, which ends the process.

Cause: the slots before a target, and those of a service, were summed in 32 bits; a note may state any number of slots. A position that is not below the number of entry daemons made `end + entries - 1 - rank` negative.

Ruled out: that position does not occur. The control thread takes the position and the number from one list (`write_home_slots` in control/publish.rs), and without a position the slots are 0. The function now returns 0 for it, and a test guards that.

Change: sums in 64 bits, saturating sums in the choice of a target.

Before: slots_beyond_the_range_of_a_counter_are_assigned_once and a_position_beyond_the_entry_daemons_has_no_home_slots panicked (overflow in home_slots.rs; the first also in pick.rs with only home_slots.rs mended). After: both pass, and so does every_slot_is_assigned_to_exactly_one_daemon.

--- a/crates/agatehold-core/src/routing/home_slots.rs
+++ b/crates/agatehold-core/src/routing/home_slots.rs
@@ -26,7 +26,7 @@
     let Some(entry) = table.services.get(service.position()) else {
         return;
     };
-    let mut assigned = 0;
+    let mut assigned = 0_u64;
     for index in &entry.targets {
         let target = &table.targets[index.position()];
         let own = match rank {
@@ -34,13 +34,19 @@
             None => 0,
         };
         target.cell.set_home_slots(SlotCount(own));
-        assigned += target.slots.0;
+        assigned += u64::from(target.slots.0);
     }
 }
 
 /// Returns how many of a target's `slots` are assigned to `rank`, given that
-/// `assigned` slots of other targets come before them.
-fn slots_for_rank(rank: u32, entries: u32, assigned: u32, slots: u32) -> u32 {
-    let up_to = |end: u32| (end + entries - 1 - rank) / entries.max(1);
-    up_to(assigned + slots) - up_to(assigned)
+/// `assigned` slots of other targets come before them; 0 for a `rank` that is not
+/// below `entries`.
+fn slots_for_rank(rank: u32, entries: u32, assigned: u64, slots: u32) -> u32 {
+    if rank >= entries {
+        return 0;
+    }
+    let (rank, entries) = (u64::from(rank), u64::from(entries));
+    let up_to = |end: u64| (end + entries - 1 - rank) / entries;
+    let own = up_to(assigned + u64::from(slots)) - up_to(assigned);
+    u32::try_from(own).unwrap_or(slots)
 }
--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -90,11 +90,12 @@
         for index in &entry.targets {
             let target = &table.targets[index.position()];
             let home = target.cell.home_slots().0;
-            borrowing.home += home;
+            borrowing.home = borrowing.home.saturating_add(home);
             if takes_new_work(target, now) && target.cell.preference() != Preference::Avoided {
-                borrowing.usable += home;
+                borrowing.usable = borrowing.usable.saturating_add(home);
             }
-            borrowing.borrowed += target.cell.in_flight().saturating_sub(home);
+            let borrowed = target.cell.in_flight().saturating_sub(home);
+            borrowing.borrowed = borrowing.borrowed.saturating_add(borrowed);
         }
         borrowing
     }
--- a/crates/agatehold-core/tests/home_slots.rs
+++ b/crates/agatehold-core/tests/home_slots.rs
@@ -125,3 +125,37 @@
     write_home_slots(&table, SERVICE, None, 6);
     assert_eq!(claim_all(&table), 24);
 }
+
+/// The list of entry daemons and a daemon's position in it are of the same moment, so that
+/// neither case occurs. Guards against a panic of the control thread, or billions of slots,
+/// should that change: a position beyond the end gets nothing.
+#[test]
+fn a_position_beyond_the_entry_daemons_has_no_home_slots() {
+    for (rank, entries) in [(0, 0), (1, 0), (6, 6), (30, 6), (u32::MAX, 6)] {
+        let table = routing_table(&[4; 6]);
+        write_home_slots(&table, SERVICE, Some(rank), entries);
+        for target in &table.targets {
+            assert_eq!(target.cell.home_slots(), SlotCount(0), "{rank} {entries}");
+        }
+    }
+}
+
+/// Guards against sums of slots beyond the range of a counter: a release note may state
+/// any number of slots for a target.
+#[test]
+fn slots_beyond_the_range_of_a_counter_are_assigned_once() {
+    let slots = [u32::MAX, 7, u32::MAX, 3];
+    let mut assigned = [0_u64; 4];
+    for rank in 0..3 {
+        let table = routing_table(&slots);
+        write_home_slots(&table, SERVICE, Some(rank), 3);
+        for (position, target) in table.targets.iter().enumerate() {
+            assigned[position] += u64::from(target.cell.home_slots().0);
+        }
+    }
+    assert_eq!(assigned, slots.map(u64::from));
+    let table = routing_table(&slots);
+    write_home_slots(&table, SERVICE, Some(0), 1);
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    assert!(pick_target(&table, SERVICE, &[], TimeMs(1), &mut rng).is_some());
+}
