Ramp up a warming target from its last answer that said so

What callers saw: less capacity than there was. A target that said once that it was warming up got no more requests while the others of its service had free slots, and did not count as capacity for the floor, without an end.

Cause: update_breaker began the ramp anew at each tick while the last answer said `warming`. The share of a ramp that has just begun is 0, so that no answer came that would have ended it.

Ruled out: a target that always says `warming`; each of its answers begins the ramp anew, as before.

Change: the tables keep when the last answer said so, and the ramp of 30 s runs from then. At its end the target counts as warm.

Before: a_warming_target_ramps_up_without_another_answer failed (share 0 after 3 s, 10 expected). After: it passes.

--- a/crates/agatehold-core/src/health/evaluate_targets.rs
+++ b/crates/agatehold-core/src/health/evaluate_targets.rs
@@ -290,16 +290,26 @@
             let hold = row.holds.begin(now);
             row.breaker = BreakerState::Held { until: now + hold };
         }
-        BreakerState::Ramping { since } if now.since(since) >= RAMP_MS => {
-            row.breaker = BreakerState::Serving;
-        }
-        BreakerState::Serving if row.warming => {
-            row.breaker = BreakerState::Ramping { since: now };
-        }
-        BreakerState::Ramping { .. } if row.warming => {
-            row.breaker = BreakerState::Ramping { since: now };
-        }
-        _ => {}
+        BreakerState::Serving | BreakerState::Ramping { .. } => ramp_up(row, now),
+        BreakerState::OnTrial { .. } => {}
+    }
+}
+
+/// Begins, continues or ends the ramp of a target that is not on hold.
+///
+/// A target that warms up ramps from its last answer that said so, not from each tick:
+/// at the start of a ramp it gets no requests while others have free slots, and thus
+/// gives no answer that would end its warming.
+fn ramp_up(row: &mut TargetHealth, now: TimeMs) {
+    let since = match (row.breaker, row.warming_at) {
+        (BreakerState::Ramping { since }, Some(at)) => since.max(at),
+        (BreakerState::Ramping { since }, None) | (_, Some(since)) => since,
+        (_, None) => return,
+    };
+    row.breaker = BreakerState::Ramping { since };
+    if now.since(since) >= RAMP_MS {
+        row.breaker = BreakerState::Serving;
+        row.warming_at = None;
     }
 }
 
@@ -333,7 +343,7 @@
         share,
         trial: matches!(row.breaker, BreakerState::OnTrial { .. }) && !is_trial_overdue(row, now),
         leaving: row.leaving_at.is_some(),
-        capable: row.leaving_at.is_none() && !row.warming && row.connects_failed == 0,
+        capable: row.leaving_at.is_none() && row.warming_at.is_none() && row.connects_failed == 0,
         evidence: row.evidence(),
         permit_proposal,
     }
--- a/crates/agatehold-core/src/health/record.rs
+++ b/crates/agatehold-core/src/health/record.rs
@@ -105,7 +105,7 @@
         report.outcome,
         AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::Shed
     ) {
-        row.warming = report.warming;
+        row.warming_at = report.warming.then_some(report.at);
         row.cold_until = None;
     }
 }
@@ -117,7 +117,7 @@
     report: &OutcomeReport,
     baseline: &ServiceBaseline,
 ) -> Option<bool> {
-    let is_cold = row.warming || row.cold_until.is_some_and(|until| report.at < until);
+    let is_cold = row.warming_at.is_some() || row.cold_until.is_some_and(|until| report.at < until);
     let excused = is_cold || row.leaving_at.is_some();
     match report.outcome {
         AttemptOutcome::Shed | AttemptOutcome::Cancelled | AttemptOutcome::NotWritten => {
--- a/crates/agatehold-core/src/health/rows.rs
+++ b/crates/agatehold-core/src/health/rows.rs
@@ -178,8 +178,9 @@
     pub silent_at: Option<TimeMs>,
     /// When an answer of the target last said that it is leaving.
     pub leaving_at: Option<TimeMs>,
-    /// Whether the last answer said that the target is warming up.
-    pub warming: bool,
+    /// When the last answer said that the target is warming up; `None` if it did
+    /// not, or if the ramp that began then is over.
+    pub warming_at: Option<TimeMs>,
     /// Until when a target that was unreachable is assumed to be warming up.
     pub cold_until: Option<TimeMs>,
 }
@@ -206,7 +207,7 @@
             lost_at: None,
             silent_at: None,
             leaving_at: None,
-            warming: false,
+            warming_at: None,
             cold_until: None,
         }
     }
--- a/crates/agatehold-core/tests/health.rs
+++ b/crates/agatehold-core/tests/health.rs
@@ -291,3 +291,50 @@
     assert!(verdict.leaving && !verdict.capable);
     assert_eq!(verdict.preference, Preference::Preferred);
 }
+
+/// A target says once that it is warming up, and then gets no request, since the others
+/// have free slots. Guards against leaving it without requests for good: its ramp runs from
+/// its last answer that said so.
+#[test]
+fn a_warming_target_ramps_up_without_another_answer() {
+    let mut daemon = Daemon::new();
+    let mut report = OutcomeReport {
+        service: name("service-0"),
+        target: target(0, 0),
+        outcome: AttemptOutcome::Answered,
+        elapsed_ms: DurationMs(20),
+        at: daemon.now,
+        fingerprint: Digest::default(),
+        leaving: false,
+        warming: true,
+    };
+    daemon.record(std::slice::from_ref(&report));
+    let verdict = daemon.verdict(0);
+    assert_eq!(
+        (verdict.preference, verdict.share.get(), verdict.capable),
+        (Preference::Ramping, 0, false)
+    );
+    for tenth in 1..10 {
+        for _ in 0..30 {
+            daemon.wait(100);
+            daemon.verdict(0);
+        }
+        let verdict = daemon.verdict(0);
+        assert_eq!(verdict.preference, Preference::Ramping);
+        assert_eq!(verdict.share.get(), tenth * 10);
+        assert!(!verdict.capable, "it counts as warm only after the ramp");
+    }
+    // Another answer that says so begins the ramp anew.
+    report.at = daemon.now;
+    daemon.record(std::slice::from_ref(&report));
+    assert_eq!(daemon.verdict(0).share.get(), 0);
+    daemon.wait(29_900);
+    assert_eq!(daemon.verdict(0).preference, Preference::Ramping);
+    daemon.wait(100);
+    let verdict = daemon.verdict(0);
+    assert_eq!(verdict.preference, Preference::Preferred);
+    assert!(verdict.capable);
+    // It stays so, tick after tick.
+    daemon.wait(100);
+    assert_eq!(daemon.verdict(0).preference, Preference::Preferred);
+}
