Report a write that a restored platform may accept as unknown

What callers saw: an operator was told that a note conflicts and is not released (exit code 4) while it could still become the head, on top of a note that it does not follow.

Cause: on_chain forgot the write with the lost answer whenever the head differed from the one that the write replaces. That holds only if the head has a later version. After a restore the versions go back, and the write may meet the version that it expects with another head, or meet it later.

Ruled out: the pause of the release until daemons have written the missing notes back, since a daemon that holds no newer note does not cause one.

Change: if the head's version is not later than the one that the write expects, and it is not the head that the write replaces, the release ends as unknown (exit code 5) without a further write.

Before: a_write_that_a_restored_platform_may_still_accept_is_reported_as_unknown failed (conflict in place of unknown). After: it passes, as do all orders of calls and faults of the other tests in note_release.rs.

Limit: that the delayed write forks the chain can't be prevented here; every daemon refuses such a head.

--- a/crates/agatehold-core/src/note/release.rs
+++ b/crates/agatehold-core/src/note/release.rs
@@ -359,13 +359,19 @@
     release.version = version;
     release.record = record;
     if let Some(pending) = &release.pending_swap
-        && pending.expected == version
-        && pending.replaced == record
+        && version <= pending.expected
     {
-        return call_now(ReleaseCall::SwapHead {
-            expected: pending.expected,
-            record: pending.stored.header.record(),
-        });
+        if version == pending.expected && pending.replaced == record {
+            return call_now(ReleaseCall::SwapHead {
+                expected: pending.expected,
+                record: pending.stored.header.record(),
+            });
+        }
+        // The platform was restored to an older state, and its versions went back. The
+        // pending write may still meet the version that it expects, now or later, and
+        // replace whichever head has it.
+        let number = pending.stored.header.number;
+        return ReleaseStep::End(ReleaseOutcome::Unknown(number, release.id));
     }
     let head = record.head.number;
     let base = *release.base.get_or_insert(head);
@@ -398,8 +404,8 @@
         };
         return give_up(release, end);
     }
-    // The head was replaced by another note, so a pending write of this note
-    // fails.
+    // The head has a later version than a pending write of this note expects, so that
+    // the write fails.
     release.pending_swap = None;
     let base = release.base.unwrap_or(release.record.head.number);
     let newer = notes.iter().filter(|note| note.header.number > base);
--- a/crates/agatehold-core/tests/note_release.rs
+++ b/crates/agatehold-core/tests/note_release.rs
@@ -439,3 +439,46 @@
     };
     assert_eq!(dora.next_step, ReleaseStep::End(diverged));
 }
+
+/// The platform was restored, so that its versions have gone back, and another note has the
+/// version that a write with a lost answer expects. Guards against reporting a conflict,
+/// which says that the note is not released, while the write can still take effect.
+#[test]
+fn a_write_that_a_restored_platform_may_still_accept_is_reported_as_unknown() {
+    for tenant in ["a", "b"] {
+        let mut platform = Platform::default();
+        let backup = platform.clone();
+        let mut zoe = operator(&mut platform, &note("zoe", "z"), None);
+        while !matches!(zoe.next_step, ReleaseStep::End(_)) {
+            make_call(&mut platform, &mut zoe, Fault::None, TimeMs(0));
+        }
+        let mut ana = operator(&mut platform, &note("ana", "a"), Some(0));
+        while !matches!(
+            ana.next_step,
+            ReleaseStep::Call(_, ReleaseCall::SwapHead { .. })
+        ) {
+            make_call(&mut platform, &mut ana, Fault::None, TimeMs(0));
+        }
+        make_call(&mut platform, &mut ana, Fault::Delayed, TimeMs(0));
+        let mut restored = Platform {
+            delayed: platform.delayed.clone(),
+            bodies: platform.bodies.clone(),
+            notes: platform.notes.clone(),
+            ..backup
+        };
+        let mut bruno = operator(&mut restored, &note("bruno", tenant), None);
+        while !matches!(bruno.next_step, ReleaseStep::End(_)) {
+            make_call(&mut restored, &mut bruno, Fault::None, TimeMs(0));
+        }
+        while !matches!(ana.next_step, ReleaseStep::End(_)) {
+            make_call(&mut restored, &mut ana, Fault::None, TimeMs(0));
+        }
+        let unknown = ReleaseOutcome::Unknown(NoteNumber(2), ana.id);
+        assert_eq!(ana.next_step, ReleaseStep::End(unknown), "{tenant}");
+        assert_eq!(restored.chain.len(), 1, "no second write was made");
+        for call in std::mem::take(&mut restored.delayed) {
+            answer(&mut restored, &call);
+        }
+        assert_eq!(restored.record.id, ana.id, "the write took effect");
+    }
+}
