Keep cleared crash marks when copies of known ones arrive

What callers saw: a request that a target had answered was refused or held back again for up to 10 s, after crashes of at least four targets while it ran.

Cause: mark_crash removed a cleared mark from a full row before it knew whether the new mark would be added. A repeated copy of a known mark thus displaced another cleared mark, whose own copy then counted again.

Change: a cleared mark makes room only for a mark that is added.

Before: copies_of_revoked_marks_do_not_displace_each_other failed (deferred or refused, admitted expected). After: it passes.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -8,6 +8,7 @@
 use crate::units::TimeMs;
 
 use super::CrashMark;
+use super::PoisonRow;
 use super::PoisonTable;
 
 /// How long a crash counts against a request.
@@ -112,19 +113,26 @@
         }
     }
     let known = row.marks.iter().any(|held| is_same_crash(held, &mark));
-    if row.marks.len() >= MAX_MARKS
-        && let Some(cleared) = row.marks.iter().position(|held| held.cleared)
-    {
-        row.marks.remove(cleared);
-    }
-    if !known && row.marks.len() < MAX_MARKS && now.since(mark.at) <= MARK_LIFETIME_MS {
-        row.marks.push(mark);
-        row.marks.sort_by_key(|held| held.at);
-        row.resent_at = None;
+    if !known && now.since(mark.at) <= MARK_LIFETIME_MS {
+        insert_mark(row, mark);
     }
     evict_rows(table, now);
 }
 
+/// Adds a mark to a row, in place of a cleared one if the row is full. A full row without
+/// cleared marks stays as it is, since its request is refused already.
+fn insert_mark(row: &mut PoisonRow, mark: CrashMark) {
+    if row.marks.len() >= MAX_MARKS {
+        let Some(cleared) = row.marks.iter().position(|held| held.cleared) else {
+            return;
+        };
+        row.marks.remove(cleared);
+    }
+    row.resent_at = None;
+    row.marks.push(mark);
+    row.marks.sort_by_key(|held| held.at);
+}
+
 fn is_same_crash(held: &CrashMark, mark: &CrashMark) -> bool {
     let apart = held.at.since(mark.at).max(mark.at.since(held.at));
     held.target == mark.target && apart <= SAME_CRASH_MS
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -294,3 +294,22 @@
     let own = host("host-3");
     assert_eq!(admit(&mut started, &older, &own, later), Admission::Refused);
 }
+
+/// Guards against marks that count again after an answer has revoked them, because a copy
+/// of another one took their place in a full row.
+#[test]
+fn copies_of_revoked_marks_do_not_displace_each_other() {
+    let mut table = PoisonTable::default();
+    let request = Digest::of_parts(&[b"request"]);
+    let marks = ["a", "b", "c", "d"].map(|name| mark(b"request", name, "host-1", NOW));
+    merge_marks(&mut table, &marks, NOW);
+    assert!(revoke_marks(&mut table, &request));
+    let later = NOW + DurationMs(400);
+    for copy in marks.iter().rev().chain(&marks) {
+        mark_crash(&mut table, copy.clone(), later);
+    }
+    assert_eq!(
+        admit(&mut table, &request, &host("host-2"), later),
+        Admission::Admitted
+    );
+}
