Let a cleared mark not end the wait for a resent request

What callers saw: nothing; a request that crashes targets could be under way twice after its first crash, and crash two more targets in place of one.

Cause: mark_crash allowed another resend with each mark that it added, also with one that its reporter had cleared already and that says nothing new.

Change: only a mark that counts does so.

Before: a_cleared_mark_does_not_end_the_wait_for_a_resent_request failed (admitted once more, deferred expected). After: it passes.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -128,7 +128,9 @@
         };
         row.marks.remove(cleared);
     }
-    row.resent_at = None;
+    if !mark.cleared {
+        row.resent_at = None;
+    }
     row.marks.push(mark);
     row.marks.sort_by_key(|held| held.at);
 }
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -313,3 +313,25 @@
         Admission::Admitted
     );
 }
+
+/// Guards against a second copy of a request that is being resent: a mark that has already
+/// been cleared says nothing about the copy under way.
+#[test]
+fn a_cleared_mark_does_not_end_the_wait_for_a_resent_request() {
+    let mut table = PoisonTable::default();
+    let request = Digest::of_parts(&[b"request"]);
+    let own = host("host-1");
+    let later = NOW + DurationMs(50);
+    mark_crash(&mut table, mark(b"request", "a", "host-1", NOW), NOW);
+    assert_eq!(
+        admit(&mut table, &request, &own, later),
+        Admission::AdmittedOnce
+    );
+    let mut cleared = mark(b"request", "b", "host-2", NOW);
+    cleared.cleared = true;
+    merge_marks(&mut table, &[cleared], later);
+    assert_eq!(
+        admit(&mut table, &request, &own, later),
+        Admission::Deferred
+    );
+}
