Count a crash after a cleared mark of the same target

What callers saw: a request crashed a third target. Its first crash was not counted, on no daemon, if it had lost a connection to the same target less than 2 s before without a crash, for instance because the target closed it.

Cause: mark_crash took a mark for known if any mark of the same target within 2 s was there, also one that had been cleared.

Ruled out: to tell a later crash from a late copy of the cleared mark by the reporter alone; copies by other daemons of the same crash must stay without effect after an answer (an_answer_revokes_the_marks_of_all_daemons).

Change: a cleared mark stands for what happened up to 0.5 s after it. A copy is not later than that, since an exchange between daemons that takes longer has failed. A crash within that half second is still not counted.

Before: a_crash_after_a_cleared_mark_of_the_same_target_counts failed (admitted, deferred expected). After: it passes, as do the other tests of poison.rs.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -27,6 +27,11 @@
 /// different daemons report them.
 const SAME_CRASH_MS: DurationMs = DurationMs(2_000);
 
+/// How much later a copy of a mark may seem to be than the mark itself: the age that is
+/// sent with it does not count the time on the network, and an exchange that takes longer
+/// than this has failed.
+const COPY_DELAY_MAX_MS: DurationMs = DurationMs(500);
+
 /// How long a daemon waits after a crash before it resends the request, so that
 /// marks of simultaneous crashes, which take 1 to 3 ms to arrive from peers,
 /// arrive first. Without the wait, a request sent to three daemons at once
@@ -112,7 +117,7 @@
             }
         }
     }
-    let known = row.marks.iter().any(|held| is_same_crash(held, &mark));
+    let known = row.marks.iter().any(|held| is_known_crash(held, &mark));
     if !known && now.since(mark.at) <= MARK_LIFETIME_MS {
         insert_mark(row, mark);
     }
@@ -135,6 +140,15 @@
     row.marks.sort_by_key(|held| held.at);
 }
 
+/// Returns whether `held` already says what `mark` says.
+///
+/// A cleared mark stands for what happened until then. A mark that is later by more than
+/// a copy's delay is another crash, which the request may have caused.
+fn is_known_crash(held: &CrashMark, mark: &CrashMark) -> bool {
+    let is_later = mark.at > held.at + COPY_DELAY_MAX_MS;
+    is_same_crash(held, mark) && !(held.cleared && is_later)
+}
+
 fn is_same_crash(held: &CrashMark, mark: &CrashMark) -> bool {
     let apart = held.at.since(mark.at).max(mark.at.since(held.at));
     held.target == mark.target && apart <= SAME_CRASH_MS
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -335,3 +335,26 @@
         Admission::Deferred
     );
 }
+
+/// A connection was lost without a crash, and its mark was cleared; soon after the same
+/// request does crash that target. Guards against leaving the crash uncounted, so that the
+/// request crashes a third target.
+#[test]
+fn a_crash_after_a_cleared_mark_of_the_same_target_counts() {
+    let request = Digest::of_parts(&[b"request"]);
+    let crash_at = NOW + DurationMs(1_000);
+    let later = crash_at + DurationMs(100);
+    let (mut own, mut peer) = (PoisonTable::default(), PoisonTable::default());
+    for table in [&mut own, &mut peer] {
+        mark_crash(table, mark(b"request", "a", "host-1", NOW), NOW);
+        clear(table, &request, &host("host-1"));
+        for reporter in ["host-1", "host-2"] {
+            mark_crash(table, mark(b"request", "a", reporter, crash_at), crash_at);
+        }
+        let admission = admit(table, &request, &host("host-3"), later);
+        assert_eq!(admission, Admission::Deferred, "the crash counts");
+        mark_crash(table, mark(b"request", "b", "host-1", later), later);
+        let admission = admit(table, &request, &host("host-3"), later);
+        assert_eq!(admission, Admission::Refused);
+    }
+}
