Tell peers of each crash that a request causes at one target

What callers saw: a request that had crashed a target twice was admitted by the other daemons, and crashed one target more.

Cause: merge_marks, and the control loop for the daemon's own marks, found marks by request, target and reporter, without the time. Of two crashes of one target within 30 s, as after its restart, peers got the first only; a crash after a cleared mark got to nobody.

Change: both use the rule of mark_crash for what is the same crash. The part for the daemon's own marks is in the core now (record_own_marks).

Before: a_second_crash_of_a_target_reaches_the_peers and a_crash_after_a_cleared_mark_reaches_the_peers failed (no new mark at the peer; the old code of the loop was moved as it stood). After: both pass, as does a_delayed_copy_does_not_set_a_cleared_mark_again, which passed before.

--- a/crates/agatehold-core/src/control/exchange.rs
+++ b/crates/agatehold-core/src/control/exchange.rs
@@ -16,6 +16,7 @@
 use crate::membership::PermitUpdate;
 use crate::membership::PoisonUpdate;
 use crate::poison::CrashMark;
+use crate::poison::is_known_crash;
 use crate::replication;
 use crate::table::Table;
 use crate::units::DurationMs;
@@ -196,6 +197,25 @@
     merge_peer_evidence(&mut tables.health, &rows, now);
 }
 
+/// Adds crash marks that this daemon made or cleared to those that its digests carry.
+pub fn record_own_marks(tables: &mut ControlTables, marks: Vec<CrashMark>) {
+    for mark in marks {
+        match find_mark(&mut tables.marks, &mark) {
+            Some(held) => held.cleared |= mark.cleared,
+            None => tables.marks.push(mark),
+        }
+    }
+}
+
+/// Returns the mark of the crash that `mark` reports, if its reporter has told of it.
+fn find_mark<'a>(marks: &'a mut [CrashMark], mark: &CrashMark) -> Option<&'a mut CrashMark> {
+    marks.iter_mut().find(|held| {
+        held.fingerprint == mark.fingerprint
+            && held.reporter == mark.reporter
+            && is_known_crash(held, mark)
+    })
+}
+
 fn merge_marks(tables: &mut ControlTables, digest: &PeerDigest, now: TimeMs) -> Vec<CrashMark> {
     let mut new = Vec::new();
     for update in &digest.poisoned {
@@ -206,12 +226,7 @@
             at: now - update.age,
             cleared: update.cleared,
         };
-        let known = tables.marks.iter_mut().find(|held| {
-            held.fingerprint == mark.fingerprint
-                && held.target == mark.target
-                && held.reporter == mark.reporter
-        });
-        match known {
+        match find_mark(&mut tables.marks, &mark) {
             Some(held) if held.cleared || !mark.cleared => continue,
             Some(held) => held.cleared = true,
             None => tables.marks.push(mark.clone()),
--- a/crates/agatehold-core/src/control/mod.rs
+++ b/crates/agatehold-core/src/control/mod.rs
@@ -17,6 +17,7 @@
 pub use exchange::build_digest;
 pub use exchange::merge_digest;
 pub use exchange::merge_hosts;
+pub use exchange::record_own_marks;
 pub use permits::PermitVersion;
 pub use permits::PermitWrite;
 pub use permits::merge_permit;
--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -144,7 +144,7 @@
 ///
 /// A cleared mark stands for what happened until then. A mark that is later by more than
 /// a copy's delay is another crash, which the request may have caused.
-fn is_known_crash(held: &CrashMark, mark: &CrashMark) -> bool {
+pub(crate) fn is_known_crash(held: &CrashMark, mark: &CrashMark) -> bool {
     let is_later = mark.at > held.at + COPY_DELAY_MAX_MS;
     is_same_crash(held, mark) && !(held.cleared && is_later)
 }
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -259,17 +259,7 @@
     /// Merges crash marks that this daemon created and starts urgent exchanges
     /// to spread them.
     pub(super) fn spread_own_marks(&mut self, marks: Vec<CrashMark>) {
-        for mark in marks {
-            let held = self.tables.marks.iter_mut().find(|held| {
-                held.fingerprint == mark.fingerprint
-                    && held.target == mark.target
-                    && held.reporter == mark.reporter
-            });
-            match held {
-                Some(held) => held.cleared |= mark.cleared,
-                None => self.tables.marks.push(mark),
-            }
-        }
+        control::record_own_marks(&mut self.tables, marks);
         self.start_urgent_exchanges();
     }
 
