--- a/crates/agatehold-wire/tests/platform_codec.rs
+++ b/crates/agatehold-wire/tests/platform_codec.rs
@@ -183,3 +183,27 @@
     let bytes = platform::encode_claim(&claim).unwrap();
     assert_eq!(platform::decode_claim(&bytes), Ok(claim));
 }
+
+/// A later version of the daemon may write a state that this one does not know. Guards
+/// against taking it for a known one: as `ejected` it would exclude a target that other
+/// daemons count as capacity, as `returning` its entry would be removed while they exclude
+/// it. The record can't be read, so that its exclusions end 15 s after the last
+/// confirmation and nothing overwrites it.
+#[test]
+fn a_permit_record_with_an_unknown_state_can_not_be_read() {
+    let record = |state: &str| {
+        format!(
+            "{{\"number\":7,\"entries\":[\
+             {{\"target\":\"a\",\"state\":\"ejected\",\"added\":3,\"since\":3,\"hold_ms\":1}},\
+             {{\"target\":\"b\",\"state\":\"{state}\",\"added\":4,\"since\":4,\"hold_ms\":1}}]}}"
+        )
+    };
+    for state in ["ejected", "returning"] {
+        let decoded = platform::decode_permits(record(state).as_bytes());
+        assert_eq!(decoded.map(|record| record.entries.len()).ok(), Some(2));
+    }
+    for state in ["draining", "Ejected", "", "ejected "] {
+        let decoded = platform::decode_permits(record(state).as_bytes());
+        assert!(decoded.is_err(), "{state:?}: {decoded:?}");
+    }
+}
