Refuse requests after a pause until the configuration is confirmed

What callers saw: a daemon whose process had been paused for longer than its configuration is good for (9 s) answered requests by the configuration of before: 23 of the 40 requests that had waited in its sockets, for a tenant that a note had withdrawn during the pause.

Cause: traffic threads read a phase that the control thread publishes when it changes. After a pause they run before the control thread does, and the phase of before had no end. Besides, what other daemons had sent during the pause counted as contact when it was read, by which the control thread would go on serving.

Ruled out: confirmations of before the pause; they count from the start of the read or the exchange.

Change: the control thread publishes at each tick until when the daemon may serve (9 s after the confirmation of the head, or 3 s after its last contact with most hosts), and each request is checked against it. After a pause of 9 s or more, only messages that arrive 1 s or more after the daemon went on count as contact.

Before: a_daemon_that_was_paused_does_not_serve_by_the_note_of_before failed (23 of 499 requests served).

Found by the test, not changed: a fleet of which every daemon is isolated while the platform is away does not recover before the platform returns.

--- a/crates/agatehold-core/src/membership/mod.rs
+++ b/crates/agatehold-core/src/membership/mod.rs
@@ -33,6 +33,7 @@
 pub use neighbours::run;
 pub use own::Contact;
 pub use own::contact;
+pub use own::forget_contact;
 pub use own::new_incarnation;
 pub use own::set_phase;
 pub use own::start;
--- a/crates/agatehold-core/src/membership/own.rs
+++ b/crates/agatehold-core/src/membership/own.rs
@@ -21,6 +21,11 @@
 /// the isolation time.
 const CONTACT_WINDOW: DurationMs = DurationMs(9_000);
 
+/// The time in which a daemon that was paused reads the messages that have waited in its
+/// sockets. There are at most a few from each neighbour, since an exchange ends without
+/// an answer after 0.5 s and its connection is then closed.
+const QUEUED_MESSAGES_READ: DurationMs = DurationMs(1_000);
+
 /// Returns the incarnation of a daemon that starts at `unix_ms`.
 ///
 /// The high 48 bits are the start time and the low 16 bits are random.
@@ -42,6 +47,7 @@
             ..ExchangePlan::default()
         },
         last_contact: None,
+        contact_from: TimeMs::default(),
         host_list_at: None,
     };
     let mut changes = Vec::new();
@@ -64,6 +70,14 @@
     neighbours::queue_urgent_exchanges(membership, 3, rng);
 }
 
+/// Forgets the contact to other hosts, because the process was paused until `now`.
+///
+/// Messages that arrived during the pause are read now, and their age is unknown. They
+/// are no sign of contact, and neither is what arrives until they are read.
+pub fn forget_contact(membership: &mut Membership, now: TimeMs) {
+    membership.contact_from = now + QUEUED_MESSAGES_READ;
+}
+
 /// How much of the fleet a daemon is in contact with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Contact {
@@ -119,7 +133,8 @@
     // were lost, most new neighbours have not had a turn to send yet.
     let mut heard = 0;
     for (_, row) in membership.peers.rows() {
-        if row.last_contact.is_some_and(|at| now.since(at) <= window) {
+        let is_recent = |at| at >= membership.contact_from && now.since(at) <= window;
+        if row.last_contact.is_some_and(is_recent) {
             heard += 1;
         }
     }
--- a/crates/agatehold-core/src/membership/rows.rs
+++ b/crates/agatehold-core/src/membership/rows.rs
@@ -240,6 +240,9 @@
     pub plan: ExchangePlan,
     /// When the last message arrived from any host.
     pub last_contact: Option<TimeMs>,
+    /// Messages that arrived before this time are no contact, see
+    /// [`super::forget_contact`].
+    pub contact_from: TimeMs,
     /// When the platform's host list was last merged.
     pub host_list_at: Option<TimeMs>,
 }
--- a/crates/agatehold-core/src/replication/run.rs
+++ b/crates/agatehold-core/src/replication/run.rs
@@ -50,6 +50,12 @@
         &replication.platform,
         replication.log.head,
     );
+    let ran_at = replication.ran_at.replace(now);
+    if ran_at.is_some_and(|at| now.since(at) >= ISOLATION_TIME) {
+        // The process was paused.
+        replication.majority_at = None;
+        membership::forget_contact(membership, now);
+    }
     let in_contact = update_contact(replication, membership, now);
     update_phase(replication, membership, in_contact, now, rng);
     publish(replication, membership, rng, &mut commands);
@@ -84,10 +90,11 @@
     if !replication.start.done {
         return;
     }
-    let confirmed = replication
-        .confirmed_at()
-        .is_some_and(|at| now.since(at) < ISOLATION_TIME);
-    let phase = if confirmed || in_contact {
+    let confirmed_until = replication.confirmed_at().map(|at| at + ISOLATION_TIME);
+    let majority_at = replication.majority_at.filter(|_| in_contact);
+    let contact_until = majority_at.map(|at| at + CONTACT_LOSS_TIME);
+    replication.serving_until = confirmed_until.max(contact_until).unwrap_or_default();
+    let phase = if now < replication.serving_until {
         HostPhase::Serving
     } else {
         HostPhase::Isolated
--- a/crates/agatehold-core/src/replication/state.rs
+++ b/crates/agatehold-core/src/replication/state.rs
@@ -107,6 +107,12 @@
     /// When this daemon was last in contact with more than half of the known
     /// hosts.
     pub majority_at: Option<TimeMs>,
+    /// Until when this daemon may serve requests by its head, as of the last run.
+    /// Whoever serves them checks it for each request: the process may be paused
+    /// between a run and the request.
+    pub serving_until: TimeMs,
+    /// When [`super::run`] last ran.
+    pub ran_at: Option<TimeMs>,
 }
 
 impl NoteReplication {
--- a/crates/agatehold/src/control/mod.rs
+++ b/crates/agatehold/src/control/mod.rs
@@ -173,6 +173,8 @@
         // lock and would be blocked for the whole tick.
         let poison = self.shared.poison().clone();
         let commands = control::tick(&mut self.tables, &poison, now, &mut self.rng);
+        let serving_until = self.tables.replication.serving_until;
+        self.shared.set_serving_until(serving_until);
         self.apply(commands);
         self.process_queues();
         self.publish_gauges();
--- a/crates/agatehold/src/shared/mod.rs
+++ b/crates/agatehold/src/shared/mod.rs
@@ -135,6 +135,9 @@
     last_connection_ms: AtomicU64,
     /// The [`Phase`] as a number.
     phase: AtomicU8,
+    /// Until when the daemon may serve requests by its configuration unless its
+    /// phase is published anew, in milliseconds.
+    serving_until_ms: AtomicU64,
 }
 
 impl FleetAddresses {
@@ -178,6 +181,7 @@
             connections: AtomicU32::new(0),
             last_connection_ms: AtomicU64::new(0),
             phase: AtomicU8::new(Phase::Starting as u8),
+            serving_until_ms: AtomicU64::new(0),
         }
     }
 
@@ -220,8 +224,14 @@
     }
 
     /// Returns how the daemon handles requests.
+    ///
+    /// A daemon that was paused is isolated until the control thread has run, since
+    /// it does not know which configuration is in force.
     pub(crate) fn phase(&self) -> Phase {
         match self.phase.load(Ordering::Acquire) {
+            1 if self.clock.now().0 >= self.serving_until_ms.load(Ordering::Acquire) => {
+                Phase::Isolated
+            }
             1 => Phase::Serving,
             2 => Phase::Isolated,
             3 => Phase::Leaving,
@@ -234,6 +244,11 @@
         self.phase.store(phase as u8, Ordering::Release);
     }
 
+    /// Sets until when the daemon may serve requests by its configuration.
+    pub(crate) fn set_serving_until(&self, until: TimeMs) {
+        self.serving_until_ms.store(until.0, Ordering::Release);
+    }
+
     /// Records that a caller connected.
     pub(crate) fn record_connection(&self) {
         let now = self.clock.now();
--- /dev/null
+++ b/crates/agatehold/tests/pauses.rs
@@ -0,0 +1,121 @@
+//! Tests that a daemon whose process was paused, and does not know it, acts on nothing that
+//! ran out meanwhile.
+
+#![expect(clippy::unwrap_used, reason = "a failed setup fails the test")]
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use agatehold_testing::fleet::Fleet;
+use agatehold_testing::fleet::FleetOptions;
+use agatehold_testing::fleet::Signal;
+use agatehold_testing::fleet::wait_until;
+
+/// The index of the daemon that is paused.
+const PAUSED: usize = 1;
+
+/// The length of the pause. A daemon serves by a note for 9 s after it last knew that the
+/// note is the newest one.
+const PAUSE: Duration = Duration::from_secs(12);
+
+/// The number of requests that wait for the daemon while it is paused.
+const WAITING_REQUESTS: usize = 40;
+
+const ADD_TENANT: &str = "[tenant auditor]\nrate_per_s = 100000\nburst = 100000\n";
+const WITHDRAW_TENANT: &str = "[tenant auditor]\naction = withdraw\n";
+
+/// Opens a connection and sends a request of the tenant `auditor`.
+fn send(daemon: SocketAddr) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(daemon)?;
+    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+    stream.write_all(
+        b"GET / HTTP/1.1\r\nhost: farm\r\nagatehold-tenant: auditor\r\n\
+          agatehold-timeout-ms: 5000\r\nconnection: close\r\n\r\n",
+    )?;
+    Ok(stream)
+}
+
+/// Returns the first line of the answer and its refusal, if it is one.
+fn receive(mut stream: TcpStream) -> io::Result<String> {
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    let lines = text.lines().enumerate().filter(|(number, line)| {
+        let is_refusal = line.to_ascii_lowercase().starts_with("agatehold-refusal");
+        *number == 0 || is_refusal
+    });
+    Ok(lines.map(|(_, line)| line).collect::<Vec<_>>().join(" "))
+}
+
+fn is_success(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 200")
+}
+
+/// A tenant is withdrawn while a daemon is paused. Guards against serving it by the old
+/// note when the daemon goes on: requests have waited for it in its sockets, and so have the
+/// messages of other daemons, which are no sign that it is in contact with them.
+#[test]
+fn a_daemon_that_was_paused_does_not_serve_by_the_note_of_before() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_agatehold"));
+    let options = FleetOptions {
+        daemons: 4,
+        ..FleetOptions::default()
+    };
+    let mut fleet = Fleet::start(binary, options).unwrap();
+    let number = fleet.notes.release(ADD_TENANT).unwrap();
+    fleet.wait_for_note(number).unwrap();
+    let address = fleet.daemons[PAUSED].callers;
+    let answer = receive(send(address).unwrap()).unwrap();
+    assert!(is_success(&answer), "before the pause: {answer}");
+
+    fleet.daemons[PAUSED].signal(Signal::Stop).unwrap();
+    let paused_at = Instant::now();
+    let number = fleet.notes.release(WITHDRAW_TENANT).unwrap();
+    wait_until("the note on the other daemons", || {
+        fleet.daemons.iter().enumerate().all(|(index, daemon)| {
+            let status = (index != PAUSED).then(|| daemon.status()).flatten();
+            index == PAUSED
+                || status.is_some_and(|s| s.head.is_some_and(|head| head.number == number.0))
+        })
+    })
+    .unwrap();
+    thread::sleep(PAUSE.saturating_sub(paused_at.elapsed()));
+    let waiting: Vec<_> = (0..WAITING_REQUESTS)
+        .map(|_| send(address).unwrap())
+        .collect();
+    fleet.daemons[PAUSED].signal(Signal::Continue).unwrap();
+    let resumed_at = Instant::now();
+
+    let mut answers = Vec::new();
+    for stream in waiting {
+        answers.push((Duration::ZERO, receive(stream).unwrap()));
+    }
+    while resumed_at.elapsed() < Duration::from_secs(3) {
+        answers.push((
+            resumed_at.elapsed(),
+            receive(send(address).unwrap()).unwrap(),
+        ));
+        thread::sleep(Duration::from_millis(5));
+    }
+    fleet.wait_for_note(number).unwrap();
+    let last = receive(send(address).unwrap()).unwrap();
+    let mut kinds: Vec<&str> = answers.iter().map(|(_, answer)| answer.as_str()).collect();
+    kinds.sort_unstable();
+    kinds.dedup();
+    let served: Vec<_> = answers.iter().filter(|row| is_success(&row.1)).collect();
+    let count = answers.len();
+    println!(
+        "{} of {count} served, last {:?}; {kinds:?}",
+        served.len(),
+        served.last()
+    );
+    fleet.close().unwrap();
+    assert!(served.is_empty(), "served by the old note: {served:?}");
+    assert!(last.contains("unknown-tenant"), "{last}");
+}
