Don't send a permit write that was decided before a pause

What callers saw: nothing seen. After a pause between the decision and the write, a daemon could eject a target by evidence and a list of live targets of before, if no other daemon had changed the record meanwhile.

Cause: the platform thread sent a write however old its decision was; the compare-and-swap shows only that the record is the same.

Ruled out: a floor that is broken by it; each daemon excludes only as many entries as its own view allows. The window is the queue of the platform threads, so that no process test can meet it by a signal; the decision has a test in the core.

Change: a write is not sent 3 s or more after its decision, the time after which a call counts as failed. The record is then read.

Before: no test (the check is new). a_write_that_was_decided_before_a_pause_is_outdated passes.

--- a/crates/agatehold-core/src/control/permits.rs
+++ b/crates/agatehold-core/src/control/permits.rs
@@ -73,6 +73,19 @@
     pub version: PermitVersion,
     /// The new record.
     pub record: PermitRecord,
+    /// When the write was decided.
+    pub decided_at: TimeMs,
+}
+
+impl PermitWrite {
+    /// Returns whether the write may no longer be sent.
+    ///
+    /// Check this right before sending it: the process may have been paused after the
+    /// decision. The evidence and the list of live targets that it rests on are then
+    /// old, while the record may still have the expected version.
+    pub fn is_outdated(&self, now: TimeMs) -> bool {
+        now.since(self.decided_at) >= CALL_TIMEOUT_MS
+    }
 }
 
 /// Lists and writes permit records where due, and writes the exclusions that
@@ -288,6 +301,7 @@
             service: service.clone(),
             version,
             record: restored,
+            decided_at: now,
         })));
         return commands;
     }
@@ -363,6 +377,7 @@
             service,
             version: calls.version,
             record,
+            decided_at: now,
         })));
     }
 }
--- a/crates/agatehold-core/tests/control_permits.rs
+++ b/crates/agatehold-core/tests/control_permits.rs
@@ -168,3 +168,31 @@
         assert_eq!(count, usize::from(is_excluded), "{permits_at} {hosts_at}");
     }
 }
+
+/// A daemon decides to remove an entry, and its process is paused before the write is sent.
+/// Guards against sending it when the process goes on: the record may still have the
+/// expected version, but the decision rests on what was known before.
+#[test]
+fn a_write_that_was_decided_before_a_pause_is_outdated() {
+    let mut tables = tables();
+    read_all(&mut tables, 1, START);
+    let mut returning = record(2);
+    let entry = returning.entries.get_mut(&target(0)).expect("an entry");
+    entry.state = PermitState::Returning;
+    entry.since = PermitNumber(2);
+    let answer = Some((PermitVersion(2), returning));
+    control::merge_permit(&mut tables, &service(), answer, START, START);
+    let mut writes = Vec::new();
+    for tenth in 1..300 {
+        let now = START + DurationMs(100).times(tenth);
+        for command in tick(&mut tables, now) {
+            if let Command::WritePermit(write) = command {
+                writes.push((now, write));
+            }
+        }
+    }
+    let (decided_at, write) = writes.first().expect("a write");
+    assert!(!write.is_outdated(*decided_at));
+    assert!(!write.is_outdated(*decided_at + DurationMs(1_000)));
+    assert!(write.is_outdated(*decided_at + DurationMs(60_000)));
+}
--- a/crates/agatehold/src/platform/mod.rs
+++ b/crates/agatehold/src/platform/mod.rs
@@ -205,7 +205,7 @@
         },
         PlatformJob::CreateClaimLease => Input::ClaimLease(create_claim_lease(client)),
         PlatformJob::WritePermit(write) => Input::PermitWritten {
-            version: write_permit(client, &write),
+            version: write_permit(client, &write, sent_at),
             write,
             sent_at,
         },
@@ -313,7 +313,14 @@
     }
 }
 
-fn write_permit(client: &PlatformClient, write: &PermitWrite) -> Option<PermitVersion> {
+fn write_permit(
+    client: &PlatformClient,
+    write: &PermitWrite,
+    now: TimeMs,
+) -> Option<PermitVersion> {
+    if write.is_outdated(now) {
+        return None;
+    }
     let value = encode_permits(&write.record).ok()?;
     let key = permits_key(&write.service);
     let request = match write.version {
