Bind a claim only to a lease that outlasts it

What callers saw: nothing seen. After a pause of the process of more than an hour, or while the platform created no leases, the claim of a key made by its caller was bound to a lease that had run for that time.

Cause: traffic threads used the last lease whatever its age, and its age counted from the arrival of the platform's answer.

Ruled out: a lease that has ended; the platform says so, and the claim is made without one.

Change: the age counts from the request. After that claims are made without a lease until there is a new one; they are kept for good.

Before: no test (a lease was used at any age). every_claim_is_kept_for_its_whole_time was seen red with the limit raised to the lease's whole time (a claim after 7,260,000 ms was allowed). After: it passes.

--- a/crates/agatehold-core/src/control/mod.rs
+++ b/crates/agatehold-core/src/control/mod.rs
@@ -33,5 +33,6 @@
 pub use stop::begin_stop;
 pub use stop::next_stop_step;
 pub use tick::CLAIM_LEASE_TTL_MS;
+pub use tick::may_use_claim_lease;
 pub use tick::record_reports;
 pub use tick::tick;
--- a/crates/agatehold-core/src/control/state.rs
+++ b/crates/agatehold-core/src/control/state.rs
@@ -66,7 +66,8 @@
     pub host_list_requested_at: Option<TimeMs>,
     /// When the lease for claim records was last requested.
     pub claim_lease_requested_at: Option<TimeMs>,
-    /// When the current lease for claim records was created.
+    /// When the current lease for claim records was requested; the platform created it
+    /// then or later.
     pub claim_lease_created_at: Option<TimeMs>,
     /// The health verdicts of the last tick.
     pub evaluation: Evaluation,
--- a/crates/agatehold-core/src/control/tick.rs
+++ b/crates/agatehold-core/src/control/tick.rs
@@ -45,10 +45,22 @@
 /// How long to wait before requesting the lease again if it was not created.
 const CLAIM_LEASE_RETRY_MS: DurationMs = DurationMs(5_000);
 
-/// How long a lease for claim records lasts. A claim that is made just before the
-/// next lease is created is still kept for [`CLAIM_RETENTION_MS`].
-pub const CLAIM_LEASE_TTL_MS: DurationMs =
-    DurationMs(CLAIM_RETENTION_MS.0 + CLAIM_LEASE_PERIOD_MS.0);
+/// How long claims are bound to a lease if no other one can be created.
+const CLAIM_LEASE_USE_MS: DurationMs = DurationMs(2 * CLAIM_LEASE_PERIOD_MS.0);
+
+/// How long a lease for claim records lasts. A claim that is bound to it as late as
+/// [`may_use_claim_lease`] allows is still kept for [`CLAIM_RETENTION_MS`].
+pub const CLAIM_LEASE_TTL_MS: DurationMs = DurationMs(CLAIM_RETENTION_MS.0 + CLAIM_LEASE_USE_MS.0);
+
+/// Returns whether a claim that is made at `now` may be bound to the lease that was
+/// requested at `requested_at`.
+///
+/// Check this for each claim: while the process was paused, or no lease could be
+/// created, most of the lease's time may have passed. The platform would then drop the
+/// claim early, and the request could run again.
+pub fn may_use_claim_lease(requested_at: TimeMs, now: TimeMs) -> bool {
+    now.since(requested_at) <= CLAIM_LEASE_USE_MS
+}
 
 /// The interval at which an entry host of a service with ejections reads the host
 /// list; an exclusion requires a list that is at most 15 s old.
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -38,6 +38,8 @@
 use agatehold_wire::platform::ListedName;
 use agatehold_wire::platform::ListedState;
 
+use crate::shared::ClaimLease;
+
 use super::ControlLoop;
 
 /// The number of neighbours that get an urgent exchange after a new crash
@@ -110,7 +112,10 @@
         sent_at: TimeMs,
     },
     /// The lease for idempotency claims; `None` if it could not be created.
-    ClaimLease(Option<LeaseId>),
+    ClaimLease {
+        lease: Option<LeaseId>,
+        sent_at: TimeMs,
+    },
     /// A request received on the admin address.
     Admin(AdminRequest),
     /// Begin a planned stop.
@@ -184,9 +189,11 @@
                 let commands = control::merge_permit_write(tables, &write, version, sent_at, now);
                 self.apply(commands);
             }
-            Input::ClaimLease(lease) => {
-                if let Some(lease) = lease {
-                    self.tables.claim_lease_created_at = Some(now);
+            Input::ClaimLease { lease, sent_at } => {
+                if let Some(id) = lease {
+                    self.tables.claim_lease_created_at = Some(sent_at);
+                    let requested_at = sent_at;
+                    let lease = ClaimLease { id, requested_at };
                     self.shared.claim_lease.store(Some(Arc::new(lease)));
                 }
             }
--- a/crates/agatehold/src/platform/mod.rs
+++ b/crates/agatehold/src/platform/mod.rs
@@ -203,7 +203,10 @@
             service,
             sent_at,
         },
-        PlatformJob::CreateClaimLease => Input::ClaimLease(create_claim_lease(client)),
+        PlatformJob::CreateClaimLease => Input::ClaimLease {
+            lease: create_claim_lease(client),
+            sent_at,
+        },
         PlatformJob::WritePermit(write) => Input::PermitWritten {
             version: write_permit(client, &write, sent_at),
             write,
--- a/crates/agatehold/src/shared/mod.rs
+++ b/crates/agatehold/src/shared/mod.rs
@@ -87,6 +87,16 @@
     Poison(Vec<CrashMark>),
 }
 
+/// A lease for idempotency claims.
+#[derive(Clone, Debug)]
+pub(crate) struct ClaimLease {
+    /// The platform's id of the lease.
+    pub(crate) id: LeaseId,
+    /// When it was requested. Claims are bound to it as long as
+    /// `may_use_claim_lease` allows.
+    pub(crate) requested_at: TimeMs,
+}
+
 /// The addresses at which callers and other daemons reach the daemons of the
 /// fleet.
 #[derive(Clone, Debug, Default)]
@@ -115,9 +125,9 @@
     pub(crate) published: ArcSwap<PublishedRouting>,
     /// The addresses of the fleet's daemons.
     pub(crate) fleet_addresses: ArcSwap<FleetAddresses>,
-    /// The lease attached to this daemon's idempotency claims, which expires in
-    /// seven days or more. Claims made without a lease never expire.
-    pub(crate) claim_lease: ArcSwapOption<LeaseId>,
+    /// The lease attached to this daemon's idempotency claims. Claims made without
+    /// a lease never expire.
+    pub(crate) claim_lease: ArcSwapOption<ClaimLease>,
     /// The channel of reports to the control thread. Reports are dropped and
     /// counted while it is full.
     pub(crate) reports: Sender<TrafficReport>,
--- a/crates/agatehold/src/traffic/keys.rs
+++ b/crates/agatehold/src/traffic/keys.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 
+use agatehold_core::control::may_use_claim_lease;
 use agatehold_core::idempotency::Arrival as KeyArrival;
 use agatehold_core::idempotency::Claim;
 use agatehold_core::idempotency::ClaimAnswer;
@@ -139,7 +140,9 @@
     create: bool,
     deadline: TimeMs,
 ) -> ClaimAnswer {
+    let now = state.shared.clock.now();
     let lease = state.shared.claim_lease.load_full();
+    let lease = lease.filter(|lease| may_use_claim_lease(lease.requested_at, now));
     let request = if create {
         let Ok(value) = encode_claim(record) else {
             return ClaimAnswer::Unavailable;
@@ -147,7 +150,7 @@
         PlatformRequest::Create {
             key: key.clone(),
             value,
-            lease: lease.as_deref().cloned(),
+            lease: lease.map(|lease| lease.id.clone()),
         }
     } else {
         PlatformRequest::Get { key: key.clone() }
