Let the time of a suspended host count for what runs out

What callers saw: nothing seen; found by reading. After a suspension of its host a daemon of release notes acted on permits, confirmations of its configuration, claims of keys and time limits of requests that had run out meanwhile.

Cause: the daemon's clock was the steady clock, which stands still while the host is suspended. A pause of the process alone is counted by it.

Change: this daemon's clock is the one that counts suspensions; all times on the tables, and those that traffic threads check, are on it. Timers still run on the steady clock, and what they wait for is checked by the other. The gateway keeps the steady clock: its budget of resends has a detector of suspensions of its own.

Test: none by a suspension, which needs more rights than tests have. That each check holds over a jump of the clock is tested on virtual time (control_pause.rs, control_permits.rs, pick_trial.rs, at_most_once.rs) and by SIGSTOP (pauses.rs), which are the same jump to the daemon.

--- a/crates/agatehold/src/daemon/mod.rs
+++ b/crates/agatehold/src/daemon/mod.rs
@@ -87,7 +87,12 @@
     let (reports, reports_receiver) = bounded(REPORTS_CAPACITY);
     let (inputs, inputs_receiver) = input_channel();
     let (stop_steps, stop_steps_receiver) = bounded(1);
-    let shared = Arc::new(Shared::new(Clock::new(), incarnation, settings, reports));
+    let shared = Arc::new(Shared::new(
+        Clock::new_with_suspensions(),
+        incarnation,
+        settings,
+        reports,
+    ));
 
     let peers = PeerThread::start(&shared, key, inputs.clone())
         .map_err(|error| StartError::Io("[listen] peers", error))?;
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -55,7 +55,7 @@
     let bounds = parse_bounds(&settings.bounds).map_err(StartError::Bounds)?;
     let incarnation = generate_incarnation();
     let signals = watch_signals()?;
-    let shared = Arc::new(GatewayShared::new(Clock::new(), settings, bounds));
+    let shared = Arc::new(GatewayShared::new(Clock::new_steady(), settings, bounds));
     log::info!(
         "event=start host={} incarnation={incarnation} version={} callers={} store={} least_entries={} resend_ratio={} resend_slack={} stop_limit={}",
         shared.settings.host.id,
