Check a request's time limit once more when its connection is open

What callers saw: nothing. Looked at because a daemon that is paused while it connects to a target could send a request after its time limit, when its caller has given up and its claim of the key may have run out.

Ruled out under SIGSTOP: the time limits of the connection and of the send expire before the request is written (answer `not-run`, nothing received, with and without this change). They run on the steady clock, so that after a suspension of the host they don't.

Change: with an open connection and no time left, the request counts as not written, and the connection is closed.

a_request_whose_time_ran_out_during_a_pause_is_not_sent passes with the check alone (the time limit of the connection raised to 50 s) and was seen red with the check taken out as well (outcome `unknown`, nothing received).

--- a/crates/agatehold/src/traffic/attempt.rs
+++ b/crates/agatehold/src/traffic/attempt.rs
@@ -117,6 +117,13 @@
         Ok(connection) => connection,
         Err(outcome) => return Attempt::without_answer(outcome),
     };
+    if clock.now() >= outbound.deadline {
+        // The process was paused, or the host suspended, while it waited for the
+        // connection. The caller may have given up, and its claim of the key may have
+        // run out.
+        connection.close();
+        return Attempt::without_answer(AttemptOutcome::NotWritten);
+    }
     let request = build_request(address, outbound, clock.now());
     let response = match send(&mut connection, clock, request, outbound).await {
         Ok(response) => response,
--- a/crates/agatehold/tests/pauses.rs
+++ b/crates/agatehold/tests/pauses.rs
@@ -7,12 +7,18 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
+use agatehold_core::units::TargetCount;
 use agatehold_testing::fleet::Fleet;
 use agatehold_testing::fleet::FleetOptions;
 use agatehold_testing::fleet::Signal;
@@ -31,6 +37,9 @@
 const ADD_TENANT: &str = "[tenant auditor]\nrate_per_s = 100000\nburst = 100000\n";
 const WITHDRAW_TENANT: &str = "[tenant auditor]\naction = withdraw\n";
 
+/// The time limit of the request that is paused while the daemon connects to its target.
+const TIME_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Opens a connection and sends a request of the tenant `auditor`.
 fn send(daemon: SocketAddr) -> io::Result<TcpStream> {
     let mut stream = TcpStream::connect(daemon)?;
@@ -119,3 +128,101 @@
     assert!(served.is_empty(), "served by the old note: {served:?}");
     assert!(last.contains("unknown-tenant"), "{last}");
 }
+
+/// Returns a listener that holds one connection until it is accepted; the system drops
+/// the packets of further ones, which their senders repeat after a second.
+fn listen_for_one() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any_port.into()).unwrap();
+    socket.listen(0).unwrap();
+    socket.into()
+}
+
+/// Returns whether a connection to `address` is being opened on this host.
+fn is_being_opened(address: SocketAddr) -> bool {
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let remote = format!("0100007F:{:04X}", address.port());
+    sockets.lines().any(|line| {
+        let mut fields = line.split_whitespace().skip(2);
+        fields.next() == Some(remote.as_str()) && fields.next() == Some("02")
+    })
+}
+
+/// Waits for the next connection to the listener.
+fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let mut accepted = None;
+    for _ in 0..1_000 {
+        accepted = listener.accept().ok();
+        if accepted.is_some() {
+            break;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let (stream, _) = accepted.expect("a connection within 10 s");
+    stream.set_nonblocking(false).unwrap();
+    stream
+}
+
+/// A daemon is paused while it connects to the target of a request that must not run
+/// twice, and goes on after the request's time limit; the connection is open then. Guards
+/// against running the request when its caller may have given up and its claim may have run
+/// out, and against an answer that leaves open whether it ran.
+#[test]
+fn a_request_whose_time_ran_out_during_a_pause_is_not_sent() {
+    let listener = listen_for_one();
+    let target = listener.local_addr().unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_agatehold"));
+    let options = FleetOptions {
+        daemons: 1,
+        targets: 1,
+        floor: TargetCount(0),
+        limits: "traffic_threads = 1\n",
+        ..FleetOptions::default()
+    };
+    let mut fleet = Fleet::start(binary, options).unwrap();
+    let note = format!(
+        "[service raw]\nfloor = 0\n\n[route raw]\nservice = raw\npath_prefix = /raw\n\
+         require_key = no\n\n[target raw-0]\nservice = raw\naddress = {target}\n\
+         failure_domain = domain-0\nslots = 4\n"
+    );
+    let number = fleet.notes.release(&note).unwrap();
+    fleet.wait_for_note(number).unwrap();
+
+    let _first = TcpStream::connect(target).unwrap();
+    let mut caller = TcpStream::connect(fleet.daemons[0].callers).unwrap();
+    caller
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    let time_limit_ms = TIME_LIMIT.as_millis();
+    let request = format!(
+        "POST /raw HTTP/1.1\r\nhost: farm\r\nagatehold-tenant: exporter\r\n\
+         agatehold-timeout-ms: {time_limit_ms}\r\ncontent-length: 4\r\n\
+         connection: close\r\n\r\nonce"
+    );
+    let sent_at = Instant::now();
+    caller.write_all(request.as_bytes()).unwrap();
+    while !is_being_opened(target) {
+        assert!(sent_at.elapsed() < Duration::from_secs(10), "no connection");
+        thread::sleep(Duration::from_millis(1));
+    }
+    fleet.daemons[0].signal(Signal::Stop).unwrap();
+    let _first_accepted = accept(&listener);
+    let mut connection = accept(&listener);
+    thread::sleep((TIME_LIMIT + Duration::from_millis(500)).saturating_sub(sent_at.elapsed()));
+    fleet.daemons[0].signal(Signal::Continue).unwrap();
+
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    connection
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    let mut received = Vec::new();
+    let end = connection.read_to_end(&mut received);
+    let received = String::from_utf8_lossy(&received);
+    println!("answer: {answer:?}; the target received {received:?}, {end:?}");
+    fleet.close().unwrap();
+    assert_eq!(received, "");
+    assert!(answer.contains("agatehold-outcome: not-run"), "{answer}");
+}
