--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -90,11 +90,12 @@
         for index in &entry.targets {
             let target = &table.targets[index.position()];
             let home = target.cell.home_slots().0;
-            borrowing.home += home;
+            borrowing.home = borrowing.home.saturating_add(home);
             if takes_new_work(target, now) && target.cell.preference() != Preference::Avoided {
-                borrowing.usable += home;
+                borrowing.usable = borrowing.usable.saturating_add(home);
             }
-            borrowing.borrowed += target.cell.in_flight().saturating_sub(home);
+            let borrowed = target.cell.in_flight().saturating_sub(home);
+            borrowing.borrowed = borrowing.borrowed.saturating_add(borrowed);
         }
         borrowing
     }
@@ -125,9 +126,16 @@
         if tried.contains(index) || !takes_new_work(target, now) {
             continue;
         }
-        if target.cell.take_trial() && target.cell.try_claim(target.slots) {
+        // The slot is claimed first: a permission that is taken for a target without
+        // a free slot is lost.
+        if !target.cell.has_trial() || !target.cell.try_claim(target.slots) {
+            continue;
+        }
+        if target.cell.take_trial() {
             return Some(*index);
         }
+        // Another thread took the permission after it was seen.
+        target.cell.release();
     }
     None
 }
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -294,3 +294,67 @@
     let own = host("host-3");
     assert_eq!(admit(&mut started, &older, &own, later), Admission::Refused);
 }
+
+/// Guards against marks that count again after an answer has revoked them, because a copy
+/// of another one took their place in a full row.
+#[test]
+fn copies_of_revoked_marks_do_not_displace_each_other() {
+    let mut table = PoisonTable::default();
+    let request = Digest::of_parts(&[b"request"]);
+    let marks = ["a", "b", "c", "d"].map(|name| mark(b"request", name, "host-1", NOW));
+    merge_marks(&mut table, &marks, NOW);
+    assert!(revoke_marks(&mut table, &request));
+    let later = NOW + DurationMs(400);
+    for copy in marks.iter().rev().chain(&marks) {
+        mark_crash(&mut table, copy.clone(), later);
+    }
+    assert_eq!(
+        admit(&mut table, &request, &host("host-2"), later),
+        Admission::Admitted
+    );
+}
+
+/// Guards against a second copy of a request that is being resent: a mark that has already
+/// been cleared says nothing about the copy under way.
+#[test]
+fn a_cleared_mark_does_not_end_the_wait_for_a_resent_request() {
+    let mut table = PoisonTable::default();
+    let request = Digest::of_parts(&[b"request"]);
+    let own = host("host-1");
+    let later = NOW + DurationMs(50);
+    mark_crash(&mut table, mark(b"request", "a", "host-1", NOW), NOW);
+    assert_eq!(
+        admit(&mut table, &request, &own, later),
+        Admission::AdmittedOnce
+    );
+    let mut cleared = mark(b"request", "b", "host-2", NOW);
+    cleared.cleared = true;
+    merge_marks(&mut table, &[cleared], later);
+    assert_eq!(
+        admit(&mut table, &request, &own, later),
+        Admission::Deferred
+    );
+}
+
+/// A connection was lost without a crash, and its mark was cleared; soon after the same
+/// request does crash that target. Guards against leaving the crash uncounted, so that the
+/// request crashes a third target.
+#[test]
+fn a_crash_after_a_cleared_mark_of_the_same_target_counts() {
+    let request = Digest::of_parts(&[b"request"]);
+    let crash_at = NOW + DurationMs(1_000);
+    let later = crash_at + DurationMs(100);
+    let (mut own, mut peer) = (PoisonTable::default(), PoisonTable::default());
+    for table in [&mut own, &mut peer] {
+        mark_crash(table, mark(b"request", "a", "host-1", NOW), NOW);
+        clear(table, &request, &host("host-1"));
+        for reporter in ["host-1", "host-2"] {
+            mark_crash(table, mark(b"request", "a", reporter, crash_at), crash_at);
+        }
+        let admission = admit(table, &request, &host("host-3"), later);
+        assert_eq!(admission, Admission::Deferred, "the crash counts");
+        mark_crash(table, mark(b"request", "b", "host-1", later), later);
+        let admission = admit(table, &request, &host("host-3"), later);
+        assert_eq!(admission, Admission::Refused);
+    }
+}
--- a/crates/agatehold/src/control/inputs.rs
+++ b/crates/agatehold/src/control/inputs.rs
@@ -38,6 +38,8 @@
 use agatehold_wire::platform::ListedName;
 use agatehold_wire::platform::ListedState;
 
+use crate::shared::ClaimLease;
+
 use super::ControlLoop;
 
 /// The number of neighbours that get an urgent exchange after a new crash
@@ -110,7 +112,10 @@
         sent_at: TimeMs,
     },
     /// The lease for idempotency claims; `None` if it could not be created.
-    ClaimLease(Option<LeaseId>),
+    ClaimLease {
+        lease: Option<LeaseId>,
+        sent_at: TimeMs,
+    },
     /// A request received on the admin address.
     Admin(AdminRequest),
     /// Begin a planned stop.
@@ -184,9 +189,11 @@
                 let commands = control::merge_permit_write(tables, &write, version, sent_at, now);
                 self.apply(commands);
             }
-            Input::ClaimLease(lease) => {
-                if let Some(lease) = lease {
-                    self.tables.claim_lease_created_at = Some(now);
+            Input::ClaimLease { lease, sent_at } => {
+                if let Some(id) = lease {
+                    self.tables.claim_lease_created_at = Some(sent_at);
+                    let requested_at = sent_at;
+                    let lease = ClaimLease { id, requested_at };
                     self.shared.claim_lease.store(Some(Arc::new(lease)));
                 }
             }
@@ -259,17 +266,7 @@
     /// Merges crash marks that this daemon created and starts urgent exchanges
     /// to spread them.
     pub(super) fn spread_own_marks(&mut self, marks: Vec<CrashMark>) {
-        for mark in marks {
-            let held = self.tables.marks.iter_mut().find(|held| {
-                held.fingerprint == mark.fingerprint
-                    && held.target == mark.target
-                    && held.reporter == mark.reporter
-            });
-            match held {
-                Some(held) => held.cleared |= mark.cleared,
-                None => self.tables.marks.push(mark),
-            }
-        }
+        control::record_own_marks(&mut self.tables, marks);
         self.start_urgent_exchanges();
     }
 
--- a/crates/agatehold/src/platform/mod.rs
+++ b/crates/agatehold/src/platform/mod.rs
@@ -203,9 +203,12 @@
             service,
             sent_at,
         },
-        PlatformJob::CreateClaimLease => Input::ClaimLease(create_claim_lease(client)),
+        PlatformJob::CreateClaimLease => Input::ClaimLease {
+            lease: create_claim_lease(client),
+            sent_at,
+        },
         PlatformJob::WritePermit(write) => Input::PermitWritten {
-            version: write_permit(client, &write),
+            version: write_permit(client, &write, sent_at),
             write,
             sent_at,
         },
@@ -313,7 +316,14 @@
     }
 }
 
-fn write_permit(client: &PlatformClient, write: &PermitWrite) -> Option<PermitVersion> {
+fn write_permit(
+    client: &PlatformClient,
+    write: &PermitWrite,
+    now: TimeMs,
+) -> Option<PermitVersion> {
+    if write.is_outdated(now) {
+        return None;
+    }
     let value = encode_permits(&write.record).ok()?;
     let key = permits_key(&write.service);
     let request = match write.version {
--- a/crates/agatehold/src/shared/mod.rs
+++ b/crates/agatehold/src/shared/mod.rs
@@ -87,6 +87,16 @@
     Poison(Vec<CrashMark>),
 }
 
+/// A lease for idempotency claims.
+#[derive(Clone, Debug)]
+pub(crate) struct ClaimLease {
+    /// The platform's id of the lease.
+    pub(crate) id: LeaseId,
+    /// When it was requested. Claims are bound to it as long as
+    /// `may_use_claim_lease` allows.
+    pub(crate) requested_at: TimeMs,
+}
+
 /// The addresses at which callers and other daemons reach the daemons of the
 /// fleet.
 #[derive(Clone, Debug, Default)]
@@ -115,9 +125,9 @@
     pub(crate) published: ArcSwap<PublishedRouting>,
     /// The addresses of the fleet's daemons.
     pub(crate) fleet_addresses: ArcSwap<FleetAddresses>,
-    /// The lease attached to this daemon's idempotency claims, which expires in
-    /// seven days or more. Claims made without a lease never expire.
-    pub(crate) claim_lease: ArcSwapOption<LeaseId>,
+    /// The lease attached to this daemon's idempotency claims. Claims made without
+    /// a lease never expire.
+    pub(crate) claim_lease: ArcSwapOption<ClaimLease>,
     /// The channel of reports to the control thread. Reports are dropped and
     /// counted while it is full.
     pub(crate) reports: Sender<TrafficReport>,
@@ -135,6 +145,9 @@
     last_connection_ms: AtomicU64,
     /// The [`Phase`] as a number.
     phase: AtomicU8,
+    /// Until when the daemon may serve requests by its configuration unless its
+    /// phase is published anew, in milliseconds.
+    serving_until_ms: AtomicU64,
 }
 
 impl FleetAddresses {
@@ -178,6 +191,7 @@
             connections: AtomicU32::new(0),
             last_connection_ms: AtomicU64::new(0),
             phase: AtomicU8::new(Phase::Starting as u8),
+            serving_until_ms: AtomicU64::new(0),
         }
     }
 
@@ -220,8 +234,14 @@
     }
 
     /// Returns how the daemon handles requests.
+    ///
+    /// A daemon that was paused is isolated until the control thread has run, since
+    /// it does not know which configuration is in force.
     pub(crate) fn phase(&self) -> Phase {
         match self.phase.load(Ordering::Acquire) {
+            1 if self.clock.now().0 >= self.serving_until_ms.load(Ordering::Acquire) => {
+                Phase::Isolated
+            }
             1 => Phase::Serving,
             2 => Phase::Isolated,
             3 => Phase::Leaving,
@@ -234,6 +254,11 @@
         self.phase.store(phase as u8, Ordering::Release);
     }
 
+    /// Sets until when the daemon may serve requests by its configuration.
+    pub(crate) fn set_serving_until(&self, until: TimeMs) {
+        self.serving_until_ms.store(until.0, Ordering::Release);
+    }
+
     /// Records that a caller connected.
     pub(crate) fn record_connection(&self) {
         let now = self.clock.now();
