gateway: confirm removed targets to daemons that the store turns away

What callers saw: a daemon that the store turned away, or that had started from an older listing before an outage, went on sending requests to a target that the others had seen removed while the store was steady. It did so until the store answered it again, which may take hours (DRAIN for the daemons that pass on what callers send).

Cause: during an outage a removed row is kept, since leases lapse while the store is down and are written again within 2 s of its return. A daemon that the store turns away and that hears no heartbeats is in such a state for good. It fetched the removal from its seed and kept the row (target_gone with removed=false).

Ruled out: an older replica, or a listing that brings the target back; the daemon had the removal in its replica.

Fetches carry the removals since the known revision, and all of them if the asking daemon keeps missing rows. A missing row whose removal another daemon confirms goes at once. Removals that the other daemon itself still waits for are not told.

--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -153,6 +153,58 @@
     assert!(rows.delete(&1, 60, START));
 }
 
+/// Another daemon has removed a row that this one keeps during an outage. Guards against
+/// keeping it until the store answers this daemon, and against removing a row that the
+/// store has, or that was written again.
+#[test]
+fn a_removal_that_another_daemon_confirms_takes_effect_in_an_outage() {
+    let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
+    for row in [1, 2, 3] {
+        rows.put(row, "a", 5, START);
+    }
+    rows.store_lost();
+    assert!(!rows.confirm_removal(&1, 6), "the store has the row");
+    for row in [1, 2, 3] {
+        assert!(!rows.delete(&row, 8, START));
+    }
+    assert!(rows.is_any_missing());
+    assert_eq!(rows.removals().count(), 0, "nothing is removed yet");
+    assert!(
+        rows.confirm_removal(&1, 6),
+        "a listing shows a removal later"
+    );
+    rows.put(2, "b", 9, START);
+    assert!(!rows.confirm_removal(&2, 6), "written again");
+    assert!(!rows.confirm_removal(&3, 4), "written after the removal");
+    let left: Vec<u32> = rows.rows.keys().copied().collect();
+    assert_eq!(left, [2, 3]);
+    let told: Vec<(u32, u64)> = rows
+        .removals()
+        .map(|(key, revision)| (*key, revision))
+        .collect();
+    assert_eq!(told, [(1, 6)], "this daemon confirms it to others");
+}
+
+/// Guards against telling others that a row is removed that has been written again, and
+/// against a list of removals that grows without limit.
+#[test]
+fn removals_are_told_until_the_row_is_written_again() {
+    let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
+    for row in 0..2_000 {
+        rows.put(row, "a", 5, START);
+        assert!(rows.delete(&row, 6, START));
+    }
+    let count = rows.removals().count();
+    assert!((100..2_000).contains(&count), "{count}");
+    rows.put(1_999, "a", 7, START);
+    assert!(rows.removals().all(|(row, _)| *row != 1_999));
+    rows.store_lost();
+    rows.store_returned(START);
+    rows.delete(&1_999, 8, START);
+    assert!(rows.sweep(START + MISSING_ROW_GRACE_MS));
+    assert!(rows.removals().any(|row| row == (&1_999, 8)));
+}
+
 fn host(number: u32) -> HostId {
     format!("entry-{number}").parse().expect("a name")
 }
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -17,7 +17,6 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
 use agatehold_core::dissemination::Refresh;
-use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::next_refresh;
@@ -355,7 +354,8 @@
     /// Fetches from the seed daemons in the settings and from a few others, which
     /// may know the contents while the store is unreachable. A daemon that has just
     /// started knows only the seeds, and those may be out of date.
-    fn fetch_from_any(&mut self, tables: &ControlTables, known: Revisions) {
+    fn fetch_from_any(&mut self, tables: &ControlTables) {
+        let known = tables.known();
         let settings = &self.shared.settings;
         let mut addresses = tables.pull_addresses(&settings.host.id, self.pull_round);
         self.pull_round += 1;
@@ -401,6 +401,7 @@
                 self.read_store(tables, "fetch_failed", now);
             }
             Refresh::Fetch(mut hosts) => {
+                let known = tables.known();
                 // Bytes between failure domains cost bandwidth.
                 let own_host = &self.shared.settings.host.id;
                 hosts.sort_by_key(|host| !tables.are_near(host, own_host));
@@ -414,14 +415,14 @@
                     };
                     self.running_refreshes += 1;
                     let events = self.events.clone();
-                    let fetching = peers::fetch(host, address, own, FETCH_TIMEOUT, events);
+                    let fetching = peers::fetch(host, address, known, FETCH_TIMEOUT, events);
                     tokio::task::spawn_local(fetching);
                 }
             }
             Refresh::ReadStore => {
                 self.read_store(tables, "not_told", now);
                 if tables.store_unavailable_since.is_some() || tables.catalog.is_none() {
-                    self.fetch_from_any(tables, own);
+                    self.fetch_from_any(tables);
                 }
             }
         }
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -8,13 +8,13 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::ids::HostId;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::StoreCall;
 
 use crate::gateway::messages::Fetched;
+use crate::gateway::messages::KnownContents;
 use crate::gateway::messages::contents_path;
 use crate::gateway::messages::decode_contents;
 use crate::gateway::messages::decode_heartbeat;
@@ -70,7 +70,7 @@
 pub(super) async fn fetch(
     host: HostId,
     address: SocketAddr,
-    known: Revisions,
+    known: KnownContents,
     timeout: Duration,
     events: mpsc::Sender<StoreEvent>,
 ) {
@@ -86,7 +86,7 @@
 /// Fetches from a daemon that has sent no heartbeat what is newer than `known`.
 pub(super) async fn fetch_from_any(
     address: SocketAddr,
-    known: Revisions,
+    known: KnownContents,
     timeout: Duration,
     events: mpsc::Sender<StoreEvent>,
 ) {
@@ -97,7 +97,7 @@
 
 async fn fetch_contents(
     address: SocketAddr,
-    known: &Revisions,
+    known: &KnownContents,
     timeout: Duration,
 ) -> Option<Fetched> {
     let client = StoreClient::new(address);
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -27,6 +27,7 @@
 use crate::gateway::member::decode_member;
 use crate::gateway::member::member_host;
 use crate::gateway::messages::Fetched;
+use crate::gateway::messages::KnownContents;
 use crate::gateway::messages::StoreContents;
 use crate::gateway::shared::GatewayShared;
 use crate::gateway::shared::View;
@@ -142,6 +143,15 @@
             .collect()
     }
 
+    /// Returns what this daemon knows, for a fetch from another one.
+    pub(super) fn known(&self) -> KnownContents {
+        KnownContents {
+            revisions: self.contents.complete_to(),
+            takes_changes: true,
+            keeps_missing: self.targets.is_any_missing(),
+        }
+    }
+
     /// Returns the addresses of a few other daemons to fetch from in a round of
     /// fetches.
     pub(super) fn pull_addresses(&self, own: &HostId, round: u64) -> Vec<SocketAddr> {
@@ -219,6 +229,14 @@
         let applied = tables.contents.replica_mut(key_group).apply_update(&update);
         changed |= apply_changes(tables, key_group, &applied, now);
     }
+    for (name, revision) in &fetched.removed {
+        if tables.targets.confirm_removal(name, *revision) {
+            log::info!(
+                "event=target_gone target={name} revision={revision} removed=true told_by={address}"
+            );
+            changed = true;
+        }
+    }
     changed
 }
 
@@ -393,6 +411,9 @@
     for (_, row) in tables.targets.rows.rows() {
         view.targets.push((row.content.clone(), row.seen_at));
     }
+    for (name, revision) in tables.targets.removals() {
+        view.removals.push((name.clone(), revision));
+    }
     for (host, row) in tables.members.rows.rows() {
         view.members.insert(host.clone(), row.content.clone());
     }
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -243,6 +243,10 @@
     configuration: Option<KeyGroupJson>,
     targets: Option<KeyGroupJson>,
     members: Option<KeyGroupJson>,
+    /// The names of removed targets, with the revision of each removal; absent in the
+    /// answers of daemons that don't tell others about removals.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    removed: Vec<(String, u64)>,
 }
 
 /// Encodes a heartbeat.
@@ -439,8 +443,13 @@
     }
 }
 
-/// Encodes what a daemon lacks that knows the contents up to `known`.
-pub(super) fn encode_contents(contents: &StoreContents, known: &KnownContents) -> Vec<u8> {
+/// Encodes what a daemon lacks that knows the contents up to `known`. `removals` are the
+/// targets that this daemon has removed.
+pub(super) fn encode_contents(
+    contents: &StoreContents,
+    removals: &[(TargetName, u64)],
+    known: &KnownContents,
+) -> Vec<u8> {
     let update = |replica: &Replica, revision: u64| {
         let complete_to = if known.takes_changes { revision } else { 0 };
         let is_newer = replica.changed_at() > revision;
@@ -448,10 +457,17 @@
         update.flatten().map(key_group_json)
     };
     let revisions = &known.revisions;
+    let mut removed = Vec::new();
+    for (target, revision) in removals {
+        if known.keeps_missing || *revision > revisions.targets {
+            removed.push((target.to_string(), *revision));
+        }
+    }
     let json = ContentsJson {
         configuration: update(&contents.configuration, revisions.configuration),
         targets: update(&contents.targets, revisions.targets),
         members: update(&contents.members, revisions.members),
+        removed,
     };
     // Strings, numbers and booleans always serialize to JSON.
     serde_json::to_vec(&json).unwrap_or_default()
@@ -466,15 +482,22 @@
     pub(super) targets: Option<ReplicaUpdate>,
     /// The registered daemons.
     pub(super) members: Option<ReplicaUpdate>,
+    /// The targets that the other daemon has removed, with the revision of each removal.
+    pub(super) removed: Vec<(TargetName, u64)>,
 }
 
 /// Decodes fetched contents; `None` if they are malformed.
 pub(super) fn decode_contents(bytes: &[u8]) -> Option<Fetched> {
     let json: ContentsJson = serde_json::from_slice(bytes).ok()?;
+    let mut removed = Vec::new();
+    for (name, revision) in json.removed {
+        removed.push((name.parse().ok()?, revision));
+    }
     Some(Fetched {
         configuration: json.configuration.map(replica_update),
         targets: json.targets.map(replica_update),
         members: json.members.map(replica_update),
+        removed,
     })
 }
 
@@ -502,14 +525,20 @@
     pub(super) revisions: Revisions,
     /// Whether it understands answers that hold only what has changed.
     pub(super) takes_changes: bool,
+    /// Whether it keeps targets that the store no longer has, and asks for all removals.
+    pub(super) keeps_missing: bool,
 }
 
-/// Returns the path and query for fetching the key groups that are newer than
-/// `known`.
-pub(super) fn contents_path(known: &Revisions) -> String {
+/// Returns the path and query for fetching what a daemon lacks that knows `known`.
+pub(super) fn contents_path(known: &KnownContents) -> String {
+    let revisions = &known.revisions;
     format!(
-        "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes=1",
-        known.configuration, known.targets, known.members
+        "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes={}&missing={}",
+        revisions.configuration,
+        revisions.targets,
+        revisions.members,
+        u8::from(known.takes_changes),
+        u8::from(known.keeps_missing)
     )
 }
 
@@ -527,6 +556,7 @@
             "targets" => known.revisions.targets = value,
             "members" => known.revisions.members = value,
             "changes" => known.takes_changes = value == 1,
+            "missing" => known.keeps_missing = value == 1,
             _ => {}
         }
     }
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -64,7 +64,8 @@
         Endpoint::Directory if is_get && path == RESOLVE_PATH => resolve(state, query),
         Endpoint::Daemons if is_get && path == CONTENTS_PATH => {
             let known = parse_known(query);
-            let body = encode_contents(&state.view().contents, &known);
+            let view = state.view();
+            let body = encode_contents(&view.contents, &view.removals, &known);
             build_response(200, "application/json", body.into())
         }
         Endpoint::Metrics if is_get && path == METRICS_PATH => {
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use agatehold_core::dispatch::DaemonRank;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
+use agatehold_core::ids::TargetName;
 use agatehold_core::table::Table;
 use agatehold_core::target_registry::TargetRecord;
 use agatehold_core::units::TimeMs;
@@ -37,6 +38,8 @@
     pub(crate) catalog: Option<Arc<Catalog>>,
     /// The registered targets and when the current record of each arrived.
     pub(crate) targets: Vec<(TargetRecord, TimeMs)>,
+    /// The targets that have been removed, with the store's revision of each removal.
+    pub(crate) removals: Vec<(TargetName, u64)>,
     /// The registered daemons of the fleet.
     pub(crate) members: Table<HostId, MemberRecord>,
     /// The entry daemons of each host name: the few daemons whose addresses its
