gateway: tell started daemons which targets leave, also without the store

What callers saw: a daemon that is killed and starts again has forgotten which targets said that they leave (Server-Leaving), and sent each of them a request while their entries were still ready. While the store is away it learned of crashing requests from nobody either, and let them crash two more targets.

Cause: the word of a target is told once, to the daemons that are there at the time. Crash marks are told to daemons that are new in the list of registered daemons; while the store is away, no daemon can register. Daemons that are no entry daemons were not told at all when they started.

Ruled out: other sources of outdated targets at a start. Listings, updates between daemons and heartbeats are ordered by the store's revision; removals are the commit before.

Change: a daemon asks for the statements in its fetches for 10 s after its start (up to 128 leaving targets and 32 requests), and up to three entry daemons of each service send them to every daemon that is new in the fleet, whether it is an entry daemon or not. A statement about a target that is not listed yet is kept, up to 1,024 targets; it was ignored.

Before: both tests of leaving targets fail (a second request at the leaving target; no word within 30 s). After: they pass. The test of crash marks without the store was seen red with the question left out (3 crashes for 2). a_daemon_that_starts_learns_which_requests_crash_targets shares its setup with it and asserts what it did before. All 57 process tests pass.

Conclusion: what targets and requests have shown outlives a restart as long as a daemon that can be reached knows it.

--- a/crates/agatehold-core/src/dispatch/statements.rs
+++ b/crates/agatehold-core/src/dispatch/statements.rs
@@ -1,5 +1,7 @@
 //! What targets say of themselves in their answers to this daemon.
 
+use std::cmp::Reverse;
+
 use crate::table::Table;
 use crate::target_registry::TargetIdentity;
 use crate::units::DurationMs;
@@ -39,6 +41,16 @@
         self.rows.len()
     }
 
+    /// Returns the targets that are leaving, at most `most`, those whose registration was
+    /// seen last first.
+    pub(super) fn leaving(&self, most: usize) -> Vec<&TargetIdentity> {
+        let rows = self.rows.rows().filter(|(_, row)| row.is_leaving);
+        let mut leaving: Vec<(&TargetIdentity, &Statement)> = rows.collect();
+        leaving.sort_by_key(|(_, row)| Reverse(row.registered_at));
+        leaving.truncate(most);
+        leaving.into_iter().map(|(identity, _)| identity).collect()
+    }
+
     /// Records that a target is leaving. Returns whether that is new.
     pub(super) fn record_leaving(&mut self, identity: &TargetIdentity, now: TimeMs) -> bool {
         let row = self.row(identity, now);
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -300,6 +300,17 @@
         is_new
     }
 
+    /// Returns the targets that said that they are leaving, at most `most`, those whose
+    /// registration was seen last first.
+    pub fn leaving_targets(&self, most: usize) -> Vec<&TargetIdentity> {
+        self.statements.leaving(most)
+    }
+
+    /// Returns the number of targets whose statements are kept.
+    pub fn statement_count(&self) -> usize {
+        self.statements.len()
+    }
+
     /// Records that a target wants no requests from this daemon for `pause_ms`. Returns
     /// the end of the pause.
     pub fn record_pause(
@@ -330,6 +341,11 @@
         row_of(&self.rows, identity).is_some()
     }
 
+    /// Returns the service of a target process; `None` if it is not registered.
+    pub fn service_of(&self, identity: &TargetIdentity) -> Option<&ServiceName> {
+        row_of(&self.rows, identity).map(|row| &row.record.service)
+    }
+
     /// Returns whether a request may be written to a target process now.
     pub fn takes_requests(&self, identity: &TargetIdentity, now: TimeMs) -> bool {
         row_of(&self.rows, identity).is_some_and(|row| !row.leaving && !row.is_paused(now))
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -27,6 +27,7 @@
 
 use super::member::encode_member;
 use super::member::member_key;
+use super::messages::KnownContents;
 use super::shared::GatewayShared;
 use super::store::StoreClient;
 use super::store_tasks::KeyGroup;
@@ -56,6 +57,10 @@
 /// watch counts as stuck. A watch pauses for 350 ms after each change.
 const BEHIND_MAX_MS: DurationMs = DurationMs(600);
 
+/// How long after its start a daemon asks the others for what the store can't tell it. In
+/// this time it asks several rounds of them.
+const STARTED_MS: DurationMs = DurationMs(10_000);
+
 /// The timeout of a fetch from another daemon.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -355,7 +360,10 @@
     /// may know the contents while the store is unreachable. A daemon that has just
     /// started knows only the seeds, and those may be out of date.
     fn fetch_from_any(&mut self, tables: &ControlTables) {
-        let known = tables.known();
+        let known = KnownContents {
+            has_started: self.shared.clock.uptime() < STARTED_MS,
+            ..tables.known()
+        };
         let settings = &self.shared.settings;
         let mut addresses = tables.pull_addresses(&settings.host.id, self.pull_round);
         self.pull_round += 1;
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -77,7 +77,9 @@
     let fetched = fetch_contents(address, &known, timeout).await;
     let has_failed = fetched.is_none();
     if let Some(fetched) = fetched {
-        let _ = events.send(StoreEvent::Fetched(address, fetched)).await;
+        let _ = events
+            .send(StoreEvent::Fetched(address, Box::new(fetched)))
+            .await;
     }
     let failed_host = has_failed.then_some(host);
     let _ = events.send(StoreEvent::RefreshEnded(failed_host)).await;
@@ -91,7 +93,9 @@
     events: mpsc::Sender<StoreEvent>,
 ) {
     if let Some(fetched) = fetch_contents(address, &known, timeout).await {
-        let _ = events.send(StoreEvent::Fetched(address, fetched)).await;
+        let _ = events
+            .send(StoreEvent::Fetched(address, Box::new(fetched)))
+            .await;
     }
 }
 
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -18,6 +18,7 @@
 use agatehold_core::ids::TargetName;
 use agatehold_core::target_registry::StoreMirror;
 use agatehold_core::target_registry::TargetRecord;
+use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::Item;
 use agatehold_platform::decode_configuration;
@@ -28,14 +29,20 @@
 use crate::gateway::member::member_host;
 use crate::gateway::messages::Fetched;
 use crate::gateway::messages::KnownContents;
+use crate::gateway::messages::PeerStatements;
 use crate::gateway::messages::StoreContents;
 use crate::gateway::shared::GatewayShared;
+use crate::gateway::shared::ToldStatements;
 use crate::gateway::shared::View;
 use crate::gateway::store::StoreError;
 use crate::gateway::store_tasks::KeyGroup;
 use crate::gateway::store_tasks::StoreEvent;
 use crate::gateway::store_tasks::WatchTurn;
 
+/// How long views hold what another daemon has told this one. The traffic thread reads
+/// the newest view at least once a second.
+const TOLD_KEPT_MS: DurationMs = DurationMs(60_000);
+
 /// The tables of the control thread.
 pub(super) struct ControlTables {
     /// The configuration in force; its version never decreases.
@@ -56,6 +63,10 @@
     pub(super) read_at: TimeMs,
     /// The last heartbeat of each other daemon.
     pub(super) heartbeats: HeartbeatTable,
+    /// What other daemons have told this one since its start, the latest last.
+    told: Vec<Arc<ToldStatements>>,
+    /// The number of such answers so far.
+    told_count: u64,
     /// The contents of the store, served to other daemons.
     contents: StoreContents,
     /// The last published view.
@@ -75,6 +86,8 @@
             // Causes a read in the first iteration of the control loop.
             read_at: TimeMs(0),
             heartbeats: HeartbeatTable::new(own),
+            told: Vec::new(),
+            told_count: 0,
             contents: StoreContents::default(),
             view: Arc::default(),
         }
@@ -149,6 +162,7 @@
             revisions: self.contents.complete_to(),
             takes_changes: true,
             keeps_missing: self.targets.is_any_missing(),
+            has_started: false,
         }
     }
 
@@ -184,7 +198,7 @@
             let applied = replica.apply_changes(&changes);
             apply_changes(tables, key_group, &applied, now) || recovered
         }
-        StoreEvent::Fetched(address, fetched) => apply_fetched(tables, address, fetched, now),
+        StoreEvent::Fetched(address, fetched) => apply_fetched(tables, address, *fetched, now),
     }
 }
 
@@ -209,12 +223,12 @@
     now: TimeMs,
 ) -> bool {
     update_store_state(tables, now);
+    let mut changed = record_told(tables, address, fetched.statements, now);
     let key_groups = [
         (KeyGroup::Configuration, fetched.configuration),
         (KeyGroup::Targets, fetched.targets),
         (KeyGroup::Members, fetched.members),
     ];
-    let mut changed = false;
     for (key_group, update) in key_groups {
         let Some(update) = update else {
             continue;
@@ -240,6 +254,27 @@
     changed
 }
 
+/// Keeps what another daemon has told this one for the traffic thread. Returns whether
+/// there is anything.
+fn record_told(
+    tables: &mut ControlTables,
+    address: SocketAddr,
+    statements: PeerStatements,
+    now: TimeMs,
+) -> bool {
+    if statements == PeerStatements::default() {
+        return false;
+    }
+    tables.told_count += 1;
+    tables.told.push(Arc::new(ToldStatements {
+        number: tables.told_count,
+        told_at: now,
+        address,
+        statements,
+    }));
+    true
+}
+
 fn key_change(item: Item) -> KeyChange {
     KeyChange {
         key: item.key,
@@ -401,11 +436,16 @@
 
 /// Publishes the tables as a new view.
 pub(super) fn publish(shared: &GatewayShared, tables: &mut ControlTables) {
+    let now = shared.clock.now();
+    tables
+        .told
+        .retain(|told| now.since(told.told_at) <= TOLD_KEPT_MS);
     let mut view = View {
         number: tables.view.number + 1,
         catalog: tables.catalog.clone(),
         store_unavailable_since: tables.store_unavailable_since,
         contents: tables.contents.clone(),
+        told: tables.told.clone(),
         ..View::default()
     };
     for (_, row) in tables.targets.rows.rows() {
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -22,6 +22,7 @@
 use super::messages::DATAGRAM_BYTES_MAX;
 use super::messages::Evidence;
 use super::messages::LeavingMessage;
+use super::messages::PeerStatements;
 use super::messages::PressureMessage;
 use super::messages::TrafficMessage;
 use super::messages::decode_traffic_message;
@@ -32,9 +33,16 @@
 use super::shared::View;
 use super::traffic::TrafficState;
 
-/// The number of entry daemons that tell a new one which requests crash targets, so that
-/// it hears of them also if a datagram is lost or one of them is gone.
-const CRASH_MARK_SENDERS: usize = 3;
+/// The number of entry daemons of a service that tell a started daemon what they know, so
+/// that it hears of it also if a datagram is lost or one of them is gone.
+const STATEMENT_SENDERS: usize = 3;
+
+/// The maximum number of leaving targets that a started daemon is told of.
+const LEAVING_TARGETS_MAX: usize = 128;
+
+/// The number of targets whose statements are kept from which on those of unknown targets
+/// are ignored, so that they can't fill the table.
+const STATEMENTS_MAX: usize = 1_024;
 
 /// The maximum number of requests that a new daemon is told of; few requests ever crash
 /// two targets.
@@ -55,58 +63,103 @@
     send_to_entry_daemons(state, service, &encode_leaving(&message), |_| true);
 }
 
-/// Tells the daemons that are new among the entry daemons of a service, or that have
-/// started again, which requests have crashed two targets. They would let each of them
-/// crash two more.
-pub(super) fn send_crash_marks(state: &TrafficState, before: &View, newest: &View) {
+/// Returns what this daemon tells one that has started and asks.
+pub(super) fn peer_statements(state: &TrafficState) -> PeerStatements {
+    let targets = state.targets.borrow();
+    let leaving = targets.leaving_targets(LEAVING_TARGETS_MAX).into_iter();
+    PeerStatements {
+        leaving: leaving.cloned().collect(),
+        crash_marks: refused_requests(state),
+    }
+}
+
+/// Returns the crash marks of the requests that are refused.
+fn refused_requests(state: &TrafficState) -> Vec<CrashMarksMessage> {
     let now = state.shared.clock.now();
     let poison = state.poison.borrow();
-    let refused = poison::refused_requests(&poison, CRASH_MARK_REQUESTS_MAX, now);
-    if refused.is_empty() {
-        return;
+    let mut messages = Vec::new();
+    for fingerprint in poison::refused_requests(&poison, CRASH_MARK_REQUESTS_MAX, now) {
+        let marks = poison.rows.get(&fingerprint);
+        let marks = marks.into_iter().flat_map(|row| &row.marks);
+        messages.push(CrashMarksMessage {
+            fingerprint,
+            marks: marks
+                .filter(|mark| !mark.cleared)
+                .map(|mark| CrashMarkAge {
+                    target: mark.target.clone(),
+                    reporter: mark.reporter.clone(),
+                    age_ms: now.since(mark.at),
+                })
+                .collect(),
+        });
     }
+    messages
+}
+
+/// Tells the daemons that are new in the fleet, or that have started again, which targets
+/// said that they are leaving and which requests have crashed two targets. They would send
+/// requests to the former, and let the latter crash two more.
+pub(super) fn inform_started_daemons(state: &TrafficState, before: &View, newest: &View) {
+    let is_known = |host: &HostId, member: &MemberRecord| {
+        let known = before.members.get(host);
+        known.is_some_and(|known| known.incarnation == member.incarnation)
+    };
     let own = &state.shared.settings.host.id;
-    let mut told = Vec::new();
+    let mut started = Vec::new();
+    for (host, member) in newest.members.rows() {
+        if host != own && !is_known(host, member) {
+            started.push(member);
+        }
+    }
+    if started.is_empty() {
+        return;
+    }
+    let statements = peer_statements(state);
+    let mut messages = Vec::new();
+    let mut is_sender_of_any = false;
     for (service, entries) in &newest.entries_by_service {
-        let known = before.entries_by_service.get(service);
-        let is_known = |host: &HostId, member: &MemberRecord| {
-            known.into_iter().flatten().any(|(known_host, known)| {
-                known_host == host && known.incarnation == member.incarnation
-            })
-        };
-        let mut senders = entries
+        let known = entries
             .iter()
             .filter(|(host, member)| is_known(host, member));
-        if !senders
-            .by_ref()
-            .take(CRASH_MARK_SENDERS)
-            .any(|(host, _)| host == own)
-        {
+        if !known.take(STATEMENT_SENDERS).any(|(host, _)| host == own) {
             continue;
         }
-        for (host, member) in entries {
-            if is_known(host, member) || host == own || told.contains(&host) {
+        is_sender_of_any = true;
+        let targets = state.targets.borrow();
+        for target in &statements.leaving {
+            if targets.service_of(target) != Some(service) {
                 continue;
             }
-            told.push(host);
-            for fingerprint in &refused {
-                let marks = poison.rows.get(fingerprint);
-                let marks = marks.into_iter().flat_map(|row| &row.marks);
-                let message = CrashMarksMessage {
-                    fingerprint: *fingerprint,
-                    marks: marks
-                        .filter(|mark| !mark.cleared)
-                        .map(|mark| CrashMarkAge {
-                            target: mark.target.clone(),
-                            reporter: mark.reporter.clone(),
-                            age_ms: now.since(mark.at),
-                        })
-                        .collect(),
-                };
-                // A lost datagram is acceptable: other daemons send the same.
-                let bytes = encode_crash_marks(&message);
-                let _ = state.evidence.try_send_to(&bytes, member.evidence);
-            }
+            messages.push(encode_leaving(&LeavingMessage {
+                target: target.clone(),
+                reporter: own.clone(),
+            }));
+        }
+    }
+    if is_sender_of_any {
+        messages.extend(statements.crash_marks.iter().map(encode_crash_marks));
+    }
+    for member in started {
+        for message in &messages {
+            // A lost datagram is acceptable: other daemons send the same.
+            let _ = state.evidence.try_send_to(message, member.evidence);
+        }
+    }
+}
+
+/// Applies what other daemons have told this one after its start.
+pub(super) fn apply_told(state: &TrafficState, view: &View) {
+    let now = state.shared.clock.now();
+    for told in &view.told {
+        if told.number <= state.told_number.get() {
+            continue;
+        }
+        state.told_number.set(told.number);
+        for target in &told.statements.leaving {
+            record_told_leaving(state, target, &told.address.to_string(), now);
+        }
+        for message in &told.statements.crash_marks {
+            record_crash_marks(state, message, told.told_at, now);
         }
     }
 }
@@ -220,22 +273,34 @@
         match decode_traffic_message(&buffer[..length]) {
             Some(TrafficMessage::Evidence(evidence)) => apply_evidence(&state, &evidence),
             Some(TrafficMessage::Pressure(message)) => apply_pressure(&state, &message),
-            Some(TrafficMessage::Leaving(message)) => apply_leaving(&state, &message),
-            Some(TrafficMessage::CrashMarks(message)) => apply_crash_marks(&state, &message),
+            Some(TrafficMessage::Leaving(message)) => {
+                state.view();
+                let now = state.shared.clock.now();
+                record_told_leaving(&state, &message.target, message.reporter.as_str(), now);
+            }
+            Some(TrafficMessage::CrashMarks(message)) => {
+                let now = state.shared.clock.now();
+                record_crash_marks(&state, &message, now, now);
+            }
             None => log::debug!("event=news_skipped bytes={length}"),
         }
     }
 }
 
-fn apply_crash_marks(state: &TrafficState, message: &CrashMarksMessage) {
-    let now = state.shared.clock.now();
+/// Merges the crash marks that another daemon sent at `told_at`.
+fn record_crash_marks(
+    state: &TrafficState,
+    message: &CrashMarksMessage,
+    told_at: TimeMs,
+    now: TimeMs,
+) {
     let mut marks = Vec::new();
     for mark in &message.marks {
         marks.push(CrashMark {
             fingerprint: message.fingerprint,
             target: mark.target.clone(),
             reporter: mark.reporter.clone(),
-            at: now - mark.age_ms,
+            at: told_at - mark.age_ms,
             cleared: false,
         });
     }
@@ -247,25 +312,23 @@
     );
 }
 
-fn apply_leaving(state: &TrafficState, message: &LeavingMessage) {
-    state.view();
-    let now = state.shared.clock.now();
+/// Records that a target is leaving, as another daemon says.
+///
+/// The target may be unknown: a daemon that has just started hears of it before it has
+/// listed the targets.
+fn record_told_leaving(state: &TrafficState, target: &TargetIdentity, told_by: &str, now: TimeMs) {
     let mut targets = state.targets.borrow_mut();
-    // Unknown targets are ignored, so that they can't fill the table.
-    if !targets.is_registered(&message.target) {
+    if !targets.is_registered(target) && targets.statement_count() >= STATEMENTS_MAX {
         return;
     }
-    let row = targets.rows.get(&message.target.name);
-    let Some(service) = row.map(|row| row.record.service.clone()) else {
-        return;
-    };
-    if !targets.record_leaving(&message.target, now) {
+    if !targets.record_leaving(target, now) {
         return;
     }
+    let service = targets.service_of(target);
     log::info!(
-        "event=target_leaving target={} service={service} told_by={}",
-        message.target.name,
-        message.reporter
+        "event=target_leaving target={} service={} told_by={told_by}",
+        target.name,
+        service.map_or("-", ServiceName::as_str),
     );
     metrics::counter!("agatehold_leaving_targets_total", "told_by" => "daemon").increment(1);
 }
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -238,6 +238,15 @@
     kept: Vec<Box<str>>,
 }
 
+/// What a daemon tells one that has started, which it can't learn from the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct PeerStatements {
+    /// The targets that said that they are leaving.
+    pub(super) leaving: Vec<TargetIdentity>,
+    /// The crash marks of the requests that are refused.
+    pub(super) crash_marks: Vec<CrashMarksMessage>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct ContentsJson {
     configuration: Option<KeyGroupJson>,
@@ -247,6 +256,11 @@
     /// answers of daemons that don't tell others about removals.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     removed: Vec<(String, u64)>,
+    /// The names and start times of the targets that said that they are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    leaving: Vec<(String, u64)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    crash_marks: Vec<CrashMarksJson>,
 }
 
 /// Encodes a heartbeat.
@@ -341,6 +355,11 @@
 
 /// Encodes the crash marks of a request.
 pub(super) fn encode_crash_marks(message: &CrashMarksMessage) -> Vec<u8> {
+    // Strings and numbers always serialize to JSON.
+    serde_json::to_vec(&crash_marks_json(message)).unwrap_or_default()
+}
+
+fn crash_marks_json(message: &CrashMarksMessage) -> CrashMarksJson {
     let mut marks = Vec::new();
     for mark in &message.marks {
         marks.push((
@@ -349,12 +368,10 @@
             mark.age_ms.0,
         ));
     }
-    let json = CrashMarksJson {
+    CrashMarksJson {
         crashed_by: message.fingerprint.to_string(),
         marks,
-    };
-    // Strings and numbers always serialize to JSON.
-    serde_json::to_vec(&json).unwrap_or_default()
+    }
 }
 
 fn decode_crash_marks(json: &CrashMarksJson) -> Option<CrashMarksMessage> {
@@ -444,10 +461,11 @@
 }
 
 /// Encodes what a daemon lacks that knows the contents up to `known`. `removals` are the
-/// targets that this daemon has removed.
+/// targets that this daemon has removed; `statements` is empty unless they are asked for.
 pub(super) fn encode_contents(
     contents: &StoreContents,
     removals: &[(TargetName, u64)],
+    statements: &PeerStatements,
     known: &KnownContents,
 ) -> Vec<u8> {
     let update = |replica: &Replica, revision: u64| {
@@ -463,11 +481,21 @@
             removed.push((target.to_string(), *revision));
         }
     }
+    let mut leaving = Vec::new();
+    for target in &statements.leaving {
+        leaving.push((target.name.to_string(), target.started_unix_ms));
+    }
     let json = ContentsJson {
         configuration: update(&contents.configuration, revisions.configuration),
         targets: update(&contents.targets, revisions.targets),
         members: update(&contents.members, revisions.members),
         removed,
+        leaving,
+        crash_marks: statements
+            .crash_marks
+            .iter()
+            .map(crash_marks_json)
+            .collect(),
     };
     // Strings, numbers and booleans always serialize to JSON.
     serde_json::to_vec(&json).unwrap_or_default()
@@ -484,6 +512,8 @@
     pub(super) members: Option<ReplicaUpdate>,
     /// The targets that the other daemon has removed, with the revision of each removal.
     pub(super) removed: Vec<(TargetName, u64)>,
+    /// What the other daemon tells one that has started.
+    pub(super) statements: PeerStatements,
 }
 
 /// Decodes fetched contents; `None` if they are malformed.
@@ -493,11 +523,22 @@
     for (name, revision) in json.removed {
         removed.push((name.parse().ok()?, revision));
     }
+    let mut statements = PeerStatements::default();
+    for (name, started_unix_ms) in json.leaving {
+        statements.leaving.push(TargetIdentity {
+            name: name.parse().ok()?,
+            started_unix_ms,
+        });
+    }
+    for marks in &json.crash_marks {
+        statements.crash_marks.push(decode_crash_marks(marks)?);
+    }
     Some(Fetched {
         configuration: json.configuration.map(replica_update),
         targets: json.targets.map(replica_update),
         members: json.members.map(replica_update),
         removed,
+        statements,
     })
 }
 
@@ -527,18 +568,21 @@
     pub(super) takes_changes: bool,
     /// Whether it keeps targets that the store no longer has, and asks for all removals.
     pub(super) keeps_missing: bool,
+    /// Whether it has just started and asks for what the store can't tell it.
+    pub(super) has_started: bool,
 }
 
 /// Returns the path and query for fetching what a daemon lacks that knows `known`.
 pub(super) fn contents_path(known: &KnownContents) -> String {
     let revisions = &known.revisions;
     format!(
-        "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes={}&missing={}",
+        "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes={}&missing={}&started={}",
         revisions.configuration,
         revisions.targets,
         revisions.members,
         u8::from(known.takes_changes),
-        u8::from(known.keeps_missing)
+        u8::from(known.keeps_missing),
+        u8::from(known.has_started)
     )
 }
 
@@ -557,6 +601,7 @@
             "members" => known.revisions.members = value,
             "changes" => known.takes_changes = value == 1,
             "missing" => known.keeps_missing = value == 1,
+            "started" => known.has_started = value == 1,
             _ => {}
         }
     }
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -28,7 +28,9 @@
 use super::endpoint::Endpoint;
 use super::endpoint::IncomingRequest;
 use super::endpoint::Response;
+use super::evidence;
 use super::messages::CONTENTS_PATH;
+use super::messages::PeerStatements;
 use super::messages::encode_contents;
 use super::messages::parse_known;
 use super::traffic::TrafficState;
@@ -65,7 +67,12 @@
         Endpoint::Daemons if is_get && path == CONTENTS_PATH => {
             let known = parse_known(query);
             let view = state.view();
-            let body = encode_contents(&view.contents, &view.removals, &known);
+            let statements = if known.has_started {
+                evidence::peer_statements(state)
+            } else {
+                PeerStatements::default()
+            };
+            let body = encode_contents(&view.contents, &view.removals, &statements, &known);
             build_response(200, "application/json", body.into())
         }
         Endpoint::Metrics if is_get && path == METRICS_PATH => {
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -2,6 +2,7 @@
 //! and the traffic thread reads, and the progress of the shutdown.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -27,8 +28,21 @@
 
 use crate::clock::Clock;
 
+use super::messages::PeerStatements;
 use super::messages::StoreContents;
 
+/// What another daemon has told this one after its start.
+pub(super) struct ToldStatements {
+    /// The number of this answer; increases with each.
+    pub(super) number: u64,
+    /// When it arrived.
+    pub(super) told_at: TimeMs,
+    /// The address of the other daemon.
+    pub(super) address: SocketAddr,
+    /// What it told.
+    pub(super) statements: PeerStatements,
+}
+
 /// An immutable, consistent snapshot of the control thread's tables.
 #[derive(Default)]
 pub(super) struct View {
@@ -40,6 +54,9 @@
     pub(crate) targets: Vec<(TargetRecord, TimeMs)>,
     /// The targets that have been removed, with the store's revision of each removal.
     pub(crate) removals: Vec<(TargetName, u64)>,
+    /// What other daemons have told this one since its start, the latest last; dropped
+    /// after a while.
+    pub(super) told: Vec<Arc<ToldStatements>>,
     /// The registered daemons of the fleet.
     pub(crate) members: Table<HostId, MemberRecord>,
     /// The entry daemons of each host name: the few daemons whose addresses its
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -145,7 +145,7 @@
     /// The configuration and the targets have been read completely.
     ReadCompleted,
     /// Contents fetched from the daemon at this address.
-    Fetched(SocketAddr, Fetched),
+    Fetched(SocketAddr, Box<Fetched>),
     /// A fetch from another daemon or a read of the store ended; holds the
     /// daemon's host if the fetch failed.
     RefreshEnded(Option<HostId>),
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -85,6 +85,9 @@
     pub(super) routes: RefCell<HashMap<Box<str>, RouteState>>,
     /// The requests that were running in a target when it crashed.
     pub(super) poison: RefCell<PoisonTable>,
+    /// The number of the last answer applied of those that other daemons gave this one
+    /// after its start.
+    pub(super) told_number: Cell<u64>,
     /// The UDP socket for exchanging evidence about targets with other daemons.
     pub(super) evidence: UdpSocket,
     /// The random number generator of this thread.
@@ -110,7 +113,8 @@
 
     fn sync_tables(&self, newest: &Arc<View>) {
         let before = self.view.replace(Arc::clone(newest));
-        super::evidence::send_crash_marks(self, &before, newest);
+        super::evidence::apply_told(self, newest);
+        super::evidence::inform_started_daemons(self, &before, newest);
         self.targets.borrow_mut().sync(
             newest
                 .targets
@@ -320,6 +324,7 @@
         queues: RefCell::default(),
         routes: RefCell::default(),
         poison: RefCell::default(),
+        told_number: Cell::new(0),
         evidence,
         rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
         connections: Cell::new(0),
