gateway: tell daemons that are no entry daemons which requests crash targets

What callers saw: daemons whose addresses callers no longer get still serve those that keep an old one.

Cause: crashes and answers are told to the entry daemons of a service only.

Ruled out: the fingerprint; it is the same at every daemon.

Change: the daemon at which a request crashes its second target tells the daemons that are no entry daemons. If none of the reporters is an entry daemon, two entry daemons pass it on. An answer after that is told to the same daemons, so that they don't go on refusing. A first crash is still told to entry daemons only: most requests that are in flight at a crash are not its cause.

Before: daemons_that_are_no_entry_daemons_learn_which_requests_crash_targets fails (3 crashes for 2 at the first of the two daemons). After: it passes. The tests of the answer and of one crash through each of two daemons were seen red without the message that they are for. All 60 process tests pass.

Conclusion: a request crashes two targets in the whole fleet, plus those of the copies that are in flight and of lost datagrams, as among entry daemons.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -22,6 +22,9 @@
 /// enough to refuse the request.
 const MAX_MARKS: usize = 4;
 
+/// The number of crashes of a request from which on it is refused.
+const CRASHES_MAX: usize = 2;
+
 /// Crashes of one target within this time count as the same crash, even if
 /// different daemons report them.
 const SAME_CRASH_MS: DurationMs = DurationMs(2_000);
@@ -191,14 +194,25 @@
     cleared
 }
 
+/// Returns whether a request is refused, because it has crashed two targets.
+pub fn is_refused(table: &PoisonTable, fingerprint: &Digest, now: TimeMs) -> bool {
+    let row = table.rows.get(fingerprint);
+    row.is_some_and(|row| active_marks(&row.marks, now).count() >= CRASHES_MAX)
+}
+
+/// Returns the marks that count against a request.
+fn active_marks(marks: &[CrashMark], now: TimeMs) -> impl Iterator<Item = &CrashMark> {
+    let marks = marks.iter();
+    marks.filter(move |mark| !mark.cleared && now.since(mark.at) <= MARK_LIFETIME_MS)
+}
+
 /// Returns the requests that are refused, at most `most`, those whose last crash is the
 /// newest first.
 pub fn refused_requests(table: &PoisonTable, most: usize, now: TimeMs) -> Vec<Digest> {
     let mut refused = Vec::new();
     for (fingerprint, row) in table.rows.rows() {
-        let counts = |mark: &&CrashMark| !mark.cleared && now.since(mark.at) <= MARK_LIFETIME_MS;
-        let crashed_at = row.marks.iter().filter(counts).map(|mark| mark.at);
-        if crashed_at.clone().count() >= 2 {
+        if is_refused(table, fingerprint, now) {
+            let crashed_at = active_marks(&row.marks, now).map(|mark| mark.at);
             refused.push((crashed_at.max(), *fingerprint));
         }
     }
--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -11,6 +11,7 @@
 pub use admit::admit;
 pub use admit::clear;
 pub use admit::is_blamed;
+pub use admit::is_refused;
 pub use admit::mark_crash;
 pub use admit::merge_marks;
 pub use admit::refused_requests;
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -40,6 +40,7 @@
         let jitter = self.state.rng.borrow_mut().random();
         let own = &self.state.shared.settings.host.id;
         let is_entry = self.state.view().is_entry(own, &self.service);
+        let was_refused = self.is_refused_by_poison_table(now);
         let answered = end.outcome == AttemptOutcome::Answered;
         let answered = (answered && self.revoke_crash_marks()).then(|| self.fingerprint());
         let mut report = None;
@@ -123,6 +124,9 @@
         drop(targets);
         if let Some(evidence) = report {
             evidence::send_evidence(self.state, &self.service, &evidence);
+            if was_refused && evidence.answered.is_some() {
+                evidence::send_answered(self.state, &self.service, &evidence);
+            }
         }
         match end.outcome {
             AttemptOutcome::Answered => {
@@ -132,6 +136,10 @@
             AttemptOutcome::ConnectionLost => {
                 self.state.pool.borrow_mut().close_address(address);
                 self.mark_crash(target, now);
+                if !was_refused && self.is_refused_by_poison_table(now) {
+                    let fingerprint = self.fingerprint();
+                    evidence::send_crash_marks(self.state, &self.service, &fingerprint, now);
+                }
             }
             AttemptOutcome::ConnectFailed => {
                 self.state.pool.borrow_mut().close_address(address);
@@ -175,6 +183,11 @@
         }
     }
 
+    fn is_refused_by_poison_table(&self, now: TimeMs) -> bool {
+        let table = self.state.poison.borrow();
+        !table.rows.is_empty() && poison::is_refused(&table, &self.fingerprint(), now)
+    }
+
     /// Returns the number of crash marks of the request that are not cleared.
     pub(super) fn crash_count(&self) -> usize {
         let table = self.state.poison.borrow();
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -10,10 +10,12 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dispatch::PressureChange;
 use agatehold_core::dispatch::count_target_states;
+use agatehold_core::ids::Digest;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
+use agatehold_core::poison::PoisonTable;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::TimeMs;
 
@@ -37,6 +39,9 @@
 /// that it hears of it also if a datagram is lost or one of them is gone.
 const STATEMENT_SENDERS: usize = 3;
 
+/// The number of entry daemons that pass on the crash that another daemon has reported.
+const CRASH_MARK_SENDERS: u32 = 2;
+
 /// The maximum number of leaving targets that a started daemon is told of.
 const LEAVING_TARGETS_MAX: usize = 128;
 
@@ -63,6 +68,37 @@
     send_to_entry_daemons(state, service, &encode_leaving(&message), |_| true);
 }
 
+/// Tells the daemons that are no entry daemons of a service, which get no evidence, that a
+/// request has crashed two targets. Each of them would let it crash two more.
+pub(super) fn send_crash_marks(
+    state: &TrafficState,
+    service: &ServiceName,
+    fingerprint: &Digest,
+    now: TimeMs,
+) {
+    let message = crash_marks(&state.poison.borrow(), fingerprint, now);
+    send_to_other_daemons(state, service, &encode_crash_marks(&message));
+}
+
+/// Tells the daemons that are no entry daemons of a service that a request which had
+/// crashed two targets has been answered.
+pub(super) fn send_answered(state: &TrafficState, service: &ServiceName, evidence: &Evidence) {
+    send_to_other_daemons(state, service, &encode_evidence(evidence));
+}
+
+/// Sends a datagram to the daemons that are no entry daemons of a service.
+fn send_to_other_daemons(state: &TrafficState, service: &ServiceName, bytes: &[u8]) {
+    let view = state.view();
+    let own = &state.shared.settings.host.id;
+    for (host, member) in view.members.rows() {
+        if host == own || view.is_entry(host, service) {
+            continue;
+        }
+        // A lost datagram is acceptable: the daemon sees the next crash itself.
+        let _ = state.evidence.try_send_to(bytes, member.evidence);
+    }
+}
+
 /// Returns what this daemon tells one that has started and asks.
 pub(super) fn peer_statements(state: &TrafficState) -> PeerStatements {
     let targets = state.targets.borrow();
@@ -79,23 +115,28 @@
     let poison = state.poison.borrow();
     let mut messages = Vec::new();
     for fingerprint in poison::refused_requests(&poison, CRASH_MARK_REQUESTS_MAX, now) {
-        let marks = poison.rows.get(&fingerprint);
-        let marks = marks.into_iter().flat_map(|row| &row.marks);
-        messages.push(CrashMarksMessage {
-            fingerprint,
-            marks: marks
-                .filter(|mark| !mark.cleared)
-                .map(|mark| CrashMarkAge {
-                    target: mark.target.clone(),
-                    reporter: mark.reporter.clone(),
-                    age_ms: now.since(mark.at),
-                })
-                .collect(),
-        });
+        messages.push(crash_marks(&poison, &fingerprint, now));
     }
     messages
 }
 
+/// Returns the crash marks of a request that are not cleared.
+fn crash_marks(poison: &PoisonTable, fingerprint: &Digest, now: TimeMs) -> CrashMarksMessage {
+    let marks = poison.rows.get(fingerprint);
+    let marks = marks.into_iter().flat_map(|row| &row.marks);
+    CrashMarksMessage {
+        fingerprint: *fingerprint,
+        marks: marks
+            .filter(|mark| !mark.cleared)
+            .map(|mark| CrashMarkAge {
+                target: mark.target.clone(),
+                reporter: mark.reporter.clone(),
+                age_ms: now.since(mark.at),
+            })
+            .collect(),
+    }
+}
+
 /// Tells the daemons that are new in the fleet, or that have started again, which targets
 /// said that they are leaving and which requests have crashed two targets. They would send
 /// requests to the former, and let the latter crash two more.
@@ -352,9 +393,30 @@
         .record_peer_use(&message.used, now);
 }
 
+/// Tells the daemons that are no entry daemons of a crash that one of them has reported,
+/// which knows of no other crash of the request.
+fn pass_on_crash_marks(
+    state: &TrafficState,
+    evidence: &Evidence,
+    fingerprint: &Digest,
+    now: TimeMs,
+) {
+    let view = state.view();
+    let service = state.targets.borrow().service_of(&evidence.target).cloned();
+    let Some(service) = service else {
+        return;
+    };
+    let is_sender = state.daemon_rank(&service);
+    let is_sender = is_sender.is_some_and(|daemon_rank| daemon_rank.rank < CRASH_MARK_SENDERS);
+    if is_sender && !view.is_entry(&evidence.reporter, &service) {
+        send_crash_marks(state, &service, fingerprint, now);
+    }
+}
+
 fn apply_evidence(state: &TrafficState, evidence: &Evidence) {
     let now = state.shared.clock.now();
     if let Some(fingerprint) = evidence.crash {
+        let was_refused = poison::is_refused(&state.poison.borrow(), &fingerprint, now);
         let mark = CrashMark {
             fingerprint,
             target: evidence.target.name.clone(),
@@ -363,6 +425,9 @@
             cleared: false,
         };
         poison::mark_crash(&mut state.poison.borrow_mut(), mark, now);
+        if !was_refused && poison::is_refused(&state.poison.borrow(), &fingerprint, now) {
+            pass_on_crash_marks(state, evidence, &fingerprint, now);
+        }
     }
     if let Some(fingerprint) = &evidence.answered {
         poison::revoke_marks(&mut state.poison.borrow_mut(), fingerprint);
