--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -17,7 +17,6 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
 use agatehold_core::dissemination::Refresh;
-use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::next_refresh;
@@ -28,6 +27,7 @@
 
 use super::member::encode_member;
 use super::member::member_key;
+use super::messages::KnownContents;
 use super::shared::GatewayShared;
 use super::store::StoreClient;
 use super::store_tasks::KeyGroup;
@@ -58,6 +58,10 @@
 /// watch counts as stuck. A watch pauses for 350 ms after each change.
 const BEHIND_MAX_MS: DurationMs = DurationMs(600);
 
+/// How long after its start a daemon asks the others for what the store can't tell it. In
+/// this time it asks several rounds of them.
+const STARTED_MS: DurationMs = DurationMs(10_000);
+
 /// The timeout of a fetch from another daemon.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -358,7 +362,11 @@
     /// Fetches from the seed daemons in the settings and from a few others, which
     /// may know the contents while the store is unreachable. A daemon that has just
     /// started knows only the seeds, and those may be out of date.
-    fn fetch_from_any(&mut self, tables: &ControlTables, known: Revisions) {
+    fn fetch_from_any(&mut self, tables: &ControlTables) {
+        let known = KnownContents {
+            has_started: self.shared.clock.uptime() < STARTED_MS,
+            ..tables.known()
+        };
         let settings = &self.shared.settings;
         let mut addresses = tables.pull_addresses(&settings.host.id, self.pull_round);
         self.pull_round += 1;
@@ -404,6 +412,7 @@
                 self.read_store(tables, "fetch_failed", now);
             }
             Refresh::Fetch(mut hosts) => {
+                let known = tables.known();
                 // Bytes between failure domains cost bandwidth.
                 let own_host = &self.shared.settings.host.id;
                 hosts.sort_by_key(|host| !tables.are_near(host, own_host));
@@ -417,14 +426,14 @@
                     };
                     self.running_refreshes += 1;
                     let events = self.events.clone();
-                    let fetching = peers::fetch(host, address, own, FETCH_TIMEOUT, events);
+                    let fetching = peers::fetch(host, address, known, FETCH_TIMEOUT, events);
                     tokio::task::spawn_local(fetching);
                 }
             }
             Refresh::ReadStore => {
                 self.read_store(tables, "not_told", now);
                 if tables.store_unavailable_since.is_some() || tables.catalog.is_none() {
-                    self.fetch_from_any(tables, own);
+                    self.fetch_from_any(tables);
                 }
             }
         }
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -238,11 +238,29 @@
     kept: Vec<Box<str>>,
 }
 
+/// What a daemon tells one that has started, which it can't learn from the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct PeerStatements {
+    /// The targets that said that they are leaving.
+    pub(super) leaving: Vec<TargetIdentity>,
+    /// The crash marks of the requests that are refused.
+    pub(super) crash_marks: Vec<CrashMarksMessage>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct ContentsJson {
     configuration: Option<KeyGroupJson>,
     targets: Option<KeyGroupJson>,
     members: Option<KeyGroupJson>,
+    /// The names of removed targets, with the revision of each removal; absent in the
+    /// answers of daemons that don't tell others about removals.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    removed: Vec<(String, u64)>,
+    /// The names and start times of the targets that said that they are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    leaving: Vec<(String, u64)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    crash_marks: Vec<CrashMarksJson>,
 }
 
 /// Encodes a heartbeat.
@@ -337,6 +355,11 @@
 
 /// Encodes the crash marks of a request.
 pub(super) fn encode_crash_marks(message: &CrashMarksMessage) -> Vec<u8> {
+    // Strings and numbers always serialize to JSON.
+    serde_json::to_vec(&crash_marks_json(message)).unwrap_or_default()
+}
+
+fn crash_marks_json(message: &CrashMarksMessage) -> CrashMarksJson {
     let mut marks = Vec::new();
     for mark in &message.marks {
         marks.push((
@@ -345,12 +368,10 @@
             mark.age_ms.0,
         ));
     }
-    let json = CrashMarksJson {
+    CrashMarksJson {
         crashed_by: message.fingerprint.to_string(),
         marks,
-    };
-    // Strings and numbers always serialize to JSON.
-    serde_json::to_vec(&json).unwrap_or_default()
+    }
 }
 
 fn decode_crash_marks(json: &CrashMarksJson) -> Option<CrashMarksMessage> {
@@ -439,8 +460,14 @@
     }
 }
 
-/// Encodes what a daemon lacks that knows the contents up to `known`.
-pub(super) fn encode_contents(contents: &StoreContents, known: &KnownContents) -> Vec<u8> {
+/// Encodes what a daemon lacks that knows the contents up to `known`. `removals` are the
+/// targets that this daemon has removed; `statements` is empty unless they are asked for.
+pub(super) fn encode_contents(
+    contents: &StoreContents,
+    removals: &[(TargetName, u64)],
+    statements: &PeerStatements,
+    known: &KnownContents,
+) -> Vec<u8> {
     let update = |replica: &Replica, revision: u64| {
         let complete_to = if known.takes_changes { revision } else { 0 };
         let is_newer = replica.changed_at() > revision;
@@ -448,10 +475,27 @@
         update.flatten().map(key_group_json)
     };
     let revisions = &known.revisions;
+    let mut removed = Vec::new();
+    for (target, revision) in removals {
+        if known.keeps_missing || *revision > revisions.targets {
+            removed.push((target.to_string(), *revision));
+        }
+    }
+    let mut leaving = Vec::new();
+    for target in &statements.leaving {
+        leaving.push((target.name.to_string(), target.started_unix_ms));
+    }
     let json = ContentsJson {
         configuration: update(&contents.configuration, revisions.configuration),
         targets: update(&contents.targets, revisions.targets),
         members: update(&contents.members, revisions.members),
+        removed,
+        leaving,
+        crash_marks: statements
+            .crash_marks
+            .iter()
+            .map(crash_marks_json)
+            .collect(),
     };
     // Strings, numbers and booleans always serialize to JSON.
     serde_json::to_vec(&json).unwrap_or_default()
@@ -466,15 +510,35 @@
     pub(super) targets: Option<ReplicaUpdate>,
     /// The registered daemons.
     pub(super) members: Option<ReplicaUpdate>,
+    /// The targets that the other daemon has removed, with the revision of each removal.
+    pub(super) removed: Vec<(TargetName, u64)>,
+    /// What the other daemon tells one that has started.
+    pub(super) statements: PeerStatements,
 }
 
 /// Decodes fetched contents; `None` if they are malformed.
 pub(super) fn decode_contents(bytes: &[u8]) -> Option<Fetched> {
     let json: ContentsJson = serde_json::from_slice(bytes).ok()?;
+    let mut removed = Vec::new();
+    for (name, revision) in json.removed {
+        removed.push((name.parse().ok()?, revision));
+    }
+    let mut statements = PeerStatements::default();
+    for (name, started_unix_ms) in json.leaving {
+        statements.leaving.push(TargetIdentity {
+            name: name.parse().ok()?,
+            started_unix_ms,
+        });
+    }
+    for marks in &json.crash_marks {
+        statements.crash_marks.push(decode_crash_marks(marks)?);
+    }
     Some(Fetched {
         configuration: json.configuration.map(replica_update),
         targets: json.targets.map(replica_update),
         members: json.members.map(replica_update),
+        removed,
+        statements,
     })
 }
 
@@ -502,14 +566,23 @@
     pub(super) revisions: Revisions,
     /// Whether it understands answers that hold only what has changed.
     pub(super) takes_changes: bool,
+    /// Whether it keeps targets that the store no longer has, and asks for all removals.
+    pub(super) keeps_missing: bool,
+    /// Whether it has just started and asks for what the store can't tell it.
+    pub(super) has_started: bool,
 }
 
-/// Returns the path and query for fetching the key groups that are newer than
-/// `known`.
-pub(super) fn contents_path(known: &Revisions) -> String {
+/// Returns the path and query for fetching what a daemon lacks that knows `known`.
+pub(super) fn contents_path(known: &KnownContents) -> String {
+    let revisions = &known.revisions;
     format!(
-        "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes=1",
-        known.configuration, known.targets, known.members
+        "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes={}&missing={}&started={}",
+        revisions.configuration,
+        revisions.targets,
+        revisions.members,
+        u8::from(known.takes_changes),
+        u8::from(known.keeps_missing),
+        u8::from(known.has_started)
     )
 }
 
@@ -527,6 +600,8 @@
             "targets" => known.revisions.targets = value,
             "members" => known.revisions.members = value,
             "changes" => known.takes_changes = value == 1,
+            "missing" => known.keeps_missing = value == 1,
+            "started" => known.has_started = value == 1,
             _ => {}
         }
     }
