measure: requests to a leaving target, with and without telling other daemons

The issue asks why other daemons are told ahead of the store that a target leaves, with a measurement of the requests that reach it and of the cost in bytes.

Added: agatehold-measure leaving, on virtual time with the choice of targets, homes and reports of use of agatehold-core. Four services, three delays of the store, three ways.

Conclusion: the datagram stays.

--- a/crates/agatehold-measure/src/lib.rs
+++ b/crates/agatehold-measure/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod detection;
 pub mod false_ejection;
 pub mod flapping;
+pub mod leaving;
 pub mod poison;
 pub mod simulation;
 pub mod table;
--- a/crates/agatehold-measure/src/main.rs
+++ b/crates/agatehold-measure/src/main.rs
@@ -10,11 +10,12 @@
 use agatehold_measure::detection;
 use agatehold_measure::false_ejection;
 use agatehold_measure::flapping;
+use agatehold_measure::leaving;
 use agatehold_measure::poison;
 
 const USAGE: &str = "\
 usage: agatehold-measure [--trials N] \
-detection|false-ejections|poison|flapping|balance";
+detection|false-ejections|poison|flapping|balance|leaving";
 
 /// The number of trials per result without `--trials`.
 const DEFAULT_TRIALS: u32 = 4_000;
@@ -54,6 +55,7 @@
         "poison" => poison::report(trials),
         "flapping" => flapping::report(trials),
         "balance" => balance::report(),
+        "leaving" => leaving::report(),
         other => {
             eprintln!("agatehold-measure: unknown subcommand {other}\n{USAGE}");
             return ExitCode::from(2);
--- a/crates/agatehold-measure/tests/bounds.rs
+++ b/crates/agatehold-measure/tests/bounds.rs
@@ -10,6 +10,8 @@
 use agatehold_measure::false_ejection::SCENARIOS;
 use agatehold_measure::false_ejection::Scenario;
 use agatehold_measure::flapping;
+use agatehold_measure::leaving;
+use agatehold_measure::leaving::Way;
 use agatehold_measure::poison;
 use agatehold_measure::poison::Caller;
 use agatehold_measure::poison::Rule;
@@ -153,3 +155,26 @@
         }
     }
 }
+
+/// Guards against daemons that send requests to a target which has told another daemon
+/// that it is leaving. Without a datagram each of them sends it one, as long as the store
+/// doesn't tell.
+#[test]
+fn a_datagram_saves_the_requests_to_a_leaving_target() {
+    let never = leaving::STORE_DELAYS_MS[2];
+    for service in &leaving::SERVICES[..2] {
+        let sent = |way| {
+            let trials = leaving::measure(service, never, way, 20);
+            assert!(trials.iter().all(|trial| trial.sent_knowing == 0));
+            let sent: Vec<f64> = trials
+                .iter()
+                .map(|trial| f64::from(trial.sent_after_first))
+                .collect();
+            mean(&sent)
+        };
+        let told = sent(Way::Datagrams(0.0));
+        assert!(told <= 0.1, "{}: {told} requests", service.name);
+        let alone = sent(Way::Alone);
+        assert!(alone >= 1.0, "{}: {alone} requests", service.name);
+    }
+}
