gateway: leave more of the grace period when nobody reads the log

A daemon that runs to the limit of its planned stop, and whose log nobody reads, ended within 60 ms of the moment at which the platform kills it. On a host that is slow at the time it is killed.

Cause: traced with the time of the end in each test of a planned stop. Of the 400 ms before the end of the grace period, the wait for the log took 300 ms, up to 50 ms went by until the limit was noticed.

Ruled out: the other cases.

Change: the wait for the log is 150 ms, which covers the delay of a batch (100 ms) and its write. Lines that take longer than that to be written at the end are lost; it was 300 ms. The limit at which the process stops serving stays.

--- a/crates/agatehold/src/telemetry/line_writer.rs
+++ b/crates/agatehold/src/telemetry/line_writer.rs
@@ -16,8 +16,9 @@
 /// each line by itself would wake the thread once per line.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
-/// The timeout of a flush.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// The timeout of a flush: the batch delay and time for the write. A flush is the last step
+/// of a planned stop, which has 400 ms for all of them at the end of its time limit.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
 
 enum Message {
     Line(Vec<u8>),
