Refuse as isolated what a newer configuration may allow

What callers saw: a daemon that could not confirm its configuration, as after a pause, answered 403 or 404 for tenants and routes that a newer note may have added. Callers take these for good.

Cause: the tenant and the route were checked before the phase.

Change: while isolated, a daemon refuses such requests with `isolated` (503), as all others. A request without a tenant is refused as before.

Before: an_isolated_daemon_does_not_call_a_tenant_unknown failed (403 unknown-tenant). After: it passes.

--- a/crates/agatehold/src/traffic/plan.rs
+++ b/crates/agatehold/src/traffic/plan.rs
@@ -68,6 +68,25 @@
     if phase == Phase::Starting {
         return Err(Refusal::new(RefusalKind::Starting));
     }
+    plan_in_phase(state, arrival, phase).map_err(|refusal| {
+        let depends_on_note = match refusal.kind {
+            RefusalKind::UnknownRoute | RefusalKind::TenantNotAllowed => true,
+            RefusalKind::UnknownTenant => arrival.tenant.is_some(),
+            _ => false,
+        };
+        if phase == Phase::Isolated && depends_on_note {
+            // A newer configuration may allow the request.
+            return Refusal::new(RefusalKind::Isolated);
+        }
+        refusal
+    })
+}
+
+fn plan_in_phase(
+    state: &Rc<ThreadState>,
+    arrival: &Arrival,
+    phase: Phase,
+) -> Result<Plan, Refusal> {
     let published = state.shared.published.load_full();
     let table = &published.table;
     let method = arrival.method.as_str();
--- a/crates/agatehold/tests/pauses.rs
+++ b/crates/agatehold/tests/pauses.rs
@@ -129,6 +129,34 @@
     assert!(last.contains("unknown-tenant"), "{last}");
 }
 
+/// A daemon reaches neither the platform nor most of the fleet, as after a pause. Guards
+/// against refusing a tenant for good (403) by a note that may be out of force: a newer one
+/// may have added the tenant, and a caller that nobody watches would not come again.
+#[test]
+fn an_isolated_daemon_does_not_call_a_tenant_unknown() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_agatehold"));
+    let fleet = Fleet::start(binary, FleetOptions::default()).unwrap();
+    let address = fleet.daemons[PAUSED].callers;
+    let answer = receive(send(address).unwrap()).unwrap();
+    assert!(answer.contains("unknown-tenant"), "while serving: {answer}");
+    fleet
+        .control_platform(&serde_json::json!({"down": true}))
+        .unwrap();
+    for (index, daemon) in fleet.daemons.iter().enumerate() {
+        if index != PAUSED {
+            daemon.signal(Signal::Kill).unwrap();
+        }
+    }
+    wait_until("the daemon to be isolated", || {
+        let status = fleet.daemons[PAUSED].status();
+        status.is_some_and(|status| status.isolated)
+    })
+    .unwrap();
+    let answer = receive(send(address).unwrap()).unwrap();
+    fleet.close().unwrap();
+    assert!(answer.contains("isolated"), "{answer}");
+}
+
 /// Returns a listener that holds one connection until it is accepted; the system drops
 /// the packets of further ones, which their senders repeat after a second.
 fn listen_for_one() -> TcpListener {
