dispatch: count requests and reported uses by target process

What callers saw: a target that starts again, or whose entry lapses and returns while requests are in flight, could get more requests from a daemon than it has slots; those beyond wait in the target or are rejected.

Cause: claims, releases, overdue requests and reports of use named the target, not its process. A slot that was claimed at one process was released at the next; a late end of an overdue request changed the next one's cost. A row that went and came back began with no requests in flight, and the ends of those of before then took away from new ones. A use that another daemon reports of the previous process left the next one unused for up to 1.8 s.

Change: a choice, a claim, a release and an overdue request name the process (TargetIdentity), through the queue and the attempt. Counts of processes that are not registered are kept until their requests end. An attempt whose process is gone counts as not written; it was sent to the next one. Reports of use carry the low 16 bits of the start time, since a whole start time for each of dozens of targets does not fit the datagram; daemons that don't tell are believed as before. The list of used targets may take 1,800 bytes (was 1,700) of 2,048.

The tests of choices name processes in place of targets; their bounds are the same.

Conclusion: what ends at one process changes nothing for another.

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -44,5 +44,6 @@
 pub use targets::LiveTarget;
 pub use targets::LiveTargets;
 pub use targets::LoadReport;
+pub use targets::RequestCounts;
 pub use targets::TargetUse;
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -4,6 +4,7 @@
 use crate::ids::FailureDomain;
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
+use crate::target_registry::TargetIdentity;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
@@ -133,7 +134,7 @@
             (AWAY_UNUSED_AFTER_MS + later).min(UNUSED_MAX_MS)
         }
     };
-    row.in_flight == 0 && now.since(row.used_at) > after_ms
+    row.counts.in_flight == 0 && now.since(row.used_at) > after_ms
 }
 
 /// The parameters of [`pick_live_target`].
@@ -162,7 +163,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Choice {
     /// The request is sent to this target.
-    Target(TargetName),
+    Target(TargetIdentity),
     /// All targets are full; the request has to wait.
     AllBusy,
     /// All targets that could take the request have asked for a pause; the first of them
@@ -191,9 +192,9 @@
 /// it unused.
 pub fn pick_live_target(targets: &LiveTargets, request: &PickRequest<'_>, now: TimeMs) -> Choice {
     let holds = hold_durations(targets, request.service, now);
-    let mut best: Option<(f64, &TargetName)> = None;
-    let mut last_resort: Option<(f64, &TargetName)> = None;
-    let mut fast_failing: Option<(f64, &TargetName)> = None;
+    let mut best: Option<(f64, &TargetIdentity)> = None;
+    let mut last_resort: Option<(f64, &TargetIdentity)> = None;
+    let mut fast_failing: Option<(f64, &TargetIdentity)> = None;
     let mut has_candidate = false;
     let mut first_pause_ends_at: Option<TimeMs> = None;
     for (name, row) in targets.of_service(request.service) {
@@ -223,25 +224,25 @@
                 && !row.failure_detector.is_unreachable(now)
                 && row.failure_detector.fails_fast();
             if is_free && is_fast_failing && fast_failing.is_none_or(|(least, _)| cost < least) {
-                fast_failing = Some((cost, name));
+                fast_failing = Some((cost, &row.record.identity));
             }
             if is_free && last_resort.is_none_or(|(least, _)| cost < least) {
-                last_resort = Some((cost, name));
+                last_resort = Some((cost, &row.record.identity));
             }
             continue;
         }
         has_candidate = true;
         if is_free && best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, name));
+            best = Some((cost, &row.record.identity));
         }
     }
     match (best, last_resort) {
-        (Some((_, name)), _) => Choice::Target(name.clone()),
+        (Some((_, identity)), _) => Choice::Target(identity.clone()),
         (None, _) if has_candidate => match fast_failing {
-            Some((_, name)) => Choice::Target(name.clone()),
+            Some((_, identity)) => Choice::Target(identity.clone()),
             None => Choice::AllBusy,
         },
-        (None, Some((_, name))) => Choice::Target(name.clone()),
+        (None, Some((_, identity))) => Choice::Target(identity.clone()),
         (None, None) if targets.takes_work(request.service, request.tried, now) => Choice::AllBusy,
         (None, None) => first_pause_ends_at.map_or(Choice::NoTarget, Choice::AllPaused),
     }
@@ -335,6 +336,6 @@
     if now < row.warm_at {
         cost += WARMING_COST;
     }
-    cost += OVERDUE_COST * f64::from(row.overdue);
+    cost += OVERDUE_COST * f64::from(row.counts.overdue);
     cost + order
 }
--- a/crates/agatehold-core/src/dispatch/target_counts.rs
+++ b/crates/agatehold-core/src/dispatch/target_counts.rs
@@ -56,7 +56,7 @@
             return &mut self.unreachable;
         }
         let is_new = row.chosen_number == 0;
-        if row.in_flight > 0 || (!is_new && now.since(row.used_at) <= RECENT_USE_MS) {
+        if row.counts.in_flight > 0 || (!is_new && now.since(row.used_at) <= RECENT_USE_MS) {
             return &mut self.used;
         }
         if row.failure_detector.is_suspected() {
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -1,6 +1,7 @@
 //! The table of registered targets and their live state in this daemon.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use crate::addresses::rendezvous_fraction;
 use crate::config::TargetState;
@@ -9,6 +10,7 @@
 use crate::ids::ServiceName;
 use crate::ids::TargetName;
 use crate::table::Table;
+use crate::target_registry::ProcessMark;
 use crate::target_registry::TargetIdentity;
 use crate::target_registry::TargetRecord;
 use crate::units::DurationMs;
@@ -43,6 +45,15 @@
     }
 }
 
+/// The requests that this daemon has sent to a target process and that have not ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestCounts {
+    /// The number of requests.
+    pub in_flight: u32,
+    /// The number of those that take much longer than usual.
+    pub overdue: u32,
+}
+
 /// A target and what this daemon knows of it.
 #[derive(Clone, Debug)]
 pub struct LiveTarget {
@@ -50,10 +61,8 @@
     pub record: TargetRecord,
     /// When the target has warmed up after its start.
     pub warm_at: TimeMs,
-    /// The number of requests that this daemon has sent and that have not ended.
-    pub in_flight: u32,
-    /// The number of requests in flight that take much longer than usual.
-    pub overdue: u32,
+    /// The requests that this daemon has sent and that have not ended.
+    pub counts: RequestCounts,
     /// The number of requests of other daemons according to the last load report.
     reported_others: u32,
     /// When the last load report arrived.
@@ -83,15 +92,14 @@
 }
 
 impl LiveTarget {
-    fn new(record: TargetRecord, tie_break: f64, seen_at: TimeMs) -> Self {
+    fn new(record: TargetRecord, tie_break: f64, counts: RequestCounts, seen_at: TimeMs) -> Self {
         let warm_at = seen_at + record.warmup_left_ms;
         let leaving = record.state == TargetState::Leaving;
         let home = default_home(&record.identity.name);
         Self {
             record,
             warm_at,
-            in_flight: 0,
-            overdue: 0,
+            counts,
             reported_others: 0,
             reported_at: TimeMs(0),
             failure_detector: FailureDetector::default(),
@@ -111,7 +119,7 @@
     /// carried the report is among them and still counts as in flight here.
     pub fn report_load(&mut self, report: LoadReport, now: TimeMs) {
         let in_target = report.running.saturating_add(report.waiting);
-        self.reported_others = in_target.saturating_sub(self.in_flight);
+        self.reported_others = in_target.saturating_sub(self.counts.in_flight);
         self.reported_at = now;
     }
 
@@ -122,7 +130,7 @@
         let weight = now
             .since(self.reported_at)
             .half_life_weight(LOAD_REPORT_HALF_LIFE_MS);
-        f64::from(self.in_flight) + f64::from(self.reported_others) * weight
+        f64::from(self.counts.in_flight) + f64::from(self.reported_others) * weight
     }
 
     /// Applies what the target has said of itself.
@@ -147,6 +155,8 @@
 pub struct TargetUse {
     /// The target.
     pub target: TargetName,
+    /// The process that was used; `None` if the other daemon does not tell.
+    pub process: Option<ProcessMark>,
     /// The time since the request was sent.
     pub age_ms: DurationMs,
 }
@@ -156,6 +166,9 @@
 pub struct LiveTargets {
     /// The targets by name.
     pub rows: Table<TargetName, LiveTarget>,
+    /// The requests in flight at processes that are not in `rows`, since they were
+    /// replaced or their registration has lapsed; holds no process without any.
+    unregistered: Table<TargetIdentity, RequestCounts>,
     /// The target names by service; holds each target of `rows` exactly once.
     by_service: HashMap<ServiceName, Vec<TargetName>>,
     /// The host's id; makes the tie-breaks differ between daemons.
@@ -183,6 +196,7 @@
     /// that is, as long as it has not been restarted.
     pub fn sync<'a>(&mut self, records: impl Iterator<Item = (&'a TargetRecord, TimeMs)>) {
         let mut held = std::mem::take(&mut self.rows);
+        let mut replaced = Vec::new();
         self.by_service.clear();
         for (record, seen_at) in records {
             let name = record.identity.name.clone();
@@ -200,9 +214,12 @@
                     }
                     row
                 }
-                _ => {
+                previous => {
+                    replaced.extend(previous);
                     let tie_break = rendezvous_fraction(&[&self.salt], name.as_str());
-                    LiveTarget::new(record.clone(), tie_break, seen_at)
+                    let counts = self.unregistered.remove(&record.identity);
+                    let counts = counts.unwrap_or_default();
+                    LiveTarget::new(record.clone(), tie_break, counts, seen_at)
                 }
             };
             if let Some(statement) = self.statements.get(&record.identity) {
@@ -214,6 +231,12 @@
                 .push(name.clone());
             self.rows.insert(name, row);
         }
+        for row in held.rows().map(|(_, row)| row).chain(&replaced) {
+            if row.counts.in_flight > 0 {
+                let identity = row.record.identity.clone();
+                self.unregistered.insert(identity, row.counts);
+            }
+        }
     }
 
     /// Sets the homes of a service's targets, by the entry daemons of the service
@@ -254,6 +277,7 @@
             }
             used.push(TargetUse {
                 target: name.clone(),
+                process: Some(row.record.identity.mark()),
                 age_ms: now.since(row.own_used_at),
             });
         }
@@ -266,30 +290,53 @@
             let Some(row) = self.rows.get_mut(&one.target) else {
                 continue;
             };
+            // The other daemon may not know of the next process yet.
+            let mark = row.record.identity.mark();
+            if one.process.is_some_and(|process| process != mark) {
+                continue;
+            }
             row.used_at = row.used_at.max(now - one.age_ms);
         }
     }
 
-    /// Records that a request was sent to a target.
-    pub fn claim(&mut self, name: &TargetName, now: TimeMs) {
+    /// Records that a request was sent to a target process.
+    pub fn claim(&mut self, identity: &TargetIdentity, now: TimeMs) {
         self.choices += 1;
         let number = self.choices;
-        let Some(row) = self.rows.get_mut(name) else {
+        let Some(row) = row_of_mut(&mut self.rows, identity) else {
             return;
         };
-        row.in_flight += 1;
+        row.counts.in_flight += 1;
         row.chosen_number = number;
         row.used_at = now;
         row.own_used_at = now;
         row.failure_detector.record_send();
     }
 
-    /// Records that a request at a target has ended.
-    pub fn release(&mut self, name: &TargetName) {
-        let Some(row) = self.rows.get_mut(name) else {
+    /// Records that a request at a target process has ended.
+    pub fn release(&mut self, identity: &TargetIdentity) {
+        let Some(counts) = self.counts_mut(identity) else {
             return;
         };
-        row.in_flight = row.in_flight.saturating_sub(1);
+        counts.in_flight = counts.in_flight.saturating_sub(1);
+        if counts.in_flight == 0 {
+            self.unregistered.remove(identity);
+        }
+    }
+
+    /// Changes the number of requests at a target process that take much longer than
+    /// usual.
+    pub fn add_overdue(&mut self, identity: &TargetIdentity, change: i32) {
+        if let Some(counts) = self.counts_mut(identity) {
+            counts.overdue = counts.overdue.saturating_add_signed(change);
+        }
+    }
+
+    fn counts_mut(&mut self, identity: &TargetIdentity) -> Option<&mut RequestCounts> {
+        match row_of_mut(&mut self.rows, identity) {
+            Some(row) => Some(&mut row.counts),
+            None => self.unregistered.get_mut(identity),
+        }
     }
 
     /// Records that a target said in an answer that it is leaving. Returns whether that
@@ -326,12 +373,8 @@
 
     /// Applies what a target has said to its row, if it is registered.
     fn apply_statement(&mut self, identity: &TargetIdentity) {
-        let Some(row) = self.rows.get_mut(&identity.name) else {
-            return;
-        };
-        if row.record.identity == *identity
-            && let Some(statement) = self.statements.get(identity)
-        {
+        let row = row_of_mut(&mut self.rows, identity);
+        if let (Some(row), Some(statement)) = (row, self.statements.get(identity)) {
             row.apply_statement(statement);
         }
     }
@@ -346,6 +389,11 @@
         row_of(&self.rows, identity).map(|row| &row.record.service)
     }
 
+    /// Returns the address of a target process; `None` if it is not registered.
+    pub fn address_of(&self, identity: &TargetIdentity) -> Option<SocketAddr> {
+        row_of(&self.rows, identity).map(|row| row.record.address)
+    }
+
     /// Returns whether a request may be written to a target process now.
     pub fn takes_requests(&self, identity: &TargetIdentity, now: TimeMs) -> bool {
         row_of(&self.rows, identity).is_some_and(|row| !row.leaving && !row.is_paused(now))
@@ -376,3 +424,12 @@
     rows.get(&identity.name)
         .filter(|row| row.record.identity == *identity)
 }
+
+/// As [`row_of`], for changes.
+fn row_of_mut<'a>(
+    rows: &'a mut Table<TargetName, LiveTarget>,
+    identity: &TargetIdentity,
+) -> Option<&'a mut LiveTarget> {
+    rows.get_mut(&identity.name)
+        .filter(|row| row.record.identity == *identity)
+}
--- a/crates/agatehold-core/src/target_registry/mod.rs
+++ b/crates/agatehold-core/src/target_registry/mod.rs
@@ -4,6 +4,7 @@
 mod rows;
 mod store_mirror;
 
+pub use rows::ProcessMark;
 pub use rows::TargetIdentity;
 pub use rows::TargetRecord;
 pub use store_mirror::MISSING_ROW_GRACE_MS;
--- a/crates/agatehold-core/src/target_registry/rows.rs
+++ b/crates/agatehold-core/src/target_registry/rows.rs
@@ -21,6 +21,19 @@
     pub started_unix_ms: u64,
 }
 
+/// A short mark of a target's process, for messages in which the start time takes too many
+/// bytes. Two processes of one target have the same mark in one of 65,536 cases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessMark(pub u16);
+
+impl TargetIdentity {
+    /// Returns the mark of the process.
+    pub const fn mark(&self) -> ProcessMark {
+        // The low bits of the start time.
+        ProcessMark(self.started_unix_ms as u16)
+    }
+}
+
 /// A target's registration record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRecord {
--- a/crates/agatehold-core/tests/dispatch_balance.rs
+++ b/crates/agatehold-core/tests/dispatch_balance.rs
@@ -211,12 +211,13 @@
                     }),
                     accepts_full: false,
                 };
-                let Choice::Target(name) = pick_live_target(&tables[daemon], &request, now) else {
+                let Choice::Target(identity) = pick_live_target(&tables[daemon], &request, now)
+                else {
                     counts.refused += u64::from(is_counted);
                     continue;
                 };
-                let target = number_of[&name];
-                tables[daemon].claim(&name, now);
+                let target = number_of[&identity.name];
+                tables[daemon].claim(&identity, now);
                 let span = (now_ms + phases[target]) / STATE_SPAN_MS;
                 if spans[target] != span {
                     spans[target] = span;
@@ -255,7 +256,7 @@
                 target,
                 failed,
             } => {
-                let name = &records[target].identity.name;
+                let identity = &records[target].identity;
                 let jitter = rng.random();
                 let outcome = outcome_of(failed);
                 let report = LoadReport {
@@ -264,7 +265,7 @@
                     slots: SLOTS,
                 };
                 running[target] -= u32::from(!failed);
-                if let Some(row) = tables[daemon].rows.get_mut(name) {
+                if let Some(row) = tables[daemon].rows.get_mut(&identity.name) {
                     row.report_load(report, now);
                     row.failure_detector
                         .record(outcome, DurationMs(3), jitter, now);
@@ -281,7 +282,7 @@
                         }
                     }
                 }
-                tables[daemon].release(name);
+                tables[daemon].release(identity);
             }
             Event::UseReport { daemon } => {
                 queue.push(Reverse((now_ms + USE_REPORT_MS, event)));
@@ -304,8 +305,8 @@
             } => {
                 let jitter = rng.random();
                 let outcome = outcome_of(failed);
-                let name = &records[target].identity.name;
-                if let Some(row) = tables[daemon].rows.get_mut(name) {
+                let identity = &records[target].identity;
+                if let Some(row) = tables[daemon].rows.get_mut(&identity.name) {
                     row.failure_detector
                         .record(outcome, DurationMs(3), jitter, now);
                 }
--- a/crates/agatehold-core/tests/dispatch_floor.rs
+++ b/crates/agatehold-core/tests/dispatch_floor.rs
@@ -80,7 +80,7 @@
 /// A request in flight and how it will end.
 struct InFlight {
     daemon: usize,
-    target: TargetName,
+    target: TargetIdentity,
     is_failure: bool,
     run_ms: u64,
 }
@@ -184,10 +184,10 @@
         daemon.targets.claim(&target, now);
         history
             .arrivals_ms
-            .entry(target.clone())
+            .entry(target.name.clone())
             .or_default()
             .push(at_ms);
-        let failure_rate = if is_gray(numbers[&target], at_ms, scenario.seed) {
+        let failure_rate = if is_gray(numbers[&target.name], at_ms, scenario.seed) {
             GRAY_FAILURE_RATE
         } else {
             HEALTHY_FAILURE_RATE
@@ -228,20 +228,20 @@
         history.failed += 1;
         history
             .failures_ms
-            .entry(ended.target.clone())
+            .entry(ended.target.name.clone())
             .or_default()
             .push(at_ms);
     }
     let own = &mut daemons[ended.daemon];
     own.targets.release(&ended.target);
     own.stats.record_end(!ended.is_failure, now);
-    let row = own.targets.rows.get(&ended.target).expect("a target");
+    let row = own.targets.rows.get(&ended.target.name).expect("a target");
     let is_reported = ended.is_failure || row.failure_detector.nats() > 0.0;
     for (rank, daemon) in daemons.iter_mut().enumerate() {
         if rank != ended.daemon && !is_reported {
             continue;
         }
-        let row = daemon.targets.rows.get_mut(&ended.target);
+        let row = daemon.targets.rows.get_mut(&ended.target.name);
         let row = row.expect("a target");
         let spread = rng.random();
         row.failure_detector
--- a/crates/agatehold-core/tests/dispatch_pick.rs
+++ b/crates/agatehold-core/tests/dispatch_pick.rs
@@ -35,17 +35,21 @@
     format!("target-{number}").parse().expect("a name")
 }
 
-fn number_of(target: &TargetName) -> usize {
-    let number = (0..100).find(|number| name(*number) == *target);
+fn identity(number: usize) -> TargetIdentity {
+    TargetIdentity {
+        name: name(number),
+        started_unix_ms: 1,
+    }
+}
+
+fn number_of(target: &TargetIdentity) -> usize {
+    let number = (0..100).find(|number| identity(*number) == *target);
     number.expect("a target")
 }
 
 fn record(number: usize, failure_domain: &str) -> TargetRecord {
     TargetRecord {
-        identity: TargetIdentity {
-            name: name(number),
-            started_unix_ms: 1,
-        },
+        identity: identity(number),
         service: service(),
         address: format!("10.0.0.{}:8080", number + 1)
             .parse()
@@ -63,8 +67,8 @@
     let mut targets = LiveTargets::default();
     targets.sync(records.iter().map(|record| (record, START)));
     for number in 0..count {
-        targets.claim(&name(number), START);
-        targets.release(&name(number));
+        targets.claim(&identity(number), START);
+        targets.release(&identity(number));
     }
     targets
 }
@@ -79,8 +83,8 @@
 /// Uses targets once, so that they are not preferred as unused.
 fn use_all(targets: &mut LiveTargets, numbers: std::ops::Range<usize>, now: TimeMs) {
     for number in numbers {
-        targets.claim(&name(number), now);
-        targets.release(&name(number));
+        targets.claim(&identity(number), now);
+        targets.release(&identity(number));
     }
 }
 
@@ -124,7 +128,7 @@
 /// Claims all slots of a target.
 fn fill(targets: &mut LiveTargets, number: usize) {
     for _ in 0..4 {
-        targets.claim(&name(number), START);
+        targets.claim(&identity(number), START);
     }
 }
 
@@ -135,7 +139,7 @@
 fn own_request_in_a_load_report_takes_no_slot() {
     let mut targets = targets(1);
     for _ in 0..3 {
-        targets.claim(&name(0), START);
+        targets.claim(&identity(0), START);
     }
     let row = targets.rows.get_mut(&name(0)).expect("a target");
     let report = LoadReport {
@@ -146,7 +150,7 @@
     row.report_load(report, START);
     assert_eq!(
         pick(&targets, &PickOptions::default(), START),
-        Choice::Target(name(0)),
+        Choice::Target(identity(0)),
         "three of four slots are taken, all by this daemon"
     );
 }
@@ -156,7 +160,7 @@
 #[test]
 fn slots_used_by_other_daemons_count_until_the_report_is_old() {
     let mut targets = targets(1);
-    targets.claim(&name(0), START);
+    targets.claim(&identity(0), START);
     let row = targets.rows.get_mut(&name(0)).expect("a target");
     let report = LoadReport {
         running: 4,
@@ -171,7 +175,7 @@
     let later = START + DurationMs(600);
     assert_eq!(
         pick(&targets, &PickOptions::default(), later),
-        Choice::Target(name(0))
+        Choice::Target(identity(0))
     );
 }
 
@@ -187,7 +191,7 @@
             let Choice::Target(chosen) = pick(&targets, &PickOptions::default(), now) else {
                 panic!("idle targets are left");
             };
-            assert_ne!(chosen, name(0));
+            assert_ne!(chosen, identity(0));
             targets.claim(&chosen, now);
             targets.release(&chosen);
         }
@@ -206,14 +210,14 @@
         ..PickOptions::default()
     };
     let early = START + DurationMs(3_200);
-    assert_ne!(pick(&targets, &options, early), Choice::Target(name(0)));
+    assert_ne!(pick(&targets, &options, early), Choice::Target(identity(0)));
     let due = START + DurationMs(3_300);
     use_all(&mut targets, 1..6, due);
-    assert_eq!(pick(&targets, &options, due), Choice::Target(name(0)));
-    targets.claim(&name(0), START);
+    assert_eq!(pick(&targets, &options, due), Choice::Target(identity(0)));
+    targets.claim(&identity(0), START);
     assert_ne!(
         pick(&targets, &options, due),
-        Choice::Target(name(0)),
+        Choice::Target(identity(0)),
         "no further request may be sent before the first trial has ended"
     );
 }
@@ -235,10 +239,10 @@
             ..PickOptions::default()
         };
         let early = START + DurationMs(3_400);
-        assert_ne!(pick(&targets, &options, early), Choice::Target(name(0)));
+        assert_ne!(pick(&targets, &options, early), Choice::Target(identity(0)));
         let late = START + DurationMs(3_900);
         use_all(&mut targets, 1..6, late);
-        assert_eq!(pick(&targets, &options, late), Choice::Target(name(0)));
+        assert_eq!(pick(&targets, &options, late), Choice::Target(identity(0)));
     }
 }
 
@@ -280,10 +284,13 @@
         };
         targets.claim(&chosen, now);
         targets.release(&chosen);
-        if chosen >= name(3) {
+        if chosen >= identity(3) {
             continue;
         }
-        assert!(after_ms >= 3_300, "{chosen} was tried after {after_ms} ms");
+        assert!(
+            after_ms >= 3_300,
+            "{chosen:?} was tried after {after_ms} ms"
+        );
         tried.insert(chosen);
     }
     assert_eq!(tried.len(), 3, "all targets are tried in time");
@@ -300,8 +307,8 @@
     }
     let recently = START + DurationMs(1_000);
     for number in 2..10 {
-        targets.claim(&name(number), recently);
-        targets.release(&name(number));
+        targets.claim(&identity(number), recently);
+        targets.release(&identity(number));
     }
     let options = PickOptions {
         may_try: true,
@@ -310,7 +317,7 @@
     let Choice::Target(chosen) = pick(&targets, &options, START + DurationMs(1_600)) else {
         panic!("idle targets are left");
     };
-    assert!(chosen >= name(2), "two of ten targets may stay unused");
+    assert!(chosen >= identity(2), "two of ten targets may stay unused");
 }
 
 /// A burst fills the working targets while a third of all targets fails fast. Only
@@ -331,7 +338,7 @@
     };
     assert_eq!(
         pick(&targets, &risky_options, START),
-        Choice::Target(name(0))
+        Choice::Target(identity(0))
     );
 }
 
@@ -384,9 +391,13 @@
         *counts.entry(chosen).or_insert(0) += 1;
     }
     for (chosen, count) in &counts {
-        let row = targets.rows.get(chosen).expect("a target");
+        let row = targets.rows.get(&chosen.name).expect("a target");
         let daemon_rank = options.daemon_rank.expect("an entry daemon");
-        assert_eq!(daemon_rank.daemons_before(row), 0, "{chosen} is another's");
+        assert_eq!(
+            daemon_rank.daemons_before(row),
+            0,
+            "{chosen:?} is another's"
+        );
         let mean = 100 / counts.len();
         assert!((mean..=mean + 1).contains(count), "{counts:?}");
     }
@@ -444,9 +455,9 @@
             let position = number_of(&chosen);
             if position < 6 {
                 assert_eq!(
-                    daemon_rank.daemons_before(targets.rows.get(&chosen).expect("a target")),
+                    daemon_rank.daemons_before(targets.rows.get(&chosen.name).expect("a target")),
                     0,
-                    "{chosen} is assigned to another daemon"
+                    "{chosen:?} is assigned to another daemon"
                 );
                 tried_by[position] += 1;
             }
@@ -496,6 +507,7 @@
     let now = START + DurationMs(1_900);
     let use_of = |number| TargetUse {
         target: name(number),
+        process: Some(identity(number).mark()),
         age_ms: DurationMs(100),
     };
     let used: Vec<TargetUse> = (1..10).map(use_of).collect();
@@ -505,16 +517,16 @@
     };
     assert_eq!(
         pick(&targets, &options, now),
-        Choice::Target(name(0)),
+        Choice::Target(identity(0)),
         "the only unused target"
     );
-    targets.claim(&name(0), now);
-    targets.release(&name(0));
-    assert_ne!(pick(&targets, &options, now), Choice::Target(name(0)));
+    targets.claim(&identity(0), now);
+    targets.release(&identity(0));
+    assert_ne!(pick(&targets, &options, now), Choice::Target(identity(0)));
     let later = now + DurationMs(1_150);
     assert_eq!(
         pick(&targets, &options, later),
-        Choice::Target(name(1)),
+        Choice::Target(identity(1)),
         "the other daemon's targets are unused, this one for longest"
     );
 }
@@ -527,6 +539,7 @@
     let now = START + DurationMs(2_000);
     let used = TargetUse {
         target: name(1),
+        process: Some(identity(1).mark()),
         age_ms: DurationMs(900),
     };
     targets.record_peer_use(std::slice::from_ref(&used), now);
@@ -534,7 +547,7 @@
     assert_eq!(row.used_at, START + DurationMs(1_100));
     let reported = targets.used_since(&service(), START + DurationMs(1), now);
     assert!(reported.is_empty(), "{reported:?}");
-    targets.claim(&name(1), now);
+    targets.claim(&identity(1), now);
     let reported = targets.used_since(&service(), now, now + DurationMs(50));
     let age_ms = DurationMs(50);
     assert_eq!(reported, [TargetUse { age_ms, ..used }]);
@@ -567,7 +580,7 @@
     targets.sync(records.iter().map(|record| (record, START)));
     assert_eq!(
         pick(&targets, &PickOptions::default(), START),
-        Choice::Target(name(3))
+        Choice::Target(identity(3))
     );
 }
 
@@ -615,7 +628,7 @@
             daemon_rank: Some(DaemonRank { rank, daemons: 6 }),
             ..PickOptions::default()
         };
-        assert_eq!(pick(&targets, &options, later), Choice::Target(name(3)));
+        assert_eq!(pick(&targets, &options, later), Choice::Target(identity(3)));
     }
 }
 
@@ -633,7 +646,7 @@
     let Choice::Target(chosen) = pick(&targets, &options, START) else {
         panic!("idle targets are left");
     };
-    assert_ne!(chosen, name(3));
+    assert_ne!(chosen, identity(3));
 }
 
 /// A target restarts with the same name and address. The state of its last run must
@@ -642,13 +655,13 @@
 fn a_restarted_target_loses_its_earlier_state() {
     let mut targets = targets(2);
     fail(&mut targets, 0, START);
-    targets.claim(&name(0), START);
+    targets.claim(&identity(0), START);
     let mut again = record(0, "near");
     again.identity.started_unix_ms = 2;
     let kept = record(1, "near");
     targets.sync([(&again, START), (&kept, START)].into_iter());
     let row = targets.rows.get(&name(0)).expect("a target");
-    assert_eq!(row.in_flight, 0);
+    assert_eq!(row.counts.in_flight, 0);
     assert!(!row.failure_detector.is_suspected());
 }
 
--- a/crates/agatehold-core/tests/dispatch_statements.rs
+++ b/crates/agatehold-core/tests/dispatch_statements.rs
@@ -91,7 +91,7 @@
     assert!(!targets.takes_requests(&entry.identity, START));
     assert_eq!(
         pick(&targets, &[], true, START),
-        Choice::Target(next.identity.name)
+        Choice::Target(next.identity)
     );
 }
 
@@ -131,7 +131,7 @@
     assert_eq!(until, START + DurationMs(5_000));
     for after_ms in (0..5_000).step_by(100) {
         let now = START + DurationMs(after_ms);
-        let other = Choice::Target(records[1].identity.name.clone());
+        let other = Choice::Target(records[1].identity.clone());
         assert_eq!(pick(&targets, &[], true, now), other, "{after_ms} ms");
         assert!(!targets.takes_requests(&records[0].identity, now));
     }
@@ -170,14 +170,12 @@
     let mut sent = [0; 3];
     while now < START + DurationMs(900) {
         while waiting > 0 {
-            let Choice::Target(name) = pick(&targets, &[], false, now) else {
+            let Choice::Target(target) = pick(&targets, &[], false, now) else {
                 break;
             };
             assert!(now >= START + DurationMs(800), "sent in the pause");
-            targets.claim(&name, now);
-            let number = records
-                .iter()
-                .position(|record| record.identity.name == name);
+            targets.claim(&target, now);
+            let number = records.iter().position(|record| record.identity == target);
             sent[number.expect("a target")] += 1;
             waiting -= 1;
         }
--- a/crates/agatehold-core/tests/dispatch_target_counts.rs
+++ b/crates/agatehold-core/tests/dispatch_target_counts.rs
@@ -21,16 +21,20 @@
     format!("target-{number}").parse().expect("a name")
 }
 
+fn identity(number: usize) -> TargetIdentity {
+    TargetIdentity {
+        name: name(number),
+        started_unix_ms: 1,
+    }
+}
+
 fn record(number: usize) -> TargetRecord {
     let state = match number {
         4 => TargetState::Leaving,
         _ => TargetState::Serving,
     };
     TargetRecord {
-        identity: TargetIdentity {
-            name: name(number),
-            started_unix_ms: 1,
-        },
+        identity: identity(number),
         service: "archive".parse().expect("a name"),
         address: format!("10.0.0.{}:8080", number + 1)
             .parse()
@@ -50,8 +54,8 @@
     let mut targets = LiveTargets::default();
     targets.sync(records.iter().map(|record| (record, START)));
     for number in 0..4 {
-        targets.claim(&name(number), START);
-        targets.release(&name(number));
+        targets.claim(&identity(number), START);
+        targets.release(&identity(number));
     }
     let now = START + DurationMs(2_500);
     let run_ms = DurationMs(2);
@@ -63,7 +67,7 @@
     unreachable
         .failure_detector
         .record(AttemptOutcome::ConnectFailed, run_ms, 0.0, now);
-    targets.claim(&name(3), now);
+    targets.claim(&identity(3), now);
     let service = "archive".parse().expect("a name");
     assert_eq!(
         count_target_states(&targets, &service, now),
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -38,25 +38,22 @@
 const OVERDUE_MIN_MS: DurationMs = DurationMs(300);
 
 impl Dispatch<'_> {
-    /// Sends the request to a target once and records the result.
+    /// Sends the request to a target process once and records the result.
     pub(super) async fn attempt(
         &mut self,
-        target: &TargetName,
+        identity: &TargetIdentity,
         response_sender: &mut oneshot::Sender<Response>,
     ) -> AttemptEnd {
-        let record = {
-            let targets = self.state.targets.borrow();
-            let row = targets.rows.get(target);
-            row.map(|row| (row.record.identity.clone(), row.record.address))
-        };
-        let Some((identity, address)) = record else {
+        let address = self.state.targets.borrow().address_of(identity);
+        let Some(address) = address else {
+            self.release(identity);
             return AttemptEnd::without_response(AttemptOutcome::NotWritten, "target removed");
         };
         let sent_at = Instant::now();
-        let end = self.exchange(&identity, address, response_sender).await;
+        let end = self.exchange(identity, address, response_sender).await;
         let run_ms = DurationMs(sent_at.elapsed().as_millis() as u64);
-        self.record_statements(&identity, address, &end);
-        self.record_attempt(&identity, address, &end, run_ms);
+        self.record_statements(identity, address, &end);
+        self.record_attempt(identity, address, &end, run_ms);
         end
     }
 
@@ -100,7 +97,7 @@
                 }
                 () = overdue.as_mut(), if !is_overdue => {
                     is_overdue = true;
-                    self.add_overdue(target, 1);
+                    self.add_overdue(identity, 1);
                 }
                 () = attempt_timer.as_mut(), if !is_timed_out => {
                     is_timed_out = true;
@@ -114,7 +111,7 @@
             }
         };
         if is_overdue {
-            self.add_overdue(target, -1);
+            self.add_overdue(identity, -1);
         }
         end
     }
@@ -127,11 +124,9 @@
         self.state.targets.borrow().takes_requests(identity, now)
     }
 
-    fn add_overdue(&self, target: &TargetName, change: i32) {
+    fn add_overdue(&self, identity: &TargetIdentity, change: i32) {
         let mut targets = self.state.targets.borrow_mut();
-        if let Some(row) = targets.rows.get_mut(target) {
-            row.overdue = row.overdue.saturating_add_signed(change);
-        }
+        targets.add_overdue(identity, change);
     }
 
     /// Returns whether the running attempt may be abandoned: the request is
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -22,6 +22,7 @@
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::claims_not_run;
 use agatehold_core::retry::Attempts;
+use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::request_headers;
@@ -145,7 +146,7 @@
             Err(dispatch_end) => return dispatch_end,
         };
         loop {
-            self.tried.push(target.clone());
+            self.tried.push(target.name.clone());
             let end = self.attempt(&target, response_sender).await;
             self.detail = end.detail;
             self.connection_use = end.connection_use;
@@ -163,9 +164,10 @@
             self.is_over_budget |= is_over_budget;
             if is_over_budget {
                 log::info!(
-                    "event=resend_denied id={} service={} target={target} outcome={} budget=\"{}\"",
+                    "event=resend_denied id={} service={} target={} outcome={} budget=\"{}\"",
                     request_id_text(self.request_id.as_ref()),
                     self.service,
+                    target.name,
                     end.outcome,
                     self.with_budget(|budget| budget.state(now))
                 );
@@ -182,9 +184,10 @@
                 Decision::SendAgain => {}
             }
             log::info!(
-                "event=send_again id={} service={} target={target} connection={} outcome={} detail=\"{}\" sent={} budget=\"{}\"",
+                "event=send_again id={} service={} target={} connection={} outcome={} detail=\"{}\" sent={} budget=\"{}\"",
                 request_id_text(self.request_id.as_ref()),
                 self.service,
+                target.name,
                 self.connection_text(),
                 end.outcome,
                 end.detail,
@@ -196,7 +199,7 @@
             .increment(1);
             let idempotent = self.route.idempotent;
             match queue::claim(self.state, &self.service, &self.tried, idempotent, true) {
-                Choice::Target(name) => target = name,
+                Choice::Target(next) => target = next,
                 Choice::AllPaused(until) => {
                     self.backlog_ms = Some(until.since(self.now()));
                     let kind = self.attempts.failure.unwrap_or(RefusalKind::TargetsPaused);
@@ -243,7 +246,7 @@
     async fn claim_or_wait(
         &mut self,
         response_sender: &mut oneshot::Sender<Response>,
-    ) -> Result<TargetName, DispatchEnd> {
+    ) -> Result<TargetIdentity, DispatchEnd> {
         let objective_ms = self.route.objective_ms;
         let slot_outcome = queue::claim_or_wait(
             self.state,
@@ -256,7 +259,7 @@
             },
         );
         let (waiter, mut result_receiver) = match slot_outcome {
-            SlotOutcome::Target(name) => return Ok(name),
+            SlotOutcome::Target(target) => return Ok(target),
             SlotOutcome::Refused(queue_refusal) => {
                 self.backlog_ms = Some(queue_refusal.backlog_ms);
                 return Err(DispatchEnd::Refused(queue_refusal.kind));
@@ -269,14 +272,14 @@
                 queue::cancel(self.state, &self.service, waiter);
                 // The queue may have assigned a slot in the meantime; release it.
                 result_receiver.close();
-                if let Ok(Ok(name)) = result_receiver.try_recv() {
-                    self.release(&name);
+                if let Ok(Ok(target)) = result_receiver.try_recv() {
+                    self.release(&target);
                 }
                 return Err(DispatchEnd::CallerGone);
             }
         };
         match result {
-            Ok(Ok(name)) => Ok(name),
+            Ok(Ok(target)) => Ok(target),
             Ok(Err(queue_refusal)) => {
                 self.backlog_ms = Some(queue_refusal.backlog_ms);
                 Err(DispatchEnd::Refused(queue_refusal.kind))
@@ -285,7 +288,7 @@
         }
     }
 
-    fn release(&self, target: &TargetName) {
+    fn release(&self, target: &TargetIdentity) {
         self.state.targets.borrow_mut().release(target);
         queue::assign_free_slots(self.state, &self.service);
     }
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -44,11 +44,9 @@
         let answered = end.outcome == AttemptOutcome::Answered;
         let answered = (answered && self.revoke_crash_marks()).then(|| self.fingerprint());
         let mut report = None;
-        let mut is_same_process = false;
         let mut targets = self.state.targets.borrow_mut();
         let row = targets.rows.get_mut(target);
         if let Some(row) = row.filter(|row| row.record.identity == *identity) {
-            is_same_process = true;
             // A target that moved may have answered for its previous address.
             let has_moved = end.is_wrong_target && row.record.address == address;
             let had_evidence = row.failure_detector.nats() > 0.0;
@@ -149,11 +147,7 @@
         metrics::counter!("agatehold_attempts_total",
             "service" => self.service.to_string(), "outcome" => end.outcome.as_str())
         .increment(1);
-        if is_same_process {
-            self.release(target);
-        } else {
-            queue::assign_free_slots(self.state, &self.service);
-        }
+        self.release(identity);
     }
 
     fn fingerprint(&self) -> Digest {
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -18,6 +18,7 @@
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::target_registry::ProcessMark;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 
@@ -28,11 +29,12 @@
 
 /// The bytes of a pressure report that the list of used targets may take. The rest
 /// of [`DATAGRAM_BYTES_MAX`] is left for the service and the counts.
-const USED_NAMES_BYTES_MAX: usize = 1_700;
+const USED_NAMES_BYTES_MAX: usize = 1_800;
 
 /// The bytes that an entry in the list of used targets takes in addition to the
-/// name: quotes, brackets, commas, and an age of up to four digits.
-const USED_ENTRY_OVERHEAD_BYTES: usize = 10;
+/// name: quotes, brackets, commas, an age of up to four digits, and the process's mark of
+/// up to five.
+const USED_ENTRY_OVERHEAD_BYTES: usize = 16;
 
 /// The path where daemons fetch contents of the store from each other.
 pub(super) const CONTENTS_PATH: &str = "/contents";
@@ -190,6 +192,10 @@
     /// The names of the used targets, and how many milliseconds ago each was
     /// used.
     used: Vec<(String, u64)>,
+    /// The marks of the used targets' processes, in the same order; empty in the
+    /// datagrams of daemons that don't tell.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    processes: Vec<u16>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -311,6 +317,7 @@
 pub(super) fn encode_pressure(message: &PressureMessage) -> Vec<u8> {
     let mut remaining_bytes = USED_NAMES_BYTES_MAX;
     let mut used = Vec::new();
+    let mut processes = Vec::new();
     for target_use in &message.used {
         let name = target_use.target.to_string();
         let Some(left) = remaining_bytes.checked_sub(name.len() + USED_ENTRY_OVERHEAD_BYTES) else {
@@ -318,6 +325,7 @@
         };
         remaining_bytes = left;
         used.push((name, target_use.age_ms.0));
+        processes.extend(target_use.process.map(|process| process.0));
     }
     let json = PressureJson {
         service: message.service.to_string(),
@@ -325,6 +333,7 @@
         unserved: message.counts.unserved,
         pressed: message.is_pressed,
         used,
+        processes,
     };
     // Strings, numbers and booleans always serialize to JSON.
     serde_json::to_vec(&json).unwrap_or_default()
@@ -417,9 +426,10 @@
 
 fn decode_pressure(json: PressureJson) -> Option<PressureMessage> {
     let mut used = Vec::with_capacity(json.used.len());
-    for (name, age_ms) in json.used {
+    for (position, (name, age_ms)) in json.used.into_iter().enumerate() {
         used.push(TargetUse {
             target: name.parse().ok()?,
+            process: json.processes.get(position).copied().map(ProcessMark),
             age_ms: DurationMs(age_ms),
         });
     }
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -18,6 +18,7 @@
 use agatehold_core::limits::QueueLimits;
 use agatehold_core::limits::WaiterId;
 use agatehold_core::refusal::RefusalKind;
+use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -40,7 +41,7 @@
 }
 
 /// The result of waiting in the queue: a target with a claimed slot, or a refusal.
-type QueueResult = Result<TargetName, QueueRefusal>;
+type QueueResult = Result<TargetIdentity, QueueRefusal>;
 
 /// The queue of one service.
 pub(super) struct ServiceQueue {
@@ -52,7 +53,7 @@
 /// The result of requesting a slot.
 pub(super) enum SlotOutcome {
     /// A slot of this target has been claimed.
-    Target(TargetName),
+    Target(TargetIdentity),
     /// The request waits in the queue; the receiver gets the result.
     Waiting(WaiterId, oneshot::Receiver<QueueResult>),
     /// The request is refused.
@@ -142,8 +143,8 @@
     let request = pick_request(state, service, tried, idempotent, accepts_full);
     let mut targets = state.targets.borrow_mut();
     let choice = pick_live_target(&targets, &request, now);
-    if let Choice::Target(name) = &choice {
-        targets.claim(name, now);
+    if let Choice::Target(target) = &choice {
+        targets.claim(target, now);
     }
     choice
 }
@@ -192,11 +193,11 @@
             slot_request.idempotent,
             false,
         ) {
-            Choice::Target(name) if is_queue_empty || is_target_suspected(state, &name) => {
-                return SlotOutcome::Target(name);
+            Choice::Target(target) if is_queue_empty || is_target_suspected(state, &target) => {
+                return SlotOutcome::Target(target);
             }
             // The slot is left to the requests that already wait.
-            Choice::Target(name) => state.targets.borrow_mut().release(&name),
+            Choice::Target(target) => state.targets.borrow_mut().release(&target),
             Choice::NoTarget => {
                 return SlotOutcome::Refused(QueueRefusal {
                     kind: RefusalKind::NoTarget,
@@ -251,9 +252,9 @@
 
 /// Returns whether a target is suspected of failing, in which case queued requests
 /// don't wait for its slots.
-fn is_target_suspected(state: &TrafficState, name: &TargetName) -> bool {
+fn is_target_suspected(state: &TrafficState, target: &TargetIdentity) -> bool {
     let targets = state.targets.borrow();
-    let row = targets.rows.get(name);
+    let row = targets.rows.get(&target.name);
     row.is_some_and(|row| row.failure_detector.is_suspected())
 }
 
@@ -298,8 +299,8 @@
         row.refuse_dropped(dropped, now);
     }
     while !row.queue.is_empty() {
-        let name = match claim(state, service, &[], false, false) {
-            Choice::Target(name) => name,
+        let target = match claim(state, service, &[], false, false) {
+            Choice::Target(target) => target,
             Choice::AllBusy => return,
             Choice::AllPaused(until) => {
                 // Those that can't wait until then.
@@ -314,16 +315,16 @@
             }
         };
         let Some(waiter) = row.queue.assign_free_slot(now) else {
-            state.targets.borrow_mut().release(&name);
+            state.targets.borrow_mut().release(&target);
             return;
         };
         let Some(result_sender) = row.waiting.remove(&waiter) else {
-            state.targets.borrow_mut().release(&name);
+            state.targets.borrow_mut().release(&target);
             continue;
         };
-        if let Err(Ok(name)) = result_sender.send(Ok(name)) {
+        if let Err(Ok(target)) = result_sender.send(Ok(target)) {
             // The caller has disconnected in the meantime.
-            state.targets.borrow_mut().release(&name);
+            state.targets.borrow_mut().release(&target);
         }
     }
 }
