--- a/crates/agatehold-core/tests/dispatch_floor.rs
+++ b/crates/agatehold-core/tests/dispatch_floor.rs
@@ -88,7 +88,7 @@
 /// A request in flight and how it will end.
 struct InFlight {
     daemon: usize,
-    target: TargetName,
+    target: TargetIdentity,
     is_failure: bool,
     /// Whether the target rejects the request and asks for a pause.
     is_rejected: bool,
@@ -213,18 +213,18 @@
             continue;
         };
         daemon.targets.claim(&target, now);
-        history.sent_in_pause += u32::from(is_paused(&history, &target, rank as usize, at_ms));
+        history.sent_in_pause += u32::from(is_paused(&history, &target.name, rank as usize, at_ms));
         history
             .arrivals_ms
-            .entry(target.clone())
+            .entry(target.name.clone())
             .or_default()
             .push(at_ms);
-        let failure_rate = if is_gray(numbers[&target], at_ms, scenario.seed) {
+        let failure_rate = if is_gray(numbers[&target.name], at_ms, scenario.seed) {
             GRAY_FAILURE_RATE
         } else {
             HEALTHY_FAILURE_RATE
         };
-        let is_rejected = is_rejecting(numbers[&target], at_ms, scenario);
+        let is_rejected = is_rejecting(numbers[&target.name], at_ms, scenario);
         let is_failure = rng.random_bool(failure_rate) && !is_rejected;
         let run_ms = if is_failure || is_rejected {
             FAILURE_RUN_MS
@@ -266,20 +266,20 @@
         history.failed += 1;
         history
             .failures_ms
-            .entry(ended.target.clone())
+            .entry(ended.target.name.clone())
             .or_default()
             .push(at_ms);
     }
     let own = &mut daemons[ended.daemon];
     own.targets.release(&ended.target);
     own.stats.record_end(!ended.is_failure, now);
-    let row = own.targets.rows.get(&ended.target).expect("a target");
+    let row = own.targets.rows.get(&ended.target.name).expect("a target");
     let is_reported = ended.is_failure || row.failure_detector.nats() > 0.0;
     for (rank, daemon) in daemons.iter_mut().enumerate() {
         if rank != ended.daemon && !is_reported {
             continue;
         }
-        let row = daemon.targets.rows.get_mut(&ended.target);
+        let row = daemon.targets.rows.get_mut(&ended.target.name);
         let row = row.expect("a target");
         let spread = rng.random();
         row.failure_detector
@@ -296,13 +296,17 @@
     let now = START + DurationMs(at_ms);
     history
         .rejections_ms
-        .entry(ended.target.clone())
+        .entry(ended.target.name.clone())
         .or_default()
         .push((ended.daemon, at_ms));
     let own = &mut daemons[ended.daemon];
     own.targets.release(&ended.target);
     own.stats.record_end(false, now);
-    let row = own.targets.rows.get_mut(&ended.target).expect("a target");
+    let row = own
+        .targets
+        .rows
+        .get_mut(&ended.target.name)
+        .expect("a target");
     let run_ms = DurationMs(ended.run_ms);
     row.failure_detector
         .record(AttemptOutcome::Shed, run_ms, 0.0, now);
--- a/crates/agatehold-core/tests/dispatch_statements.rs
+++ b/crates/agatehold-core/tests/dispatch_statements.rs
@@ -89,9 +89,9 @@
 
 /// Sends a request to a target and ends it at once.
 fn use_target(targets: &mut LiveTargets, number: usize, now: TimeMs) {
-    let name = identity(number, 1).name;
-    targets.claim(&name, now);
-    targets.release(&name);
+    let identity = identity(number, 1);
+    targets.claim(&identity, now);
+    targets.release(&identity);
 }
 
 /// Sends a request to a target and ends it at once with an outcome.
@@ -146,7 +146,7 @@
     assert!(!targets.takes_requests(&entry.identity, START));
     assert_eq!(
         pick(&targets, &[], true, START),
-        Choice::Target(next.identity.name)
+        Choice::Target(next.identity)
     );
 }
 
@@ -203,14 +203,14 @@
     end_attempt(&mut targets, 2, AttemptOutcome::ConnectFailed, now);
     for accepts_full in [false, true] {
         let choice = pick(&targets, &[], accepts_full, now);
-        assert_ne!(choice, Choice::Target(name(0)));
+        assert_ne!(choice, Choice::Target(identity(0, 1)));
         let tried = [name(1), name(2)];
         let choice = pick(&targets, &tried, accepts_full, now);
         assert_eq!(choice, Choice::NoTarget);
     }
     for number in [1, 2] {
         for _ in 0..SLOTS {
-            targets.claim(&name(number), now);
+            targets.claim(&identity(number, 1), now);
         }
     }
     assert_eq!(pick(&targets, &[], false, now), Choice::AllBusy);
@@ -235,7 +235,7 @@
         sync(&mut targets, &records);
         use_target(&mut targets, 1, START);
         end_attempt(&mut targets, 0, AttemptOutcome::Failed, START);
-        let failed = Choice::Target(records[0].identity.name.clone());
+        let failed = Choice::Target(records[0].identity.clone());
         // After the short hold, which is 1 s, and before the long one of 3.3 s.
         let now = START + DurationMs(1_100);
         use_target(&mut targets, 1, now);
@@ -268,10 +268,10 @@
             }
         }
         assert!((1..8).contains(&at_home), "{at_home} targets at home");
-        let Choice::Target(name) = pick_at(&targets, daemon_rank, START) else {
+        let Choice::Target(target) = pick_at(&targets, daemon_rank, START) else {
             panic!("no target stands in");
         };
-        let row = targets.rows.get(&name).expect("a target");
+        let row = targets.rows.get(&target.name).expect("a target");
         assert_ne!(daemon_rank.daemons_before(row), 0);
     }
 }
@@ -283,7 +283,7 @@
     let mut targets = LiveTargets::default();
     let records: Vec<TargetRecord> = (0..4).map(|number| record(number, 1)).collect();
     sync(&mut targets, &records);
-    let sound = Choice::Target(records[3].identity.name.clone());
+    let sound = Choice::Target(records[3].identity.clone());
     use_target(&mut targets, 1, START);
     use_target(&mut targets, 3, START);
     end_attempt(&mut targets, 0, AttemptOutcome::Failed, START);
@@ -300,18 +300,18 @@
     let now = START + DurationMs(8_000);
     use_target(&mut targets, 3, now);
     for _ in 0..3 {
-        let Choice::Target(name) = pick(&targets, &[], false, now) else {
+        let Choice::Target(target) = pick(&targets, &[], false, now) else {
             break;
         };
-        targets.claim(&name, now);
-        chosen.push(name);
+        targets.claim(&target, now);
+        chosen.push(target);
     }
     chosen.sort();
-    let names: Vec<TargetName> = records[..3]
+    let due: Vec<TargetIdentity> = records[..3]
         .iter()
-        .map(|record| record.identity.name.clone())
+        .map(|record| record.identity.clone())
         .collect();
-    assert_eq!(chosen, names);
+    assert_eq!(chosen, due);
 }
 
 /// Guards against requests to a target that has asked for a pause, by any way: as the
@@ -327,7 +327,7 @@
     assert_eq!(until, START + DurationMs(5_000));
     for after_ms in (0..5_000).step_by(100) {
         let now = START + DurationMs(after_ms);
-        let other = Choice::Target(records[1].identity.name.clone());
+        let other = Choice::Target(records[1].identity.clone());
         assert_eq!(pick(&targets, &[], true, now), other, "{after_ms} ms");
         assert!(!targets.takes_requests(&records[0].identity, now));
     }
@@ -366,14 +366,12 @@
     let mut sent = [0; 3];
     while now < START + DurationMs(900) {
         while waiting > 0 {
-            let Choice::Target(name) = pick(&targets, &[], false, now) else {
+            let Choice::Target(target) = pick(&targets, &[], false, now) else {
                 break;
             };
             assert!(now >= START + DurationMs(800), "sent in the pause");
-            targets.claim(&name, now);
-            let number = records
-                .iter()
-                .position(|record| record.identity.name == name);
+            targets.claim(&target, now);
+            let number = records.iter().position(|record| record.identity == target);
             sent[number.expect("a target")] += 1;
             waiting -= 1;
         }
--- a/crates/agatehold-measure/src/leaving.rs
+++ b/crates/agatehold-measure/src/leaving.rs
@@ -18,7 +18,6 @@
 use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
-use agatehold_core::ids::TargetName;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::target_registry::TargetRecord;
 use agatehold_core::units::DurationMs;
@@ -206,7 +205,7 @@
     let mut daemons = daemons(service, &records);
     let service_name: ServiceName = parse_name("service");
     let leaving = records[rng.random_range(0..records.len())].identity.clone();
-    let mut ends: BTreeMap<u64, Vec<(usize, TargetName)>> = BTreeMap::new();
+    let mut ends: BTreeMap<u64, Vec<(usize, TargetIdentity)>> = BTreeMap::new();
     let mut heard_at: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
     let mut first_read_at: Option<u64> = None;
     let mut trial = Trial::default();
@@ -220,7 +219,7 @@
             daemons[rank].targets.release(&target);
             daemons[rank].stats.record_end(true, now);
             send_use_report(&mut daemons, rank, &service_name, now);
-            if target != leaving.name || at_ms < LEAVES_AT_MS || daemons[rank].knows {
+            if target != leaving || at_ms < LEAVES_AT_MS || daemons[rank].knows {
                 continue;
             }
             daemons[rank].targets.record_leaving(&leaving, now);
@@ -262,7 +261,7 @@
             continue;
         };
         daemon.targets.claim(&target, now);
-        if target == leaving.name && first_read_at.is_some() {
+        if target == leaving && first_read_at.is_some() {
             trial.sent_after_first += 1;
             trial.sent_knowing += u32::from(daemon.knows);
         }
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -18,6 +18,7 @@
 use agatehold_core::limits::QueueLimits;
 use agatehold_core::limits::WaiterId;
 use agatehold_core::refusal::RefusalKind;
+use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
@@ -40,7 +41,7 @@
 }
 
 /// The result of waiting in the queue: a target with a claimed slot, or a refusal.
-type QueueResult = Result<TargetName, QueueRefusal>;
+type QueueResult = Result<TargetIdentity, QueueRefusal>;
 
 /// The queue of one service.
 pub(super) struct ServiceQueue {
@@ -52,7 +53,7 @@
 /// The result of requesting a slot.
 pub(super) enum SlotOutcome {
     /// A slot of this target has been claimed.
-    Target(TargetName),
+    Target(TargetIdentity),
     /// The request waits in the queue; the receiver gets the result.
     Waiting(WaiterId, oneshot::Receiver<QueueResult>),
     /// The request is refused.
@@ -137,8 +138,8 @@
     accepts_full: bool,
 ) -> Choice {
     let choice = pick(state, service, tried, idempotent, accepts_full);
-    if let Choice::Target(name) = &choice {
-        claim_slot(state, name);
+    if let Choice::Target(target) = &choice {
+        claim_slot(state, target);
     }
     choice
 }
@@ -158,9 +159,9 @@
     pick_live_target(&state.targets.borrow(), &request, now)
 }
 
-fn claim_slot(state: &TrafficState, name: &TargetName) {
+fn claim_slot(state: &TrafficState, target: &TargetIdentity) {
     let now = state.shared.clock.now();
-    state.targets.borrow_mut().claim(name, now);
+    state.targets.borrow_mut().claim(target, now);
 }
 
 /// Builds the input for picking a target, from the service's statistics, its
@@ -207,9 +208,9 @@
             slot_request.idempotent,
             false,
         ) {
-            Choice::Target(name) if is_queue_empty || is_target_suspected(state, &name) => {
-                claim_slot(state, &name);
-                return SlotOutcome::Target(name);
+            Choice::Target(target) if is_queue_empty || is_target_suspected(state, &target) => {
+                claim_slot(state, &target);
+                return SlotOutcome::Target(target);
             }
             // The slot is left to the requests that already wait.
             Choice::Target(_) => {}
@@ -247,6 +248,9 @@
         Admission::Queued { waiter, displaced } => {
             let (result_sender, result_receiver) = oneshot::channel();
             row.waiting.insert(waiter, result_sender);
+            if is_queue_empty {
+                state.queue_filled.notify_one();
+            }
             if let Some(dropped) = displaced {
                 row.refuse_dropped(dropped, now);
             }
@@ -267,9 +271,9 @@
 
 /// Returns whether a target is suspected of failing, in which case queued requests
 /// don't wait for its slots.
-fn is_target_suspected(state: &TrafficState, name: &TargetName) -> bool {
+fn is_target_suspected(state: &TrafficState, target: &TargetIdentity) -> bool {
     let targets = state.targets.borrow();
-    let row = targets.rows.get(name);
+    let row = targets.rows.get(&target.name);
     row.is_some_and(|row| row.failure_detector.is_suspected())
 }
 
@@ -314,8 +318,8 @@
         row.refuse_dropped(dropped, now);
     }
     while !row.queue.is_empty() {
-        let name = match pick(state, service, &[], false, false) {
-            Choice::Target(name) => name,
+        let target = match pick(state, service, &[], false, false) {
+            Choice::Target(target) => target,
             Choice::AllBusy => return,
             Choice::AllPaused(until) => {
                 // Those that can't wait until then.
@@ -339,8 +343,8 @@
             // The caller has disconnected in the meantime.
             continue;
         }
-        claim_slot(state, &name);
+        claim_slot(state, &target);
         // The receiver still exists, so this can't fail.
-        let _ = result_sender.send(Ok(name));
+        let _ = result_sender.send(Ok(target));
     }
 }
