routing: a load report counts for nothing after two seconds

What callers saw: a target that failed every request was ejected 13 s to 16 s after its first failure, or not at all: ejection_needs_the_platform_and_lapses_ without_it and ejections_keep_to_the_floor failed by chance ("waited in vain for an exclusion", "nothing was ejected").

Cause: the weight of a target's load report is halved each 200 ms and never reaches 0. A target that had last reported a request of another daemon therefore came after every target without load, however old the report was, and one daemon seldom has requests in all of its other slots at once.

Ruled out: the permits and the platform's return; the permit is written as soon as the fourth daemon has its evidence. Common causes and the own-path rule; no log shows them.

Change: a report of two seconds or more counts for nothing. The target then gets one of the daemon's next requests, as the one that was not chosen for longest.

--- a/crates/agatehold-core/src/routing/cell.rs
+++ b/crates/agatehold-core/src/routing/cell.rs
@@ -14,6 +14,13 @@
 /// The time after which the weight of a load report has halved.
 const LOAD_REPORT_HALF_LIFE_MS: DurationMs = DurationMs(200);
 
+/// The age from which a load report counts for nothing. Its weight alone never
+/// reaches 0, so that the target would come after every target without load, however
+/// old the report is: a daemon left targets unused for 22 s, and saw no failure of
+/// theirs. With 1 s, daemons that seldom send to a target meet full ones more often
+/// (`docs/MEASUREMENTS.md`).
+const LOAD_REPORT_AGE_MAX_MS: DurationMs = DurationMs(2_000);
+
 /// The preference with which a target is chosen for requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
@@ -111,14 +118,17 @@
 
     /// Returns the estimated number of requests in the target: those of this
     /// daemon, plus those of others according to the last report, halved for each
-    /// half-life of the report's age.
+    /// half-life of the report's age; a report that is older than two seconds counts
+    /// for nothing.
     pub fn estimated_load(&self, now: TimeMs) -> f64 {
-        let reported_at = TimeMs(self.reported_at_ms.load(Ordering::Relaxed));
-        let weight = now
-            .since(reported_at)
-            .half_life_weight(LOAD_REPORT_HALF_LIFE_MS);
+        let own = f64::from(self.in_flight());
+        let age = now.since(TimeMs(self.reported_at_ms.load(Ordering::Relaxed)));
+        if age >= LOAD_REPORT_AGE_MAX_MS {
+            return own;
+        }
+        let weight = age.half_life_weight(LOAD_REPORT_HALF_LIFE_MS);
         let others = f64::from(self.reported_others.load(Ordering::Relaxed));
-        f64::from(self.in_flight()) + others * weight
+        own + others * weight
     }
 
     /// Records that the target was chosen.
