routing: one trial at a time

Cause: the control thread permits a trial with each tick, 100 ms, unless a request at the target is overdue. Where the slow bound is longer than a tick, the next trial is sent before the first has shown anything, though a target on trial is to get requests one at a time.

Change: no trial for a target at which this daemon has a request in flight.

Figures: a_target_gets_one_trial_at_a_time failed on the code of before.

--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -112,7 +112,9 @@
 /// slot of it.
 ///
 /// Each `TargetCell::set_trial` by the control thread permits one trial. Usually
-/// none is permitted, and the function returns `None`.
+/// none is permitted, and the function returns `None`. A target at which this daemon
+/// has a request in flight gets no trial: with one each tick, a target that takes
+/// several ticks for an answer would get several before the first shows anything.
 pub fn pick_trial(
     table: &RoutingTable,
     service: ServiceIndex,
@@ -125,6 +127,9 @@
         if tried.contains(index) || !takes_new_work(target, now) {
             continue;
         }
+        if target.cell.in_flight() > 0 {
+            continue;
+        }
         if target.cell.take_trial() && target.cell.try_claim(target.slots) {
             return Some(*index);
         }
--- a/crates/agatehold-core/tests/home_slots.rs
+++ b/crates/agatehold-core/tests/home_slots.rs
@@ -18,6 +18,7 @@
 use agatehold_core::routing::ServiceIndex;
 use agatehold_core::routing::build;
 use agatehold_core::routing::pick_target;
+use agatehold_core::routing::pick_trial;
 use agatehold_core::routing::write_home_slots;
 use agatehold_core::table::Table;
 use agatehold_core::units::SlotCount;
@@ -125,3 +126,21 @@
     write_home_slots(&table, SERVICE, None, 6);
     assert_eq!(claim_all(&table), 24);
 }
+
+/// Guards against trials side by side: a target that answers slowly gets one with each
+/// tick before the first has shown anything. A trial that finds no slot must not use up
+/// the permission either.
+#[test]
+fn a_target_gets_one_trial_at_a_time() {
+    let table = routing_table(&[2; 2]);
+    let cell = &table.targets[0].cell;
+    cell.set_preference(Preference::Avoided);
+    cell.set_trial(true);
+    let trial = || pick_trial(&table, SERVICE, &[], TimeMs(1)).map(|index| index.position());
+    assert_eq!(trial(), Some(0));
+    cell.set_trial(true);
+    assert_eq!(trial(), None);
+    cell.release();
+    assert_eq!(trial(), Some(0));
+    assert_eq!(trial(), None);
+}
