--- a/crates/agatehold-core/src/routing/pick.rs
+++ b/crates/agatehold-core/src/routing/pick.rs
@@ -113,7 +113,9 @@
 /// slot of it.
 ///
 /// Each `TargetCell::set_trial` by the control thread permits one trial. Usually
-/// none is permitted, and the function returns `None`.
+/// none is permitted, and the function returns `None`. A target at which this daemon
+/// has a request in flight gets no trial: with one each tick, a target that takes
+/// several ticks for an answer would get several before the first shows anything.
 pub fn pick_trial(
     table: &RoutingTable,
     service: ServiceIndex,
@@ -126,6 +128,9 @@
         if tried.contains(index) || !takes_new_work(target, now) {
             continue;
         }
+        if target.cell.in_flight() > 0 {
+            continue;
+        }
         // The slot is claimed first: a permission that is taken for a target without
         // a free slot is lost.
         if !target.cell.has_trial() || !target.cell.try_claim(target.slots) {
--- a/crates/agatehold-core/tests/home_slots.rs
+++ b/crates/agatehold-core/tests/home_slots.rs
@@ -18,6 +18,7 @@
 use agatehold_core::routing::ServiceIndex;
 use agatehold_core::routing::build;
 use agatehold_core::routing::pick_target;
+use agatehold_core::routing::pick_trial;
 use agatehold_core::routing::write_home_slots;
 use agatehold_core::table::Table;
 use agatehold_core::units::SlotCount;
@@ -159,3 +160,21 @@
     let mut rng = Pcg64Mcg::seed_from_u64(3);
     assert!(pick_target(&table, SERVICE, &[], TimeMs(1), &mut rng).is_some());
 }
+
+/// Guards against trials side by side: a target that answers slowly gets one with each
+/// tick before the first has shown anything. A trial that finds no slot must not use up
+/// the permission either.
+#[test]
+fn a_target_gets_one_trial_at_a_time() {
+    let table = routing_table(&[2; 2]);
+    let cell = &table.targets[0].cell;
+    cell.set_preference(Preference::Avoided);
+    cell.set_trial(true);
+    let trial = || pick_trial(&table, SERVICE, &[], TimeMs(1)).map(|index| index.position());
+    assert_eq!(trial(), Some(0));
+    cell.set_trial(true);
+    assert_eq!(trial(), None);
+    cell.release();
+    assert_eq!(trial(), Some(0));
+    assert_eq!(trial(), None);
+}
