Forward keys to owners of which nothing has been heard yet

What callers saw: a daemon that had just started refused keys of living daemons with `owner-gone`, `unknown`: 2 of 30 requests in a run of the_fleet_serves_and_a_fresh_daemon_starts_while_the_platform_is_down.

Cause: it knows the other hosts from its settings, without an incarnation, until it has heard from them, and publishes what it hears each 500 ms at most. An unknown incarnation was taken for another one.

The traced refusals are all of the new daemon, for keys of hosts whose incarnation it did not know.

Change: an owner is gone only if a later incarnation of its host is known. The receiver checks the key against its own incarnation, as before.

--- a/crates/agatehold-core/src/idempotency/platform_claim.rs
+++ b/crates/agatehold-core/src/idempotency/platform_claim.rs
@@ -35,6 +35,18 @@
     pub incarnation: Incarnation,
 }
 
+impl KeyOwner {
+    /// Returns whether this process may still run, given the latest known incarnation of
+    /// its host.
+    ///
+    /// A daemon that has just started knows other hosts from its settings before it hears
+    /// from them. A request may be forwarded to a later incarnation than the known one,
+    /// since the receiver checks the key against its own.
+    pub fn may_run(&self, known: Incarnation) -> bool {
+        known <= self.incarnation
+    }
+}
+
 /// A number that distinguishes the claims of one daemon process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClaimNonce(pub u64);
--- a/crates/agatehold-core/tests/at_most_once.rs
+++ b/crates/agatehold-core/tests/at_most_once.rs
@@ -574,3 +574,20 @@
         assert!(text.parse::<IdempotencyKey>().is_err(), "{text:?}");
     }
 }
+
+/// Guards against calling an owner gone of which a daemon that has just started has not
+/// heard yet, and against forwarding to a process that has replaced the owner.
+#[test]
+fn an_owner_is_gone_only_if_a_later_incarnation_is_known() {
+    let owner = KeyOwner {
+        host: "host-1".parse().expect("a valid name"),
+        incarnation: Incarnation(7 << 16),
+    };
+    assert!(
+        owner.may_run(Incarnation(0)),
+        "known from the settings only"
+    );
+    assert!(owner.may_run(Incarnation(6 << 16)), "restarted since");
+    assert!(owner.may_run(owner.incarnation));
+    assert!(!owner.may_run(Incarnation(8 << 16)), "replaced");
+}
--- a/crates/agatehold/src/traffic/serve.rs
+++ b/crates/agatehold/src/traffic/serve.rs
@@ -392,7 +392,7 @@
 ) -> Result<Served, Refusal> {
     let entries = state.shared.fleet_addresses.load();
     let address = match entries.by_host.get(&owner.host) {
-        Some((incarnation, address)) if *incarnation == owner.incarnation => *address,
+        Some((incarnation, address)) if owner.may_run(*incarnation) => *address,
         _ => return Err(Refusal::new(RefusalKind::OwnerGone)),
     };
     metrics::counter!("agatehold_forwarded_total").increment(1);
