health: an overload takes back only holds of the last three seconds

What callers saw: target_that_is_ten_times_slower fails by chance under load, with too many requests at the slow target.

Cause, one of several: at a stall of the machine most targets look slow at once. The daemon takes this for an overload and takes back the holds of targets that became bad in the last 10 s, also of one that had failed alone for seconds. In a trace at a load of 33, all three daemons had avoided the slow target for 2.4 s to 4.5 s when a stall of 0.3 s made four, two and four other targets suspicious; one second later they sent trials to it until the end of the measurement.

Ruled out: that the stand-in answered in time. By its own record, runs of 15 ms to 25 ms took up to 106 ms; the daemons' medians are 41 ms to 82 ms.

Change: a hold is taken back only if it began in the last 3 s, the time in which an overload or a fault of the own path becomes visible, after which the same target would also be proposed for an ejection.

Figures. an_overload_takes_back_only_the_holds_that_it_caused failed on the code of before.

--- a/crates/agatehold-core/src/health/evaluate_targets.rs
+++ b/crates/agatehold-core/src/health/evaluate_targets.rs
@@ -25,7 +25,6 @@
 use super::PeerEvidence;
 use super::TargetHealth;
 use super::alarm_threshold;
-use super::own_path::ONSET_AGE_MAX_MS;
 use super::own_path::ONSET_WINDOW_MS;
 use super::own_path::detect_common_cause;
 use super::peers::EVIDENCE_AGE_MAX_MS;
@@ -271,9 +270,12 @@
             row.reset_evidence(threshold.scaled(restart_share));
         }
         BreakerState::Held { until }
-            if has_common_cause && row.hold_counted && is_recent(row, now) =>
+            if has_common_cause
+                && row.hold_counted
+                && row.holds.began_within(ONSET_WINDOW_MS, now) =>
         {
-            // The hold began before the common cause was detected.
+            // The hold began before the common cause was detected. A target that was
+            // on hold for longer had failed alone.
             row.holds.undo();
             row.hold_counted = false;
             let until = until.min(now + COMMON_CAUSE_HOLD_MS);
@@ -303,12 +305,6 @@
     }
 }
 
-/// Returns whether the target became bad recently.
-fn is_recent(row: &TargetHealth, now: TimeMs) -> bool {
-    row.bad_since
-        .is_some_and(|since| now.since(since) <= ONSET_AGE_MAX_MS)
-}
-
 /// Returns whether a trial is overdue and was reported so within
 /// [`OVERDUE_TRIAL_MAX_MS`]. An older report is ignored, since the end of the trial may
 /// have gone unreported because a channel was full.
