--- a/crates/agatehold-core/tests/ejection_evidence.rs
+++ b/crates/agatehold-core/tests/ejection_evidence.rs
@@ -45,6 +45,9 @@
 const DAEMONS: usize = 6;
 const TARGETS: usize = 6;
 const SLOTS: SlotCount = SlotCount(4);
+
+/// The slots of the targets of the smallest sites.
+const FEW_SLOTS: SlotCount = SlotCount(3);
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
 /// The interval between two requests, 200 each second, given to the daemons in turn.
@@ -101,7 +104,7 @@
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, slots: SlotCount) -> Self {
         let mut config = ConfigTables::default();
         let service = ServiceRow {
             detection: DetectionPolicy::detection_first(),
@@ -113,7 +116,7 @@
                 service: name("dispatch"),
                 address: SocketAddr::from(([127, 0, 0, 1], 80)),
                 failure_domain: name(DOMAINS[number % 3]),
-                slots: SLOTS,
+                slots,
                 max_connections: 400,
                 state: TargetState::Serving,
             };
@@ -278,7 +281,7 @@
 #[test]
 fn every_daemon_uses_each_of_its_targets() {
     for seed in SEEDS {
-        let mut fleet = Fleet::new(seed);
+        let mut fleet = Fleet::new(seed, SLOTS);
         fleet.run();
         let unused_ms = fleet.longest_unused_ms;
         println!("seed {seed}: unused for {unused_ms} ms");
@@ -291,7 +294,7 @@
 #[test]
 fn a_failing_target_is_proposed_for_ejection() {
     for seed in SEEDS {
-        let proposed_ms = Fleet::new(seed).run();
+        let proposed_ms = Fleet::new(seed, SLOTS).run();
         println!("seed {seed}: proposed after {proposed_ms:?}");
         assert!(
             proposed_ms.is_some_and(|after| after <= DurationMs(5_000)),
@@ -299,3 +302,16 @@
         );
     }
 }
+
+/// Guards against a target that too few daemons use for an ejection: a target with
+/// three slots is used by three daemons.
+#[test]
+fn a_failing_target_with_three_slots_is_proposed_for_ejection() {
+    for seed in SEEDS {
+        let proposed_ms = Fleet::new(seed, FEW_SLOTS).run();
+        assert!(
+            proposed_ms.is_some_and(|after| after <= DurationMs(5_000)),
+            "seed {seed}: proposed after {proposed_ms:?}"
+        );
+    }
+}
