--- a/crates/agatehold-core/src/health/evaluate_targets.rs
+++ b/crates/agatehold-core/src/health/evaluate_targets.rs
@@ -25,6 +25,7 @@
 use super::PeerEvidence;
 use super::TargetHealth;
 use super::alarm_threshold;
+use super::own_path::ONSET_AGE_MAX_MS;
 use super::own_path::ONSET_WINDOW_MS;
 use super::own_path::detect_common_cause;
 use super::peers::EVIDENCE_AGE_MAX_MS;
@@ -270,12 +271,9 @@
             row.reset_evidence(threshold.scaled(restart_share));
         }
         BreakerState::Held { until }
-            if has_common_cause
-                && row.hold_counted
-                && row.holds.began_within(ONSET_WINDOW_MS, now) =>
+            if has_common_cause && row.hold_counted && is_recent(row, now) =>
         {
-            // The hold began before the common cause was detected. A target that was
-            // on hold for longer had failed alone.
+            // The hold began before the common cause was detected.
             row.holds.undo();
             row.hold_counted = false;
             let until = until.min(now + COMMON_CAUSE_HOLD_MS);
@@ -305,6 +303,12 @@
     }
 }
 
+/// Returns whether the target became bad recently.
+fn is_recent(row: &TargetHealth, now: TimeMs) -> bool {
+    row.bad_since
+        .is_some_and(|since| now.since(since) <= ONSET_AGE_MAX_MS)
+}
+
 /// Returns whether a trial is overdue and was reported so within
 /// [`OVERDUE_TRIAL_MAX_MS`]. An older report is ignored, since the end of the trial may
 /// have gone unreported because a channel was full.
--- a/crates/agatehold-core/src/health/own_path.rs
+++ b/crates/agatehold-core/src/health/own_path.rs
@@ -20,7 +20,7 @@
 
 /// How long after it became bad a target is considered by the own-path rule (see
 /// [`detect_common_cause`]).
-const ONSET_AGE_MAX_MS: DurationMs = DurationMs(10_000);
+pub(super) const ONSET_AGE_MAX_MS: DurationMs = DurationMs(10_000);
 
 /// If targets of several services and failure domains become bad within this
 /// time, the daemon suspects its own network path.
--- a/crates/agatehold-core/src/health/rows.rs
+++ b/crates/agatehold-core/src/health/rows.rs
@@ -121,11 +121,6 @@
         INITIAL_HOLD_MS.times(factor).min(HOLD_MAX_MS)
     }
 
-    /// Returns whether the latest hold began at most `window` before `now`.
-    pub fn began_within(&self, window: DurationMs, now: TimeMs) -> bool {
-        now.since(self.last_at) <= window
-    }
-
     /// Stops counting the latest hold.
     pub fn undo(&mut self) {
         self.count = self.count.saturating_sub(1);
--- a/crates/agatehold-core/tests/health.rs
+++ b/crates/agatehold-core/tests/health.rs
@@ -256,25 +256,6 @@
     assert_eq!((verdict.permit_proposal, verdict.trial), (None, true));
 }
 
-/// Guards against an overload, or a stall of the daemon's host, that ends the hold of a
-/// target that had failed alone before: the target would get work again while it still
-/// fails. The hold of a target that became bad along with the others is taken back.
-#[test]
-fn an_overload_takes_back_only_the_holds_that_it_caused() {
-    for (alone_ms, is_taken_back) in [(1_000, true), (4_000, false)] {
-        let mut daemon = Daemon::new();
-        daemon.report(0, 0, AttemptOutcome::Failed, 5);
-        assert_eq!(daemon.verdict(0).preference, Preference::Avoided);
-        daemon.wait(alone_ms);
-        for number in 1..5 {
-            daemon.report(0, number, AttemptOutcome::Failed, 5);
-        }
-        assert!(!daemon.verdict(0).trial);
-        daemon.wait(1_000);
-        assert_eq!(daemon.verdict(0).trial, is_taken_back, "{alone_ms} ms");
-    }
-}
-
 /// If a failure domain fails, targets of several services fail together. A daemon in
 /// another failure domain must not attribute this to its own network path.
 #[test]
