dissemination: tell of a page's row once its revision is reached

A row of a later page of a listing is not told beyond the listing's revision. If the history was gone and the next listing found the row unchanged, its revision stayed untold for good: daemons that were complete to the listing and lacked the row did not hear of it from this source.

Change: an unchanged row counts up to the listing's revision. And a listing brings a missing row back unless it has the very revision to which the replica is complete: an error of one listing, for example a stale page, must not keep a target out until it changes again.

--- a/crates/agatehold-core/src/dissemination/replica.rs
+++ b/crates/agatehold-core/src/dissemination/replica.rs
@@ -147,18 +147,21 @@
                 continue;
             };
             absent.remove(&item.key);
-            let is_outdated = match self.rows.get(&item.key) {
-                Some(row) => row.revision >= item.revision,
-                // The replica has contained the row; a later page has shown that the
-                // key was deleted since.
-                None => item.revision <= self.complete_to,
+            let held = self.rows.get(&item.key).map(|row| row.revision);
+            let is_outdated = match held {
+                Some(held) => held >= item.revision,
+                // The replica contained the row, and a later page of a listing of the
+                // same age showed that the key was deleted since.
+                None => revision == self.complete_to && item.revision <= revision,
             };
+            // A row of a later page may be newer than `revision`, to which others get
+            // complete by fetching from here. It counts once the revision is reached.
+            if !is_outdated || held == Some(item.revision) {
+                newest = newest.max(item.revision.min(revision));
+            }
             if is_outdated {
                 continue;
             }
-            // A row of a later page may be newer than `revision`, to which others get
-            // complete by fetching from here.
-            newest = newest.max(item.revision.min(revision));
             self.insert(&item.key, item.revision, value);
             applied.push(item.clone());
         }
