gateway: count a listing as of its oldest page

A listing that may be stale counted as of its first page, and a later page may come from an older replica of the store. A key that was written in between was then missing, or taken for deleted, in a replica that counted as complete. The daemon's own entry could seem lost in the same way.

Change: the lowest revision of all pages counts. With pages that are never older than the first nothing changes. No test: the store stand-in serves no page from an older state.

--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -317,11 +317,15 @@
         let call = read_page(key_group.prefix(), after.as_deref(), may_be_stale);
         let body = store.call(call, CALL_TIMEOUT).await?;
         let page = decode_page(&body)?;
-        let first = *revision.get_or_insert(page.store_revision);
+        // Pages are no snapshot, and a later one may be the older one if it may be stale.
+        let oldest = revision.map_or(page.store_revision, |oldest: u64| {
+            oldest.min(page.store_revision)
+        });
+        revision = Some(oldest);
         let is_last = !page.has_more || page.items.is_empty();
         items.extend(page.items);
         if is_last {
-            return Ok((items, first));
+            return Ok((items, oldest));
         }
     }
 }
