gateway: let an unused connection keep its idle time

Found by reading, twice. A connection that was taken for a request of which nothing was written came back to the pool as if it had just been used. One idle for up to 4 s could then carry a request that must not run twice, which may use a connection only for 0.4 s; the target may close it at that moment, and the caller gets 502. It never made a request run twice.

Change: such a connection keeps its idle time and its place in the pool. No test of its own: nothing waits between taking a pooled connection and the checks, so that the case needs a view that changes right there.

--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -183,12 +183,21 @@
         connection.connection_use.number = self.opened;
     }
 
-    /// Returns a connection to the pool for reuse.
+    /// Returns a connection that has carried a request to the pool for reuse.
     pub(super) fn put(&mut self, address: SocketAddr, mut connection: TargetStream) {
         connection.idle_since = Instant::now();
+        self.put_unused(address, connection);
+    }
+
+    /// Returns a connection to the pool on which nothing was written since it was taken or
+    /// opened: for the target it has been idle all the while.
+    pub(super) fn put_unused(&mut self, address: SocketAddr, connection: TargetStream) {
         let idle_connections = self.idle.entry(address).or_default();
         if idle_connections.len() < IDLE_CONNECTIONS_MAX {
-            idle_connections.push(connection);
+            // The last one is that used most recently.
+            let used_before = |other: &TargetStream| other.idle_since <= connection.idle_since;
+            let position = idle_connections.partition_point(used_before);
+            idle_connections.insert(position, connection);
         }
     }
 
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -159,11 +159,11 @@
     };
     if Instant::now() >= outbound.deadline {
         // The process was suspended since the target was chosen.
-        pool.borrow_mut().put(address, connection);
+        pool.borrow_mut().put_unused(address, connection);
         return AttemptEnd::without_response(AttemptOutcome::NotWritten, "deadline passed");
     }
     if !(outbound.may_write)() {
-        pool.borrow_mut().put(address, connection);
+        pool.borrow_mut().put_unused(address, connection);
         return AttemptEnd::without_response(
             AttemptOutcome::NotWritten,
             "target takes no requests",
