gateway: let a waiting request shorten the sleep, not run the tasks

Found in a review by reading. Since each request that waits in an empty queue ran all periodic tasks at once, which look at every idle connection; with short queues that is once for each such request.

`a_request_that_waits_alone_is_served_at_the_end_of_a_short_pause` and the other gateway tests passed (104). The cost was not measured.

--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -117,7 +117,6 @@
 
     fn sync_tables(&self, newest: &Arc<View>) {
         let before = self.view.replace(Arc::clone(newest));
-        super::evidence::apply_told(self, newest);
         super::evidence::inform_started_daemons(self, &before, newest);
         self.targets.borrow_mut().sync(
             newest
@@ -125,6 +124,7 @@
                 .iter()
                 .map(|(record, seen_at)| (record, *seen_at)),
         );
+        super::evidence::apply_told(self, newest);
         let own = &self.shared.settings.host.id;
         let now = self.shared.clock.now();
         let mut counts = HashMap::new();
@@ -387,6 +387,7 @@
     tokio::task::spawn_local(super::evidence::receive(Rc::clone(state)));
     // `TrafficThread::start` waits for this message.
     let _ = bind_result_sender.send(Ok(()));
+    let mut ticked_at = tokio::time::Instant::now();
     loop {
         let is_busy = state
             .queues
@@ -400,10 +401,12 @@
             IDLE_TICK
         };
         tokio::select! {
-            () = tokio::time::sleep(wait) => {}
-            () = state.queue_filled.notified() => {}
+            () = tokio::time::sleep_until(ticked_at + wait) => {}
+            // The next tick is now due sooner.
+            () = state.queue_filled.notified() => continue,
             _ = wake.changed(), if !is_stopping => {}
         }
+        ticked_at = tokio::time::Instant::now();
         tick(state);
         if state.may_exit(state.shared.clock.now()) {
             return;
