--- a/crates/agatehold-core/tests/dispatch_statements.rs
+++ b/crates/agatehold-core/tests/dispatch_statements.rs
@@ -187,6 +187,30 @@
     assert_eq!(targets.expire_statements(next), 0);
 }
 
+/// Guards against statements that are dropped while their targets are registered, and
+/// against some that stay ten minutes after all of these were replaced.
+#[test]
+fn statements_of_replaced_targets_are_dropped() {
+    let mut targets = LiveTargets::default();
+    let mut now = START;
+    let mut kept_max = 0;
+    for round in 0..10 {
+        let records: Vec<TargetRecord> = (0..990)
+            .map(|number| record(number, round * 10_000 + 1))
+            .collect();
+        sync(&mut targets, &records);
+        for record in &records {
+            targets.record_leaving(&record.identity, now);
+        }
+        kept_max = kept_max.max(targets.expire_statements(now));
+        now = now + DurationMs(600_001);
+    }
+    assert_eq!(kept_max, 990, "those registered in the last ten minutes");
+    sync(&mut targets, &[]);
+    targets.expire_statements(now);
+    assert_eq!(targets.expire_statements(now + DurationMs(600_001)), 0);
+}
+
 /// Guards against a last request to a target that leaves, where all others are on hold,
 /// unreachable, full or paused.
 #[test]
