testing: start no process while ports are being chosen

What was seen: `a_daemon_without_a_configuration_refuses_and_is_not_ready` failed once in a whole run, "timed out after 30s waiting for the callers' listener". The daemon's log has "binding 127.38.68.3:38431 failed: Address already in use"; two other daemons of today's runs failed alike at their start (their tests are not known).

Cause: ports are chosen by listeners that are closed before the daemon binds them. A process that another test of the same program starts at that moment holds copies of these listeners until it has replaced its program, which takes a while under load. The cause follows from reading; it was not caught in the act.

Ruled out: two daemons with one address (the three addresses are the third of their process), and outgoing connections (their local address is 127.0.0.1).

Change: a lock that is held while ports are chosen and while a process starts.

--- a/crates/agatehold-testing/src/common/child_process.rs
+++ b/crates/agatehold-testing/src/common/child_process.rs
@@ -14,6 +14,16 @@
 
 use agatehold_core::units::ByteCount;
 
+/// Held while a process is started, and while sockets are open that a child must not
+/// hold copies of.
+static SPAWNING: Mutex<()> = Mutex::new(());
+
+/// Waits until no process is being started, and keeps others from starting one until the
+/// guard is dropped.
+pub(crate) fn lock_spawning() -> MutexGuard<'static, ()> {
+    SPAWNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A child process that is killed on drop, so that a test that panics leaves
 /// no process behind.
 #[derive(Debug, Default)]
@@ -25,7 +35,10 @@
 impl ChildProcess {
     /// Starts the process. It can be started again once it was waited for.
     pub fn start(&self, command: &mut Command) -> io::Result<()> {
+        // Until the child has replaced its program, it holds copies of all sockets.
+        let spawning = lock_spawning();
         let child = command.spawn()?;
+        drop(spawning);
         *self.child() = Some(child);
         Ok(())
     }
--- a/crates/agatehold-testing/src/common/mod.rs
+++ b/crates/agatehold-testing/src/common/mod.rs
@@ -9,6 +9,7 @@
 mod http_io;
 
 pub use child_process::ChildProcess;
+pub(crate) use child_process::lock_spawning;
 pub use child_process::process_memory;
 pub use client::CallError;
 pub use client::call_platform;
--- a/crates/agatehold-testing/src/fleet/ports.rs
+++ b/crates/agatehold-testing/src/fleet/ports.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use crate::common::lock_spawning;
+
 /// The listen addresses of a daemon.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct DaemonAddresses {
@@ -41,6 +43,8 @@
 /// The ports stay bound until all are assigned, so that they differ, and are
 /// released before this function returns.
 pub fn free_addresses<const COUNT: usize>(host: Ipv4Addr) -> io::Result<[SocketAddr; COUNT]> {
+    // A child that starts meanwhile would keep the ports bound for some time.
+    let _spawning = lock_spawning();
     let mut held = Vec::with_capacity(COUNT);
     let mut addresses = [SocketAddr::from((host, 0)); COUNT];
     for address in &mut addresses {
