gateway: tenants, their keys and their priority

The configuration of a deployment may hold tenants.

The key is taken off, the caller's own tenant header replaced, and the tenant's priority goes before that of the route. A key is checked again before each send, since it may be removed while the request waits. A daemon that can't reach the store answers 503 in place of 401. Requests wait in the queue under their tenant.

--- a/crates/agatehold-core/src/catalog/rows.rs
+++ b/crates/agatehold-core/src/catalog/rows.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::ids::ServiceName;
+use crate::tenants::TenantTable;
 use crate::units::ByteCount;
 use crate::units::DurationMs;
 
@@ -37,6 +38,8 @@
     pub attempts_max: u32,
     /// The priority of the requests; 0 is the highest.
     pub priority: u8,
+    /// Whether requests need no key although the configuration has tenants.
+    pub public_access: bool,
     /// The services that run the requests; at least one, weights above 0.
     pub services: Vec<WeightedService>,
 }
@@ -87,6 +90,8 @@
     pub services: Vec<CatalogService>,
     /// The limits for the requests of callers.
     pub limits: CallerLimits,
+    /// The tenants; `None` if requests need no key.
+    pub tenants: Option<TenantTable>,
     /// Indexes into `routes` by host name, longest prefix first.
     pub(super) by_host: HashMap<Box<str>, Vec<usize>>,
 }
@@ -98,6 +103,7 @@
         routes: Vec<CatalogRoute>,
         services: Vec<CatalogService>,
         limits: CallerLimits,
+        tenants: Option<TenantTable>,
     ) -> Self {
         let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
         for (position, route) in routes.iter().enumerate() {
@@ -114,6 +120,7 @@
             routes,
             services,
             limits,
+            tenants,
             by_host,
         }
     }
--- a/crates/agatehold-core/src/lib.rs
+++ b/crates/agatehold-core/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod routing;
 pub mod table;
 pub mod target_registry;
+pub mod tenants;
 pub mod units;
--- a/crates/agatehold-core/src/refusal/mod.rs
+++ b/crates/agatehold-core/src/refusal/mod.rs
@@ -94,6 +94,7 @@
     AmbiguousFraming, "ambiguous-framing", 400, NotRun, Never, "The request has more than one body length.";
     SlowSender, "slow-sender", 408, NotRun, Later, "The request did not arrive in time.";
     UnknownRoute, "unknown-route", 404, NotRun, Never, "No route matches the request.";
+    UnknownKey, "unknown-key", 401, NotRun, Never, "The API key is missing or unknown.";
     UnknownTenant, "unknown-tenant", 403, NotRun, Never, "The tenant is missing or unknown.";
     TenantNotAllowed, "tenant-not-allowed", 403, NotRun, Never, "The route does not serve this tenant.";
     DeadlinePassed, "deadline-passed", 408, NotRun, Never, "The deadline passed before the request could be sent.";
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -46,6 +46,7 @@
         objective_ms: DurationMs(1_500),
         attempts_max: 2,
         priority: 0,
+        public_access: false,
         services: vec![WeightedService {
             service: "archive".parse().expect("a name"),
             weight: 1,
@@ -59,6 +60,7 @@
         routes,
         Vec::new(),
         CallerLimits::default(),
+        None,
     )
 }
 
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -153,6 +153,7 @@
         fields.remove(header::EXPECT);
         fields.remove(request_headers::DEADLINE_REMAINING_MS);
         fields.remove(target_headers::EXPECT_TARGET);
+        self.credentials.apply_to(&mut fields);
         let mut out = Vec::with_capacity(incoming.body.len() + 512);
         out.extend_from_slice(incoming.head.method.as_str().as_bytes());
         out.push(b' ');
--- /dev/null
+++ b/crates/agatehold/src/gateway/dispatch/credentials.rs
@@ -0,0 +1,94 @@
+//! What a request's API key allows, and what targets are told of its tenant.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+
+use agatehold_core::catalog::Catalog;
+use agatehold_core::catalog::CatalogRoute;
+use agatehold_core::ids::TenantName;
+use agatehold_core::refusal::RefusalKind;
+use agatehold_core::tenants::Access;
+use agatehold_core::tenants::KeyDigest;
+use agatehold_core::tenants::TenantRow;
+use agatehold_core::tenants::authorize;
+use agatehold_core::tenants::is_key_of;
+use agatehold_platform::parse_api_key;
+use agatehold_platform::request_headers;
+use agatehold_platform::target_headers;
+
+use crate::gateway::shared::View;
+
+/// What a request's key allows, as decided when the request arrived.
+#[derive(Clone, Debug)]
+pub(in crate::gateway) enum Credentials {
+    /// The configuration has no tenants; the headers of keys and tenants are forwarded
+    /// as any other.
+    NoTenants,
+    /// The route needs no key.
+    Public,
+    /// The key belongs to this tenant.
+    Tenant(TenantName, KeyDigest),
+}
+
+impl Credentials {
+    /// Decides what the key of a request on `route` allows; the tenant's row is returned
+    /// beside it if the key belongs to one. Fails with the refusal of a key that is
+    /// missing or unknown.
+    pub(in crate::gateway) fn of_request<'a>(
+        catalog: &'a Catalog,
+        route: &CatalogRoute,
+        headers: &HeaderMap,
+    ) -> Result<(Self, Option<&'a TenantRow>), RefusalKind> {
+        let key = sent_key(headers);
+        match (authorize(catalog, route, key.as_ref()), key) {
+            (Access::NoTenants, _) => Ok((Self::NoTenants, None)),
+            (Access::Public, _) => Ok((Self::Public, None)),
+            (Access::Tenant(row), Some(key)) => {
+                Ok((Self::Tenant(row.name.clone(), key), Some(row)))
+            }
+            (Access::Tenant(_) | Access::UnknownKey, _) => Err(RefusalKind::UnknownKey),
+        }
+    }
+
+    /// Returns the tenant of the request.
+    pub(in crate::gateway) const fn tenant(&self) -> Option<&TenantName> {
+        match self {
+            Self::Tenant(tenant, _) => Some(tenant),
+            Self::NoTenants | Self::Public => None,
+        }
+    }
+
+    /// Returns whether the key is still valid under the newest configuration. It may have
+    /// been removed while the request waited for a slot.
+    pub(super) fn is_valid(&self, view: &View) -> bool {
+        match (self, &view.catalog) {
+            (Self::Tenant(tenant, key), Some(catalog)) => is_key_of(catalog, key, tenant),
+            _ => true,
+        }
+    }
+
+    /// Removes the caller's key and sets the tenant in the headers of a request to a
+    /// target.
+    pub(super) fn apply_to(&self, fields: &mut HeaderMap) {
+        if matches!(self, Self::NoTenants) {
+            return;
+        }
+        fields.remove(request_headers::API_KEY);
+        fields.remove(target_headers::TENANT);
+        let name = self.tenant().map(TenantName::as_str);
+        if let Some(Ok(value)) = name.map(HeaderValue::from_str) {
+            fields.insert(HeaderName::from_static(target_headers::TENANT), value);
+        }
+    }
+}
+
+/// Returns the hash of the key that a request carries; `None` if it carries none, or
+/// more than one, of which a target might take another one than this daemon.
+fn sent_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut values = headers.get_all(request_headers::API_KEY).iter();
+    let (value, None) = (values.next()?, values.next()) else {
+        return None;
+    };
+    parse_api_key(value.as_bytes()).map(KeyDigest::of)
+}
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! until it is answered or must be refused.
 
 mod attempt;
+mod credentials;
 mod finish;
 mod record_attempt;
 mod record_statements;
@@ -38,6 +39,8 @@
 use crate::gateway::target::TargetResponse;
 use crate::gateway::traffic::TrafficState;
 
+pub(super) use credentials::Credentials;
+
 /// How long a request may wait for a slot, as a percentage of the route's latency
 /// objective.
 const WAIT_SHARE_PERCENT: u64 = 60;
@@ -48,6 +51,10 @@
 
 /// The routing decision for a request.
 pub(super) struct Plan<'a> {
+    /// What the request's key allows.
+    pub(super) credentials: Credentials,
+    /// The priority among the requests that wait for the service; 0 is the highest.
+    pub(super) priority: u8,
     /// The matched route.
     pub(super) route: &'a CatalogRoute,
     /// The version of the configuration that contains the route.
@@ -63,6 +70,8 @@
     state: &'a TrafficState,
     incoming: &'a IncomingRequest,
     route: &'a CatalogRoute,
+    credentials: Credentials,
+    priority: u8,
     version: ConfigVersion,
     service: ServiceName,
     /// The deadline for the response to the caller.
@@ -102,6 +111,8 @@
         state,
         incoming,
         route: plan.route,
+        credentials: plan.credentials,
+        priority: plan.priority,
         version: plan.version,
         service: plan.service,
         deadline: plan.deadline,
@@ -146,6 +157,11 @@
             Err(dispatch_end) => return dispatch_end,
         };
         loop {
+            if !self.credentials.is_valid(&self.state.view()) {
+                self.state.targets.borrow_mut().release_unused(&target);
+                queue::assign_free_slots(self.state, &self.service);
+                return DispatchEnd::Refused(RefusalKind::UnknownKey);
+            }
             self.tried.push(target.name.clone());
             let end = self.attempt(&target, response_sender).await;
             self.detail = end.detail;
@@ -252,7 +268,8 @@
             self.state,
             &SlotRequest {
                 service: &self.service,
-                priority: self.route.priority,
+                tenant: self.credentials.tenant(),
+                priority: self.priority,
                 idempotent: self.route.idempotent,
                 deadline: self.deadline,
                 wait_ms: DurationMs(objective_ms.0 * WAIT_SHARE_PERCENT / 100),
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -27,8 +27,7 @@
 /// The capacity of the queue of one service in one daemon.
 const QUEUE_CAPACITY: usize = 128;
 
-/// The tenant of all queued requests, since callers on the platform don't name
-/// their tenant.
+/// The tenant of queued requests without a tenant.
 const SHARED_TENANT: &str = "shared";
 
 /// Why the queue refused a request.
@@ -64,6 +63,8 @@
 pub(super) struct SlotRequest<'a> {
     /// The service.
     pub(super) service: &'a ServiceName,
+    /// The tenant, if the request belongs to one.
+    pub(super) tenant: Option<&'a TenantName>,
     /// The priority; 0 is the highest.
     pub(super) priority: u8,
     /// Whether the request may be executed more than once.
@@ -229,7 +230,11 @@
             Choice::AllBusy => {}
         }
     }
-    let Ok(tenant) = SHARED_TENANT.parse::<TenantName>() else {
+    let tenant = match slot_request.tenant {
+        Some(tenant) => Ok(tenant.clone()),
+        None => SHARED_TENANT.parse(),
+    };
+    let Ok(tenant) = tenant else {
         return SlotOutcome::Refused(QueueRefusal {
             kind: RefusalKind::Internal,
             backlog_ms: DurationMs(0),
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -16,6 +16,7 @@
 use crate::traffic::host_name;
 
 use super::dispatch;
+use super::dispatch::Credentials;
 use super::dispatch::Plan;
 use super::endpoint::IncomingRequest;
 use super::endpoint::Response;
@@ -107,9 +108,22 @@
     if state.refuses_new(remaining_ms) {
         return refuse(RefusalKind::Stopping, catalog.version);
     }
+    let (credentials, tenant) =
+        match Credentials::of_request(catalog, route, &incoming.head.headers) {
+            Ok(credentials) => credentials,
+            // A newer configuration that this daemon can't read may hold the key.
+            Err(_) if view.store_unavailable_since.is_some() => {
+                return refuse(RefusalKind::Isolated, catalog.version);
+            }
+            Err(kind) => return refuse(kind, catalog.version),
+        };
     let deadline = state.shared.clock.now() + remaining_ms;
     let service = routes::next_service(state, route);
     let plan = Plan {
+        credentials,
+        priority: tenant
+            .and_then(|tenant| tenant.priority)
+            .unwrap_or(route.priority),
         route,
         version: catalog.version,
         service,
