--- a/crates/agatehold-core/src/dissemination/heartbeats.rs
+++ b/crates/agatehold-core/src/dissemination/heartbeats.rs
@@ -7,6 +7,8 @@
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
+use super::HEARTBEAT_TIMEOUT_MS;
+
 /// The newest revisions of the store's contents that a daemon knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Revisions {
@@ -84,6 +86,13 @@
         self.rows.insert(heartbeat.host.clone(), heard);
     }
 
+    /// Returns the hosts whose heartbeats have arrived recently.
+    pub fn recent_senders(&self, now: TimeMs) -> impl Iterator<Item = &HostId> {
+        let rows = self.rows.rows();
+        let recent = rows.filter(move |(_, row)| now.since(row.heard_at) <= HEARTBEAT_TIMEOUT_MS);
+        recent.map(|(host, _)| host)
+    }
+
     /// Returns the rank of a source among sources with equal revisions, so that
     /// the daemons that hear of a change at once don't all fetch from one.
     pub(super) fn source_rank(&self, host: &HostId) -> u64 {
--- a/crates/agatehold-core/src/dissemination/recipients.rs
+++ b/crates/agatehold-core/src/dissemination/recipients.rs
@@ -1,5 +1,6 @@
 //! Decides which daemons tell which others what is new.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -32,16 +33,21 @@
 /// has any, and at least [`WATCHERS_MIN`]. The calls to the store that a change
 /// causes therefore don't grow with the fleet.
 ///
-/// Entry daemons serve most requests and are killed no more often than others, and
-/// the strongest hosts are among them.
+/// Entry daemons serve most requests and are killed no more often than others. The
+/// strongest of them are chosen: all daemons of a failure domain fetch each change from
+/// those that watch, and a host with a slow link answers few of them in time.
 pub fn watching_daemons<'a>(
-    entries: &[(&'a HostId, &'a FailureDomain)],
+    entries: &[(&'a HostId, &'a MemberRecord)],
 ) -> Vec<(&'a HostId, &'a FailureDomain)> {
     let mut ranked = entries.to_vec();
-    ranked.sort_by_cached_key(|(host, _)| (rendezvous_score(&["watch"], host.as_str()), *host));
+    ranked.sort_by_cached_key(|(host, member)| {
+        let score = rendezvous_score(&["watch"], host.as_str());
+        (Reverse(member.capacity_millicores), score, *host)
+    });
+    let ranked = ranked.into_iter();
     let mut domains = BTreeSet::new();
     let (mut watching, rest): (Vec<_>, Vec<_>) = ranked
-        .into_iter()
+        .map(|(host, member)| (host, &member.failure_domain))
         .partition(|(_, domain)| domains.insert(*domain));
     let missing = WATCHERS_MIN.saturating_sub(watching.len());
     watching.extend(rest.into_iter().take(missing));
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -30,7 +30,6 @@
 use agatehold_core::dissemination::pull_sources;
 use agatehold_core::dissemination::read_due_at;
 use agatehold_core::dissemination::watching_daemons;
-use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::table::Table;
@@ -323,11 +322,7 @@
             capacity_millicores: millicores,
         };
         let chosen = entry_daemons(members.rows(), "archive", demand);
-        let entries: Vec<(&HostId, &FailureDomain)> = chosen
-            .iter()
-            .map(|(host, record)| (*host, &record.failure_domain))
-            .collect();
-        let entries = watching_daemons(&entries);
+        let entries = watching_daemons(&chosen);
         assert!(entries.len() <= domains.max(3), "{hosts}: {entries:?}");
         let mut senders: BTreeMap<&HostId, usize> = BTreeMap::new();
         for (entry, _) in &entries {
@@ -342,6 +337,24 @@
     }
 }
 
+/// Strong and weak hosts are entry daemons. Guards against a weak host that watches the
+/// store for its failure domain: at 10 Mbit/s its answers to the fetches of 40 daemons
+/// took longer than these wait, and each of them read the store instead.
+#[test]
+fn the_strongest_entry_daemon_of_each_domain_watches() {
+    let members = fleet(126, 3);
+    let demand = EntryDemand {
+        least: 3,
+        capacity_millicores: 4_000,
+    };
+    let chosen = entry_daemons(members.rows(), "archive", demand);
+    assert!(chosen.len() > 10, "weak hosts are among the entry daemons");
+    for (host, _) in watching_daemons(&chosen) {
+        let member = members.get(host).expect("a member");
+        assert_eq!(member.capacity_millicores, 500, "{host}");
+    }
+}
+
 /// How a change spread through a simulated fleet.
 struct Spread {
     /// When the last daemon that the store serves knew the change.
@@ -397,11 +410,7 @@
         capacity_millicores: u32::try_from(hosts).expect("a number") * 10,
     };
     let chosen = entry_daemons(registered.rows(), "archive", demand);
-    let entries: Vec<(&HostId, &FailureDomain)> = chosen
-        .iter()
-        .map(|(host, record)| (*host, &record.failure_domain))
-        .collect();
-    let entries = watching_daemons(&entries);
+    let entries = watching_daemons(&chosen);
     let mut recipients: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
     for (entry, _) in &entries {
         let list = heartbeat_recipients(entry, registered.rows(), &entries);
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -120,9 +120,9 @@
     /// Returns the daemons that watch the store, with their failure domains.
     fn watching(&self) -> Vec<(&HostId, &FailureDomain)> {
         let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
-        let entries: Vec<(&HostId, &FailureDomain)> = entries
+        let entries: Vec<(&HostId, &MemberRecord)> = entries
             .into_iter()
-            .filter_map(|host| Some((host, &self.members.rows.get(host)?.content.failure_domain)))
+            .filter_map(|host| Some((host, &self.members.rows.get(host)?.content)))
             .collect();
         watching_daemons(&entries)
     }
