gateway: read and renew at the store less often

Three daemons in five read the store a second time 1.3 s after their start, before a fleet that starts has agreed on who sends heartbeats. They wait 2.5 s now. Leases of 5 s are renewed each 2.2 s (was 1.5 s, two attempts still fit), and daemons that are no entry daemons compare their own entry with the listing each 24 s (was 8 s).

--- a/crates/agatehold/src/clock/mod.rs
+++ b/crates/agatehold/src/clock/mod.rs
@@ -48,7 +48,12 @@
 
     /// Returns the time since the creation of the clock.
     pub(crate) fn uptime(&self) -> DurationMs {
-        self.now().since(TimeMs(ORIGIN_MS))
+        self.now().since(self.started_at())
+    }
+
+    /// Returns the time at which the process started.
+    pub(crate) const fn started_at(&self) -> TimeMs {
+        TimeMs(ORIGIN_MS)
     }
 
     /// Converts a point in time to an instant for Tokio's timers.
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -21,6 +21,7 @@
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::dissemination::read_due_at;
+use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -32,6 +33,7 @@
 use super::store::StoreClient;
 use super::store_tasks::KeyGroup;
 use super::store_tasks::MEMBERS_POLL_INTERVAL;
+use super::store_tasks::MEMBERS_POLL_INTERVAL_AS_RESERVE;
 use super::store_tasks::MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS;
 use super::store_tasks::OwnEntry;
 use super::store_tasks::RENEWAL_INTERVAL;
@@ -62,6 +64,19 @@
 /// this time it asks several rounds of them.
 const STARTED_MS: DurationMs = DurationMs(10_000);
 
+/// How long a daemon puts off fetching from another failure domain, so that one in its
+/// own learns of the change first. A watch pauses for 350 ms after each change.
+const FAR_FETCH_DELAY_MS: DurationMs = DurationMs(450);
+
+/// How long after its start a daemon expects a heartbeat from its own failure domain
+/// although it has heard none.
+const NEAR_HEARTBEAT_EXPECTED_MS: DurationMs = DurationMs(5_000);
+
+/// How long after its start a daemon that has read the store waits for heartbeats before
+/// it reads the store again. A fleet that starts needs about two seconds to agree on the
+/// daemons that send them.
+const SECOND_READ_AFTER_MS: DurationMs = DurationMs(2_500);
+
 /// The timeout of a fetch from another daemon.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -154,6 +169,8 @@
     /// Since when this daemon has been behind other daemons although it watches the
     /// store.
     behind_since: Option<TimeMs>,
+    /// Since when only daemons in other failure domains are known to be ahead.
+    far_ahead_since: Option<TimeMs>,
     /// When the last heartbeat was sent.
     heartbeat_sent_at: TimeMs,
     /// The number of times that daemons were asked without a heartbeat from them.
@@ -181,6 +198,7 @@
         running_refreshes: 0,
         last_fetch_failed: false,
         behind_since: None,
+        far_ahead_since: None,
         heartbeat_sent_at: TimeMs(0),
         pull_round: 0,
     };
@@ -356,7 +374,10 @@
         if self.is_watching() || !has_recent_heartbeat(&tables.heartbeats, now) {
             return MEMBERS_POLL_INTERVAL;
         }
-        MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS
+        if tables.is_entry(&self.shared.settings.host.id) {
+            return MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS;
+        }
+        MEMBERS_POLL_INTERVAL_AS_RESERVE
     }
 
     /// Fetches from the seed daemons in the settings and from a few others, which
@@ -382,6 +403,14 @@
         }
     }
 
+    /// Returns the time before which the store is not read for lack of heartbeats.
+    fn read_not_before(&self, tables: &ControlTables) -> TimeMs {
+        if tables.catalog.is_none() || tables.store_unavailable_since.is_some() {
+            return TimeMs(0);
+        }
+        self.shared.clock.started_at() + SECOND_READ_AFTER_MS
+    }
+
     /// Starts reading the configuration and the targets from the store.
     fn read_store(&mut self, tables: &mut ControlTables, reason: &'static str, now: TimeMs) {
         self.running_refreshes = 1;
@@ -392,6 +421,28 @@
         tokio::task::spawn_local(reading);
     }
 
+    /// Returns whether to wait until a daemon in the own failure domain is ahead too,
+    /// given those that are ahead now, the nearest first.
+    fn waits_for_near(&mut self, tables: &ControlTables, ahead: &[HostId], now: TimeMs) -> bool {
+        let own = &self.shared.settings.host.id;
+        let is_near = |host: &HostId| tables.are_near(host, own);
+        if ahead.first().is_some_and(is_near) {
+            self.far_ahead_since = None;
+            return false;
+        }
+        let mut senders = tables.heartbeats.recent_senders(now);
+        let expects_near = senders.any(is_near);
+        if !expects_near && self.shared.clock.uptime() > NEAR_HEARTBEAT_EXPECTED_MS {
+            return false;
+        }
+        let since = *self.far_ahead_since.get_or_insert(now);
+        if now.since(since) < FAR_FETCH_DELAY_MS {
+            return true;
+        }
+        self.far_ahead_since = None;
+        false
+    }
+
     /// Starts fetching newer contents from other daemons, or reading the store if no
     /// daemon that reaches the store sends heartbeats.
     fn refresh(&mut self, tables: &mut ControlTables, now: TimeMs) {
@@ -403,7 +454,7 @@
         }
         let own = tables.contents().complete_to();
         match next_refresh(&tables.heartbeats, &own, tables.read_at, now) {
-            Refresh::Nothing => {}
+            Refresh::Nothing => self.far_ahead_since = None,
             // The sources may be too slow for a large configuration, or gone.
             Refresh::Fetch(_)
                 if self.last_fetch_failed && tables.store_unavailable_since.is_none() =>
@@ -416,6 +467,9 @@
                 // Bytes between failure domains cost bandwidth.
                 let own_host = &self.shared.settings.host.id;
                 hosts.sort_by_key(|host| !tables.are_near(host, own_host));
+                if self.waits_for_near(tables, &hosts, now) {
+                    return;
+                }
                 if !self.last_fetch_failed {
                     hosts.truncate(1);
                 }
@@ -430,6 +484,7 @@
                     tokio::task::spawn_local(fetching);
                 }
             }
+            Refresh::ReadStore if now < self.read_not_before(tables) => {}
             Refresh::ReadStore => {
                 self.read_store(tables, "not_told", now);
                 if tables.store_unavailable_since.is_some() || tables.catalog.is_none() {
@@ -451,7 +506,11 @@
     }
     let follows_heartbeats = !store_sync.is_watching() || tables.store_unavailable_since.is_some();
     if follows_heartbeats && store_sync.running_refreshes == 0 {
-        due = due.min(read_due_at(&tables.heartbeats, tables.read_at));
+        let read_due = read_due_at(&tables.heartbeats, tables.read_at);
+        due = due.min(read_due.max(store_sync.read_not_before(tables)));
+    }
+    if let Some(since) = store_sync.far_ahead_since {
+        due = due.min(since + FAR_FETCH_DELAY_MS);
     }
     for sweep in [tables.targets.next_sweep(), tables.members.next_sweep()] {
         due = due.min(sweep.unwrap_or(due));
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -132,6 +132,11 @@
         entries.map(|(entry, _)| entry)
     }
 
+    /// Returns whether a host's daemon is an entry daemon of any service.
+    pub(super) fn is_entry(&self, host: &HostId) -> bool {
+        self.entry_hosts().any(|entry| entry == host)
+    }
+
     /// Returns the address where a host's daemon serves other daemons.
     pub(super) fn fetch_address(&self, host: &HostId) -> Option<SocketAddr> {
         self.members.rows.get(host).map(|row| row.content.news)
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -64,16 +64,19 @@
 
 /// The interval between lease renewals of a daemon that does not watch the store. The
 /// renewals also check that the store responds.
-pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
+pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(2_200);
 
 /// The interval at which a daemon reads the registered daemons if it sends
 /// heartbeats or receives none.
 pub(crate) const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// The interval at which a daemon reads the registered daemons if it only receives
-/// heartbeats.
+/// The interval at which an entry daemon reads the registered daemons if it only receives
+/// heartbeats. It hears of changes from them, and finds here that its own entry is lost.
 pub(crate) const MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS: Duration = Duration::from_millis(8_000);
 
+/// The same interval of a daemon that is no entry daemon, whose entry matters less.
+pub(crate) const MEMBERS_POLL_INTERVAL_AS_RESERVE: Duration = Duration::from_millis(24_000);
+
 /// The maximum random delay before the first read of the registered daemons, which
 /// spreads the reads when a whole fleet starts.
 const FIRST_POLL_JITTER: Duration = Duration::from_millis(300);
