gateway: datagrams cross the boundary of a failure domain once

One recipient in each other domain passes them on now, another one each time; crashes, moved addresses and leaving targets go to two. Daemons that are no entry daemons report only attempts at targets against which there is evidence.

--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -8,6 +8,7 @@
 mod heartbeats;
 mod recipients;
 mod refresh;
+mod relays;
 mod replica;
 
 pub use heartbeats::HeartbeatTable;
@@ -26,6 +27,8 @@
 pub use refresh::is_store_unavailable;
 pub use refresh::next_refresh;
 pub use refresh::read_due_at;
+pub use relays::Delivery;
+pub use relays::deliveries;
 pub use replica::KeyChange;
 pub use replica::Replica;
 pub use replica::ReplicaRow;
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -38,8 +38,6 @@
         let target = &identity.name;
         let now = self.now();
         let jitter = self.state.rng.borrow_mut().random();
-        let own = &self.state.shared.settings.host.id;
-        let is_entry = self.state.view().is_entry(own, &self.service);
         let was_refused = self.is_refused_by_poison_table(now);
         let answered = end.outcome == AttemptOutcome::Answered;
         let answered = (answered && self.revoke_crash_marks()).then(|| self.fingerprint());
@@ -100,12 +98,9 @@
                 outcome,
                 AttemptOutcome::ConnectFailed | AttemptOutcome::TimedOut
             );
-            // Entry daemons see most requests of a service themselves, so they
-            // report only attempts at a target against which there was evidence
-            // before or after the attempt. What other daemons see is new to the
-            // entry daemons.
-            let is_reportable =
-                is_shared && (had_evidence || row.failure_detector.nats() > 0.0 || !is_entry);
+            // Daemons report only attempts at a target against which there was evidence
+            // before or after the attempt: the entry daemons see most requests themselves.
+            let is_reportable = is_shared && (had_evidence || row.failure_detector.nats() > 0.0);
             if is_reportable || has_moved || answered.is_some() {
                 let crashed = end.outcome == AttemptOutcome::ConnectionLost;
                 report = Some(Evidence {
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -32,6 +32,10 @@
 use super::messages::encode_evidence;
 use super::messages::encode_leaving;
 use super::messages::encode_pressure;
+use super::relay;
+use super::relay::Copies;
+use super::relay::Recipients;
+use super::relay::send_to_entry_daemons;
 use super::shared::View;
 use super::traffic::TrafficState;
 
@@ -55,7 +59,14 @@
 
 /// Sends evidence about a target to the other entry daemons of its service.
 pub(super) fn send_evidence(state: &TrafficState, service: &ServiceName, evidence: &Evidence) {
-    send_to_entry_daemons(state, service, &encode_evidence(evidence), |_| true);
+    // What a daemon does not know of a crash, it sees when the request crashes a target.
+    let copies = if evidence.crash.is_some() || evidence.moved {
+        Copies::Two
+    } else {
+        Copies::One
+    };
+    let bytes = encode_evidence(evidence);
+    send_to_entry_daemons(state, service, &bytes, Recipients::All, copies);
 }
 
 /// Tells the other entry daemons of a service that a target is leaving, which they hear
@@ -65,7 +76,8 @@
         target: target.clone(),
         reporter: state.shared.settings.host.id.clone(),
     };
-    send_to_entry_daemons(state, service, &encode_leaving(&message), |_| true);
+    let bytes = encode_leaving(&message);
+    send_to_entry_daemons(state, service, &bytes, Recipients::All, Copies::Two);
 }
 
 /// Tells the daemons that are no entry daemons of a service, which get no evidence, that a
@@ -208,9 +220,9 @@
 /// Sends a pressure report to the other entry daemons of a service, if this daemon
 /// is one of them and a report is due.
 pub(super) fn send_pressure_report(state: &TrafficState, service: &ServiceName) {
-    let Some(daemon_rank) = state.daemon_rank(service) else {
+    if state.daemon_rank(service).is_none() {
         return;
-    };
+    }
     let now = state.shared.clock.now();
     let (change, report) = {
         let mut service_stats = state.service_stats.borrow_mut();
@@ -235,7 +247,7 @@
             .used_since(service, report.since, now),
     };
     let bytes = encode_pressure(&message);
-    send_to_entry_daemons(state, service, &bytes, |rank| daemon_rank.reports_to(rank));
+    send_to_entry_daemons(state, service, &bytes, Recipients::UseReports, Copies::One);
 }
 
 /// Logs that a service has come under pressure or has recovered, with the request
@@ -267,29 +279,6 @@
     );
 }
 
-/// Sends a datagram to the other entry daemons of a service for whose rank
-/// `is_recipient` returns true.
-fn send_to_entry_daemons(
-    state: &TrafficState,
-    service: &ServiceName,
-    bytes: &[u8],
-    is_recipient: impl Fn(u32) -> bool,
-) {
-    let view = state.view();
-    let Some(entries) = view.entries_by_service.get(service) else {
-        return;
-    };
-    let own = &state.shared.settings.host.id;
-    for (rank, (host, member)) in (0..).zip(entries) {
-        if host == own || !is_recipient(rank) {
-            continue;
-        }
-        // A lost datagram is acceptable: the next requests bring the same
-        // information.
-        let _ = state.evidence.try_send_to(bytes, member.evidence);
-    }
-}
-
 /// Binds the UDP socket for evidence.
 pub(super) fn bind(address: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = std::net::UdpSocket::bind(address)?;
@@ -311,7 +300,7 @@
                 continue;
             }
         };
-        match decode_traffic_message(&buffer[..length]) {
+        match decode_traffic_message(relay::receive(&state, &buffer[..length])) {
             Some(TrafficMessage::Evidence(evidence)) => apply_evidence(&state, &evidence),
             Some(TrafficMessage::Pressure(message)) => apply_pressure(&state, &message),
             Some(TrafficMessage::Leaving(message)) => {
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -28,8 +28,9 @@
 pub(super) const DATAGRAM_BYTES_MAX: usize = 2_048;
 
 /// The bytes of a pressure report that the list of used targets may take. The rest
-/// of [`DATAGRAM_BYTES_MAX`] is left for the service and the counts.
-const USED_NAMES_BYTES_MAX: usize = 1_800;
+/// of [`DATAGRAM_BYTES_MAX`] is left for the service, the counts, and what a relay is
+/// told.
+const USED_NAMES_BYTES_MAX: usize = 1_600;
 
 /// The bytes that an entry in the list of used targets takes in addition to the
 /// name: quotes, brackets, commas, an age of up to four digits, and the process's mark of
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod messages;
 mod pool;
 mod queue;
+mod relay;
 mod responses;
 mod routes;
 mod serve;
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -92,6 +92,8 @@
     /// The number of the last answer applied of those that other daemons gave this one
     /// after its start.
     pub(super) told_number: Cell<u64>,
+    /// The number of messages sent to entry daemons, which decides about their relays.
+    pub(super) relay_turn: Cell<u64>,
     /// The UDP socket for exchanging evidence about targets with other daemons.
     pub(super) evidence: UdpSocket,
     /// The random number generator of this thread.
@@ -336,6 +338,7 @@
         routes: RefCell::default(),
         poison: RefCell::default(),
         told_number: Cell::new(0),
+        relay_turn: Cell::new(0),
         evidence,
         rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
         connections: Cell::new(0),
