--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -120,9 +120,9 @@
     /// Returns the daemons that watch the store, with their failure domains.
     fn watching(&self) -> Vec<(&HostId, &FailureDomain)> {
         let entries: BTreeSet<&HostId> = self.entry_hosts().collect();
-        let entries: Vec<(&HostId, &FailureDomain)> = entries
+        let entries: Vec<(&HostId, &MemberRecord)> = entries
             .into_iter()
-            .filter_map(|host| Some((host, &self.members.rows.get(host)?.content.failure_domain)))
+            .filter_map(|host| Some((host, &self.members.rows.get(host)?.content)))
             .collect();
         watching_daemons(&entries)
     }
@@ -132,6 +132,11 @@
         entries.map(|(entry, _)| entry)
     }
 
+    /// Returns whether a host's daemon is an entry daemon of any service.
+    pub(super) fn is_entry(&self, host: &HostId) -> bool {
+        self.entry_hosts().any(|entry| entry == host)
+    }
+
     /// Returns the address where a host's daemon serves other daemons.
     pub(super) fn fetch_address(&self, host: &HostId) -> Option<SocketAddr> {
         self.members.rows.get(host).map(|row| row.content.news)
