gateway: reuse connections as long as their targets announce

All requests reuse connections for as long as the target announces (three quarters of it; 4 s if it announces nothing). Three connections found dead within seconds, and more than 15% of those reused after a rest, shorten the limit below the rest that killed them for 20 s; other entry daemons are told. The idle connections of all daemons to a target stay below 60% of its connection limit.

Seen to fail: with no minimum of dead connections, a_few_targets_that_reset_requests_change_nothing.

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod budgets;
+mod connection_reuse;
 mod failure_detector;
 mod homes;
 mod pick;
@@ -21,6 +22,9 @@
 pub use budget::ResendPolicy;
 pub use budgets::ResendBudgets;
 pub use budgets::ShareChange;
+pub use connection_reuse::ConnectionReuse;
+pub use connection_reuse::idle_connections_max;
+pub use connection_reuse::was_dead_before;
 pub use failure_detector::FailureDetector;
 pub use failure_detector::attempt_timeout;
 pub use homes::EntryDaemon;
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -71,7 +71,7 @@
         let outbound = OutboundRequest {
             bytes: &bytes,
             request_id: self.request_id.as_ref().map(HeaderValue::as_bytes),
-            idempotent: self.route.idempotent,
+            idle_max: self.connection_idle_max(),
             is_head_request: self.incoming.head.method == Method::HEAD,
             deadline: self.state.shared.clock.instant(self.deadline),
             may_write: &may_write,
@@ -116,6 +116,13 @@
         end
     }
 
+    /// Returns the longest rest of a connection that the request may use.
+    fn connection_idle_max(&self) -> Option<std::time::Duration> {
+        let reuse = self.state.connection_reuse.get();
+        let idle_max = reuse.idle_max(self.route.idempotent, self.now());
+        idle_max.map(duration)
+    }
+
     /// Returns whether a target process still takes requests, by the newest view: the
     /// request may have waited since the target was chosen.
     fn takes_requests(&self, identity: &TargetIdentity) -> bool {
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -115,6 +115,7 @@
             }
         }
         drop(targets);
+        self.record_reuse(end);
         if let Some(evidence) = report {
             evidence::send_evidence(self.state, &self.service, &evidence);
             if was_refused && evidence.answered.is_some() {
@@ -145,6 +146,26 @@
         self.release(identity);
     }
 
+    /// Records whether a connection that had rested was still alive.
+    fn record_reuse(&self, end: &AttemptEnd) {
+        let Some(rested_ms) = end.rested_ms else {
+            return;
+        };
+        if end.was_dead {
+            evidence::report_dead_connection(self.state, &self.service, rested_ms);
+            return;
+        }
+        let answered = matches!(
+            end.outcome,
+            AttemptOutcome::Answered | AttemptOutcome::Failed
+        );
+        if answered {
+            let mut reuse = self.state.connection_reuse.get();
+            reuse.record_alive(rested_ms, self.now());
+            self.state.connection_reuse.set(reuse);
+        }
+    }
+
     fn fingerprint(&self) -> Digest {
         let head = &self.incoming.head;
         let host = head.headers.get(header::HOST);
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -17,6 +17,7 @@
 use agatehold_core::poison::CrashMark;
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::target_registry::TargetIdentity;
+use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
 use super::messages::CrashMarkAge;
@@ -29,6 +30,7 @@
 use super::messages::TrafficMessage;
 use super::messages::decode_traffic_message;
 use super::messages::encode_crash_marks;
+use super::messages::encode_dead_connection;
 use super::messages::encode_evidence;
 use super::messages::encode_leaving;
 use super::messages::encode_pressure;
@@ -69,6 +71,36 @@
     send_to_entry_daemons(state, service, &bytes, Recipients::All, copies);
 }
 
+/// Records that a connection to a target was dead after a rest, and tells the other entry
+/// daemons of the service if they should trust shorter rests only.
+pub(super) fn report_dead_connection(
+    state: &TrafficState,
+    service: &ServiceName,
+    rested_ms: DurationMs,
+) {
+    metrics::counter!("agatehold_dead_connections_total",
+        "service" => service.to_string())
+    .increment(1);
+    let mut reuse = state.connection_reuse.get();
+    let distrusted = reuse.record_dead(rested_ms, state.shared.clock.now());
+    state.connection_reuse.set(reuse);
+    let Some(rested_ms) = distrusted else {
+        return;
+    };
+    log::info!("event=connections_distrusted rested={rested_ms}");
+    let bytes = encode_dead_connection(rested_ms);
+    send_to_entry_daemons(state, service, &bytes, Recipients::All, Copies::Two);
+}
+
+/// Distrusts connections that have rested for as long as another daemon tells.
+fn distrust_connections(state: &TrafficState, rested_ms: DurationMs) {
+    let mut reuse = state.connection_reuse.get();
+    if reuse.distrust(rested_ms, state.shared.clock.now()) {
+        log::info!("event=connections_distrusted rested={rested_ms} told=true");
+    }
+    state.connection_reuse.set(reuse);
+}
+
 /// Tells the other entry daemons of a service that a target is leaving, which they hear
 /// from the store up to two seconds later.
 pub(super) fn send_leaving(state: &TrafficState, service: &ServiceName, target: &TargetIdentity) {
@@ -308,6 +340,9 @@
                 let now = state.shared.clock.now();
                 record_told_leaving(&state, &message.target, message.reporter.as_str(), now);
             }
+            Some(TrafficMessage::DeadConnection(rested_ms)) => {
+                distrust_connections(&state, rested_ms);
+            }
             Some(TrafficMessage::CrashMarks(message)) => {
                 let now = state.shared.clock.now();
                 record_crash_marks(&state, &message, now, now);
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -159,6 +159,8 @@
     Leaving(LeavingMessage),
     /// The crash marks of a request.
     CrashMarks(CrashMarksMessage),
+    /// A connection to a target was dead after this rest.
+    DeadConnection(DurationMs),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -206,6 +208,11 @@
     reporter: String,
 }
 
+#[derive(Serialize, Deserialize)]
+struct DeadConnectionJson {
+    dead_after_rest_ms: u64,
+}
+
 #[derive(Deserialize)]
 #[serde(untagged)]
 enum TrafficMessageJson {
@@ -213,6 +220,7 @@
     Pressure(PressureJson),
     Leaving(LeavingJson),
     CrashMarks(CrashMarksJson),
+    DeadConnection(DeadConnectionJson),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -340,6 +348,15 @@
     serde_json::to_vec(&json).unwrap_or_default()
 }
 
+/// Encodes the report that a connection was dead after it had rested for `rested_ms`.
+pub(super) fn encode_dead_connection(rested_ms: DurationMs) -> Vec<u8> {
+    let json = DeadConnectionJson {
+        dead_after_rest_ms: rested_ms.0,
+    };
+    // Numbers always serialize to JSON.
+    serde_json::to_vec(&json).unwrap_or_default()
+}
+
 /// Encodes the report that a target is leaving.
 pub(super) fn encode_leaving(message: &LeavingMessage) -> Vec<u8> {
     let json = LeavingJson {
@@ -360,6 +377,9 @@
         TrafficMessageJson::CrashMarks(json) => {
             decode_crash_marks(&json).map(TrafficMessage::CrashMarks)
         }
+        TrafficMessageJson::DeadConnection(json) => Some(TrafficMessage::DeadConnection(
+            DurationMs(json.dead_after_rest_ms),
+        )),
     }
 }
 
--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -26,12 +26,12 @@
     user_timeout: Duration::from_secs(2),
 };
 
-/// Connections that have been idle for longer are closed. Half of the shortest
-/// idle timeout of the targets.
+/// Connections that have been idle for longer are closed, unless the target announces a
+/// longer idle time. Half of the shortest idle timeout of the targets.
 pub(super) const IDLE_MAX: Duration = Duration::from_secs(4);
 
-/// The maximum number of idle connections to one target address.
-const IDLE_CONNECTIONS_MAX: usize = 8;
+/// The number of idle connections to one target address until a limit is set.
+const IDLE_CONNECTIONS_DEFAULT: usize = 8;
 
 /// The limit on the total size of the response bodies that are being read. When it
 /// is exceeded, reading a body larger than [`GUARANTEED_BODY_BYTES`] is aborted.
@@ -60,7 +60,7 @@
     /// Received bytes that have not been parsed yet.
     pub(super) buffer: BytesMut,
     /// The time after which the connection is not reused: the end of the keep-alive
-    /// time that the target announced, or one hour after opening.
+    /// time that the target announced, or [`IDLE_MAX`] after the last use.
     pub(super) usable_until: Instant,
     /// The connection's number and the requests that it has carried.
     pub(super) connection_use: ConnectionUse,
@@ -68,6 +68,11 @@
 }
 
 impl TargetStream {
+    /// Returns how long the connection has been idle.
+    pub(super) fn rested(&self) -> Duration {
+        self.idle_since.elapsed()
+    }
+
     /// Returns whether the connection is open and has received nothing while idle.
     /// Bytes that arrive without a pending request make the connection unusable.
     fn is_reusable(&self) -> bool {
@@ -82,6 +87,8 @@
     /// The number of connections opened so far.
     opened: u64,
     idle: HashMap<SocketAddr, Vec<TargetStream>>,
+    /// The maximum number of idle connections to one target address.
+    idle_connections_max: usize,
     /// The memory of the response bodies that are being read.
     body_memory: BodyMemory,
 }
@@ -91,6 +98,7 @@
         Self {
             opened: 0,
             idle: HashMap::new(),
+            idle_connections_max: IDLE_CONNECTIONS_DEFAULT,
             body_memory: BodyMemory::new(TOTAL_BODY_BYTES_MAX),
         }
     }
@@ -149,9 +157,18 @@
 }
 
 impl TargetPool {
-    /// Takes the most recently used connection that is still usable and has been idle
-    /// for at most `idle_max`.
-    pub(super) fn take(&mut self, address: SocketAddr, idle_max: Duration) -> Option<TargetStream> {
+    /// Sets the maximum number of idle connections to one target address.
+    pub(super) fn set_idle_connections_max(&mut self, idle_connections_max: usize) {
+        self.idle_connections_max = idle_connections_max;
+    }
+
+    /// Takes the most recently used connection that is still usable and, with a limit,
+    /// has been idle for at most `idle_max`.
+    pub(super) fn take(
+        &mut self,
+        address: SocketAddr,
+        idle_max: Option<Duration>,
+    ) -> Option<TargetStream> {
         let idle_connections = self.idle.get_mut(&address)?;
         let now = Instant::now();
         while let Some(connection) = idle_connections.pop() {
@@ -160,14 +177,10 @@
             if now >= connection.usable_until {
                 continue;
             }
-            if now - connection.idle_since > idle_max {
-                // The remaining connections have been idle for even longer. With
-                // a shorter `idle_max`, they are left for other requests.
-                if idle_max >= IDLE_MAX {
-                    idle_connections.clear();
-                } else {
-                    idle_connections.push(connection);
-                }
+            if idle_max.is_some_and(|idle_max| now - connection.idle_since > idle_max) {
+                // The remaining connections have been idle for even longer. They are left
+                // for requests without a limit.
+                idle_connections.push(connection);
                 return None;
             }
             if connection.is_reusable() {
@@ -193,7 +206,7 @@
     /// opened: for the target it has been idle all the while.
     pub(super) fn put_unused(&mut self, address: SocketAddr, connection: TargetStream) {
         let idle_connections = self.idle.entry(address).or_default();
-        if idle_connections.len() < IDLE_CONNECTIONS_MAX {
+        if idle_connections.len() < self.idle_connections_max {
             // The last one is that used most recently.
             let used_before = |other: &TargetStream| other.idle_since <= connection.idle_since;
             let position = idle_connections.partition_point(used_before);
@@ -217,11 +230,8 @@
     pub(super) fn close_idle(&mut self) {
         let now = Instant::now();
         for idle_connections in self.idle.values_mut() {
-            idle_connections.retain(|connection| {
-                now < connection.usable_until
-                    && now - connection.idle_since <= IDLE_MAX
-                    && connection.is_reusable()
-            });
+            idle_connections
+                .retain(|connection| now < connection.usable_until && connection.is_reusable());
         }
         self.idle
             .retain(|_, idle_connections| !idle_connections.is_empty());
@@ -246,7 +256,7 @@
     Ok(TargetStream {
         stream,
         buffer: BytesMut::new(),
-        usable_until: now + Duration::from_secs(3_600),
+        usable_until: now + IDLE_MAX,
         connection_use: ConnectionUse::default(),
         idle_since: now,
     })
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use agatehold_core::dispatch::LoadReport;
+use agatehold_core::dispatch::was_dead_before;
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::DecodeError;
@@ -36,12 +37,6 @@
 use super::pool::TargetStream;
 use super::pool::open;
 
-/// The longest idle time of a connection that is reused for a request that is not
-/// idempotent. An older connection may be dead or about to be closed, and such a
-/// request must not be sent again once it may have run. Opening a new connection
-/// takes about 1 ms.
-const IDLE_MAX_NON_IDEMPOTENT: Duration = Duration::from_millis(400);
-
 /// The maximum size of a response head.
 const HEAD_BYTES_MAX: usize = 32 * 1024;
 
@@ -62,8 +57,8 @@
     pub(super) bytes: &'a [u8],
     /// The request id, which the response must echo.
     pub(super) request_id: Option<&'a [u8]>,
-    /// Whether the request may run more than once.
-    pub(super) idempotent: bool,
+    /// The longest rest of a connection that the request may use; `None` for no limit.
+    pub(super) idle_max: Option<Duration>,
     /// Whether this is a HEAD request, whose response has no body.
     pub(super) is_head_request: bool,
     /// The deadline for the response to the caller.
@@ -102,6 +97,10 @@
     pub(super) is_abandoned: bool,
     /// The connection that carried the request; `None` if none did.
     pub(super) connection_use: Option<ConnectionUse>,
+    /// How long the connection had rested, if it was reused.
+    pub(super) rested_ms: Option<DurationMs>,
+    /// Whether the connection turned out to have been dead before the request.
+    pub(super) was_dead: bool,
     /// A description of the failure for the log.
     pub(super) detail: &'static str,
 }
@@ -117,6 +116,8 @@
             pause: None,
             is_abandoned: false,
             connection_use: None,
+            rested_ms: None,
+            was_dead: false,
             detail,
         }
     }
@@ -139,12 +140,7 @@
     address: SocketAddr,
     outbound: &OutboundRequest<'_>,
 ) -> AttemptEnd {
-    let idle_max = if outbound.idempotent {
-        IDLE_MAX
-    } else {
-        IDLE_MAX_NON_IDEMPOTENT
-    };
-    let pooled = pool.borrow_mut().take(address, idle_max);
+    let pooled = pool.borrow_mut().take(address, outbound.idle_max);
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match open(address, outbound.deadline).await {
@@ -170,6 +166,8 @@
         );
     }
     let connection_use = connection.connection_use;
+    let rested = connection.rested();
+    let written_at = Instant::now();
     let body_reservation = pool.borrow().reserve_body();
     let exchanging = exchange(&mut connection, outbound, body_reservation);
     let end = match tokio::time::timeout_at(outbound.deadline, exchanging).await {
@@ -180,17 +178,22 @@
             // from the response to the same request sent once more.
             let is_reusable = received.is_reusable && !claims_not_run(&received.head);
             if is_reusable && connection.buffer.is_empty() {
-                if let Some(lifetime) = announced_keep_alive(&received.head.headers) {
-                    connection.usable_until = Instant::now() + lifetime;
-                }
+                let lifetime = announced_keep_alive(&received.head.headers).unwrap_or(IDLE_MAX);
+                connection.usable_until = Instant::now() + lifetime;
                 connection.connection_use.earlier_requests += 1;
                 pool.borrow_mut().put(address, connection);
             }
             classify(received)
         }
     };
+    let was_reused = connection_use.earlier_requests > 0;
+    let rested_ms = DurationMs(rested.as_millis() as u64);
+    let run_ms = DurationMs(written_at.elapsed().as_millis() as u64);
+    let is_lost = end.outcome == AttemptOutcome::ConnectionLost;
     AttemptEnd {
         connection_use: Some(connection_use),
+        rested_ms: was_reused.then_some(rested_ms),
+        was_dead: was_reused && is_lost && was_dead_before(rested_ms, run_ms),
         ..end
     }
 }
@@ -423,6 +426,8 @@
         pause,
         is_abandoned: false,
         connection_use: None,
+        rested_ms: None,
+        was_dead: false,
         detail,
     }
 }
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -19,6 +19,7 @@
 
 use agatehold_core::catalog::CallerLimits;
 use agatehold_core::catalog::match_catalog_route;
+use agatehold_core::dispatch::ConnectionReuse;
 use agatehold_core::dispatch::DaemonRank;
 use agatehold_core::dispatch::EntryDaemon;
 use agatehold_core::dispatch::LiveTargets;
@@ -27,6 +28,7 @@
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::SuspensionDetector;
 use agatehold_core::dispatch::count_target_states;
+use agatehold_core::dispatch::idle_connections_max;
 use agatehold_core::dispatch::may_exit;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::ids::ServiceName;
@@ -72,6 +74,8 @@
     pub(super) targets: RefCell<LiveTargets>,
     /// The pool of idle connections to targets.
     pub(super) pool: RefCell<TargetPool>,
+    /// How long idle connections to targets are trusted.
+    pub(super) connection_reuse: Cell<ConnectionReuse>,
     /// The memory of the bodies of requests that have not ended.
     pub(super) request_memory: BodyMemory,
     /// The retry budget of each service.
@@ -127,6 +131,11 @@
                 .map(|(record, seen_at)| (record, *seen_at)),
         );
         super::evidence::apply_told(self, newest);
+        let services = newest.catalog.iter().flat_map(|catalog| &catalog.services);
+        if let Some(connections_max) = services.map(|service| service.connections_max).min() {
+            let idle_max = idle_connections_max(connections_max, newest.members.len());
+            self.pool.borrow_mut().set_idle_connections_max(idle_max);
+        }
         let own = &self.shared.settings.host.id;
         let now = self.shared.clock.now();
         let mut counts = HashMap::new();
@@ -329,6 +338,7 @@
         view: RefCell::default(),
         targets,
         pool: RefCell::default(),
+        connection_reuse: Cell::default(),
         request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
         budgets,
         suspension: RefCell::new(SuspensionDetector::new(read_suspension_clocks())),
