gateway, traffic: statuses from 100 to 599 only are responses

A target in trouble sent a response whose status was 000, and the caller got it as a response. Both daemons were checked for it. Neither passed on 000 to 099, since the type for statuses of the http library starts at 100, but that type goes up to 999: both daemons passed on 600 to 999 as responses, and an answer of 700 with a signature counted for the target. The daemon of release notes, whose answers hyper reads, also passed on a 101 that nobody had requested, and reported an answer that hyper can't parse as a lost connection, which counts as a crash of the target.

The number is now checked by one rule, outcome::is_valid_status. The gateway's reader reports anything else as malformed, the daemon of release notes closes the connection; the outcome is Cut in both, also for what hyper can't parse. A list of the statuses that targets may use was weighed and left out: a code that is not registered is valid within its class.

Not checked: the readers of the store and of other daemons, whose answers never reach callers.

--- a/crates/agatehold-core/src/outcome/mod.rs
+++ b/crates/agatehold-core/src/outcome/mod.rs
@@ -29,7 +29,7 @@
     TimedOut,
     /// The connection was lost before the answer began.
     ConnectionLost,
-    /// The answer ended early.
+    /// The answer ended early, or is malformed.
     Cut,
     /// The answer carried another request's id.
     Mismatched,
@@ -91,6 +91,13 @@
     }
 }
 
+/// Returns whether a status code is valid in a response: 100 to 599 (RFC 9110,
+/// section 15). A target that sends another one is in trouble, and its response is
+/// malformed.
+pub const fn is_valid_status(status: u16) -> bool {
+    matches!(status, 100..=599)
+}
+
 /// The report of one attempt at a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OutcomeReport {
--- a/crates/agatehold/src/gateway/http1.rs
+++ b/crates/agatehold/src/gateway/http1.rs
@@ -12,6 +12,8 @@
 use http::header;
 use quick_error::quick_error;
 
+use agatehold_core::outcome::is_valid_status;
+
 /// The maximum number of headers in a message.
 const HEADERS_MAX: usize = 100;
 
@@ -31,8 +33,9 @@
     /// Why a message could not be parsed.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
     pub enum HttpError {
-        /// The message is malformed, uses an unsupported transfer encoding
-        /// or protocol switch, or has too many bytes of chunk framing.
+        /// The message is malformed, has an invalid status code, uses an
+        /// unsupported transfer encoding or protocol switch, or has too many bytes
+        /// of chunk framing.
         Malformed {
             display("malformed message")
         }
@@ -153,8 +156,7 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(HttpError::Malformed),
         };
-        let status =
-            StatusCode::from_u16(parsed.code.unwrap_or(0)).map_err(|_| HttpError::Malformed)?;
+        let status = parse_status(parsed.code)?;
         let version = parsed.version.unwrap_or(0);
         let headers = collect_headers(parsed.headers)?;
         buffer.advance(length);
@@ -186,6 +188,14 @@
     }
 }
 
+/// Converts a status code. The type of the library would take all numbers from 100 to
+/// 999.
+fn parse_status(code: Option<u16>) -> Result<StatusCode, HttpError> {
+    let code = code.filter(|code| is_valid_status(*code));
+    let code = code.ok_or(HttpError::Malformed)?;
+    StatusCode::from_u16(code).map_err(|_| HttpError::Malformed)
+}
+
 fn collect_headers(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, HttpError> {
     let mut headers = HeaderMap::with_capacity(fields.len());
     for field in fields {
--- a/crates/agatehold/src/traffic/attempt.rs
+++ b/crates/agatehold/src/traffic/attempt.rs
@@ -18,6 +18,7 @@
 
 use agatehold_core::ids::RequestId;
 use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::outcome::is_valid_status;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 use agatehold_wire::headers;
@@ -221,14 +222,22 @@
 }
 
 /// Returns the outcome of a failed send. If hyper returns the request, it was
-/// never written to the connection.
+/// never written to the connection. A target whose answer can't be parsed is in
+/// trouble, but has not crashed.
 fn classify_send_error(mut error: TrySendError<Request<Full<Bytes>>>) -> AttemptOutcome {
     match error.take_message() {
         Some(_) => AttemptOutcome::NotWritten,
+        None if error.error().is_parse() => AttemptOutcome::Cut,
         None => AttemptOutcome::ConnectionLost,
     }
 }
 
+/// Returns whether hyper has accepted an answer that is malformed: hyper takes
+/// statuses up to 999, and a protocol switch, which is never requested.
+fn is_malformed(status: StatusCode) -> bool {
+    !is_valid_status(status.as_u16()) || status == StatusCode::SWITCHING_PROTOCOLS
+}
+
 async fn read_answer(
     pool: &RefCell<Pool>,
     clock: Clock,
@@ -238,6 +247,10 @@
     outbound: &Outbound<'_>,
 ) -> Attempt {
     let (head, mut body) = response.into_parts();
+    if is_malformed(head.status) {
+        connection.close();
+        return Attempt::without_answer(AttemptOutcome::Cut);
+    }
     let echo = read_echo(&head.headers, outbound.request_id);
     if echo == Echo::Other {
         connection.close();
--- a/crates/agatehold/tests/own_answer.rs
+++ b/crates/agatehold/tests/own_answer.rs
@@ -292,3 +292,53 @@
     }
     fleet.close().unwrap();
 }
+
+/// Answers on each connection with a complete answer that starts with `start`.
+fn serve_status(listener: &TcpListener, start: &str) {
+    for stream in listener.incoming() {
+        let Ok(mut stream) = stream else { continue };
+        let mut head = [0; 4096];
+        if stream.read(&mut head).is_err() {
+            continue;
+        }
+        let answer = format!("{start}\r\ncontent-length: 4\r\n\r\ndone");
+        // The daemon may have closed the connection.
+        let _ = stream.write_all(answer.as_bytes());
+    }
+}
+
+/// A target in trouble answers with a status such as 000. Guards against passing on an
+/// answer whose status is not 200 to 599.
+#[test]
+fn answers_with_a_malformed_status() {
+    for start in [
+        "000 Trouble",
+        "099 Trouble",
+        "101 Switch",
+        "600 Trouble",
+        "999 Trouble",
+    ] {
+        let mut fleet = start_fleet();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let number = fleet
+            .notes
+            .release(&service_note(listener.local_addr().unwrap()))
+            .unwrap();
+        fleet.wait_for_note(number).unwrap();
+        let line = format!("HTTP/1.1 {start}");
+        thread::spawn(move || serve_status(&listener, &line));
+        let mut stream = TcpStream::connect(fleet.daemons[0].callers).unwrap();
+        let text = "GET /raw HTTP/1.1\r\nhost: service\r\nagatehold-tenant: exporter\r\n\
+                    connection: close\r\n\r\n";
+        stream.write_all(text.as_bytes()).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 502"), "{start}: {answer}");
+        assert!(answer.contains("answer-cut"), "{start}: {answer}");
+        assert!(!answer.ends_with("done"), "{start}: {answer}");
+        fleet.close().unwrap();
+    }
+}
