gateway: bound the memory held for callers and targets

Cause: what a daemon held for callers was bounded for request bodies (32 MB) and for responses while they were read (16 MB), but not for responses that wait to be written. With 16 requests ahead on each connection and responses of 540 KB, 20 callers that did not read took the process over the 160 MB of the smallest hosts (168,704 kB, debug build). A target with many slots could be given any sum of bodies at once.

Change: gateway/memory.rs is one account for request bodies, responses that are being read or expected, and responses that are not yet written; it replaces BodyMemory of the connection pool. A request is refused with memory-full before it is sent if the size expected of its response, the average of its route, has no room. A connection over its limit starts no further request and is not read from until earlier responses are written. Without memory_mb the limits are as before. Bodies under way to one target process have 8 MB in each daemon, or one body alone; requests go to another target or wait. Bodies are no longer copied behind their heads. The writing of responses moved to write.rs, as endpoint.rs had grown. Gauge agatehold_memory_held_bytes, counter agatehold_memory_refusals_total.

Ruled out (docs/design/memory.md): passing on a response while it is read, since a request whose head was passed on can't be sent again and a third of the targets fail in turn; pausing the reading of responses, since targets cut off what lies unread; a fixed expected size.

Not tested: that reading from a caller pauses while it sends a body behind unwritten responses. Not measured: added latency, and the parts of the memory against production.

--- a/crates/agatehold-core/src/dispatch/pick.rs
+++ b/crates/agatehold-core/src/dispatch/pick.rs
@@ -157,6 +157,9 @@
     /// Whether a target without a free slot may be chosen; the request then
     /// waits in the target.
     pub accepts_full: bool,
+    /// The size of the request's body. A target is chosen only if it has room for the
+    /// body beside those that are under way to it.
+    pub body_bytes: u64,
 }
 
 /// The result of [`pick_live_target`].
@@ -206,7 +209,8 @@
             first_pause_ends_at = Some(ends_at.min(row.paused_until));
             continue;
         }
-        let is_free = request.accepts_full || row.has_free_slot(now);
+        let is_free = (request.accepts_full || row.has_free_slot(now))
+            && row.counts.has_room_for(request.body_bytes);
         let is_due = request
             .daemon_rank
             .is_some_and(|daemon_rank| is_use_due(row, daemon_rank, now));
--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -27,6 +27,14 @@
 /// run time of a request, after which other requests run in the target.
 const LOAD_REPORT_HALF_LIFE_MS: DurationMs = DurationMs(250);
 
+/// The limit on the bodies that this daemon has under way to one target process. A
+/// target holds them until it has answered, and crashes if they exceed its memory.
+const BODY_BYTES_MAX: u64 = 8 * 1024 * 1024;
+
+/// The bytes of other bodies at a target beside which a body may exceed the limit, so
+/// that a body that is larger than the limit can be sent at all.
+const SMALL_BODY_BYTES: u64 = 128 * 1024;
+
 /// The load that a target reports with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -52,6 +60,8 @@
     pub in_flight: u32,
     /// The number of those that take much longer than usual.
     pub overdue: u32,
+    /// The sum of their bodies.
+    pub body_bytes: u64,
 }
 
 /// A target and what this daemon knows of it.
@@ -150,6 +160,16 @@
     }
 }
 
+impl RequestCounts {
+    /// Returns whether a body may be sent to the target beside those under way: the sum
+    /// stays within the limit, or the body is alone.
+    pub const fn has_room_for(&self, body_bytes: u64) -> bool {
+        body_bytes == 0
+            || self.body_bytes <= SMALL_BODY_BYTES
+            || self.body_bytes.saturating_add(body_bytes) <= BODY_BYTES_MAX
+    }
+}
+
 /// A report that a daemon has sent a request to a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetUse {
@@ -332,6 +352,20 @@
         }
     }
 
+    /// Adds the body of a request that was claimed for a target process.
+    pub fn add_body(&mut self, identity: &TargetIdentity, body_bytes: u64) {
+        if let Some(counts) = self.counts_mut(identity) {
+            counts.body_bytes = counts.body_bytes.saturating_add(body_bytes);
+        }
+    }
+
+    /// Removes the body of a request that is about to be released.
+    pub fn remove_body(&mut self, identity: &TargetIdentity, body_bytes: u64) {
+        if let Some(counts) = self.counts_mut(identity) {
+            counts.body_bytes = counts.body_bytes.saturating_sub(body_bytes);
+        }
+    }
+
     fn counts_mut(&mut self, identity: &TargetIdentity) -> Option<&mut RequestCounts> {
         match row_of_mut(&mut self.rows, identity) {
             Some(row) => Some(&mut row.counts),
--- a/crates/agatehold-core/src/refusal/mod.rs
+++ b/crates/agatehold-core/src/refusal/mod.rs
@@ -111,7 +111,7 @@
     Starting, "starting", 503, NotRun, OtherAddress, "This daemon has no configuration yet.";
     Isolated, "isolated", 503, NotRun, OtherAddress, "This daemon can't confirm that its configuration is current.";
     Stopping, "stopping", 503, NotRun, OtherAddress, "This daemon is stopping.";
-    MemoryFull, "memory-full", 503, NotRun, OtherAddress, "This daemon has no memory left for request bodies.";
+    MemoryFull, "memory-full", 503, NotRun, OtherAddress, "This daemon has no memory left for the request.";
     KeyReused, "key-reused", 422, Unknown, Never, "The idempotency key belongs to a different request.";
     InProgress, "in-progress", 409, Unknown, Later, "A request with the same idempotency key is running.";
     AlreadyRun, "already-run", 409, Unknown, AfterLookup, "A request with the same idempotency key ended and its answer is not kept.";
--- a/crates/agatehold-core/tests/dispatch_balance.rs
+++ b/crates/agatehold-core/tests/dispatch_balance.rs
@@ -210,6 +210,7 @@
                         daemons: deployment.daemons as u32,
                     }),
                     accepts_full: false,
+                    body_bytes: 0,
                 };
                 let Choice::Target(identity) = pick_live_target(&tables[daemon], &request, now)
                 else {
--- a/crates/agatehold-core/tests/dispatch_floor.rs
+++ b/crates/agatehold-core/tests/dispatch_floor.rs
@@ -207,6 +207,7 @@
                 daemons: scenario.daemons,
             }),
             accepts_full: false,
+            body_bytes: 0,
         };
         let Choice::Target(target) = pick_live_target(&daemon.targets, &request, now) else {
             history.failed += 1;
--- a/crates/agatehold-core/tests/dispatch_pick.rs
+++ b/crates/agatehold-core/tests/dispatch_pick.rs
@@ -121,6 +121,7 @@
         may_risk_failure: options.may_risk_failure,
         daemon_rank: options.daemon_rank,
         accepts_full: false,
+        body_bytes: 0,
     };
     pick_live_target(targets, &request, now)
 }
@@ -717,3 +718,47 @@
     use_all(&mut targets, 1..2, now);
     assert_eq!(pick(&targets, &options, now), Choice::Target(identity(1)));
 }
+
+/// Guards against a target that crashes because the bodies of its requests exceed its
+/// memory, although it has free slots.
+#[test]
+fn a_target_without_room_for_a_body_is_passed_over() {
+    const MB: u64 = 1024 * 1024;
+    let choose = |targets: &LiveTargets, body_bytes: u64, accepts_full: bool| {
+        let options = PickOptions::default();
+        let request = PickRequest {
+            service: &options.service,
+            failure_domain: &options.failure_domain,
+            tried: &[],
+            may_try: false,
+            may_risk_failure: false,
+            daemon_rank: options.daemon_rank,
+            accepts_full,
+            body_bytes,
+        };
+        pick_live_target(targets, &request, START)
+    };
+    let mut one = targets(1);
+    one.claim(&identity(0), START);
+    one.add_body(&identity(0), 5 * MB);
+    assert_eq!(choose(&one, 3 * MB, false), Choice::Target(identity(0)));
+    assert_eq!(choose(&one, 3 * MB + 1, false), Choice::AllBusy);
+    assert_eq!(choose(&one, 3 * MB + 1, true), Choice::AllBusy, "a retry");
+    assert_eq!(choose(&one, 0, false), Choice::Target(identity(0)));
+    one.remove_body(&identity(0), 5 * MB);
+    one.add_body(&identity(0), 1_000);
+    let alone = choose(&one, 20 * MB, false);
+    assert_eq!(alone, Choice::Target(identity(0)), "a large body alone");
+    let mut two = targets(2);
+    for number in 0..2 {
+        two.claim(&identity(number), START);
+    }
+    two.claim(&identity(1), START);
+    two.add_body(&identity(0), 6 * MB);
+    let other = choose(&two, 3 * MB, false);
+    assert_eq!(
+        other,
+        Choice::Target(identity(1)),
+        "the more loaded one has room"
+    );
+}
--- a/crates/agatehold-core/tests/dispatch_statements.rs
+++ b/crates/agatehold-core/tests/dispatch_statements.rs
@@ -67,6 +67,7 @@
             daemons: 1,
         }),
         accepts_full,
+        body_bytes: 0,
     };
     pick_live_target(targets, &request, now)
 }
@@ -83,6 +84,7 @@
         may_risk_failure: true,
         daemon_rank: Some(daemon_rank),
         accepts_full: false,
+        body_bytes: 0,
     };
     pick_live_target(targets, &request, now)
 }
--- a/crates/agatehold-measure/src/leaving.rs
+++ b/crates/agatehold-measure/src/leaving.rs
@@ -256,6 +256,7 @@
                 daemons: service.daemons,
             }),
             accepts_full: false,
+            body_bytes: 0,
         };
         let Choice::Target(target) = pick_live_target(&daemon.targets, &request, now) else {
             continue;
--- a/crates/agatehold-settings/src/process/gateway.rs
+++ b/crates/agatehold-settings/src/process/gateway.rs
@@ -32,6 +32,8 @@
     /// The request load that the host can carry, in thousandths of a processor core:
     /// the lower of the limits that its cores and its link set.
     pub capacity_millicores: u32,
+    /// The memory of the host in MB; `None` if the platform does not tell.
+    pub memory_mb: Option<u32>,
     /// The addresses that the daemon binds.
     pub listen: GatewayListen,
     /// The address of the platform's key-value store.
@@ -79,6 +81,7 @@
     let failure_domain = reader.required("failure_domain", str::parse);
     let core_millicores = reader.required("cores", parse_millicores);
     let link_millicores = reader.optional("link_mbps", parse_link_millicores);
+    let memory_mb = reader.optional("memory_mb", parse_memory);
     reader.report_unknown_keys(None);
 
     let mut reader = SectionReader::open(&document, "listen", &mut errors);
@@ -113,6 +116,7 @@
                 failure_domain: failure_domain?,
             },
             capacity_millicores: core_millicores?.min(link_millicores.unwrap_or(u32::MAX)),
+            memory_mb,
             listen: GatewayListen {
                 callers: callers?,
                 readiness: readiness?,
@@ -186,6 +190,16 @@
     }
 }
 
+/// Parses the memory of the host, which may have a fraction, in whole MB.
+fn parse_memory(text: &str) -> Result<u32, ParseValueError> {
+    match text.parse::<f64>() {
+        Ok(memory_mb) if (64.0..=1e6).contains(&memory_mb) => Ok(memory_mb as u32),
+        _ => Err(ParseValueError::Expected(
+            "a number of megabytes from 64 to 1000000",
+        )),
+    }
+}
+
 fn parse_slot_count(text: &str) -> Result<u32, ParseValueError> {
     match text.parse() {
         Ok(slots) if (1..=10_000).contains(&slots) => Ok(slots),
--- a/crates/agatehold-settings/tests/gateway.rs
+++ b/crates/agatehold-settings/tests/gateway.rs
@@ -16,6 +16,25 @@
     assert!(settings.bounds.contains("retry_slack"));
 }
 
+/// The memory of a host is optional and may have a fraction. Guards against limits that
+/// follow a value which is no sensible size.
+#[test]
+fn the_memory_of_the_host_is_read() {
+    let memory_of = |value: &str| {
+        let text = EXAMPLE.replace("memory_mb = 256\n", value);
+        parse_gateway("gateway.ini", &text).map(|settings| settings.memory_mb)
+    };
+    assert_eq!(memory_of("memory_mb = 256\n"), Ok(Some(256)));
+    assert_eq!(memory_of("memory_mb = 160.0\n"), Ok(Some(160)));
+    assert_eq!(memory_of(""), Ok(None));
+    for wrong in ["0", "-5", "inf", "nan", "16", "much"] {
+        assert!(
+            memory_of(&format!("memory_mb = {wrong}\n")).is_err(),
+            "{wrong}"
+        );
+    }
+}
+
 /// A slow link limits the capacity of a host below that of its cores.
 #[test]
 fn a_slow_link_limits_the_capacity() {
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -22,6 +22,7 @@
 use crate::gateway::endpoint::Response;
 use crate::gateway::http1::write_header;
 use crate::gateway::http1::write_headers;
+use crate::gateway::memory::MemoryKind;
 use crate::gateway::queue;
 use crate::gateway::routes;
 use crate::gateway::target::AttemptEnd;
@@ -66,14 +67,19 @@
         let target = &identity.name;
         let now = self.now();
         let remaining_ms = self.deadline.since(now);
-        let bytes = self.encode(target, remaining_ms);
+        let head = self.encode_head(target, remaining_ms);
+        // An earlier attempt may have read a part of a response.
+        let memory = &self.incoming.response_memory;
+        memory.change(MemoryKind::Read, self.incoming.expected_response_bytes);
         let may_write = || self.takes_requests(identity);
         let outbound = OutboundRequest {
-            bytes: &bytes,
+            head: &head,
+            body: &self.incoming.body,
             request_id: self.request_id.as_ref().map(HeaderValue::as_bytes),
             idempotent: self.route.idempotent,
             is_head_request: self.incoming.head.method == Method::HEAD,
             deadline: self.state.shared.clock.instant(self.deadline),
+            memory,
             may_write: &may_write,
         };
         let average_run_ms = routes::average_run(self.state, self.route);
@@ -137,15 +143,18 @@
             return false;
         }
         let now = self.now();
-        let request = queue::pick_request(self.state, &self.service, &self.tried, true, false);
+        let body_bytes = self.body_bytes();
+        let service = &self.service;
+        let request =
+            queue::pick_request(self.state, service, &self.tried, true, false, body_bytes);
         let targets = self.state.targets.borrow();
         let choice = pick_live_target(&targets, &request, now);
         matches!(choice, Choice::Target(_)) && self.with_budget(|budget| budget.has_resend(now))
     }
 
-    /// Encodes the request as it is sent to the target: without hop-by-hop headers,
+    /// Encodes the request's head as it is sent to the target: without hop-by-hop headers,
     /// and with the remaining time and the name of the expected target.
-    fn encode(&self, target: &TargetName, remaining_ms: DurationMs) -> Vec<u8> {
+    fn encode_head(&self, target: &TargetName, remaining_ms: DurationMs) -> Vec<u8> {
         let incoming = self.incoming;
         let mut fields = incoming.head.headers.clone();
         strip_hop_by_hop(&mut fields);
@@ -154,7 +163,7 @@
         fields.remove(request_headers::DEADLINE_REMAINING_MS);
         fields.remove(target_headers::EXPECT_TARGET);
         self.credentials.apply_to(&mut fields);
-        let mut out = Vec::with_capacity(incoming.body.len() + 512);
+        let mut out = Vec::with_capacity(512);
         out.extend_from_slice(incoming.head.method.as_str().as_bytes());
         out.push(b' ');
         out.extend_from_slice(incoming.head.target.as_bytes());
@@ -177,7 +186,6 @@
             write_header(&mut out, "content-length", length.as_bytes());
         }
         out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(&incoming.body);
         out
     }
 }
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -115,5 +115,6 @@
         closes_connection: false,
         is_head_response: false,
         in_flight: None,
+        memory: None,
     }
 }
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -158,8 +158,7 @@
         };
         loop {
             if !self.credentials.is_valid(&self.state.view()) {
-                self.state.targets.borrow_mut().release_unused(&target);
-                queue::assign_free_slots(self.state, &self.service);
+                self.release_unused(&target);
                 return DispatchEnd::Refused(RefusalKind::UnknownKey);
             }
             self.tried.push(target.name.clone());
@@ -214,7 +213,16 @@
                 "service" => self.service.to_string())
             .increment(1);
             let idempotent = self.route.idempotent;
-            match queue::claim(self.state, &self.service, &self.tried, idempotent, true) {
+            let body_bytes = self.body_bytes();
+            let service = &self.service;
+            match queue::claim(
+                self.state,
+                service,
+                &self.tried,
+                idempotent,
+                true,
+                body_bytes,
+            ) {
                 Choice::Target(next) => target = next,
                 Choice::AllPaused(until) => {
                     self.backlog_ms = Some(until.since(self.now()));
@@ -273,6 +281,7 @@
                 idempotent: self.route.idempotent,
                 deadline: self.deadline,
                 wait_ms: DurationMs(objective_ms.0 * WAIT_SHARE_PERCENT / 100),
+                body_bytes: self.body_bytes(),
             },
         );
         let (waiter, mut result_receiver) = match slot_outcome {
@@ -291,8 +300,7 @@
                 // The queue may have assigned a slot in the meantime.
                 result_receiver.close();
                 if let Ok(Ok(target)) = result_receiver.try_recv() {
-                    self.state.targets.borrow_mut().release_unused(&target);
-                    queue::assign_free_slots(self.state, &self.service);
+                    self.release_unused(&target);
                 }
                 return Err(DispatchEnd::CallerGone);
             }
@@ -308,8 +316,25 @@
         }
     }
 
+    /// Returns the size of the request's body.
+    fn body_bytes(&self) -> u64 {
+        self.incoming.body.len() as u64
+    }
+
+    /// Gives back a slot whose request was not sent.
+    fn release_unused(&self, target: &TargetIdentity) {
+        let mut targets = self.state.targets.borrow_mut();
+        targets.remove_body(target, self.body_bytes());
+        targets.release_unused(target);
+        drop(targets);
+        queue::assign_free_slots(self.state, &self.service);
+    }
+
     fn release(&self, target: &TargetIdentity) {
-        self.state.targets.borrow_mut().release(target);
+        let mut targets = self.state.targets.borrow_mut();
+        targets.remove_body(target, self.body_bytes());
+        targets.release(target);
+        drop(targets);
         queue::assign_free_slots(self.state, &self.service);
     }
 }
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -129,6 +129,9 @@
         match end.outcome {
             AttemptOutcome::Answered => {
                 routes::record_run(self.state, self.route, run_ms);
+                if let Some(response) = &end.response {
+                    routes::record_response(self.state, self.route, response.body.len());
+                }
                 queue::record_run(self.state, &self.service, run_ms);
             }
             AttemptOutcome::ConnectionLost => {
--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -16,7 +16,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -31,12 +30,14 @@
 use super::http1::HttpError;
 use super::http1::RequestHead;
 use super::http1::take_request_head;
-use super::http1::write_header;
-use super::http1::write_headers;
-use super::pool::BodyReservation;
+use super::memory::ConnectionMemory;
+use super::memory::MemoryHold;
+use super::memory::MemoryKind;
 use super::serve;
 use super::shared::InFlightGuard;
 use super::traffic::TrafficState;
+use super::write::close_gracefully;
+use super::write::write_response;
 
 /// How soon a dead connection of a caller is detected.
 const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
@@ -54,9 +55,6 @@
 /// The free buffer space that is reserved before each read.
 const READ_BYTES: usize = 4 * 1024;
 
-/// The timeout for writing one response to a caller.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The maximum time between two reads of a request body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -64,11 +62,6 @@
 /// others is their time limit.
 const UNROUTED_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How long to wait for the caller to close the connection after the last response.
-/// Closing a socket with unread bytes would reset the connection, and the caller
-/// could lose the response.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// The pause after a failed `accept`, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -101,7 +94,11 @@
     /// When the head was received completely.
     pub(super) arrived_at: Instant,
     /// Holds the memory of the body until the request has ended.
-    _memory: BodyReservation,
+    _body_memory: MemoryHold,
+    /// The size that is expected of the response; 0 if it is not known.
+    pub(super) expected_response_bytes: usize,
+    /// Holds the memory of the response, first that of the expected size.
+    pub(super) response_memory: MemoryHold,
 }
 
 /// A complete response.
@@ -120,6 +117,9 @@
     /// Counts the request as in flight until the response is written; `None` if no
     /// request is counted.
     pub(super) in_flight: Option<InFlightGuard>,
+    /// Holds the memory of the body until the response is written; `None` if it is not
+    /// counted.
+    pub(super) memory: Option<MemoryHold>,
 }
 
 /// Binds a listening address. `SO_REUSEADDR` allows an address that another process
@@ -157,7 +157,7 @@
     head: RequestHead,
     body: BodyCollector,
     arrived_at: Instant,
-    memory: BodyReservation,
+    memory: MemoryHold,
     /// When the body must be complete: an answer after the request's time limit would
     /// be of no use.
     body_deadline: Instant,
@@ -169,6 +169,8 @@
 struct ReadState {
     /// The address of the caller.
     caller: IpAddr,
+    /// The memory that is held for this connection.
+    memory: ConnectionMemory,
     buffer: BytesMut,
     /// The request whose body is being read.
     current: Option<IncompleteRequest>,
@@ -197,6 +199,7 @@
     let (mut read_half, mut write_half) = stream.into_split();
     let mut read_state = ReadState {
         caller,
+        memory: state.memory.open_connection(),
         buffer: BytesMut::new(),
         current: None,
         reads_head_request: false,
@@ -221,7 +224,9 @@
             pending.push_back(ready_refusal(state, kind, read_state.reads_head_request));
         }
         let timeout = read_deadline(state, &read_state, pending.is_empty());
-        let can_read = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
+        let is_wanted = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
+        // Once the earlier responses are written, the request that is being read is alone.
+        let can_read = is_wanted && (pending.is_empty() || read_state.memory.has_room_for(0));
         read_state.buffer.reserve(READ_BYTES);
         tokio::select! {
             biased;
@@ -309,7 +314,7 @@
 ) -> Result<(), RefusalKind> {
     loop {
         if let Some(incoming) = read_state.deferred.take() {
-            if !may_start(state, &incoming, pending, endpoint) {
+            if !may_start(state, &incoming, &read_state.memory, pending, endpoint) {
                 read_state.deferred = Some(incoming);
                 return Ok(());
             }
@@ -347,7 +352,7 @@
                 body,
                 arrived_at,
                 body_deadline: arrived_at + body_timeout.map_or(UNROUTED_BODY_TIMEOUT, duration),
-                memory: state.request_memory.reserve(),
+                memory: read_state.memory.hold(MemoryKind::Request),
                 awaits_continue,
             });
         }
@@ -357,6 +362,7 @@
         let is_complete = current.body.take(&mut read_state.buffer);
         let is_complete = is_complete.map_err(refusal_kind)?;
         if !current.memory.resize(current.body.collected_bytes()) {
+            metrics::counter!("agatehold_memory_refusals_total", "kind" => "request").increment(1);
             return Err(RefusalKind::MemoryFull);
         }
         if !is_complete {
@@ -370,12 +376,18 @@
             read_state.current = Some(current);
             return Ok(());
         }
+        let expected_response_bytes = match endpoint {
+            Endpoint::Callers => serve::expected_response(state, &current.head),
+            _ => 0,
+        };
         read_state.deferred = Some(IncomingRequest {
             caller: read_state.caller,
             head: current.head,
             body: current.body.into_bytes(),
             arrived_at: current.arrived_at,
-            _memory: current.memory,
+            _body_memory: current.memory,
+            expected_response_bytes,
+            response_memory: read_state.memory.hold(MemoryKind::Read),
         });
     }
 }
@@ -388,14 +400,19 @@
 
 /// Returns whether a request may start now. A pipelined request starts while
 /// earlier ones are pending only if it is idempotent: if an earlier response closes
-/// the connection, the caller treats the request as not processed and retries it.
+/// the connection, the caller treats the request as not processed and retries it. It
+/// waits while the connection has no room for its response.
 fn may_start(
     state: &TrafficState,
     incoming: &IncomingRequest,
+    memory: &ConnectionMemory,
     pending: &VecDeque<oneshot::Receiver<Response>>,
     endpoint: Endpoint,
 ) -> bool {
-    pending.is_empty() || (endpoint == Endpoint::Callers && state.is_idempotent(&incoming.head))
+    pending.is_empty()
+        || (endpoint == Endpoint::Callers
+            && memory.has_room_for(incoming.expected_response_bytes)
+            && state.is_idempotent(&incoming.head))
 }
 
 fn start(
@@ -405,6 +422,12 @@
 ) -> oneshot::Receiver<Response> {
     let (response_sender, receiver) = oneshot::channel();
     if endpoint == Endpoint::Callers {
+        // Counted before the request runs, so that those behind it see it. Whether it
+        // is within the limits is decided when it is served.
+        let expected_bytes = incoming.expected_response_bytes;
+        incoming
+            .response_memory
+            .change(MemoryKind::Read, expected_bytes);
         let state = Rc::clone(state);
         tokio::task::spawn_local(
             async move { serve::handle(&state, incoming, response_sender).await },
@@ -440,52 +463,3 @@
         HttpError::AmbiguousLength => RefusalKind::AmbiguousFraming,
     }
 }
-
-async fn write_response(
-    write_half: &mut OwnedWriteHalf,
-    response: &Response,
-    closes_connection: bool,
-) -> io::Result<()> {
-    let status = http::StatusCode::from_u16(response.status)
-        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
-    let mut out = Vec::with_capacity(response.body.len() + 512);
-    out.extend_from_slice(b"HTTP/1.1 ");
-    out.extend_from_slice(status.as_str().as_bytes());
-    out.push(b' ');
-    out.extend_from_slice(status.canonical_reason().unwrap_or("").as_bytes());
-    out.extend_from_slice(b"\r\n");
-    write_headers(&mut out, &response.headers);
-    if closes_connection {
-        write_header(&mut out, "connection", b"close");
-    }
-    let has_no_body = response.status == 204 || response.status == 304;
-    if !has_no_body && !response.is_head_response {
-        let length = response.body.len().to_string();
-        write_header(&mut out, "content-length", length.as_bytes());
-    }
-    out.extend_from_slice(b"\r\n");
-    if !has_no_body && !response.is_head_response {
-        out.extend_from_slice(&response.body);
-    }
-    match tokio::time::timeout(WRITE_TIMEOUT, write_half.write_all(&out)).await {
-        Ok(result) => result,
-        Err(_) => Err(io::ErrorKind::TimedOut.into()),
-    }
-}
-
-/// Shuts down the write half and waits until the caller closes the connection.
-async fn close_gracefully(mut read_half: OwnedReadHalf, mut write_half: OwnedWriteHalf) {
-    if write_half.shutdown().await.is_err() {
-        return;
-    }
-    let mut sink = [0; 1_024];
-    let drained = async {
-        while let Ok(length) = read_half.read(&mut sink).await {
-            if length == 0 {
-                return;
-            }
-        }
-    };
-    // After the timeout the connection is closed in any case.
-    let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
-}
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod evidence;
 mod http1;
 mod member;
+mod memory;
 mod messages;
 mod pool;
 mod queue;
@@ -19,6 +20,7 @@
 mod store_tasks;
 mod target;
 mod traffic;
+mod write;
 
 use std::path::Path;
 use std::sync::Arc;
--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -1,11 +1,9 @@
-//! The pool of connections to targets, and the memory limit for response bodies.
+//! The pool of connections to targets.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -33,13 +31,6 @@
 /// The maximum number of idle connections to one target address.
 const IDLE_CONNECTIONS_MAX: usize = 8;
 
-/// The limit on the total size of the response bodies that are being read. When it
-/// is exceeded, reading a body larger than [`GUARANTEED_BODY_BYTES`] is aborted.
-const TOTAL_BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
-
-/// The size up to which a body is read even if the total limit is exceeded.
-const GUARANTEED_BODY_BYTES: usize = 128 * 1024;
-
 /// Which connection an attempt used, for logs: its number in this process, and the
 /// number of requests that it had carried before.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -78,74 +69,11 @@
 }
 
 /// The idle connections by target address, most recently used last.
+#[derive(Default)]
 pub(super) struct TargetPool {
     /// The number of connections opened so far.
     opened: u64,
     idle: HashMap<SocketAddr, Vec<TargetStream>>,
-    /// The memory of the response bodies that are being read.
-    body_memory: BodyMemory,
-}
-
-impl Default for TargetPool {
-    fn default() -> Self {
-        Self {
-            opened: 0,
-            idle: HashMap::new(),
-            body_memory: BodyMemory::new(TOTAL_BODY_BYTES_MAX),
-        }
-    }
-}
-
-/// A limit on the memory that bodies take together.
-pub(super) struct BodyMemory {
-    total_bytes: Rc<Cell<usize>>,
-    limit_bytes: usize,
-}
-
-impl BodyMemory {
-    /// Creates a limit for bodies of `limit_bytes` in total.
-    pub(super) fn new(limit_bytes: usize) -> Self {
-        Self {
-            total_bytes: Rc::default(),
-            limit_bytes,
-        }
-    }
-
-    /// Starts accounting for the size of a body.
-    pub(super) fn reserve(&self) -> BodyReservation {
-        BodyReservation {
-            total_bytes: Rc::clone(&self.total_bytes),
-            limit_bytes: self.limit_bytes,
-            size_bytes: 0,
-        }
-    }
-}
-
-/// The share of one body in the total size. It is released on drop, also when the
-/// exchange is cancelled.
-pub(super) struct BodyReservation {
-    total_bytes: Rc<Cell<usize>>,
-    limit_bytes: usize,
-    size_bytes: usize,
-}
-
-impl BodyReservation {
-    /// Sets the size of this body; returns whether it is within the limits. A body
-    /// without others beside it may exceed the total.
-    pub(super) fn resize(&mut self, size_bytes: usize) -> bool {
-        let others_bytes = self.total_bytes.get() - self.size_bytes;
-        self.total_bytes.set(others_bytes + size_bytes);
-        self.size_bytes = size_bytes;
-        size_bytes <= GUARANTEED_BODY_BYTES
-            || others_bytes + size_bytes <= self.limit_bytes
-            || others_bytes <= GUARANTEED_BODY_BYTES
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.resize(0);
-    }
 }
 
 impl TargetPool {
@@ -201,11 +129,6 @@
         }
     }
 
-    /// Starts accounting for the size of a response body.
-    pub(super) fn reserve_body(&self) -> BodyReservation {
-        self.body_memory.reserve()
-    }
-
     /// Closes the idle connections to an address, for example after its target
     /// crashed.
     pub(super) fn close_address(&mut self, address: SocketAddr) {
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -45,8 +45,8 @@
 /// The queue of one service.
 pub(super) struct ServiceQueue {
     queue: AdmissionQueue,
-    /// The channel to each waiting request.
-    waiting: HashMap<WaiterId, oneshot::Sender<QueueResult>>,
+    /// The channel to each waiting request, and the size of its body.
+    waiting: HashMap<WaiterId, (oneshot::Sender<QueueResult>, u64)>,
 }
 
 /// The result of requesting a slot.
@@ -73,6 +73,8 @@
     pub(super) deadline: TimeMs,
     /// How long the request may wait in the queue.
     pub(super) wait_ms: DurationMs,
+    /// The size of the request's body.
+    pub(super) body_bytes: u64,
 }
 
 impl ServiceQueue {
@@ -92,6 +94,12 @@
         self.queue.is_empty()
     }
 
+    /// Returns the size of the largest body of the waiting requests.
+    fn largest_body_bytes(&self) -> u64 {
+        let sizes = self.waiting.values().map(|(_, body_bytes)| *body_bytes);
+        sizes.max().unwrap_or(0)
+    }
+
     /// Refuses all waiting requests, since no target takes them.
     fn refuse_all(&mut self) {
         for waiter in self.queue.drain_all() {
@@ -113,7 +121,7 @@
     }
 
     fn refuse(&mut self, waiter: WaiterId, refusal: QueueRefusal) {
-        let Some(result_sender) = self.waiting.remove(&waiter) else {
+        let Some((result_sender, _)) = self.waiting.remove(&waiter) else {
             return;
         };
         // Sending fails only if the caller has disconnected.
@@ -137,10 +145,11 @@
     tried: &[TargetName],
     idempotent: bool,
     accepts_full: bool,
+    body_bytes: u64,
 ) -> Choice {
-    let choice = pick(state, service, tried, idempotent, accepts_full);
+    let choice = pick(state, service, tried, idempotent, accepts_full, body_bytes);
     if let Choice::Target(target) = &choice {
-        claim_slot(state, target);
+        claim_slot(state, target, body_bytes);
     }
     choice
 }
@@ -152,17 +161,20 @@
     tried: &[TargetName],
     idempotent: bool,
     accepts_full: bool,
+    body_bytes: u64,
 ) -> Choice {
     // The request may have waited since the tables were last synchronized.
     state.view();
     let now = state.shared.clock.now();
-    let request = pick_request(state, service, tried, idempotent, accepts_full);
+    let request = pick_request(state, service, tried, idempotent, accepts_full, body_bytes);
     pick_live_target(&state.targets.borrow(), &request, now)
 }
 
-fn claim_slot(state: &TrafficState, target: &TargetIdentity) {
+fn claim_slot(state: &TrafficState, target: &TargetIdentity, body_bytes: u64) {
     let now = state.shared.clock.now();
-    state.targets.borrow_mut().claim(target, now);
+    let mut targets = state.targets.borrow_mut();
+    targets.claim(target, now);
+    targets.add_body(target, body_bytes);
 }
 
 /// Builds the input for picking a target, from the service's statistics, its
@@ -173,6 +185,7 @@
     tried: &'a [TargetName],
     idempotent: bool,
     accepts_full: bool,
+    body_bytes: u64,
 ) -> PickRequest<'a> {
     let now = state.shared.clock.now();
     let service_stats = state.service_stats.borrow();
@@ -187,6 +200,7 @@
         may_risk_failure: idempotent && tried.is_empty() && has_reserve,
         daemon_rank: state.daemon_rank(service),
         accepts_full,
+        body_bytes,
     }
 }
 
@@ -208,9 +222,10 @@
             &[],
             slot_request.idempotent,
             false,
+            slot_request.body_bytes,
         ) {
             Choice::Target(target) if is_queue_empty || is_target_suspected(state, &target) => {
-                claim_slot(state, &target);
+                claim_slot(state, &target, slot_request.body_bytes);
                 return SlotOutcome::Target(target);
             }
             // The slot is left to the requests that already wait.
@@ -252,7 +267,8 @@
     match row.queue.offer(offer, false, now) {
         Admission::Queued { waiter, displaced } => {
             let (result_sender, result_receiver) = oneshot::channel();
-            row.waiting.insert(waiter, result_sender);
+            row.waiting
+                .insert(waiter, (result_sender, slot_request.body_bytes));
             if is_queue_empty {
                 state.queue_filled.notify_one();
             }
@@ -323,7 +339,9 @@
         row.refuse_dropped(dropped, now);
     }
     while !row.queue.is_empty() {
-        let target = match pick(state, service, &[], false, false) {
+        // The queue tells which request is next only once a slot is given to it.
+        let body_bytes = row.largest_body_bytes();
+        let target = match pick(state, service, &[], false, false, body_bytes) {
             Choice::Target(target) => target,
             Choice::AllBusy => return,
             Choice::AllPaused(until) => {
@@ -341,14 +359,14 @@
         let Some(waiter) = row.queue.assign_free_slot(now) else {
             return;
         };
-        let Some(result_sender) = row.waiting.remove(&waiter) else {
+        let Some((result_sender, body_bytes)) = row.waiting.remove(&waiter) else {
             continue;
         };
         if result_sender.is_closed() {
             // The caller has disconnected in the meantime.
             continue;
         }
-        claim_slot(state, &target);
+        claim_slot(state, &target, body_bytes);
         // The receiver still exists, so this can't fail.
         let _ = result_sender.send(Ok(target));
     }
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -92,6 +92,7 @@
         closes_connection: false,
         is_head_response: false,
         in_flight: None,
+        memory: None,
     }
 }
 
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -21,6 +21,7 @@
 use super::endpoint::IncomingRequest;
 use super::endpoint::Response;
 use super::http1::RequestHead;
+use super::memory::MemoryKind;
 use super::responses;
 use super::routes;
 use super::traffic::TrafficState;
@@ -34,6 +35,9 @@
     let in_flight = state.shared.count_request();
     let response = serve(state, &incoming, &mut response_sender).await;
     if let Some(mut response) = response {
+        let memory = incoming.response_memory;
+        memory.change(MemoryKind::Unwritten, response.body.len());
+        response.memory = Some(memory);
         response.in_flight = Some(in_flight);
         response.closes_connection |=
             !incoming.head.keeps_alive || state.shared.stopping_since().is_some();
@@ -65,6 +69,23 @@
     }
 }
 
+/// Returns the size that is expected of the response to a request; 0 if it is not known,
+/// or if expected responses are not counted.
+pub(super) fn expected_response(state: &TrafficState, head: &RequestHead) -> usize {
+    if !state.memory.limits().reserves_responses() || head.method == Method::HEAD {
+        return 0;
+    }
+    let view = state.view();
+    let Some(catalog) = &view.catalog else {
+        return 0;
+    };
+    let (host, path) = host_and_path(head);
+    let Some(position) = match_catalog_route(catalog, &host, path) else {
+        return 0;
+    };
+    routes::expected_response(state, &catalog.routes[position])
+}
+
 async fn serve(
     state: &TrafficState,
     incoming: &IncomingRequest,
@@ -117,6 +138,11 @@
             }
             Err(kind) => return refuse(kind, catalog.version),
         };
+    let expected_bytes = incoming.expected_response_bytes;
+    if expected_bytes > 0 && !incoming.response_memory.resize(expected_bytes) {
+        metrics::counter!("agatehold_memory_refusals_total", "kind" => "expected").increment(1);
+        return refuse(RefusalKind::MemoryFull, catalog.version);
+    }
     let deadline = state.shared.clock.now() + remaining_ms;
     let service = routes::next_service(state, route);
     let plan = Plan {
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -2,6 +2,7 @@
 //! connection, and classifies the result.
 
 use std::cell::RefCell;
+use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -29,7 +30,7 @@
 use super::http1::HttpError;
 use super::http1::ResponseHead;
 use super::http1::take_response_head;
-use super::pool::BodyReservation;
+use super::memory::MemoryHold;
 use super::pool::ConnectionUse;
 use super::pool::IDLE_MAX;
 use super::pool::TargetPool;
@@ -58,8 +59,10 @@
 
 /// A request to a target in encoded form.
 pub(super) struct OutboundRequest<'a> {
-    /// The encoded head and body.
-    pub(super) bytes: &'a [u8],
+    /// The encoded head.
+    pub(super) head: &'a [u8],
+    /// The body.
+    pub(super) body: &'a [u8],
     /// The request id, which the response must echo.
     pub(super) request_id: Option<&'a [u8]>,
     /// Whether the request may run more than once.
@@ -68,11 +71,29 @@
     pub(super) is_head_request: bool,
     /// The deadline for the response to the caller.
     pub(super) deadline: Instant,
+    /// Holds the memory of the response's body while it is read. The size that it has
+    /// before is what is expected.
+    pub(super) memory: &'a MemoryHold,
     /// Returns whether the target still takes requests, asked right before the first
     /// write.
     pub(super) may_write: &'a dyn Fn() -> bool,
 }
 
+impl OutboundRequest<'_> {
+    /// Returns the length of the encoded request.
+    const fn length(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Returns the parts of the head and of the body that follow the first `written`
+    /// bytes. They are not copied together, since a body may be large.
+    fn unsent(&self, written: usize) -> [IoSlice<'_>; 2] {
+        let head = self.head.get(written..).unwrap_or_default();
+        let body_written = written.saturating_sub(self.head.len());
+        [IoSlice::new(head), IoSlice::new(&self.body[body_written..])]
+    }
+}
+
 /// A complete response from a target.
 pub(super) struct TargetResponse {
     /// The status.
@@ -170,8 +191,7 @@
         );
     }
     let connection_use = connection.connection_use;
-    let body_reservation = pool.borrow().reserve_body();
-    let exchanging = exchange(&mut connection, outbound, body_reservation);
+    let exchanging = exchange(&mut connection, outbound);
     let end = match tokio::time::timeout_at(outbound.deadline, exchanging).await {
         Err(_) => AttemptEnd::without_response(AttemptOutcome::TimedOut, "deadline passed"),
         Ok(Err(error)) => AttemptEnd::without_response(error.outcome, error.detail),
@@ -207,7 +227,6 @@
 async fn exchange(
     connection: &mut TargetStream,
     outbound: &OutboundRequest<'_>,
-    mut body_reservation: BodyReservation,
 ) -> Result<CompleteResponse, ExchangeError> {
     let TargetStream { stream, buffer, .. } = connection;
     let mut written = 0;
@@ -220,7 +239,9 @@
         }
         if let Some((_, body)) = &mut head {
             let complete = body.take(buffer).map_err(from_http_error)?;
-            if !body_reservation.resize(body.collected_bytes()) {
+            let size_bytes = body.collected_bytes();
+            if size_bytes > outbound.memory.size_bytes() && !outbound.memory.resize(size_bytes) {
+                metrics::counter!("agatehold_memory_refusals_total", "kind" => "read").increment(1);
                 return Err(cut("memory limit for answer bodies reached"));
             }
             if complete && let Some((read, body)) = head.take() {
@@ -233,7 +254,7 @@
                     }
                     continue;
                 }
-                let is_reusable = read.keeps_alive && written == outbound.bytes.len();
+                let is_reusable = read.keeps_alive && written == outbound.length();
                 return Ok(CompleteResponse {
                     head: read,
                     body: body.into_bytes(),
@@ -243,10 +264,10 @@
         }
         buffer.reserve(READ_BYTES);
         let (mut reading, mut writing) = stream.split();
-        let unsent = &outbound.bytes[written..];
+        let unsent = outbound.unsent(written);
         tokio::select! {
             biased;
-            sent = writing.write(unsent), if !unsent.is_empty() => match sent {
+            sent = writing.write_vectored(&unsent), if written < outbound.length() => match sent {
                 Ok(length) => written += length,
                 Err(_) if written == 0 => return Err(not_written()),
                 Err(_) => return Err(connection_lost("connection lost while writing")),
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -40,7 +40,9 @@
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
-use super::pool::BodyMemory;
+use super::memory::MemoryAccount;
+use super::memory::MemoryKind;
+use super::memory::MemoryLimits;
 use super::pool::TargetPool;
 use super::queue::ServiceQueue;
 use super::routes::RouteState;
@@ -57,11 +59,6 @@
 /// The minimum interval between two updates of the target gauges.
 const GAUGE_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
-/// The limit on the total size of the bodies of requests that have not ended. A body
-/// takes up to three times its size: while it grows, and encoded for a target. The
-/// smallest hosts have 160 MB.
-const REQUEST_BODIES_BYTES_MAX: usize = 32 * 1024 * 1024;
-
 /// The state of the traffic thread.
 pub(super) struct TrafficState {
     /// The state shared with the other threads.
@@ -72,8 +69,8 @@
     pub(super) targets: RefCell<LiveTargets>,
     /// The pool of idle connections to targets.
     pub(super) pool: RefCell<TargetPool>,
-    /// The memory of the bodies of requests that have not ended.
-    pub(super) request_memory: BodyMemory,
+    /// The memory that is held for callers and targets.
+    pub(super) memory: MemoryAccount,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<ResendBudgets>,
     /// Detects suspensions of the host.
@@ -320,6 +317,7 @@
             return;
         }
     };
+    let memory = MemoryAccount::new(MemoryLimits::of_host(shared.settings.memory_mb));
     let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
     let state = Rc::new(TrafficState {
@@ -327,7 +325,7 @@
         view: RefCell::default(),
         targets,
         pool: RefCell::default(),
-        request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
+        memory,
         budgets,
         suspension: RefCell::new(SuspensionDetector::new(read_suspension_clocks())),
         service_stats: RefCell::default(),
@@ -431,6 +429,10 @@
     state.check_suspension();
     state.log_share_changes(now);
     state.targets.borrow_mut().expire_statements(now);
+    for kind in MemoryKind::ALL {
+        metrics::gauge!("agatehold_memory_held_bytes", "kind" => kind.as_str())
+            .set(state.memory.held_bytes(kind) as f64);
+    }
     for service in &services {
         update_target_gauges(state, service, now);
     }
--- /dev/null
+++ b/crates/agatehold/src/gateway/write.rs
@@ -0,0 +1,76 @@
+//! Writes responses to callers.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use super::endpoint::Response;
+use super::http1::write_header;
+use super::http1::write_headers;
+
+/// The timeout for writing one response to a caller.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long to wait for the caller to close the connection after the last response.
+/// Closing a socket with unread bytes would reset the connection, and the caller
+/// could lose the response.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Writes a response; fails if the caller does not read it in time.
+pub(super) async fn write_response(
+    write_half: &mut OwnedWriteHalf,
+    response: &Response,
+    closes_connection: bool,
+) -> io::Result<()> {
+    let status = http::StatusCode::from_u16(response.status)
+        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let mut out = Vec::with_capacity(512);
+    out.extend_from_slice(b"HTTP/1.1 ");
+    out.extend_from_slice(status.as_str().as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(status.canonical_reason().unwrap_or("").as_bytes());
+    out.extend_from_slice(b"\r\n");
+    write_headers(&mut out, &response.headers);
+    if closes_connection {
+        write_header(&mut out, "connection", b"close");
+    }
+    let has_no_body = response.status == 204 || response.status == 304;
+    if !has_no_body && !response.is_head_response {
+        let length = response.body.len().to_string();
+        write_header(&mut out, "content-length", length.as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+    let mut body = Bytes::new();
+    if !has_no_body && !response.is_head_response {
+        body = response.body.clone();
+    }
+    // The body is not copied behind the head, since it may be large.
+    let mut out = Bytes::from(out).chain(body);
+    match tokio::time::timeout(WRITE_TIMEOUT, write_half.write_all_buf(&mut out)).await {
+        Ok(result) => result,
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Shuts down the write half and waits until the caller closes the connection.
+pub(super) async fn close_gracefully(mut read_half: OwnedReadHalf, mut write_half: OwnedWriteHalf) {
+    if write_half.shutdown().await.is_err() {
+        return;
+    }
+    let mut sink = [0; 1_024];
+    let drained = async {
+        while let Ok(length) = read_half.read(&mut sink).await {
+            if length == 0 {
+                return;
+            }
+        }
+    };
+    // After the timeout the connection is closed in any case.
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
+}
