--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod evidence;
 mod http1;
 mod member;
+mod memory;
 mod messages;
 mod pool;
 mod queue;
@@ -20,6 +21,7 @@
 mod store_tasks;
 mod target;
 mod traffic;
+mod write;
 
 use std::path::Path;
 use std::sync::Arc;
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -42,7 +42,9 @@
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
-use super::pool::BodyMemory;
+use super::memory::MemoryAccount;
+use super::memory::MemoryKind;
+use super::memory::MemoryLimits;
 use super::pool::TargetPool;
 use super::queue::ServiceQueue;
 use super::routes::RouteState;
@@ -59,11 +61,6 @@
 /// The minimum interval between two updates of the target gauges.
 const GAUGE_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
-/// The limit on the total size of the bodies of requests that have not ended. A body
-/// takes up to three times its size: while it grows, and encoded for a target. The
-/// smallest hosts have 160 MB.
-const REQUEST_BODIES_BYTES_MAX: usize = 32 * 1024 * 1024;
-
 /// The state of the traffic thread.
 pub(super) struct TrafficState {
     /// The state shared with the other threads.
@@ -76,8 +73,8 @@
     pub(super) pool: RefCell<TargetPool>,
     /// How long idle connections to targets are trusted.
     pub(super) connection_reuse: Cell<ConnectionReuse>,
-    /// The memory of the bodies of requests that have not ended.
-    pub(super) request_memory: BodyMemory,
+    /// The memory that is held for callers and targets.
+    pub(super) memory: MemoryAccount,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<ResendBudgets>,
     /// Detects suspensions of the host.
@@ -331,6 +328,7 @@
             return;
         }
     };
+    let memory = MemoryAccount::new(MemoryLimits::of_host(shared.settings.memory_mb));
     let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
     let state = Rc::new(TrafficState {
@@ -339,7 +337,7 @@
         targets,
         pool: RefCell::default(),
         connection_reuse: Cell::default(),
-        request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
+        memory,
         budgets,
         suspension: RefCell::new(SuspensionDetector::new(read_suspension_clocks())),
         service_stats: RefCell::default(),
@@ -444,6 +442,10 @@
     state.check_suspension();
     state.log_share_changes(now);
     state.targets.borrow_mut().expire_statements(now);
+    for kind in MemoryKind::ALL {
+        metrics::gauge!("agatehold_memory_held_bytes", "kind" => kind.as_str())
+            .set(state.memory.held_bytes(kind) as f64);
+    }
     for service in &services {
         update_target_gauges(state, service, now);
     }
