gateway: take the memory of the host from the kernel

The template of the deployment must not name a field that its readers do not know (the placeholder limits.memory_mb), so that the bounds would not have held there. Without the setting the daemon takes what the kernel reports, 256 MB at most. Responses that are being read keep 16 MB on such hosts: with a quarter of 256 MB, an_endless_response_is_aborted_in_bounded_time_and_memory failed (66 MB).

--- a/crates/agatehold/src/gateway/memory.rs
+++ b/crates/agatehold/src/gateway/memory.rs
@@ -10,8 +10,8 @@
 /// hosts have 160 MB.
 const REQUEST_BYTES_MAX: usize = 32 * 1024 * 1024;
 
-/// The limit on the responses that are being read, without the memory of the host in the
-/// settings.
+/// The limit on the responses that are being read, on hosts where it is more than a
+/// quarter of the total. Targets can send without end.
 const READ_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// The size up to which a body is kept even if a limit is exceeded, as long as the total
@@ -26,6 +26,21 @@
 /// The part of the total that one caller connection may take: one of so many.
 const CONNECTION_PARTS: usize = 8;
 
+/// The largest size of a host that is assumed without a setting: other processes may run
+/// on larger hosts.
+const ASSUMED_MEMORY_MB_MAX: u32 = 256;
+
+/// Returns the memory of this host to use if the settings don't state it: what the kernel
+/// reports, at most [`ASSUMED_MEMORY_MB_MAX`]; `None` if it reports none.
+pub(super) fn host_memory_mb() -> Option<u32> {
+    let text = std::fs::read_to_string("/proc/meminfo").ok()?;
+    let mut lines = text.lines();
+    let value = lines.find_map(|line| line.strip_prefix("MemTotal:"))?;
+    let total_kb: u64 = value.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    let total_mb = u32::try_from(total_kb / 1024).unwrap_or(u32::MAX);
+    Some(total_mb.min(ASSUMED_MEMORY_MB_MAX))
+}
+
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum MemoryKind {
@@ -78,9 +93,14 @@
             };
         };
         let total_bytes = memory_mb as usize * 1024 * 1024 / HOST_PARTS;
+        let read_bytes = if total_bytes / 4 > READ_BYTES_MAX {
+            total_bytes / 4
+        } else {
+            READ_BYTES_MAX
+        };
         Self {
             // Uploads must leave room for the responses to requests that have run.
-            kind_bytes: [total_bytes / 2, total_bytes, total_bytes],
+            kind_bytes: [total_bytes / 2, read_bytes, total_bytes],
             total_bytes,
             hard_bytes: total_bytes + total_bytes / 2,
             connection_bytes: total_bytes / CONNECTION_PARTS,
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -45,6 +45,7 @@
 use super::memory::MemoryAccount;
 use super::memory::MemoryKind;
 use super::memory::MemoryLimits;
+use super::memory::host_memory_mb;
 use super::pool::TargetPool;
 use super::queue::ServiceQueue;
 use super::routes::RouteState;
@@ -328,7 +329,8 @@
             return;
         }
     };
-    let memory = MemoryAccount::new(MemoryLimits::of_host(shared.settings.memory_mb));
+    let memory_mb = shared.settings.memory_mb.or_else(host_memory_mb);
+    let memory = MemoryAccount::new(MemoryLimits::of_host(memory_mb));
     let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
     let state = Rc::new(TrafficState {
