core: let tenants of a class share slots by work

Cause: the admission queue serves tenants round-robin by count and estimates waits over everything that waits, so a tenant with expensive requests gets more of the capacity than one with cheap ones, and requests wait that can't get a slot in time.

Ruled out: deficit round robin. A quantum has to be at least the cost of the most expensive request, 20 times the cheapest here, and a tenant with one request a second waits for up to one quantum of each other tenant; start-time fair queueing bounds that to one request of each.

Change: AdmissionQueue::set_sharing(TenantSharing::ByWork) serves the tenants of a class by start-time fair queueing over Offer's new expected_run_ms, those of a tenant by the earliest feasible start, and charges or takes back the difference to the measured run time (charge_run). The wait is estimated for the place in this order, divided by the share of the slots that new requests of higher classes leave. A full queue gives up the last request of the tenant with the most waiting work in the lowest class. Refused callers get times to return from a schedule by class. By count, the default, nothing changes: the code is moved to round_robin.rs and by_count.rs.

--- a/crates/agatehold-core/src/limits/class_queue.rs
+++ b/crates/agatehold-core/src/limits/class_queue.rs
@@ -1,112 +1,105 @@
-//! The queue of one traffic class, served round-robin by tenant.
-
-use std::collections::VecDeque;
+//! The waiting requests of one traffic class, in the order of its sharing.
 
 use crate::ids::TenantName;
-use crate::table::Table;
+use crate::units::TimeMs;
 
+use super::TenantSharing;
 use super::WaiterId;
+use super::round_robin::RoundRobinQueue;
+use super::work_queue::WorkQueue;
+
+/// The place of a request among those of its tenant, and what it counts for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    /// The request.
+    pub(super) waiter: WaiterId,
+    /// When the request is dropped unless it gets a slot before.
+    pub(super) expires_at: TimeMs,
+    /// The expected run time.
+    pub(super) cost_ms: f64,
+}
+
+/// The order in which the requests of a class are served.
+#[derive(Debug)]
+pub(super) enum ClassOrder {
+    ByCount(RoundRobinQueue),
+    ByWork(WorkQueue),
+}
 
 /// The waiting requests of one traffic class.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ClassQueue {
-    /// The requests of each tenant in order of arrival; a tenant without
-    /// requests has no queue.
-    tenant_queues: Table<TenantName, VecDeque<WaiterId>>,
-    /// The tenants of `tenant_queues` in round-robin order, the next one first.
-    round_robin: VecDeque<TenantName>,
-    /// The number of requests of all tenants.
-    len: usize,
+    pub(super) order: ClassOrder,
     /// The number of slots that other classes got while requests of this class
     /// waited, since this class last got one.
     pub(super) slots_missed: u32,
 }
 
 impl ClassQueue {
-    pub(super) const fn len(&self) -> usize {
-        self.len
-    }
-
-    pub(super) const fn is_empty(&self) -> bool {
-        self.len == 0
-    }
-
-    /// Returns the number of requests of `tenant`.
-    pub(super) fn len_of(&self, tenant: &TenantName) -> usize {
-        self.tenant_queues.get(tenant).map_or(0, VecDeque::len)
+    pub(super) fn new(sharing: TenantSharing) -> Self {
+        let order = match sharing {
+            TenantSharing::ByCount => ClassOrder::ByCount(RoundRobinQueue::default()),
+            TenantSharing::ByWork => ClassOrder::ByWork(WorkQueue::default()),
+        };
+        Self {
+            order,
+            slots_missed: 0,
+        }
     }
 
-    /// Returns how many queued requests of this class get a slot before a new one
-    /// of `tenant`.
-    pub(super) fn ahead_of(&self, tenant: &TenantName) -> usize {
-        let own = self.len_of(tenant);
-        self.tenant_queues
-            .rows()
-            .map(|(_, queue)| queue.len().min(own + 1))
-            .sum::<usize>()
-            .min(self.len)
+    pub(super) const fn len(&self) -> usize {
+        match &self.order {
+            ClassOrder::ByCount(queue) => queue.len(),
+            ClassOrder::ByWork(queue) => queue.len(),
+        }
     }
 
-    /// Adds a request at the end of its tenant's queue.
-    pub(super) fn push_back(&mut self, tenant: &TenantName, waiter: WaiterId) {
-        self.queue_of(tenant).push_back(waiter);
-        self.len += 1;
+    pub(super) const fn is_empty(&self) -> bool {
+        self.len() == 0
     }
 
-    /// Puts a request that could not be sent at the head of its tenant's queue
-    /// again, and makes the tenant the next one to be served.
-    pub(super) fn push_front(&mut self, tenant: &TenantName, waiter: WaiterId) {
-        self.queue_of(tenant).push_front(waiter);
-        self.len += 1;
-        self.round_robin.retain(|other| other != tenant);
-        self.round_robin.push_front(tenant.clone());
+    /// Adds a request behind those of its tenant that go before it.
+    pub(super) fn push(&mut self, tenant: &TenantName, place: Place) {
+        match &mut self.order {
+            ClassOrder::ByCount(queue) => queue.push_back(tenant, place.waiter),
+            ClassOrder::ByWork(queue) => queue.push(tenant, place),
+        }
     }
 
-    fn queue_of(&mut self, tenant: &TenantName) -> &mut VecDeque<WaiterId> {
-        if !self.tenant_queues.contains(tenant) {
-            self.round_robin.push_back(tenant.clone());
+    /// Puts a request that could not be sent back ahead of the others, and takes back
+    /// what its tenant was charged.
+    pub(super) fn put_back(&mut self, tenant: &TenantName, place: Place) {
+        match &mut self.order {
+            ClassOrder::ByCount(queue) => queue.push_front(tenant, place.waiter),
+            ClassOrder::ByWork(queue) => {
+                queue.push(tenant, place);
+                queue.charge(tenant, -place.cost_ms);
+            }
         }
-        self.tenant_queues
-            .get_or_insert(tenant.clone(), VecDeque::new)
     }
 
-    /// Removes and returns the oldest request of the next tenant to be served.
+    /// Removes and returns the next request to be served.
     pub(super) fn pop(&mut self) -> Option<WaiterId> {
-        let tenant = self.round_robin.pop_front()?;
-        let queue = self.tenant_queues.get_mut(&tenant)?;
-        let waiter = queue.pop_front();
-        if queue.is_empty() {
-            self.tenant_queues.remove(&tenant);
-        } else {
-            self.round_robin.push_back(tenant);
+        match &mut self.order {
+            ClassOrder::ByCount(queue) => queue.pop(),
+            ClassOrder::ByWork(queue) => queue.pop(),
         }
-        self.len -= 1;
-        waiter
     }
 
-    /// Returns the newest request of the tenant with the most requests, and the
-    /// number of that tenant's requests.
-    pub(super) fn newest_of_longest(&self) -> Option<(WaiterId, usize)> {
-        let (_, queue) = self
-            .tenant_queues
-            .rows()
-            .max_by_key(|(_, queue)| queue.len())?;
-        Some((*queue.back()?, queue.len()))
+    /// Charges a tenant for work, or takes back a charge; nothing if tenants share by
+    /// count.
+    pub(super) fn charge(&mut self, tenant: &TenantName, work_ms: f64) {
+        match &mut self.order {
+            ClassOrder::ByCount(_) => {}
+            ClassOrder::ByWork(queue) => queue.charge(tenant, work_ms),
+        }
     }
 
     /// Removes a request from any position.
-    pub(super) fn remove(&mut self, tenant: &TenantName, waiter: WaiterId) {
-        let Some(queue) = self.tenant_queues.get_mut(tenant) else {
-            return;
-        };
-        let Some(position) = queue.iter().position(|id| *id == waiter) else {
-            return;
-        };
-        queue.remove(position);
-        self.len -= 1;
-        if queue.is_empty() {
-            self.tenant_queues.remove(tenant);
-            self.round_robin.retain(|other| other != tenant);
+    pub(super) fn remove(&mut self, tenant: &TenantName, place: Place) {
+        match &mut self.order {
+            ClassOrder::ByCount(queue) => queue.remove(tenant, place.waiter),
+            ClassOrder::ByWork(queue) => queue.remove(tenant, place),
         }
     }
 }
--- a/crates/agatehold-core/src/limits/drain.rs
+++ b/crates/agatehold-core/src/limits/drain.rs
@@ -43,12 +43,24 @@
     /// Returns the estimated time until `slots` slots have become free; `None`
     /// before the first sample.
     pub(super) fn time_for(&self, slots: usize, now: TimeMs) -> Option<DurationMs> {
+        self.time_for_slots(slots as f64, now)
+    }
+
+    /// Returns the mean time between two slots becoming free; `None` before the first
+    /// sample.
+    pub(super) const fn interval_ms(&self) -> Option<f64> {
+        self.mean_interval_ms
+    }
+
+    /// Returns the estimated time until a number of slots, not necessarily whole, have
+    /// become free; `None` before the first sample.
+    pub(super) fn time_for_slots(&self, slots: f64, now: TimeMs) -> Option<DurationMs> {
         let mean = self.mean_interval_ms?;
         // While no slots become free, the time since the last one is the better
         // estimate of the interval.
         let idle = self
             .measured_since
             .map_or(0.0, |since| now.since(since).0 as f64);
-        Some(DurationMs((mean.max(idle) * slots as f64) as u64))
+        Some(DurationMs((mean.max(idle) * slots) as u64))
     }
 }
--- a/crates/agatehold-core/src/limits/queue.rs
+++ b/crates/agatehold-core/src/limits/queue.rs
@@ -1,21 +1,24 @@
 //! The queue in which a daemon's requests wait for a slot of one service.
 
-use std::fmt;
-use std::str::FromStr;
-
-use crate::config::ServiceRow;
-use crate::config::TenantRow;
 use crate::config::TrafficClass;
-use crate::ids::ParseIdError;
 use crate::ids::TenantName;
 use crate::refusal::RefusalKind;
 use crate::table::Table;
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
+use super::Admission;
+use super::DroppedWaiter;
+use super::Offer;
+use super::QueueLimits;
 use super::RetryWindow;
+use super::TenantSharing;
+use super::WaiterId;
+use super::class_arrivals::ClassArrivals;
 use super::class_queue::ClassQueue;
+use super::class_queue::Place;
 use super::drain::DrainRate;
+use super::return_schedule::ReturnSchedule;
 
 /// How many slots go to higher-priority classes before a waiting class gets
 /// one.
@@ -24,10 +27,6 @@
 /// requests got 94.5% of the capacity under overload, below the goal of 95%.
 pub const MAX_MISSED_SLOTS: u32 = 30;
 
-/// Each class has 1/16 of the queue's places in reserve: other classes can't
-/// displace its requests while it has no more than that.
-const CLASS_RESERVE_DIVISOR: usize = 16;
-
 /// The weight of the newest sample in the exponential moving average of run
 /// times.
 const NEWEST_RUN_WEIGHT: f64 = 0.05;
@@ -41,121 +40,43 @@
 /// requests were refused even at a load of 0.8 times the capacity.
 const MIN_RUN_TIMES_LEFT: f64 = 1.5;
 
-/// The identifier of a waiting request, unique within its queue.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct WaiterId(pub u64);
-
-impl fmt::Display for WaiterId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for WaiterId {
-    type Err = ParseIdError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self).map_err(|_| ParseIdError::Number)
-    }
-}
-
-/// The limits of an [`AdmissionQueue`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct QueueLimits {
-    /// The maximum number of waiting requests.
-    pub places: usize,
-    /// The maximum time that a request waits.
-    pub wait_ms: DurationMs,
-}
-
-impl QueueLimits {
-    /// Returns the limits configured for a service.
-    pub const fn of(service: &ServiceRow) -> Self {
-        Self {
-            places: service.queue_limit as usize,
-            wait_ms: service.queue_wait_ms,
-        }
-    }
-}
-
-/// Returns the class of a tenant's requests to a service: the lower-priority
-/// one of the classes of the two.
-pub fn effective_class(service: &ServiceRow, tenant: &TenantRow) -> TrafficClass {
-    service.class.max(tenant.class)
-}
-
-/// A request that asks for a slot.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Offer {
-    /// The tenant that the request belongs to.
-    pub tenant: TenantName,
-    /// The traffic class of the request.
-    pub class: TrafficClass,
-    /// The deadline for the answer.
-    pub deadline: TimeMs,
-}
-
-/// The result of [`AdmissionQueue::offer`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// The request may choose a target now.
-    Admitted,
-    /// The request waits.
-    Queued {
-        /// The identifier of the request in the queue.
-        waiter: WaiterId,
-        /// A request that this one displaced; it must be refused.
-        displaced: Option<DroppedWaiter>,
-    },
-    /// The request is refused; it did not run.
-    Refused {
-        /// Why it is refused.
-        kind: RefusalKind,
-        /// When the caller may retry.
-        retry: RetryWindow,
-    },
-}
-
-/// A request that left the queue without a slot; it did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DroppedWaiter {
-    /// The identifier of the request.
-    pub waiter: WaiterId,
-    /// Why it is refused.
-    pub kind: RefusalKind,
-    /// When the caller may retry.
-    pub retry: RetryWindow,
-}
-
 #[derive(Clone, Debug)]
-struct WaiterRow {
-    offer: Offer,
+pub(super) struct WaiterRow {
+    pub(super) offer: Offer,
     /// When the request is dropped unless it gets a slot before.
     expires_at: TimeMs,
     /// Why the request is refused when it expires.
     expiry_refusal: RefusalKind,
+    /// The expected run time.
+    cost_ms: f64,
 }
 
 /// The requests that wait for a slot of one service in one daemon.
 ///
 /// Classes are served by priority, except that one slot in
 /// [`MAX_MISSED_SLOTS`] + 1 goes to a waiting class of lower priority. Within a
-/// class, tenants are served round-robin.
+/// class, tenants share as [`TenantSharing`] says.
 #[derive(Debug)]
 pub struct AdmissionQueue {
-    limits: QueueLimits,
+    pub(super) limits: QueueLimits,
+    sharing: TenantSharing,
     /// The waiting requests.
-    waiters: Table<WaiterId, WaiterRow>,
+    pub(super) waiters: Table<WaiterId, WaiterRow>,
     /// One queue for each class, highest priority first.
-    class_queues: [ClassQueue; 3],
+    pub(super) class_queues: [ClassQueue; 3],
     next_id: WaiterId,
     /// Requests that expired and that `expire` has not returned yet.
     expired: Vec<DroppedWaiter>,
     /// A lower bound of the expiry times of all waiting requests.
     earliest_expiry: TimeMs,
-    drain: DrainRate,
+    pub(super) drain: DrainRate,
     /// The moving average of run times; 0 before the first sample.
     mean_run_ms: f64,
+    /// The moving average of the expected run times of the requests that got a slot; 0
+    /// before the first one.
+    mean_cost_ms: f64,
+    pub(super) arrivals: ClassArrivals,
+    pub(super) returns: ReturnSchedule,
 }
 
 impl AdmissionQueue {
@@ -163,13 +84,34 @@
     pub fn new(limits: QueueLimits) -> Self {
         Self {
             limits,
+            sharing: TenantSharing::ByCount,
             waiters: Table::new(),
-            class_queues: Default::default(),
+            class_queues: std::array::from_fn(|_| ClassQueue::new(TenantSharing::ByCount)),
             next_id: WaiterId::default(),
             expired: Vec::new(),
             earliest_expiry: TimeMs(u64::MAX),
             drain: DrainRate::default(),
             mean_run_ms: 0.0,
+            mean_cost_ms: 0.0,
+            arrivals: ClassArrivals::default(),
+            returns: ReturnSchedule::default(),
+        }
+    }
+
+    /// Changes how tenants share; requests that already wait are put in the new order.
+    pub fn set_sharing(&mut self, sharing: TenantSharing) {
+        if self.sharing == sharing {
+            return;
+        }
+        self.sharing = sharing;
+        for queue in &mut self.class_queues {
+            let slots_missed = queue.slots_missed;
+            *queue = ClassQueue::new(sharing);
+            queue.slots_missed = slots_missed;
+        }
+        for (waiter, row) in self.waiters.rows() {
+            let place = row.place(*waiter);
+            self.class_queues[row.offer.class as usize].push(&row.offer.tenant, place);
         }
     }
 
@@ -202,11 +144,23 @@
 
     /// Records how long a request ran at its target.
     pub fn record_run(&mut self, run_ms: DurationMs) {
-        let sample = run_ms.0 as f64;
-        if self.mean_run_ms == 0.0 {
-            self.mean_run_ms = sample;
-        }
-        self.mean_run_ms += (sample - self.mean_run_ms) * NEWEST_RUN_WEIGHT;
+        self.mean_run_ms = moving_average(self.mean_run_ms, run_ms.0 as f64);
+    }
+
+    /// Charges a tenant for what a request ran beyond `charged_ms`, or takes back what it
+    /// was charged too much; nothing if tenants share by count.
+    ///
+    /// `charged_ms` is the expected run time of a request that got its slot from the
+    /// queue, and 0 for one that didn't wait.
+    pub fn charge_run(
+        &mut self,
+        class: TrafficClass,
+        tenant: &TenantName,
+        charged_ms: DurationMs,
+        run_ms: DurationMs,
+    ) {
+        let work_ms = run_ms.0 as f64 - charged_ms.0 as f64;
+        self.class_queues[class as usize].charge(tenant, work_ms);
     }
 
     /// Admits, queues or refuses a request.
@@ -217,7 +171,10 @@
         if has_free_slot && self.is_empty() {
             return Admission::Admitted;
         }
-        let latest_start = offer.deadline - self.min_time_left();
+        if self.sharing == TenantSharing::ByWork {
+            return self.offer_by_work(offer, now);
+        }
+        let latest_start = offer.deadline - self.min_time_left(&offer);
         if now >= latest_start {
             return self.refuse(RefusalKind::DeadlinePassed, now);
         }
@@ -242,13 +199,25 @@
                 retry: self.retry_window(now),
             });
         }
-        let waiter = self.next_waiter_id();
-        self.drain.begin_wait(now);
-        self.class_queues[class].push_back(&offer.tenant, waiter);
-        self.insert_row(waiter, offer, expires_at, expiry_refusal);
+        let waiter = self.enqueue(offer, expires_at, expiry_refusal, now);
         Admission::Queued { waiter, displaced }
     }
 
+    /// Adds a request at the end of its tenant's queue.
+    pub(super) fn enqueue(
+        &mut self,
+        offer: Offer,
+        expires_at: TimeMs,
+        expiry_refusal: RefusalKind,
+        now: TimeMs,
+    ) -> WaiterId {
+        let (waiter, row) = self.new_row(offer, expires_at, expiry_refusal, now);
+        let place = row.place(waiter);
+        self.class_queues[row.offer.class as usize].push(&row.offer.tenant, place);
+        self.waiters.insert(waiter, row);
+        waiter
+    }
+
     /// Requeues a request that got a slot but found no target, ahead of its
     /// tenant's other requests.
     ///
@@ -257,10 +226,10 @@
     /// slots.
     pub fn put_back(&mut self, offer: Offer, offered_at: TimeMs, now: TimeMs) -> WaiterId {
         let (expires_at, expiry_refusal) = self.expiry_of(&offer, offered_at);
-        let waiter = self.next_waiter_id();
-        self.drain.begin_wait(now);
-        self.class_queues[offer.class as usize].push_front(&offer.tenant, waiter);
-        self.insert_row(waiter, offer, expires_at, expiry_refusal);
+        let (waiter, row) = self.new_row(offer, expires_at, expiry_refusal, now);
+        let place = row.place(waiter);
+        self.class_queues[row.offer.class as usize].put_back(&row.offer.tenant, place);
+        self.waiters.insert(waiter, row);
         waiter
     }
 
@@ -270,13 +239,14 @@
     pub fn assign_free_slot(&mut self, now: TimeMs) -> Option<WaiterId> {
         self.drop_expired(now);
         self.drain.record_free_slot(now);
+        self.arrivals.record_free_slot(self.mean_cost_ms);
         let class = self.next_class()?;
         let waiter = self.class_queues[class].pop()?;
         self.count_slot(class);
-        self.waiters.remove(&waiter);
-        if self.is_empty() {
-            self.drain.end_wait();
+        if let Some(row) = self.waiters.remove(&waiter) {
+            self.mean_cost_ms = moving_average(self.mean_cost_ms, row.cost_ms);
         }
+        self.note_if_empty();
         Some(waiter)
     }
 
@@ -307,6 +277,11 @@
         }
         self.earliest_expiry = earliest;
         for dropped in newly_expired {
+            if self.sharing == TenantSharing::ByWork {
+                let dropped = self.drop_waiter(dropped.waiter, dropped.kind, now);
+                self.expired.extend(dropped);
+                continue;
+            }
             self.remove(dropped.waiter);
             self.expired.push(dropped);
         }
@@ -335,41 +310,65 @@
         waiters
     }
 
-    fn remove(&mut self, waiter: WaiterId) {
+    pub(super) fn remove(&mut self, waiter: WaiterId) {
         let Some(row) = self.waiters.remove(&waiter) else {
             return;
         };
-        self.class_queues[row.offer.class as usize].remove(&row.offer.tenant, waiter);
+        let place = row.place(waiter);
+        self.class_queues[row.offer.class as usize].remove(&row.offer.tenant, place);
+        self.note_if_empty();
+    }
+
+    fn note_if_empty(&mut self) {
         if self.is_empty() {
             self.drain.end_wait();
+            self.arrivals = ClassArrivals::default();
         }
     }
 
-    fn insert_row(
+    /// Creates the row of a request that begins to wait.
+    fn new_row(
         &mut self,
-        waiter: WaiterId,
         offer: Offer,
         expires_at: TimeMs,
         expiry_refusal: RefusalKind,
-    ) {
+        now: TimeMs,
+    ) -> (WaiterId, WaiterRow) {
+        self.drain.begin_wait(now);
         self.earliest_expiry = self.earliest_expiry.min(expires_at);
+        let waiter = self.next_id;
+        self.next_id = WaiterId(waiter.0 + 1);
+        let cost_ms = self.cost_ms(&offer);
         let row = WaiterRow {
             offer,
             expires_at,
             expiry_refusal,
+            cost_ms,
         };
-        self.waiters.insert(waiter, row);
+        (waiter, row)
     }
 
-    fn next_waiter_id(&mut self) -> WaiterId {
-        let waiter = self.next_id;
-        self.next_id = WaiterId(waiter.0 + 1);
-        waiter
+    /// Returns the expected run time of a request.
+    pub(super) fn cost_ms(&self, offer: &Offer) -> f64 {
+        let cost_ms = match offer.expected_run_ms {
+            Some(run_ms) => run_ms.0 as f64,
+            None => self.mean_run_ms,
+        };
+        cost_ms.max(1.0)
+    }
+
+    /// Returns the mean expected run time of the requests that got a slot, or `cost_ms`
+    /// if none has.
+    pub(super) fn mean_cost_or(&self, cost_ms: f64) -> f64 {
+        if self.mean_cost_ms == 0.0 {
+            return cost_ms;
+        }
+        self.mean_cost_ms
     }
 
     /// Returns when a request expires and the refusal that it gets then.
-    fn expiry_of(&self, offer: &Offer, offered_at: TimeMs) -> (TimeMs, RefusalKind) {
-        let latest_start = offer.deadline - self.min_time_left();
+    pub(super) fn expiry_of(&self, offer: &Offer, offered_at: TimeMs) -> (TimeMs, RefusalKind) {
+        let latest_start = offer.deadline - self.min_time_left(offer);
         let waits_until = offered_at + self.limits.wait_ms;
         if latest_start < waits_until {
             return (latest_start, RefusalKind::DeadlinePassed);
@@ -378,13 +377,12 @@
     }
 
     /// Returns how long before its deadline a request may be sent at the latest.
-    fn min_time_left(&self) -> DurationMs {
-        DurationMs((self.mean_run_ms * MIN_RUN_TIMES_LEFT) as u64)
-    }
-
-    /// Returns the number of places reserved for each class.
-    fn reserve(&self) -> usize {
-        (self.limits.places / CLASS_RESERVE_DIVISOR).max(1)
+    fn min_time_left(&self, offer: &Offer) -> DurationMs {
+        let run_ms = match offer.expected_run_ms {
+            Some(run_ms) if self.sharing == TenantSharing::ByWork => run_ms.0 as f64,
+            _ => self.mean_run_ms,
+        };
+        DurationMs((run_ms * MIN_RUN_TIMES_LEFT) as u64)
     }
 
     /// Returns the index of the class that gets the next slot.
@@ -417,47 +415,6 @@
         }
     }
 
-    fn estimated_wait(&self, offer: &Offer, now: TimeMs) -> DurationMs {
-        let own = offer.class as usize;
-        let mut ahead = self.class_queues[own].ahead_of(&offer.tenant);
-        for queue in &self.class_queues[..own] {
-            ahead += queue.len();
-        }
-        self.drain.time_for(ahead + 1, now).unwrap_or(DurationMs(0))
-    }
-
-    /// Returns the request that `offer` displaces from a full queue, if any.
-    ///
-    /// The choices, in order: a request of a lower-priority class that is above
-    /// its reserve; one of the tenant with the most requests of the same class, if
-    /// it has more than the tenant of `offer` would then have; and, if the class of
-    /// `offer` is below its reserve, one of a higher-priority class that is above
-    /// its reserve.
-    fn find_displaced(&self, offer: &Offer) -> Option<WaiterId> {
-        let own = offer.class as usize;
-        let reserve = self.reserve();
-        for queue in self.class_queues[own + 1..].iter().rev() {
-            if queue.len() > reserve {
-                return queue.newest_of_longest().map(|(waiter, _)| waiter);
-            }
-        }
-        let own_queue = &self.class_queues[own];
-        if let Some((waiter, places)) = own_queue.newest_of_longest()
-            && places > own_queue.len_of(&offer.tenant) + 1
-        {
-            return Some(waiter);
-        }
-        if own_queue.len() >= reserve {
-            return None;
-        }
-        for queue in self.class_queues[..own].iter().rev() {
-            if queue.len() > reserve {
-                return queue.newest_of_longest().map(|(waiter, _)| waiter);
-            }
-        }
-        None
-    }
-
     fn refuse(&self, kind: RefusalKind, now: TimeMs) -> Admission {
         Admission::Refused {
             kind,
@@ -469,3 +426,19 @@
         RetryWindow::after(self.backlog(now))
     }
 }
+
+impl WaiterRow {
+    fn place(&self, waiter: WaiterId) -> Place {
+        Place {
+            waiter,
+            expires_at: self.expires_at,
+            cost_ms: self.cost_ms,
+        }
+    }
+}
+
+/// Returns a moving average with a new sample; 0 stands for no earlier sample.
+fn moving_average(mean: f64, sample: f64) -> f64 {
+    let mean = if mean == 0.0 { sample } else { mean };
+    mean + (sample - mean) * NEWEST_RUN_WEIGHT
+}
--- a/crates/agatehold-core/src/limits/retry_after.rs
+++ b/crates/agatehold-core/src/limits/retry_after.rs
@@ -33,6 +33,14 @@
             to_ms: from_ms.times(3),
         }
     }
+
+    /// Creates the range of one delay, for a caller that was given a time of its own.
+    pub const fn exactly(delay_ms: DurationMs) -> Self {
+        Self {
+            from_ms: delay_ms,
+            to_ms: delay_ms,
+        }
+    }
 }
 
 /// Draws a delay for `Retry-After` in whole seconds.
--- a/crates/agatehold-core/tests/admission.rs
+++ b/crates/agatehold-core/tests/admission.rs
@@ -221,6 +221,8 @@
                 tenant: tenant(index),
                 class: CLASSES[class],
                 deadline: model.now + DurationMs(timeout_ms),
+                expected_run_ms: None,
+                caller_deadline: None,
             };
             let deadline = offer.deadline;
             match queue.offer(offer, has_free_slot, model.now) {
@@ -282,6 +284,8 @@
         tenant: tenant(index),
         class: TrafficClass::Urgent,
         deadline: TimeMs(10_000),
+        expected_run_ms: None,
+        caller_deadline: None,
     };
     for _ in 0..16 {
         queue.offer(offer(0), false, TimeMs(0));
--- a/crates/agatehold-measure-load/benches/decisions.rs
+++ b/crates/agatehold-measure-load/benches/decisions.rs
@@ -218,6 +218,8 @@
                 tenant: format!("tenant-{}", number % 32).parse()?,
                 class: TrafficClass::Urgent,
                 deadline: TimeMs(10_000),
+                expected_run_ms: None,
+                caller_deadline: None,
             });
         }
         for offer in &offers[1..] {
--- a/crates/agatehold-measure-load/src/fleet.rs
+++ b/crates/agatehold-measure-load/src/fleet.rs
@@ -256,6 +256,8 @@
             tenant,
             class,
             deadline: now + timeout_ms,
+            expected_run_ms: None,
+            caller_deadline: None,
         };
         let request = self.requests.len();
         self.requests.push(Request {
--- a/crates/agatehold-measure-load/src/simulation.rs
+++ b/crates/agatehold-measure-load/src/simulation.rs
@@ -188,11 +188,15 @@
                 tenant: source.tenant.clone(),
                 class: source.class,
                 deadline,
+                expected_run_ms: None,
+                caller_deadline: None,
             },
             Policy::Unlimited => Offer {
                 tenant: self.streams[0].tenant.clone(),
                 class: TrafficClass::Normal,
                 deadline: TimeMs(u64::MAX / 2),
+                expected_run_ms: None,
+                caller_deadline: None,
             },
         };
         match self.queue.offer(offer, self.free_slots > 0, now) {
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -168,6 +168,8 @@
             tenant: tenant.clone(),
             class: self.plan.class,
             deadline: self.plan.deadline,
+            expected_run_ms: None,
+            caller_deadline: None,
         };
         self.admission_controller
             .with_budget(|budget| budget.record_request(now));
