--- a/crates/agatehold-core/src/limits/by_work.rs
+++ b/crates/agatehold-core/src/limits/by_work.rs
@@ -53,14 +53,17 @@
         for queue in self.class_queues[..own].iter().filter_map(work_order) {
             ahead_ms += queue.work_ms();
         }
-        let own_ahead_ms = work_order(&self.class_queues[own])
-            .map_or(0.0, |queue| queue.work_ahead_of(&offer.tenant, expires_at));
+        let own_queue = work_order(&self.class_queues[own]);
+        let own_ahead_ms =
+            own_queue.map_or(0.0, |queue| queue.work_ahead_of(&offer.tenant, expires_at));
         ahead_ms += own_ahead_ms;
         let slots = ahead_ms / mean_cost_ms + 1.0;
         let share_of_class = 1.0 / f64::from(MAX_MISSED_SLOTS + 1);
         let left_share = (1.0 - self.arrivals.share_above(own)).max(share_of_class);
         let at_share_of_class = (own_ahead_ms / mean_cost_ms + 1.0) / share_of_class;
         let slots = (slots / left_share).min(at_share_of_class.max(slots));
+        let at_progress = own_queue.and_then(|queue| queue.slots_until(&offer.tenant, expires_at));
+        let slots = at_progress.map_or(slots, |at_progress| at_progress.max(slots));
         self.drain.time_for_slots(slots, now).unwrap_or_default()
     }
 
--- a/crates/agatehold-core/src/limits/class_queue.rs
+++ b/crates/agatehold-core/src/limits/class_queue.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Records that a class got a slot.
+    pub(super) fn record_slot(&mut self) {
+        if let ClassOrder::ByWork(queue) = &mut self.order {
+            queue.record_slot();
+        }
+    }
+
     /// Removes and returns the next request to be served.
     pub(super) fn pop(&mut self) -> Option<WaiterId> {
         match &mut self.order {
--- a/crates/agatehold-core/src/limits/queue.rs
+++ b/crates/agatehold-core/src/limits/queue.rs
@@ -407,6 +407,7 @@
     /// that have requests waiting.
     fn count_slot(&mut self, served: usize) {
         for (index, queue) in self.class_queues.iter_mut().enumerate() {
+            queue.record_slot();
             if index == served {
                 queue.slots_missed = 0;
             } else if !queue.is_empty() {
--- a/crates/agatehold-core/src/limits/work_queue.rs
+++ b/crates/agatehold-core/src/limits/work_queue.rs
@@ -10,6 +10,13 @@
 use super::WaiterId;
 use super::class_queue::Place;
 
+/// The weight of the newest sample in the moving average of the progress.
+const NEWEST_WEIGHT: f64 = 0.05;
+
+/// The number of slots after which the progress is a basis for estimates. Before, one
+/// tenant without a backlog can make it seem that the others stand still.
+const SLOTS_MEASURED: u32 = 20;
+
 /// The requests of one tenant.
 #[derive(Debug, Default)]
 struct TenantRow {
@@ -47,6 +54,12 @@
     virtual_ms: f64,
     /// The number of requests of all tenants.
     len: usize,
+    /// How far `virtual_ms` moves on average with each slot that any class gets.
+    progress_ms: f64,
+    /// The slots since requests began to wait.
+    slots: u32,
+    /// `virtual_ms` at the last slot.
+    measured_at_ms: f64,
 }
 
 impl WorkQueue {
@@ -89,6 +102,36 @@
         ahead_ms
     }
 
+    /// Returns the number of slots until the virtual time reaches a new request of a
+    /// tenant that has requests waiting, at its measured progress; `None` without a
+    /// measurement.
+    ///
+    /// This takes in the requests of other tenants that are yet to come and will be served
+    /// first, because their tenants have got less.
+    pub(super) fn slots_until(&self, tenant: &TenantName, expires_at: TimeMs) -> Option<f64> {
+        let row = self.tenants.get(tenant)?;
+        if row.waiting.is_empty() || self.slots < SLOTS_MEASURED {
+            return None;
+        }
+        let before = row.waiting.range(..=(expires_at, WaiterId(u64::MAX)));
+        let own_ms: f64 = before.map(|(_, cost_ms)| cost_ms).sum();
+        let distance_ms = (row.starts_at + own_ms - self.virtual_ms).max(0.0);
+        Some(distance_ms / self.progress_ms.max(f64::EPSILON))
+    }
+
+    /// Measures the progress after a slot was given to any class.
+    pub(super) fn record_slot(&mut self) {
+        if self.len == 0 {
+            return;
+        }
+        self.slots = self.slots.saturating_add(1);
+        let sample = self.virtual_ms - self.measured_at_ms;
+        self.measured_at_ms = self.virtual_ms;
+        // A plain mean until there are enough samples.
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(self.slots));
+        self.progress_ms += (sample - self.progress_ms) * weight;
+    }
+
     /// Adds a request.
     pub(super) fn push(&mut self, tenant: &TenantName, place: Place) {
         let row = self
