gateway: let tenants share the slots of a service by work

Cause: the queue of a service treats requests of one tenant after the other alike, whatever they cost, and refused callers draw a time to return from the whole queue's drain time, all from the same range.

Ruled out: sharing by work in every deployment. Without tenants there is nothing to share, and the order, the waits and Retry-After are as before.

Change: while the configuration has tenants, the queue of each service shares by work; it gets the route's average run time as the expected run time, the attempt's run time when it ends, and whether the caller said how much time it has left.

--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -16,6 +16,7 @@
 use crate::gateway::responses;
 use crate::gateway::serve::request_id_text;
 use crate::gateway::target::TargetResponse;
+use crate::gateway::tenant_metrics;
 
 use super::Dispatch;
 use super::DispatchEnd;
@@ -75,6 +76,7 @@
                 metrics::counter!("agatehold_refusals_total",
                     "kind" => kind.answer().name)
                 .increment(1);
+                tenant_metrics::count_refusal(&self.state.view(), self.credentials.tenant());
                 log::warn!(
                     "event=refused id={id} path={} kind={kind} outcome={outcome} route={} service={} target={target} connection={} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
                     FieldText(&self.incoming.head.target),
@@ -89,13 +91,10 @@
                     self.version
                 );
                 let id = self.request_id.as_ref();
-                Some(responses::refusal(
-                    self.state,
-                    kind,
-                    outcome,
-                    self.backlog_ms,
-                    id,
-                ))
+                Some(match self.return_ms {
+                    Some(delay_ms) => responses::refusal_with_delay(kind, outcome, delay_ms, id),
+                    None => responses::refusal(self.state, kind, outcome, self.backlog_ms, id),
+                })
             }
         }
     }
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -7,8 +7,11 @@
 mod record_attempt;
 mod record_statements;
 
+use std::time::Duration;
+
 use http::HeaderValue;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use agatehold_core::catalog::CatalogRoute;
 use agatehold_core::catalog::ConfigVersion;
@@ -32,11 +35,14 @@
 use crate::gateway::endpoint::Response;
 use crate::gateway::pool::ConnectionUse;
 use crate::gateway::queue;
+use crate::gateway::queue::QueueRefusal;
 use crate::gateway::queue::SlotOutcome;
 use crate::gateway::queue::SlotRequest;
+use crate::gateway::routes;
 use crate::gateway::serve::request_id_text;
 use crate::gateway::target::AttemptEnd;
 use crate::gateway::target::TargetResponse;
+use crate::gateway::tenant_metrics;
 use crate::gateway::traffic::TrafficState;
 
 pub(super) use credentials::Credentials;
@@ -87,6 +93,10 @@
     is_over_budget: bool,
     /// The queue's estimated drain time, if the queue refused the request.
     backlog_ms: Option<DurationMs>,
+    /// After which time the caller may return, if the queue said so.
+    return_ms: Option<DurationMs>,
+    /// The run time that the queue has charged the tenant for the next attempt.
+    charged_ms: DurationMs,
 }
 
 /// How the dispatch of a request ended.
@@ -127,6 +137,8 @@
         connection_use: None,
         is_over_budget: false,
         backlog_ms: None,
+        return_ms: None,
+        charged_ms: DurationMs(0),
     };
     let dispatch_end = dispatch.send_until_answered(response_sender).await;
     dispatch.finish(dispatch_end)
@@ -264,6 +276,8 @@
         response_sender: &mut oneshot::Sender<Response>,
     ) -> Result<TargetIdentity, DispatchEnd> {
         let objective_ms = self.route.objective_ms;
+        let expected_run_ms = routes::average_run(self.state, self.route);
+        let headers = &self.incoming.head.headers;
         let slot_outcome = queue::claim_or_wait(
             self.state,
             &SlotRequest {
@@ -273,16 +287,19 @@
                 idempotent: self.route.idempotent,
                 deadline: self.deadline,
                 wait_ms: DurationMs(objective_ms.0 * WAIT_SHARE_PERCENT / 100),
+                expected_run_ms,
+                has_caller_deadline: headers.contains_key(request_headers::DEADLINE_REMAINING_MS),
             },
         );
         let (waiter, mut result_receiver) = match slot_outcome {
-            SlotOutcome::Target(target) => return Ok(target),
-            SlotOutcome::Refused(queue_refusal) => {
-                self.backlog_ms = Some(queue_refusal.backlog_ms);
-                return Err(DispatchEnd::Refused(queue_refusal.kind));
+            SlotOutcome::Target(target) => {
+                self.record_wait(Duration::ZERO);
+                return Ok(target);
             }
+            SlotOutcome::Refused(queue_refusal) => return Err(self.refused(queue_refusal)),
             SlotOutcome::Waiting(waiter, result_receiver) => (waiter, result_receiver),
         };
+        let waits_since = Instant::now();
         let result = tokio::select! {
             biased;
             // First, so that nothing is sent for a caller that has left.
@@ -298,16 +315,29 @@
             }
             result = &mut result_receiver => result,
         };
+        self.record_wait(waits_since.elapsed());
         match result {
-            Ok(Ok(target)) => Ok(target),
-            Ok(Err(queue_refusal)) => {
-                self.backlog_ms = Some(queue_refusal.backlog_ms);
-                Err(DispatchEnd::Refused(queue_refusal.kind))
+            Ok(Ok(target)) => {
+                self.charged_ms = expected_run_ms;
+                Ok(target)
             }
+            Ok(Err(queue_refusal)) => Err(self.refused(queue_refusal)),
             Err(_) => Err(DispatchEnd::Refused(RefusalKind::QueueTimeout)),
         }
     }
 
+    fn record_wait(&self, waited: Duration) {
+        let view = self.state.view();
+        tenant_metrics::record_wait(&view, &self.service, self.priority, waited);
+    }
+
+    /// Notes what a refusal of the queue says about the caller's return.
+    fn refused(&mut self, queue_refusal: QueueRefusal) -> DispatchEnd {
+        self.backlog_ms = Some(queue_refusal.backlog_ms);
+        self.return_ms = queue_refusal.return_ms;
+        DispatchEnd::Refused(queue_refusal.kind)
+    }
+
     fn release(&self, target: &TargetIdentity) {
         self.state.targets.borrow_mut().release(target);
         queue::assign_free_slots(self.state, &self.service);
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -126,6 +126,15 @@
                 evidence::send_answered(self.state, &self.service, &evidence);
             }
         }
+        let charged_ms = std::mem::take(&mut self.charged_ms);
+        queue::charge_run(
+            self.state,
+            &self.service,
+            self.credentials.tenant(),
+            self.priority,
+            charged_ms,
+            run_ms,
+        );
         match end.outcome {
             AttemptOutcome::Answered => {
                 routes::record_run(self.state, self.route, run_ms);
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod store;
 mod store_tasks;
 mod target;
+mod tenant_metrics;
 mod traffic;
 
 use std::path::Path;
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -8,6 +8,7 @@
 use agatehold_core::dispatch::Choice;
 use agatehold_core::dispatch::PickRequest;
 use agatehold_core::dispatch::pick_live_target;
+use agatehold_core::ids::ParseIdError;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::ids::TenantName;
@@ -16,6 +17,8 @@
 use agatehold_core::limits::DroppedWaiter;
 use agatehold_core::limits::Offer;
 use agatehold_core::limits::QueueLimits;
+use agatehold_core::limits::RetryWindow;
+use agatehold_core::limits::TenantSharing;
 use agatehold_core::limits::WaiterId;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::target_registry::TargetIdentity;
@@ -37,6 +40,19 @@
     pub(super) kind: RefusalKind,
     /// The estimated time until the queue has drained.
     pub(super) backlog_ms: DurationMs,
+    /// After which time the caller is told to return; drawn from the drain time if `None`.
+    pub(super) return_ms: Option<DurationMs>,
+}
+
+impl QueueRefusal {
+    /// Creates the refusal of a request by the state of the targets, not of the queue.
+    const fn by_targets(kind: RefusalKind, backlog_ms: DurationMs) -> Self {
+        Self {
+            kind,
+            backlog_ms,
+            return_ms: None,
+        }
+    }
 }
 
 /// The result of waiting in the queue: a target with a claimed slot, or a refusal.
@@ -45,6 +61,8 @@
 /// The queue of one service.
 pub(super) struct ServiceQueue {
     queue: AdmissionQueue,
+    /// How tenants share the slots: by work if the configuration has tenants.
+    sharing: TenantSharing,
     /// The channel to each waiting request.
     waiting: HashMap<WaiterId, oneshot::Sender<QueueResult>>,
 }
@@ -73,6 +91,11 @@
     pub(super) deadline: TimeMs,
     /// How long the request may wait in the queue.
     pub(super) wait_ms: DurationMs,
+    /// How long the request is expected to run.
+    pub(super) expected_run_ms: DurationMs,
+    /// Whether the caller has said how much time it has left. Otherwise `deadline` is the
+    /// route's time limit.
+    pub(super) has_caller_deadline: bool,
 }
 
 impl ServiceQueue {
@@ -83,10 +106,21 @@
         };
         Self {
             queue: AdmissionQueue::new(limits),
+            sharing: TenantSharing::ByCount,
             waiting: HashMap::new(),
         }
     }
 
+    /// Lets tenants share by work if the configuration has tenants.
+    fn set_sharing(&mut self, has_tenants: bool) {
+        self.sharing = if has_tenants {
+            TenantSharing::ByWork
+        } else {
+            TenantSharing::ByCount
+        };
+        self.queue.set_sharing(self.sharing);
+    }
+
     /// Returns whether no request is waiting.
     pub(super) fn is_empty(&self) -> bool {
         self.queue.is_empty()
@@ -95,23 +129,25 @@
     /// Refuses all waiting requests, since no target takes them.
     fn refuse_all(&mut self) {
         for waiter in self.queue.drain_all() {
-            let refusal = QueueRefusal {
-                kind: RefusalKind::NoTarget,
-                backlog_ms: DurationMs(0),
-            };
+            let refusal = QueueRefusal::by_targets(RefusalKind::NoTarget, DurationMs(0));
             self.refuse(waiter, refusal);
         }
     }
 
     /// Refuses a request that the queue has dropped.
     fn refuse_dropped(&mut self, dropped: DroppedWaiter, now: TimeMs) {
-        let refusal = QueueRefusal {
-            kind: dropped.kind,
-            backlog_ms: self.queue.backlog(now),
-        };
+        let refusal = self.queue_refusal(dropped.kind, dropped.retry, now);
         self.refuse(dropped.waiter, refusal);
     }
 
+    fn queue_refusal(&self, kind: RefusalKind, retry: RetryWindow, now: TimeMs) -> QueueRefusal {
+        QueueRefusal {
+            kind,
+            backlog_ms: self.queue.backlog(now),
+            return_ms: (self.sharing == TenantSharing::ByWork).then_some(retry.from_ms),
+        }
+    }
+
     fn refuse(&mut self, waiter: WaiterId, refusal: QueueRefusal) {
         let Some(result_sender) = self.waiting.remove(&waiter) else {
             return;
@@ -124,10 +160,7 @@
 /// Returns the refusal of a request that can't wait until the first target takes requests
 /// again.
 fn pause_refusal(until: TimeMs, now: TimeMs) -> QueueRefusal {
-    QueueRefusal {
-        kind: RefusalKind::TargetsPaused,
-        backlog_ms: until.since(now),
-    }
+    QueueRefusal::by_targets(RefusalKind::TargetsPaused, until.since(now))
 }
 
 /// Picks a target and claims one of its slots.
@@ -196,10 +229,12 @@
 /// and only at a suspected target.
 pub(super) fn claim_or_wait(state: &TrafficState, slot_request: &SlotRequest<'_>) -> SlotOutcome {
     let now = state.shared.clock.now();
+    let has_tenants = state.view().has_tenants();
     let mut queues = state.queues.borrow_mut();
     let row = queues
         .entry(slot_request.service.clone())
         .or_insert_with(ServiceQueue::new);
+    row.set_sharing(has_tenants);
     let is_queue_empty = row.queue.is_empty();
     if is_queue_empty || slot_request.idempotent {
         match pick(
@@ -216,10 +251,8 @@
             // The slot is left to the requests that already wait.
             Choice::Target(_) => {}
             Choice::NoTarget => {
-                return SlotOutcome::Refused(QueueRefusal {
-                    kind: RefusalKind::NoTarget,
-                    backlog_ms: DurationMs(0),
-                });
+                let refusal = QueueRefusal::by_targets(RefusalKind::NoTarget, DurationMs(0));
+                return SlotOutcome::Refused(refusal);
             }
             Choice::AllPaused(until) => {
                 let latest = slot_request.deadline.min(now + slot_request.wait_ms);
@@ -230,20 +263,20 @@
             Choice::AllBusy => {}
         }
     }
-    let tenant = match slot_request.tenant {
-        Some(tenant) => Ok(tenant.clone()),
-        None => SHARED_TENANT.parse(),
-    };
-    let Ok(tenant) = tenant else {
-        return SlotOutcome::Refused(QueueRefusal {
-            kind: RefusalKind::Internal,
-            backlog_ms: DurationMs(0),
-        });
+    let Ok(tenant) = queue_tenant(slot_request.tenant) else {
+        return SlotOutcome::Refused(QueueRefusal::by_targets(
+            RefusalKind::Internal,
+            DurationMs(0),
+        ));
     };
     let offer = Offer {
         tenant,
         class: traffic_class(slot_request.priority),
         deadline: slot_request.deadline,
+        expected_run_ms: Some(slot_request.expected_run_ms),
+        caller_deadline: slot_request
+            .has_caller_deadline
+            .then_some(slot_request.deadline),
     };
     row.queue.set_limits(QueueLimits {
         places: QUEUE_CAPACITY,
@@ -261,16 +294,15 @@
             }
             SlotOutcome::Waiting(waiter, result_receiver)
         }
-        Admission::Refused { kind, .. } => SlotOutcome::Refused(QueueRefusal {
-            kind,
-            backlog_ms: row.queue.backlog(now),
-        }),
+        Admission::Refused { kind, retry } => {
+            SlotOutcome::Refused(row.queue_refusal(kind, retry, now))
+        }
         // Unreachable: the queue admits a request at once only if it is
         // offered together with a free slot.
-        Admission::Admitted => SlotOutcome::Refused(QueueRefusal {
-            kind: RefusalKind::Internal,
-            backlog_ms: DurationMs(0),
-        }),
+        Admission::Admitted => SlotOutcome::Refused(QueueRefusal::by_targets(
+            RefusalKind::Internal,
+            DurationMs(0),
+        )),
     }
 }
 
@@ -282,6 +314,14 @@
     row.is_some_and(|row| row.failure_detector.is_suspected())
 }
 
+/// Returns the tenant under which a request waits.
+fn queue_tenant(tenant: Option<&TenantName>) -> Result<TenantName, ParseIdError> {
+    match tenant {
+        Some(tenant) => Ok(tenant.clone()),
+        None => SHARED_TENANT.parse(),
+    }
+}
+
 const fn traffic_class(priority: u8) -> TrafficClass {
     match priority {
         0 => TrafficClass::Urgent,
@@ -308,6 +348,23 @@
     }
 }
 
+/// Charges a tenant for the time that a request took a slot, as far as it was not charged
+/// when it got the slot.
+pub(super) fn charge_run(
+    state: &TrafficState,
+    service: &ServiceName,
+    tenant: Option<&TenantName>,
+    priority: u8,
+    charged_ms: DurationMs,
+    run_ms: DurationMs,
+) {
+    let mut queues = state.queues.borrow_mut();
+    if let (Some(row), Ok(tenant)) = (queues.get_mut(service), queue_tenant(tenant)) {
+        let class = traffic_class(priority);
+        row.queue.charge_run(class, &tenant, charged_ms, run_ms);
+    }
+}
+
 /// Assigns free slots to waiting requests and refuses those that have waited too
 /// long.
 pub(super) fn assign_free_slots(state: &TrafficState, service: &ServiceName) {
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -153,6 +153,19 @@
     outcome: RefusalOutcome,
     backlog_ms: Option<DurationMs>,
     request_id: Option<&HeaderValue>,
+) -> Response {
+    let backlog_ms = backlog_ms.unwrap_or(DurationMs(0));
+    let delay_ms = spread_retry_after_fraction(backlog_ms, &mut *state.rng.borrow_mut());
+    refusal_with_delay(kind, outcome, delay_ms, request_id)
+}
+
+/// Builds the response for a refused request whose caller is told to return after exactly
+/// `delay_ms`.
+pub(super) fn refusal_with_delay(
+    kind: RefusalKind,
+    outcome: RefusalOutcome,
+    delay_ms: DurationMs,
+    request_id: Option<&HeaderValue>,
 ) -> Response {
     let id_text = request_id.and_then(|id| id.to_str().ok());
     let body = encode_refusal(kind, id_text).into();
@@ -164,8 +177,6 @@
     let advice = kind.answer().retry;
     let retry_helps = matches!(advice, RetryAdvice::Later | RetryAdvice::OtherAddress);
     if retry_helps && outcome == RefusalOutcome::NotRun {
-        let backlog_ms = backlog_ms.unwrap_or(DurationMs(0));
-        let delay_ms = spread_retry_after_fraction(backlog_ms, &mut *state.rng.borrow_mut());
         let seconds = format!("{}.{:03}", delay_ms.0 / 1_000, delay_ms.0 % 1_000);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             let name = HeaderName::from_static(request_headers::RETRY_AFTER);
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -71,6 +71,13 @@
 }
 
 impl View {
+    /// Returns whether the configuration has tenants.
+    pub(super) fn has_tenants(&self) -> bool {
+        self.catalog
+            .as_ref()
+            .is_some_and(|catalog| catalog.tenants.is_some())
+    }
+
     /// Returns whether both a configuration and the targets have been loaded.
     pub(crate) fn is_ready(&self) -> bool {
         self.catalog.is_some() && self.contents.targets.complete_to() > 0
