--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod store;
 mod store_tasks;
 mod target;
+mod tenant_metrics;
 mod traffic;
 mod write;
 
