--- a/crates/agatehold-core/src/dissemination/heartbeats.rs
+++ b/crates/agatehold-core/src/dissemination/heartbeats.rs
@@ -5,32 +5,40 @@
 use crate::ids::HostId;
 use crate::table::Table;
 use crate::units::DurationMs;
+use crate::units::StoreEra;
+use crate::units::StoreRevision;
 use crate::units::TimeMs;
 
 /// The newest revisions of the store's contents that a daemon knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Revisions {
     /// The revision of the operators' configuration.
-    pub configuration: u64,
+    pub configuration: StoreRevision,
     /// The revision of the last change to the registered targets.
-    pub targets: u64,
+    pub targets: StoreRevision,
     /// The revision of the last change to the registered daemons.
-    pub members: u64,
+    pub members: StoreRevision,
 }
 
 impl Revisions {
     /// Orders revisions by what is most urgent: the configuration, then the
     /// targets, then the members.
-    pub(super) const fn by_urgency(&self) -> (u64, u64, u64) {
+    pub(super) const fn by_urgency(&self) -> (StoreRevision, StoreRevision, StoreRevision) {
         (self.configuration, self.targets, self.members)
     }
 
     /// Returns whether any revision in `self` is higher than in `other`.
-    pub const fn is_ahead_of(&self, other: &Self) -> bool {
+    pub fn is_ahead_of(&self, other: &Self) -> bool {
         self.configuration > other.configuration
             || self.targets > other.targets
             || self.members > other.members
     }
+
+    /// Returns the newest era of any revision.
+    pub fn era(&self) -> StoreEra {
+        let newest = self.configuration.max(self.targets).max(self.members);
+        newest.era()
+    }
 }
 
 /// A heartbeat message of a daemon.
@@ -63,6 +71,8 @@
     /// The receiving host's id; makes the order of equal sources differ between
     /// daemons.
     salt: Box<str>,
+    /// The newest era of the store that is known; it never decreases.
+    newest_era: StoreEra,
 }
 
 impl HeartbeatTable {
@@ -71,6 +81,7 @@
         Self {
             rows: Table::new(),
             salt: host.as_str().into(),
+            newest_era: StoreEra(0),
         }
     }
 
@@ -81,9 +92,23 @@
             store_answered_at: now - heartbeat.store_age_ms,
             heard_at: now,
         };
+        self.raise_era(heartbeat.revisions.era());
         self.rows.insert(heartbeat.host.clone(), heard);
     }
 
+    /// Returns the newest era of the store that is known from any source.
+    pub const fn newest_era(&self) -> StoreEra {
+        self.newest_era
+    }
+
+    /// Records an era that is known from another source than a heartbeat. Returns whether
+    /// it is newer than all known ones.
+    pub fn raise_era(&mut self, era: StoreEra) -> bool {
+        let is_newer = era > self.newest_era;
+        self.newest_era = self.newest_era.max(era);
+        is_newer
+    }
+
     /// Returns the rank of a source among sources with equal revisions, so that
     /// the daemons that hear of a change at once don't all fetch from one.
     pub(super) fn source_rank(&self, host: &HostId) -> u64 {
--- a/crates/agatehold-core/src/dissemination/refresh.rs
+++ b/crates/agatehold-core/src/dissemination/refresh.rs
@@ -51,11 +51,15 @@
 /// Returns until when the known heartbeats count as recent; `None` if there are none.
 fn recent_until(heartbeats: &HeartbeatTable) -> Option<TimeMs> {
     let rows = heartbeats.rows.rows();
-    rows.map(|(_, heartbeat)| {
-        let heard_until = heartbeat.heard_at + HEARTBEAT_TIMEOUT_MS;
-        heard_until.min(heartbeat.store_answered_at + STORE_ANSWER_AGE_MAX_MS)
-    })
-    .max()
+    // A sender that knows only an older era may be served by an old replica of the store.
+    let current =
+        rows.filter(|(_, heartbeat)| heartbeat.revisions.era() >= heartbeats.newest_era());
+    current
+        .map(|(_, heartbeat)| {
+            let heard_until = heartbeat.heard_at + HEARTBEAT_TIMEOUT_MS;
+            heard_until.min(heartbeat.store_answered_at + STORE_ANSWER_AGE_MAX_MS)
+        })
+        .max()
 }
 
 /// Returns when [`next_refresh`] decides to read the store if no further heartbeat
--- a/crates/agatehold-core/src/dissemination/replica.rs
+++ b/crates/agatehold-core/src/dissemination/replica.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::table::Table;
+use crate::units::StoreRevision;
 
 /// The number of deletions that a replica remembers. A daemon that is further
 /// behind gets all keys.
@@ -14,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaRow {
     /// The store's revision of the last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The value; shared, since replicas are copied for each published view.
     pub value: Arc<[u8]>,
 }
@@ -25,7 +26,7 @@
     /// The key.
     pub key: Box<str>,
     /// The store's revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The new value; `None` if the key was deleted.
     pub value: Option<Arc<[u8]>>,
 }
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaUpdate {
     /// The revision up to which the receiver is complete after the update.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether `changes` and `kept` together hold every key of the group, so that
     /// others no longer exist.
     pub is_listing: bool,
@@ -48,29 +49,29 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Replica {
     /// The store's revision of the last known change.
-    changed_at: u64,
+    changed_at: StoreRevision,
     /// The store's revision up to which every change is contained; at least
     /// `changed_at`.
-    complete_to: u64,
+    complete_to: StoreRevision,
     /// The rows by key.
     rows: Table<Box<str>, ReplicaRow>,
     /// The deleted keys with the revision at which each was deleted, in
     /// ascending order.
-    deletions: VecDeque<(Box<str>, u64)>,
+    deletions: VecDeque<(Box<str>, StoreRevision)>,
     /// The revision since which `deletions` is complete.
-    deletions_since: u64,
+    deletions_since: StoreRevision,
 }
 
 impl Replica {
     /// Returns the store's revision of the last known change, which other daemons
-    /// are told; 0 if nothing is known.
-    pub const fn changed_at(&self) -> u64 {
+    /// are told; zero if nothing is known.
+    pub const fn changed_at(&self) -> StoreRevision {
         self.changed_at
     }
 
-    /// Returns the store's revision up to which every change is contained; 0 if
+    /// Returns the store's revision up to which every change is contained; zero if
     /// nothing is known.
-    pub const fn complete_to(&self) -> u64 {
+    pub const fn complete_to(&self) -> StoreRevision {
         self.complete_to
     }
 
@@ -115,7 +116,11 @@
     ///
     /// A listing that is older than what is known is ignored. One without any
     /// difference is no change, so that it causes no fetches by other daemons.
-    pub fn apply_listing(&mut self, listed: &[KeyChange], revision: u64) -> Vec<KeyChange> {
+    pub fn apply_listing(
+        &mut self,
+        listed: &[KeyChange],
+        revision: StoreRevision,
+    ) -> Vec<KeyChange> {
         self.replace(listed, &[], revision)
     }
 
@@ -125,7 +130,7 @@
         &mut self,
         listed: &[KeyChange],
         kept: &[Box<str>],
-        revision: u64,
+        revision: StoreRevision,
     ) -> Vec<KeyChange> {
         let mut applied = Vec::new();
         if revision < self.complete_to {
@@ -168,7 +173,7 @@
         // A listing does not tell when a key was deleted, nor which keys existed only
         // since the last one. A daemon that knew nothing can't tell whether a key
         // was deleted at all.
-        let may_hide_deletions = self.complete_to == 0 || !absent.is_empty();
+        let may_hide_deletions = self.complete_to == StoreRevision::ZERO || !absent.is_empty();
         self.deletions_since = revision;
         self.deletions.clear();
         for key in absent.keys() {
@@ -199,7 +204,7 @@
 
     /// Returns what a daemon lacks that knows the group up to `known`; `None` if it
     /// lacks nothing.
-    pub fn update_since(&self, known: u64) -> Option<ReplicaUpdate> {
+    pub fn update_since(&self, known: StoreRevision) -> Option<ReplicaUpdate> {
         if self.changed_at <= known {
             return None;
         }
@@ -237,7 +242,7 @@
         })
     }
 
-    fn insert(&mut self, key: &str, revision: u64, value: &Arc<[u8]>) {
+    fn insert(&mut self, key: &str, revision: StoreRevision, value: &Arc<[u8]>) {
         let row = ReplicaRow {
             revision,
             value: Arc::clone(value),
@@ -246,7 +251,7 @@
     }
 
     /// Removes a key and remembers its deletion.
-    fn delete(&mut self, key: &str, revision: u64) {
+    fn delete(&mut self, key: &str, revision: StoreRevision) {
         self.rows.remove(&key.into());
         self.deletions.push_back((key.into(), revision));
         if self.deletions.len() <= DELETIONS_MAX {
--- a/crates/agatehold-core/src/target_registry/rows.rs
+++ b/crates/agatehold-core/src/target_registry/rows.rs
@@ -34,6 +34,30 @@
     }
 }
 
+/// What tells two registrations under one key apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RegistrationMark {
+    /// The start time of the process in Unix milliseconds; 0 if it does not report it.
+    pub started_unix_ms: u64,
+    /// A number that the process raises each time that it registers; 0 if it does not
+    /// report it.
+    pub sequence: u64,
+    /// Whether the process is leaving.
+    pub is_leaving: bool,
+}
+
+impl RegistrationMark {
+    /// Returns whether `other`, which a copy of the store lists, is an older registration
+    /// of the same process, or the same one from before it began to leave.
+    pub const fn outdates(&self, other: &Self) -> bool {
+        if self.started_unix_ms != other.started_unix_ms {
+            return false;
+        }
+        let is_same = other.sequence == self.sequence;
+        other.sequence < self.sequence || (is_same && self.is_leaving && !other.is_leaving)
+    }
+}
+
 /// A target's registration record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRecord {
--- a/crates/agatehold-core/src/units/mod.rs
+++ b/crates/agatehold-core/src/units/mod.rs
@@ -1,6 +1,7 @@
 //! Newtypes for times, sizes, counts, percentages, probabilities and rates.
 
 mod measure;
+mod revision;
 mod time;
 
 pub use measure::ByteCount;
@@ -9,6 +10,8 @@
 pub use measure::RequestsPerSecond;
 pub use measure::SlotCount;
 pub use measure::TargetCount;
+pub use revision::StoreEra;
+pub use revision::StoreRevision;
 pub use time::DurationMs;
 pub use time::TimeMs;
 
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -36,19 +36,25 @@
 use agatehold_core::table::Table;
 use agatehold_core::target_registry::StoreMirror;
 use agatehold_core::units::DurationMs;
+use agatehold_core::units::StoreRevision;
 use agatehold_core::units::TimeMs;
 
+fn rev(revision: u64) -> StoreRevision {
+    StoreRevision::from_packed(revision)
+}
+
 fn change(key: u8, revision: u64, value: Option<u8>) -> KeyChange {
     KeyChange {
         key: format!("key-{key}").into(),
-        revision,
+        revision: rev(revision),
         value: value.map(|value| [value].as_slice().into()),
     }
 }
 
 fn contents(replica: &Replica) -> Vec<(Box<str>, u64)> {
     let rows = replica.rows().rows();
-    rows.map(|(key, row)| (key.clone(), row.revision)).collect()
+    rows.map(|(key, row)| (key.clone(), row.revision.packed()))
+        .collect()
 }
 
 proptest! {
@@ -78,7 +84,7 @@
                         history.push(change(key, revision, None));
                     }
                 }
-                3 if replicas[one].complete_to() > 0 => {
+                3 if replicas[one].complete_to() > StoreRevision::ZERO => {
                     let known = replicas[one].complete_to();
                     let missed: Vec<KeyChange> = history
                         .iter()
@@ -92,7 +98,7 @@
                         .iter()
                         .map(|(key, revision)| change(*key, *revision, Some(*key)))
                         .collect();
-                    replicas[one].apply_listing(&listed, revision);
+                    replicas[one].apply_listing(&listed, rev(revision));
                 }
                 _ if one != other => {
                     let source = replicas[other].clone();
@@ -108,7 +114,7 @@
         }
         // At the end everyone watches again, and all must know what the store has.
         for replica in &mut replicas {
-            if replica.complete_to() == 0 {
+            if replica.complete_to() == StoreRevision::ZERO {
                 continue;
             }
             let known = replica.complete_to();
@@ -131,17 +137,17 @@
 #[test]
 fn an_older_listing_changes_nothing() {
     let mut replica = Replica::default();
-    replica.apply_listing(&[change(1, 30, Some(1)), change(2, 31, Some(1))], 40);
+    replica.apply_listing(&[change(1, 30, Some(1)), change(2, 31, Some(1))], rev(40));
     replica.apply_changes(&[change(1, 45, None), change(3, 50, Some(1))]);
     let before = replica.clone();
     let older = [change(1, 30, Some(1)), change(2, 31, Some(1))];
-    assert_eq!(replica.apply_listing(&older, 42), []);
+    assert_eq!(replica.apply_listing(&older, rev(42)), []);
     assert_eq!(replica, before);
     // The first page was read before the change, so that the listing counts as of then,
     // and is none the less as new as what is known.
     let same_age = [change(2, 31, Some(1)), change(3, 50, Some(1))];
-    assert_eq!(replica.apply_listing(&same_age, 50), []);
-    let newer = replica.apply_listing(&[], 60);
+    assert_eq!(replica.apply_listing(&same_age, rev(50)), []);
+    let newer = replica.apply_listing(&[], rev(60));
     assert_eq!(newer, [change(2, 60, None), change(3, 60, None)]);
 }
 
@@ -162,7 +168,7 @@
         let mut history: Vec<KeyChange> = Vec::new();
         // The daemon elsewhere that follows every change, as of each revision.
         let mut source = Replica::default();
-        source.apply_listing(&[], 1);
+        source.apply_listing(&[], rev(1));
         let mut past = vec![(store.clone(), source.clone(), 1)];
         for (number, (key, is_deletion)) in writes.into_iter().enumerate() {
             let revision = number as u64 + 2;
@@ -177,30 +183,30 @@
             past.push((store.clone(), source.clone(), revision));
         }
         let mut replica = Replica::default();
-        let mut mirror: StoreMirror<Box<str>, u64> = StoreMirror::new();
-        let mut newest = 0;
+        let mut mirror: StoreMirror<Box<str>, StoreRevision> = StoreMirror::new();
+        let mut newest = StoreRevision::ZERO;
         for (at, asked_at, kind) in deliveries {
             let (rows, source, revision) = &past[at.index(past.len())];
             let applied = match kind {
                 0 => {
                     let listed: Vec<KeyChange> =
                         rows.iter().map(|(key, at)| change(*key, *at, Some(*key))).collect();
-                    replica.apply_listing(&listed, *revision)
+                    replica.apply_listing(&listed, rev(*revision))
                 }
                 // Asked when less was known than now.
                 1 => {
-                    let known = past[asked_at.index(past.len())].2.min(replica.complete_to());
+                    let known = rev(past[asked_at.index(past.len())].2).min(replica.complete_to());
                     match source.update_since(known) {
                         Some(update) => replica.apply_update(&update),
                         None => continue,
                     }
                 }
-                _ if replica.complete_to() == 0 => continue,
+                _ if replica.complete_to() == StoreRevision::ZERO => continue,
                 _ => {
-                    let known = past[asked_at.index(past.len())].2.min(replica.complete_to());
+                    let known = rev(past[asked_at.index(past.len())].2).min(replica.complete_to());
                     let watched: Vec<KeyChange> = history
                         .iter()
-                        .filter(|change| change.revision > known && change.revision <= *revision)
+                        .filter(|change| change.revision > known && change.revision <= rev(*revision))
                         .cloned()
                         .collect();
                     replica.apply_changes(&watched)
@@ -216,13 +222,13 @@
                 }
             }
             let mirrored: Vec<(Box<str>, u64)> =
-                mirror.rows.rows().map(|(key, row)| (key.clone(), row.content)).collect();
+                mirror.rows.rows().map(|(key, row)| (key.clone(), row.content.packed())).collect();
             prop_assert_eq!(&mirrored, &contents(&replica));
-            if replica.complete_to() > 0 {
+            if replica.complete_to() > StoreRevision::ZERO {
                 let (rows, _, _) = past
                     .iter()
                     .rev()
-                    .find(|(_, _, revision)| *revision == replica.complete_to())
+                    .find(|(_, _, revision)| rev(*revision) == replica.complete_to())
                     .expect("a revision");
                 let expected: Vec<(Box<str>, u64)> = rows
                     .iter()
@@ -242,10 +248,10 @@
     let listed: Vec<KeyChange> = (0..200)
         .map(|key| change(key, u64::from(key) + 1, Some(1)))
         .collect();
-    source.apply_listing(&listed, 500);
+    source.apply_listing(&listed, rev(500));
     let mut receiver = Replica::default();
-    receiver.apply_update(&source.update_since(0).expect("a listing"));
-    assert_eq!(receiver.complete_to(), 500);
+    receiver.apply_update(&source.update_since(rev(0)).expect("a listing"));
+    assert_eq!(receiver.complete_to(), rev(500));
     assert_eq!(contents(&receiver), contents(&source));
     assert_eq!(source.update_since(receiver.complete_to()), None);
     source.apply_changes(&[change(3, 501, Some(2)), change(4, 502, None)]);
@@ -262,7 +268,7 @@
     let listed: Vec<KeyChange> = (10..200)
         .map(|key| change(key, u64::from(key) + 1, Some(1)))
         .collect();
-    late.apply_listing(&listed, 600);
+    late.apply_listing(&listed, rev(600));
     let update = late
         .update_since(receiver.complete_to())
         .expect("a listing");
@@ -277,11 +283,11 @@
 fn a_listing_without_a_difference_is_no_news() {
     let listed = [change(1, 7, Some(1)), change(2, 9, Some(1))];
     let mut replica = Replica::default();
-    replica.apply_listing(&listed, 20);
-    replica.apply_listing(&listed, 90);
-    assert_eq!(replica.changed_at(), 20);
-    assert_eq!(replica.complete_to(), 90);
-    assert_eq!(replica.update_since(20), None);
+    replica.apply_listing(&listed, rev(20));
+    replica.apply_listing(&listed, rev(90));
+    assert_eq!(replica.changed_at(), rev(20));
+    assert_eq!(replica.complete_to(), rev(90));
+    assert_eq!(replica.update_since(rev(20)), None);
 }
 
 fn member(number: usize, domains: usize, strong: usize) -> (HostId, MemberRecord) {
@@ -462,9 +468,9 @@
                 let heartbeat = StoreHeartbeat {
                     host: names[from].clone(),
                     revisions: Revisions {
-                        configuration: revision,
-                        targets: 1,
-                        members: 1,
+                        configuration: rev(revision),
+                        targets: rev(1),
+                        members: rev(1),
                     },
                     store_age_ms: DurationMs(100),
                 };
@@ -497,9 +503,9 @@
             continue;
         }
         let own = Revisions {
-            configuration: revisions[decides],
-            targets: 1,
-            members: 1,
+            configuration: rev(revisions[decides]),
+            targets: rev(1),
+            members: rev(1),
         };
         let sources: Vec<usize> =
             match next_refresh(&heartbeats[decides], &own, read_at[decides], now) {
@@ -598,9 +604,9 @@
     StoreHeartbeat {
         host: host.parse().expect("a name"),
         revisions: Revisions {
-            configuration: 1,
-            targets: 1,
-            members: 1,
+            configuration: rev(1),
+            targets: rev(1),
+            members: rev(1),
         },
         store_age_ms: DurationMs(store_age_ms),
     }
@@ -683,8 +689,8 @@
 #[test]
 fn a_fetch_leaves_nothing_of_which_its_source_tells() {
     let mut source = Replica::default();
-    source.apply_listing(&[change(1, 5, Some(1))], 5);
-    source.apply_listing(&[change(1, 5, Some(1)), change(2, 7, Some(2))], 6);
+    source.apply_listing(&[change(1, 5, Some(1))], rev(5));
+    source.apply_listing(&[change(1, 5, Some(1)), change(2, 7, Some(2))], rev(6));
     let mut receiver = Replica::default();
     for _ in 0..3 {
         let Some(update) = source.update_since(receiver.complete_to()) else {
@@ -708,10 +714,10 @@
 fn a_page_that_is_older_than_a_known_deletion_brings_nothing_back() {
     let mut replica = Replica::default();
     let both = [change(1, 2, Some(1)), change(7, 3, Some(1))];
-    replica.apply_listing(&both, 6);
-    let applied = replica.apply_listing(&[change(1, 2, Some(1))], 6);
+    replica.apply_listing(&both, rev(6));
+    let applied = replica.apply_listing(&[change(1, 2, Some(1))], rev(6));
     assert_eq!(applied, [change(7, 6, None)]);
-    assert_eq!(replica.apply_listing(&both, 6), []);
+    assert_eq!(replica.apply_listing(&both, rev(6)), []);
     assert_eq!(contents(&replica), [("key-1".into(), 2)]);
 }
 
@@ -764,7 +770,7 @@
                     changed_at.insert(key, revision);
                     history.push(change(key, revision, None));
                 }
-                3 if replicas[one].complete_to() > 0 => {
+                3 if replicas[one].complete_to() > StoreRevision::ZERO => {
                     let known = replicas[one].complete_to();
                     let missed: Vec<KeyChange> = history
                         .iter()
@@ -785,7 +791,7 @@
                     };
                     let mut listed = listing.first_page;
                     listed.extend(listed_keys(&store, SECOND_PAGE..u8::MAX));
-                    replicas[one].apply_listing(&listed, listing.revision);
+                    replicas[one].apply_listing(&listed, rev(listing.revision));
                 }
                 6 | 7 if one != other => {
                     let source = replicas[other].clone();
@@ -809,20 +815,20 @@
                     let newest = newest_held.entry(key.clone()).or_default();
                     let is_same_age = before.complete_to() == replica.complete_to();
                     let is_absent = before.rows().get(key).is_none();
-                    let is_back = is_same_age && is_absent && row.revision <= *newest;
+                    let is_back = is_same_age && is_absent && row.revision.packed() <= *newest;
                     prop_assert!(!is_back, "{key} is back with {}", row.revision);
-                    prop_assert!(row.revision >= *newest, "{key} was {newest}, is {}", row.revision);
-                    *newest = row.revision;
+                    prop_assert!(row.revision.packed() >= *newest, "{key} was {newest}, is {}", row.revision);
+                    *newest = row.revision.packed();
                     let is_told = row.revision <= replica.changed_at();
                     prop_assert!(is_told || row.revision > replica.complete_to(), "{key} is not told");
                 }
                 for (key, at) in &changed_at {
-                    if *at > replica.complete_to() {
+                    if rev(*at) > replica.complete_to() {
                         continue;
                     }
                     let name: Box<str> = format!("key-{key}").into();
                     let held = replica.rows().get(&name).map(|row| row.revision);
-                    prop_assert_eq!(held, store.get(key).copied(), "{}", name);
+                    prop_assert_eq!(held.map(StoreRevision::packed), store.get(key).copied(), "{}", name);
                 }
             }
         }
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -32,6 +32,7 @@
 use agatehold_core::target_registry::MISSING_ROW_GRACE_MS;
 use agatehold_core::target_registry::StoreMirror;
 use agatehold_core::units::DurationMs;
+use agatehold_core::units::StoreRevision;
 use agatehold_core::units::TimeMs;
 
 const START: TimeMs = TimeMs(3_600_000);
@@ -109,7 +110,7 @@
     ) {
         let mut rows: StoreMirror<u32, u64> = StoreMirror::new();
         for revision in order {
-            rows.put(7, revision, revision, START);
+            rows.put(7, revision, at(revision), START);
         }
         prop_assert_eq!(rows.rows.get(&7).map(|row| row.content), Some(19));
     }
@@ -119,8 +120,8 @@
 #[test]
 fn a_removed_row_is_dropped_immediately_while_the_store_is_available() {
     let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
-    rows.put(1, "a", 5, START);
-    assert!(rows.delete(&1, 6, START));
+    rows.put(1, "a", at(5), START);
+    assert!(rows.delete(&1, at(6), START));
     assert!(rows.rows.is_empty());
 }
 
@@ -129,16 +130,16 @@
 #[test]
 fn rows_that_expired_in_an_outage_are_kept_until_written_again() {
     let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
-    rows.put(1, "a", 5, START);
-    rows.put(2, "b", 5, START);
+    rows.put(1, "a", at(5), START);
+    rows.put(2, "b", at(5), START);
     rows.store_lost();
     let back = START + DurationMs(9_000);
     rows.store_returned(back);
     for row in [1, 2] {
-        rows.delete(&row, 30, back + DurationMs(10));
+        rows.delete(&row, at(30), back + DurationMs(10));
     }
     assert_eq!(rows.rows.len(), 2, "both rows are kept for now");
-    rows.put(1, "a", 31, back + DurationMs(900));
+    rows.put(1, "a", at(31), back + DurationMs(900));
     assert!(!rows.sweep(back + DurationMs(1_500)));
     assert!(rows.sweep(back + MISSING_ROW_GRACE_MS));
     let left: Vec<u32> = rows.rows.keys().copied().collect();
@@ -150,9 +151,9 @@
 #[test]
 fn an_older_removal_does_not_remove_newer_rows() {
     let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
-    rows.put(1, "a", 50, START);
-    assert!(!rows.delete(&1, 40, START));
-    assert!(rows.delete(&1, 60, START));
+    rows.put(1, "a", at(50), START);
+    assert!(!rows.delete(&1, at(40), START));
+    assert!(rows.delete(&1, at(60), START));
 }
 
 /// Another daemon has removed a row that this one keeps during an outage. Guards against
@@ -162,27 +163,30 @@
 fn a_removal_that_another_daemon_confirms_takes_effect_in_an_outage() {
     let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
     for row in [1, 2, 3] {
-        rows.put(row, "a", 5, START);
+        rows.put(row, "a", at(5), START);
     }
     rows.store_lost();
-    assert!(!rows.confirm_removal(&1, 6), "the store has the row");
+    assert!(!rows.confirm_removal(&1, at(6)), "the store has the row");
     for row in [1, 2, 3] {
-        assert!(!rows.delete(&row, 8, START));
+        assert!(!rows.delete(&row, at(8), START));
     }
     assert!(rows.is_any_missing());
     assert_eq!(rows.removals().count(), 0, "nothing is removed yet");
     assert!(
-        rows.confirm_removal(&1, 6),
+        rows.confirm_removal(&1, at(6)),
         "a listing shows a removal later"
     );
-    rows.put(2, "b", 9, START);
-    assert!(!rows.confirm_removal(&2, 6), "written again");
-    assert!(!rows.confirm_removal(&3, 4), "written after the removal");
+    rows.put(2, "b", at(9), START);
+    assert!(!rows.confirm_removal(&2, at(6)), "written again");
+    assert!(
+        !rows.confirm_removal(&3, at(4)),
+        "written after the removal"
+    );
     let left: Vec<u32> = rows.rows.keys().copied().collect();
     assert_eq!(left, [2, 3]);
     let told: Vec<(u32, u64)> = rows
         .removals()
-        .map(|(key, revision)| (*key, revision))
+        .map(|(key, revision)| (*key, revision.packed()))
         .collect();
     assert_eq!(told, [(1, 6)], "this daemon confirms it to others");
 }
@@ -193,31 +197,35 @@
 fn removals_are_told_until_the_row_is_written_again() {
     let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
     for row in 0..2_000 {
-        rows.put(row, "a", 5, START);
-        assert!(rows.delete(&row, 6, START));
+        rows.put(row, "a", at(5), START);
+        assert!(rows.delete(&row, at(6), START));
     }
     let count = rows.removals().count();
     assert!((100..2_000).contains(&count), "{count}");
-    rows.put(1_999, "a", 7, START);
+    rows.put(1_999, "a", at(7), START);
     assert!(rows.removals().all(|(row, _)| *row != 1_999));
     rows.store_lost();
     rows.store_returned(START);
-    rows.delete(&1_999, 8, START);
+    rows.delete(&1_999, at(8), START);
     assert!(rows.sweep(START + MISSING_ROW_GRACE_MS));
-    assert!(rows.removals().any(|row| row == (&1_999, 8)));
+    assert!(rows.removals().any(|row| row == (&1_999, at(8))));
 }
 
 fn host(number: u32) -> HostId {
     format!("entry-{number}").parse().expect("a name")
 }
 
+fn at(revision: u64) -> StoreRevision {
+    StoreRevision::from_packed(revision)
+}
+
 fn heartbeat(number: u32, targets: u64, store_age_ms: u64) -> StoreHeartbeat {
     StoreHeartbeat {
         host: host(number),
         revisions: Revisions {
-            configuration: 1,
-            targets,
-            members: 1,
+            configuration: at(1),
+            targets: at(targets),
+            members: at(1),
         },
         store_age_ms: DurationMs(store_age_ms),
     }
@@ -225,9 +233,9 @@
 
 fn known(targets: u64) -> Revisions {
     Revisions {
-        configuration: 1,
-        targets,
-        members: 1,
+        configuration: at(1),
+        targets: at(targets),
+        members: at(1),
     }
 }
 
@@ -293,11 +301,14 @@
 fn a_daemon_that_the_store_rejects_trusts_those_that_reach_it() {
     let mut heartbeats = HeartbeatTable::default();
     let mut rows: StoreMirror<u32, &str> = StoreMirror::new();
-    rows.put(1, "a", 5, START);
+    rows.put(1, "a", at(5), START);
     heartbeats.record(&heartbeat(1, 10, 200), START);
     assert!(!is_store_unavailable(&heartbeats, true, START));
     rows.store_returned(START);
-    assert!(rows.delete(&1, 10, START), "the row is removed immediately");
+    assert!(
+        rows.delete(&1, at(10), START),
+        "the row is removed immediately"
+    );
     let later = START + HEARTBEAT_TIMEOUT_MS + DurationMs(1);
     assert!(
         is_store_unavailable(&heartbeats, true, later),
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: keeps the configuration, targets and fleet members up to
 //! date from the store and from other daemons, and publishes them as views.
 
+mod configuration;
 mod peers;
 mod tables;
 
@@ -17,12 +18,15 @@
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
 use agatehold_core::dissemination::Refresh;
+use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::next_refresh;
 use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
+use agatehold_core::units::StoreEra;
+use agatehold_core::units::StoreRevision;
 use agatehold_core::units::TimeMs;
 
 use super::member::encode_member;
@@ -204,6 +208,7 @@
     ));
     let mut tables = ControlTables::new(&shared.settings.host.id);
     let mut datagram = [0; super::messages::DATAGRAM_BYTES_MAX];
+    let mut newest_era = store_sync.store.watch_era();
     loop {
         let wait = next_wait(&tables, &store_sync, shared.clock.now());
         let changed = tokio::select! {
@@ -221,9 +226,11 @@
                 record.send_replace(encode_member(&own.borrow_and_update()));
                 false
             }
+            _ = newest_era.changed() => false,
             () = tokio::time::sleep(wait) => false,
         };
         let now = shared.clock.now();
+        store_sync.enter_newest_era(&mut tables, now);
         update_store_state(&mut tables, now);
         let swept = tables.targets.sweep(now) | tables.members.sweep(now);
         if std::mem::take(&mut tables.store_recovered) {
@@ -310,6 +317,30 @@
         }
     }
 
+    /// Enters a newer era of the store, whether the store or another daemon told of it: its
+    /// revisions can't be watched on from those of the era before.
+    fn enter_newest_era(&mut self, tables: &mut ControlTables, now: TimeMs) {
+        let told = tables.contents().changed_at().era();
+        self.store
+            .raise_era(told.max(tables.heartbeats.newest_era()));
+        let era = self.store.era();
+        if era <= tables.era {
+            return;
+        }
+        let old_era = std::mem::replace(&mut tables.era, era);
+        tables.heartbeats.raise_era(era);
+        if old_era == StoreEra(0) && tables.contents().complete_to() == Revisions::default() {
+            // The era in which this daemon started.
+            return;
+        }
+        metrics::counter!("agatehold_store_eras_total").increment(1);
+        log::warn!("event=store_era era={era} before={old_era}");
+        // The heartbeats of the era before no longer count. The daemons that watch the store
+        // read it now, and the others read it too only if they don't hear from these.
+        tables.read_at = tables.read_at.max(now);
+        self.restart_watching("store_era");
+    }
+
     fn restart_watching(&mut self, reason: &'static str) {
         self.behind_since = None;
         if !self.is_watching() {
@@ -387,7 +418,7 @@
         self.running_refreshes = 1;
         tables.read_at = now;
         log::info!("event=read_store reason={reason}");
-        let is_start = tables.contents().targets.complete_to() == 0;
+        let is_start = tables.contents().targets.complete_to() == StoreRevision::ZERO;
         let reading = read_all(Rc::clone(&self.store), is_start, self.events.clone());
         tokio::task::spawn_local(reading);
     }
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -112,7 +112,7 @@
         body: Vec::new(),
     };
     match client.call(call, timeout).await {
-        Ok(body) => decode_contents(&body),
+        Ok(response) => decode_contents(&response.body),
         Err(error) => {
             let fault = error.to_string();
             log::warn!(
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use agatehold_core::catalog::Catalog;
-use agatehold_core::catalog::is_newer;
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
@@ -19,10 +18,10 @@
 use agatehold_core::target_registry::StoreMirror;
 use agatehold_core::target_registry::TargetRecord;
 use agatehold_core::units::DurationMs;
+use agatehold_core::units::StoreEra;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::Item;
-use agatehold_platform::decode_configuration;
-use agatehold_platform::decode_target;
+use agatehold_platform::decode_registration;
 use agatehold_platform::target_name;
 
 use crate::gateway::member::decode_member;
@@ -40,6 +39,9 @@
 use crate::gateway::store_tasks::WatchTurn;
 use crate::telemetry::FieldText;
 
+use super::configuration::apply_configuration;
+use super::configuration::keep_newer_configuration;
+
 /// How long views hold what another daemon has told this one. The traffic thread reads
 /// the newest view at least once a second.
 const TOLD_KEPT_MS: DurationMs = DurationMs(60_000);
@@ -48,6 +50,10 @@
 pub(super) struct ControlTables {
     /// The configuration in force; its version never decreases.
     pub(super) catalog: Option<Arc<Catalog>>,
+    /// The value from which `catalog` was decoded.
+    pub(super) catalog_value: Option<Arc<[u8]>>,
+    /// The newest known era of the store; never decreases.
+    pub(super) era: StoreEra,
     /// The registered targets.
     pub(super) targets: StoreMirror<TargetName, TargetRecord>,
     /// The registered daemons.
@@ -79,6 +85,8 @@
     pub(super) fn new(own: &HostId) -> Self {
         Self {
             catalog: None,
+            catalog_value: None,
+            era: StoreEra(0),
             targets: StoreMirror::new(),
             members: StoreMirror::new(),
             store_unavailable_since: None,
@@ -183,10 +191,13 @@
         StoreEvent::CallFailed(call, error) => record_store_failure(tables, call, &error, now),
         StoreEvent::CallSucceeded | StoreEvent::ReadCompleted => record_store_response(tables, now),
         StoreEvent::RefreshEnded(_) => false,
+        // It was sent before this daemon learned of the new era.
+        StoreEvent::Listed(_, _, revision) if revision.era() < tables.era => false,
         StoreEvent::Listed(key_group, items, revision) => {
             let recovered = record_store_response(tables, now);
             update_store_state(tables, now);
-            let listed: Vec<KeyChange> = items.into_iter().map(key_change).collect();
+            let mut listed: Vec<KeyChange> = items.into_iter().map(key_change).collect();
+            keep_newer_configuration(tables, key_group, &mut listed);
             let replica = tables.contents.replica_mut(key_group);
             let applied = replica.apply_listing(&listed, revision);
             apply_changes(tables, key_group, &applied, now) || recovered
@@ -194,7 +205,8 @@
         StoreEvent::Changed(key_group, items) => {
             let recovered = record_store_response(tables, now);
             update_store_state(tables, now);
-            let changes: Vec<KeyChange> = items.into_iter().map(key_change).collect();
+            let mut changes: Vec<KeyChange> = items.into_iter().map(key_change).collect();
+            keep_newer_configuration(tables, key_group, &mut changes);
             let replica = tables.contents.replica_mut(key_group);
             let applied = replica.apply_changes(&changes);
             apply_changes(tables, key_group, &applied, now) || recovered
@@ -231,9 +243,10 @@
         (KeyGroup::Members, fetched.members),
     ];
     for (key_group, update) in key_groups {
-        let Some(update) = update else {
+        let Some(mut update) = update else {
             continue;
         };
+        keep_newer_configuration(tables, key_group, &mut update.changes);
         log::info!(
             "event=fetched subject={} from={address} revision={} items={} listing={}",
             key_group.name(),
@@ -252,6 +265,16 @@
             changed = true;
         }
     }
+    for ended in &fetched.ended {
+        if tables.targets.confirm_ended(ended) {
+            log::info!(
+                "event=target_gone target={} era={} removed=true told_by={address}",
+                ended.key,
+                ended.era
+            );
+            changed = true;
+        }
+    }
     changed
 }
 
@@ -340,39 +363,6 @@
     }
 }
 
-fn apply_configuration(tables: &mut ControlTables, item: &KeyChange) -> bool {
-    let Some(value) = &item.value else {
-        log::warn!("event=configuration_removed revision={}", item.revision);
-        return false;
-    };
-    let catalog = match decode_configuration(value) {
-        Ok(catalog) => catalog,
-        Err(error) => {
-            metrics::counter!("agatehold_entries_skipped_total", "subject" => "configuration")
-                .increment(1);
-            log::warn!(
-                "event=configuration_skipped revision={} error={}",
-                item.revision,
-                FieldText(&error.to_string())
-            );
-            return false;
-        }
-    };
-    if !is_newer(tables.catalog.as_ref(), &catalog) {
-        log::debug!("event=configuration_old version={}", catalog.version);
-        return false;
-    }
-    log::info!(
-        "event=configuration version={} revision={} routes={} services={}",
-        catalog.version,
-        item.revision,
-        catalog.routes.len(),
-        catalog.services.len()
-    );
-    tables.catalog = Some(Arc::new(catalog));
-    true
-}
-
 fn apply_target(tables: &mut ControlTables, item: &KeyChange, now: TimeMs) -> bool {
     let Some(name) = target_name(&item.key) else {
         log::warn!(
@@ -389,10 +379,16 @@
         );
         return removed;
     };
-    match decode_target(&name, value) {
-        Ok(record) => {
+    match decode_registration(&name, value) {
+        Ok((record, mark)) => {
             let (service, state) = (record.service.clone(), record.state);
-            let changed = tables.targets.put(name.clone(), record, item.revision, now);
+            let changed = tables.targets.put_registration(
+                name.clone(),
+                record,
+                Some(mark),
+                item.revision,
+                now,
+            );
             if changed {
                 log::info!(
                     "event=target target={name} service={service} state={state} revision={}",
@@ -460,6 +456,7 @@
     for (name, revision) in tables.targets.removals() {
         view.removals.push((name.clone(), revision));
     }
+    view.ended = tables.targets.ended_before_era().cloned().collect();
     for (host, row) in tables.members.rows.rows() {
         view.members.insert(host.clone(), row.content.clone());
     }
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -18,10 +18,15 @@
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::outcome::AttemptOutcome;
+use agatehold_core::target_registry::EndedRegistration;
 use agatehold_core::target_registry::ProcessMark;
+use agatehold_core::target_registry::RegistrationMark;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
+use agatehold_core::units::StoreEra;
+use agatehold_core::units::StoreRevision;
 
+use super::shared::View;
 use super::store_tasks::KeyGroup;
 
 /// The maximum size of a datagram.
@@ -160,6 +165,7 @@
     CrashMarks(CrashMarksMessage),
 }
 
+/// Revisions are sent as [`StoreRevision::packed`].
 #[derive(Serialize, Deserialize)]
 struct HeartbeatJson {
     host: String,
@@ -253,6 +259,14 @@
     pub(super) crash_marks: Vec<CrashMarksMessage>,
 }
 
+#[derive(Serialize, Deserialize)]
+struct EndedJson {
+    target: String,
+    started_unix_ms: u64,
+    sequence: u64,
+    era: u16,
+}
+
 #[derive(Serialize, Deserialize)]
 struct ContentsJson {
     configuration: Option<KeyGroupJson>,
@@ -262,6 +276,10 @@
     /// answers of daemons that don't tell others about removals.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     removed: Vec<(String, u64)>,
+    /// The registrations of targets that ended in an older era of the store; absent in the
+    /// answers of daemons that know no eras.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    ended: Vec<EndedJson>,
     /// The names and start times of the targets that said that they are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     leaving: Vec<(String, u64)>,
@@ -273,9 +291,9 @@
 pub(super) fn encode_heartbeat(heartbeat: &StoreHeartbeat) -> Vec<u8> {
     let json = HeartbeatJson {
         host: heartbeat.host.to_string(),
-        configuration: heartbeat.revisions.configuration,
-        targets: heartbeat.revisions.targets,
-        members: heartbeat.revisions.members,
+        configuration: heartbeat.revisions.configuration.packed(),
+        targets: heartbeat.revisions.targets.packed(),
+        members: heartbeat.revisions.members.packed(),
         store_age_ms: heartbeat.store_age_ms.0,
     };
     // Strings, numbers and booleans always serialize to JSON.
@@ -288,9 +306,9 @@
     Some(StoreHeartbeat {
         host: json.host.parse().ok()?,
         revisions: Revisions {
-            configuration: json.configuration,
-            targets: json.targets,
-            members: json.members,
+            configuration: StoreRevision::from_packed(json.configuration),
+            targets: StoreRevision::from_packed(json.targets),
+            members: StoreRevision::from_packed(json.members),
         },
         store_age_ms: DurationMs(json.store_age_ms),
     })
@@ -458,37 +476,52 @@
         };
         items.push(ItemJson {
             key: change.key.into(),
-            revision: change.revision,
+            revision: change.revision.packed(),
             value,
         });
     }
     KeyGroupJson {
-        revision: update.revision,
+        revision: update.revision.packed(),
         changes_only: !update.is_listing,
         items,
         kept: update.kept,
     }
 }
 
-/// Encodes what a daemon lacks that knows the contents up to `known`. `removals` are the
-/// targets that this daemon has removed; `statements` is empty unless they are asked for.
+/// Encodes what a daemon lacks that knows the contents up to `known`. `statements` is empty
+/// unless they are asked for.
 pub(super) fn encode_contents(
-    contents: &StoreContents,
-    removals: &[(TargetName, u64)],
+    view: &View,
     statements: &PeerStatements,
     known: &KnownContents,
 ) -> Vec<u8> {
-    let update = |replica: &Replica, revision: u64| {
-        let complete_to = if known.takes_changes { revision } else { 0 };
+    let contents = &view.contents;
+    let update = |replica: &Replica, revision: StoreRevision| {
+        let complete_to = if known.takes_changes {
+            revision
+        } else {
+            StoreRevision::ZERO
+        };
         let is_newer = replica.changed_at() > revision;
         let update = is_newer.then(|| replica.update_since(complete_to));
         update.flatten().map(key_group_json)
     };
     let revisions = &known.revisions;
     let mut removed = Vec::new();
-    for (target, revision) in removals {
+    for (target, revision) in &view.removals {
         if known.keeps_missing || *revision > revisions.targets {
-            removed.push((target.to_string(), *revision));
+            removed.push((target.to_string(), revision.packed()));
+        }
+    }
+    let mut ended = Vec::new();
+    for registration in &view.ended {
+        if known.has_started || revisions.targets.era() <= registration.era {
+            ended.push(EndedJson {
+                target: registration.key.to_string(),
+                started_unix_ms: registration.mark.started_unix_ms,
+                sequence: registration.mark.sequence,
+                era: registration.era.0,
+            });
         }
     }
     let mut leaving = Vec::new();
@@ -500,6 +533,7 @@
         targets: update(&contents.targets, revisions.targets),
         members: update(&contents.members, revisions.members),
         removed,
+        ended,
         leaving,
         crash_marks: statements
             .crash_marks
@@ -521,7 +555,9 @@
     /// The registered daemons.
     pub(super) members: Option<ReplicaUpdate>,
     /// The targets that the other daemon has removed, with the revision of each removal.
-    pub(super) removed: Vec<(TargetName, u64)>,
+    pub(super) removed: Vec<(TargetName, StoreRevision)>,
+    /// The registrations of targets that ended in an older era of the store.
+    pub(super) ended: Vec<EndedRegistration<TargetName>>,
     /// What the other daemon tells one that has started.
     pub(super) statements: PeerStatements,
 }
@@ -531,7 +567,19 @@
     let json: ContentsJson = serde_json::from_slice(bytes).ok()?;
     let mut removed = Vec::new();
     for (name, revision) in json.removed {
-        removed.push((name.parse().ok()?, revision));
+        removed.push((name.parse().ok()?, StoreRevision::from_packed(revision)));
+    }
+    let mut ended = Vec::new();
+    for registration in json.ended {
+        ended.push(EndedRegistration {
+            key: registration.target.parse().ok()?,
+            mark: RegistrationMark {
+                started_unix_ms: registration.started_unix_ms,
+                sequence: registration.sequence,
+                is_leaving: true,
+            },
+            era: StoreEra(registration.era),
+        });
     }
     let mut statements = PeerStatements::default();
     for (name, started_unix_ms) in json.leaving {
@@ -548,6 +596,7 @@
         targets: json.targets.map(replica_update),
         members: json.members.map(replica_update),
         removed,
+        ended,
         statements,
     })
 }
@@ -557,12 +606,12 @@
     for item in json.items {
         changes.push(KeyChange {
             key: item.key.into(),
-            revision: item.revision,
+            revision: StoreRevision::from_packed(item.revision),
             value: item.value.map(|value| value.into_bytes().into()),
         });
     }
     ReplicaUpdate {
-        revision: json.revision,
+        revision: StoreRevision::from_packed(json.revision),
         is_listing: !json.changes_only,
         changes,
         kept: json.kept,
@@ -587,9 +636,9 @@
     let revisions = &known.revisions;
     format!(
         "{CONTENTS_PATH}?configuration={}&targets={}&members={}&changes={}&missing={}&started={}",
-        revisions.configuration,
-        revisions.targets,
-        revisions.members,
+        revisions.configuration.packed(),
+        revisions.targets.packed(),
+        revisions.members.packed(),
         u8::from(known.takes_changes),
         u8::from(known.keeps_missing),
         u8::from(known.has_started)
@@ -604,11 +653,12 @@
             continue;
         };
         // A malformed revision counts as 0: nothing known.
-        let value = value.parse().unwrap_or(0);
+        let value: u64 = value.parse().unwrap_or(0);
+        let revision = StoreRevision::from_packed(value);
         match name {
-            "configuration" => known.revisions.configuration = value,
-            "targets" => known.revisions.targets = value,
-            "members" => known.revisions.members = value,
+            "configuration" => known.revisions.configuration = revision,
+            "targets" => known.revisions.targets = revision,
+            "members" => known.revisions.members = revision,
             "changes" => known.takes_changes = value == 1,
             "missing" => known.keeps_missing = value == 1,
             "started" => known.has_started = value == 1,
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -72,7 +72,7 @@
             } else {
                 PeerStatements::default()
             };
-            let body = encode_contents(&view.contents, &view.removals, &statements, &known);
+            let body = encode_contents(&view, &statements, &known);
             build_response(200, "application/json", body.into())
         }
         Endpoint::Metrics if is_get && path == METRICS_PATH => {
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -21,7 +21,9 @@
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::table::Table;
+use agatehold_core::target_registry::EndedRegistration;
 use agatehold_core::target_registry::TargetRecord;
+use agatehold_core::units::StoreRevision;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::FleetBounds;
 use agatehold_settings::process::GatewaySettings;
@@ -53,7 +55,9 @@
     /// The registered targets and when the current record of each arrived.
     pub(crate) targets: Vec<(TargetRecord, TimeMs)>,
     /// The targets that have been removed, with the store's revision of each removal.
-    pub(crate) removals: Vec<(TargetName, u64)>,
+    pub(crate) removals: Vec<(TargetName, StoreRevision)>,
+    /// The registrations of targets that ended in an older era of the store.
+    pub(crate) ended: Vec<EndedRegistration<TargetName>>,
     /// What other daemons have told this one since its start, the latest last; dropped
     /// after a while.
     pub(super) told: Vec<Arc<ToldStatements>>,
@@ -73,7 +77,7 @@
 impl View {
     /// Returns whether both a configuration and the targets have been loaded.
     pub(crate) fn is_ready(&self) -> bool {
-        self.catalog.is_some() && self.contents.targets.complete_to() > 0
+        self.catalog.is_some() && self.contents.targets.complete_to() > StoreRevision::ZERO
     }
 
     /// Computes the entry daemons of each host name and service.
--- a/crates/agatehold/src/gateway/store.rs
+++ b/crates/agatehold/src/gateway/store.rs
@@ -12,11 +12,15 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use quick_error::quick_error;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
+use agatehold_core::units::StoreEra;
 use agatehold_platform::DecodeError;
+use agatehold_platform::STORE_ERA_HEADER;
 use agatehold_platform::StoreCall;
 use agatehold_platform::StoreStatus;
+use agatehold_platform::parse_store_era;
 use agatehold_platform::status;
 
 use crate::traffic::Connection;
@@ -57,6 +61,11 @@
         Status(status: StoreStatus) {
             display("status {:?}", status)
         }
+        /// The response is of an older era than the newest known one: it comes from a
+        /// replica that has not been restored yet.
+        OldEra(era: StoreEra) {
+            display("answer of the older era {}", era)
+        }
         /// The response body can't be decoded.
         Decode(error: DecodeError) {
             display("answer unreadable: {}", error)
@@ -70,9 +79,19 @@
     }
 }
 
+/// The body of a successful response and the era of the store that it belongs to.
+pub(crate) struct StoreResponse {
+    /// The body.
+    pub(crate) body: Bytes,
+    /// The era.
+    pub(crate) era: StoreEra,
+}
+
 /// Sends calls to the store. A connection carries one call at a time.
 pub(crate) struct StoreClient {
     address: SocketAddr,
+    /// The newest known era of the store.
+    era: watch::Sender<StoreEra>,
     idle: RefCell<Vec<Connection>>,
 }
 
@@ -81,11 +100,32 @@
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            era: watch::Sender::new(StoreEra(0)),
             idle: RefCell::default(),
         }
     }
 
-    /// Sends a call and returns the body of its response.
+    /// Returns the newest known era of the store.
+    pub(crate) fn era(&self) -> StoreEra {
+        *self.era.borrow()
+    }
+
+    /// Returns a receiver that is notified of each newer era.
+    pub(crate) fn watch_era(&self) -> watch::Receiver<StoreEra> {
+        self.era.subscribe()
+    }
+
+    /// Records an era of the store, as seen by this daemon or told by another one.
+    pub(crate) fn raise_era(&self, era: StoreEra) {
+        self.era.send_if_modified(|known| {
+            let is_newer = era > *known;
+            *known = era.max(*known);
+            is_newer
+        });
+    }
+
+    /// Sends a call and returns its response. One of an older era than the newest known
+    /// one is an error.
     ///
     /// The connection is closed unless it delivers the complete response, since it
     /// can't be used for another call.
@@ -93,7 +133,7 @@
         &self,
         call: StoreCall,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let until = Instant::now() + timeout;
         let mut connection = self.connect(until).await?;
         let request = build_request(self.address, call)?;
@@ -105,14 +145,20 @@
                 .map_err(StoreError::Lost)?;
             let (head, body) = response.into_parts();
             let body = body.collect().await.map_err(StoreError::Lost)?;
-            Ok((status(head.status.as_u16()), body.to_bytes()))
+            let era = head.headers.get(STORE_ERA_HEADER);
+            let era = parse_store_era(era.map(HeaderValue::as_bytes))?;
+            Ok((status(head.status.as_u16()), era, body.to_bytes()))
         })
         .await;
         match result {
-            Ok(Ok((status, body))) => {
+            Ok(Ok((status, era, body))) => {
                 self.keep(connection);
+                self.raise_era(era);
                 match status {
-                    StoreStatus::Done => Ok(body),
+                    // A proxy before the store may reject calls without an era.
+                    StoreStatus::Busy | StoreStatus::Rejected => Err(StoreError::Status(status)),
+                    _ if era < self.era() => Err(StoreError::OldEra(era)),
+                    StoreStatus::Done => Ok(StoreResponse { body, era }),
                     other => Err(StoreError::Status(other)),
                 }
             }
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -25,6 +25,8 @@
 
 use agatehold_core::ids::HostId;
 use agatehold_core::units::DurationMs;
+use agatehold_core::units::StoreEra;
+use agatehold_core::units::StoreRevision;
 
 use crate::clock::duration;
 
@@ -78,6 +80,10 @@
 /// spreads the reads when a whole fleet starts.
 const FIRST_POLL_JITTER: Duration = Duration::from_millis(300);
 
+/// The maximum random delay before a daemon registers in a new era of the store, of which a
+/// whole fleet may hear at the same moment. Its entry is kept by others for 2.2 s.
+const NEW_ERA_JITTER: Duration = Duration::from_millis(300);
+
 /// The groups of keys that are read from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum KeyGroup {
@@ -137,7 +143,7 @@
 /// An event that the store tasks send to the control loop.
 pub(crate) enum StoreEvent {
     /// A complete listing of a key group, as of a revision of the store.
-    Listed(KeyGroup, Vec<Item>, u64),
+    Listed(KeyGroup, Vec<Item>, StoreRevision),
     /// Changes of a key group, in order.
     Changed(KeyGroup, Vec<Item>),
     /// The call with this name failed.
@@ -163,7 +169,7 @@
     key: Box<str>,
     /// The revision of the last write; `None` until a write is acknowledged, and while
     /// another one may be executed.
-    revision: Cell<Option<u64>>,
+    revision: Cell<Option<StoreRevision>>,
     /// Notified when the entry is found to be missing or replaced.
     lost: Notify,
 }
@@ -180,7 +186,7 @@
 
     /// Compares the entry with a listing as of `revision`. One that is older than the
     /// last write tells nothing.
-    fn check(&self, listed: &[Item], revision: u64) {
+    fn check(&self, listed: &[Item], revision: StoreRevision) {
         let Some(written) = self.revision.get() else {
             return;
         };
@@ -193,7 +199,7 @@
         }
         log::warn!(
             "event=registration_lost written={written} found={} listed={revision}",
-            found.map_or(0, |item| item.revision)
+            found.map_or(StoreRevision::ZERO, |item| item.revision)
         );
         metrics::counter!("agatehold_registrations_lost_total").increment(1);
         self.revision.set(None);
@@ -253,11 +259,12 @@
 }
 
 /// Watches a key group from `revision` on; returns when the store no longer has the
-/// history since then.
+/// history since then, or has come back from an older copy: the revision means nothing in
+/// the new era, where it may have been given out again.
 async fn watch_changes(
     store: &StoreClient,
     key_group: KeyGroup,
-    mut revision: u64,
+    mut revision: StoreRevision,
     turn: &Cell<WatchTurn>,
     events: &Sender<StoreEvent>,
 ) {
@@ -269,7 +276,10 @@
         let timeout = duration(wait_ms) + WATCH_MARGIN;
         let response = store.call(call, timeout).await;
         let watched = match response {
-            Ok(body) => decode_watch_response(&body).map_err(StoreError::from),
+            Ok(response) if response.era != revision.era() => return,
+            Ok(response) => {
+                decode_watch_response(&response.body, response.era).map_err(StoreError::from)
+            }
             Err(error) => Err(error),
         };
         match watched {
@@ -303,22 +313,41 @@
     }
 }
 
+/// Reads all keys of a group. Reads that may be stale are repeated as others if a replica
+/// of an older era answers, which may stay in it.
+async fn list(
+    store: &StoreClient,
+    key_group: KeyGroup,
+    may_be_stale: bool,
+) -> Result<(Vec<Item>, StoreRevision), StoreError> {
+    match list_pages(store, key_group, may_be_stale).await {
+        Err(StoreError::OldEra(_)) if may_be_stale => list_pages(store, key_group, false).await,
+        listed => listed,
+    }
+}
+
 /// Reads all keys of a group, page by page. Returns the revision of the first page:
 /// a watch that starts there misses no change.
-async fn list(
+async fn list_pages(
     store: &StoreClient,
     key_group: KeyGroup,
     may_be_stale: bool,
-) -> Result<(Vec<Item>, u64), StoreError> {
+) -> Result<(Vec<Item>, StoreRevision), StoreError> {
     let mut items: Vec<Item> = Vec::new();
-    let mut revision = None;
+    let mut revision: Option<StoreRevision> = None;
     loop {
         let after = items.last().map(|item| item.key.clone());
         let call = read_page(key_group.prefix(), after.as_deref(), may_be_stale);
-        let body = store.call(call, CALL_TIMEOUT).await?;
-        let page = decode_page(&body)?;
+        let response = store.call(call, CALL_TIMEOUT).await?;
+        let page = decode_page(&response.body, response.era)?;
+        if revision.is_some_and(|oldest| oldest.era() != response.era) {
+            // The pages before are of the older era.
+            items.clear();
+            revision = None;
+            continue;
+        }
         // Pages are no snapshot, and a later one may be the older one if it may be stale.
-        let oldest = revision.map_or(page.store_revision, |oldest: u64| {
+        let oldest = revision.map_or(page.store_revision, |oldest| {
             oldest.min(page.store_revision)
         });
         revision = Some(oldest);
@@ -395,8 +424,8 @@
 ) {
     let mut backoff = Backoff::new();
     loop {
-        let lease = match obtain_lease(&store).await {
-            Ok(lease) => lease,
+        let (lease, era) = match obtain_lease(&store).await {
+            Ok(obtained) => obtained,
             Err(error) => {
                 let _ = events.send(StoreEvent::CallFailed("lease", error)).await;
                 backoff.pause().await;
@@ -407,6 +436,7 @@
         keep_lease(
             &store,
             lease,
+            era,
             &own_entry,
             &mut record,
             &renewal_interval,
@@ -416,12 +446,15 @@
     }
 }
 
-async fn obtain_lease(store: &StoreClient) -> Result<Lease, StoreError> {
-    let body = store.call(create_lease(LEASE_TTL_MS), CALL_TIMEOUT).await?;
-    Ok(decode_lease(&body)?)
+async fn obtain_lease(store: &StoreClient) -> Result<(Lease, StoreEra), StoreError> {
+    let response = store.call(create_lease(LEASE_TTL_MS), CALL_TIMEOUT).await?;
+    Ok((decode_lease(&response.body)?, response.era))
 }
 
-/// Writes the record and renews the lease until the store reports that it has expired.
+/// Writes the record and renews the lease until the store reports that it has expired, or
+/// has come back from an older copy: the number of a lease of the era before may have been
+/// given to another daemon since.
+///
 /// Writes the record again whenever it changes, or its entry is lost.
 ///
 /// A write without an answer is repeated with the same lease: the store may execute it
@@ -430,6 +463,7 @@
 async fn keep_lease(
     store: &StoreClient,
     lease: Lease,
+    era: StoreEra,
     own_entry: &OwnEntry,
     record: &mut tokio::sync::watch::Receiver<Vec<u8>>,
     renewal_interval: &tokio::sync::watch::Receiver<Duration>,
@@ -438,15 +472,24 @@
     let mut backoff = Backoff::new();
     let mut is_registered = false;
     let mut is_written = false;
+    let mut newest_era = store.watch_era();
     loop {
         if is_written {
             let interval = *renewal_interval.borrow();
             is_written = tokio::select! {
                 _ = record.changed() => false,
                 () = own_entry.lost.notified() => false,
+                _ = newest_era.wait_for(|newest| *newest > era) => false,
                 () = tokio::time::sleep(interval) => true,
             };
         }
+        if store.era() > era {
+            log::info!("event=lease_dropped lease={} era={era}", lease.id);
+            own_entry.revision.set(None);
+            let jitter = rand::rng().random_range(0.0..1.0);
+            tokio::time::sleep(NEW_ERA_JITTER.mul_f64(jitter)).await;
+            return;
+        }
         let call = if is_written {
             renew_lease(lease.id)
         } else {
@@ -455,10 +498,12 @@
             write(&own_entry.key, &value, lease.id)
         };
         match store.call(call, CALL_TIMEOUT).await {
-            Ok(body) => {
+            Ok(response) => {
                 if !is_written {
                     // Without the revision, a lost entry is not noticed.
-                    own_entry.revision.set(decode_write(&body).ok());
+                    own_entry
+                        .revision
+                        .set(decode_write(&response.body, response.era).ok());
                 }
                 is_written = true;
                 backoff.reset();
