gateway: choose targets by expected cost if the settings ask for it

[dispatch] expected_cost = true (default false) makes the traffic thread keep a CostTable. The cost is predicted once when a request arrives, counts in the target while it is sent, and is recorded if the outcome is Answered; timeouts and failures teach nothing.

The queue and PickRequest are unchanged: a slot that the queue hands over counts as a mean request until it is sent.

Metrics: histograms agatehold_predicted_run_seconds and agatehold_run_seconds, gauge agatehold_cost_log_error.

--- a/crates/agatehold-settings/src/process/gateway.rs
+++ b/crates/agatehold-settings/src/process/gateway.rs
@@ -18,7 +18,7 @@
 use super::values::parse_remote_address;
 
 /// The section names that the settings file may contain.
-const SECTIONS: &[&str] = &["host", "listen", "platform", "entries", "log"];
+const SECTIONS: &[&str] = &["host", "listen", "platform", "entries", "dispatch", "log"];
 
 /// The millicores (thousandths of a processor core) that the requests of one Mbit/s
 /// need. A request transfers about 12 kB on the link and takes 0.5 ms of a core.
@@ -44,6 +44,9 @@
     pub bounds: Box<str>,
     /// How many entry daemons each group of callers is given.
     pub entries: EntryPolicy,
+    /// Whether targets are chosen by the expected cost of requests instead of by their
+    /// number.
+    pub expected_cost: bool,
     /// The lowest severity that is logged.
     pub log: LogLevel,
 }
@@ -102,6 +105,10 @@
     let slots_per_core = reader.required("slots_per_core", parse_slot_count);
     reader.report_unknown_keys(None);
 
+    let mut reader = SectionReader::open(&document, "dispatch", &mut errors);
+    let expected_cost = reader.optional("expected_cost", parse_true_false);
+    reader.report_unknown_keys(None);
+
     let mut reader = SectionReader::open(&document, "log", &mut errors);
     let log = reader.optional("level", str::parse);
     reader.report_unknown_keys(None);
@@ -129,6 +136,7 @@
                 least: least?,
                 slots_per_core: slots_per_core?,
             },
+            expected_cost: expected_cost.unwrap_or(false),
             log: log.unwrap_or_default(),
         })
     })();
@@ -158,6 +166,14 @@
     Ok(text.into())
 }
 
+fn parse_true_false(text: &str) -> Result<bool, ParseValueError> {
+    match text {
+        "true" => Ok(true),
+        "false" => Ok(false),
+        _ => Err(ParseValueError::Expected("true or false")),
+    }
+}
+
 /// Parses a number of cores such as `0.2`, or a share of several cores such as
 /// `0.2 x 4`, and returns the product in thousandths of a core.
 fn parse_millicores(text: &str) -> Result<u32, ParseValueError> {
--- a/crates/agatehold-settings/tests/gateway.rs
+++ b/crates/agatehold-settings/tests/gateway.rs
@@ -43,6 +43,21 @@
     assert!(settings.bounds.is_empty());
 }
 
+/// Guards against a feature that is active where the settings don't ask for it.
+#[test]
+fn expected_cost_is_used_only_if_set() {
+    for (section, expected) in [
+        ("", false),
+        ("[dispatch]\n", false),
+        ("[dispatch]\nexpected_cost = false\n", false),
+        ("[dispatch]\nexpected_cost = true\n", true),
+    ] {
+        let text = format!("{EXAMPLE}\n{section}");
+        let settings = parse_gateway("gateway.ini", &text).expect("valid settings");
+        assert_eq!(settings.expected_cost, expected, "{section}");
+    }
+}
+
 /// Every error shows the file, the section and the key, the invalid value, and what
 /// was expected.
 #[test]
@@ -80,6 +95,11 @@
             "[log] level = loud: expected error",
         ),
         ("[entries]", "[entrances]", "[entrances]"),
+        (
+            "[log]",
+            "[dispatch]\nexpected_cost = yes\n[log]",
+            "[dispatch] expected_cost = yes: expected true or false",
+        ),
     ] {
         let text = EXAMPLE.replace(from, to);
         let errors = parse_gateway("gateway.ini", &text).expect_err(to);
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -49,9 +49,14 @@
             self.release(identity);
             return AttemptEnd::without_response(AttemptOutcome::NotWritten, "target removed");
         };
+        let work = self.begin_work(identity);
         let sent_at = Instant::now();
         let end = self.exchange(identity, address, response_sender).await;
         let run_ms = DurationMs(sent_at.elapsed().as_millis() as u64);
+        self.end_work(identity, work);
+        if end.outcome == AttemptOutcome::Answered {
+            self.record_cost(identity, run_ms);
+        }
         self.record_statements(identity, address, &end);
         self.record_attempt(identity, address, &end, run_ms);
         end
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod credentials;
 mod finish;
 mod record_attempt;
+mod record_cost;
 mod record_statements;
 
 use http::HeaderValue;
@@ -18,6 +19,7 @@
 use agatehold_core::dispatch::ResendBudget;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::after_attempt;
+use agatehold_core::dispatch::cost::RequestCost;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::refusal::RefusalKind;
@@ -77,6 +79,9 @@
     /// The deadline for the response to the caller.
     deadline: TimeMs,
     request_id: Option<HeaderValue>,
+    /// What the request is expected to cost, as predicted when it arrived; `None` unless
+    /// targets are chosen by expected cost.
+    cost: Option<RequestCost>,
     attempts: Attempts,
     tried: Vec<TargetName>,
     /// Why the last attempt failed, for the log.
@@ -107,6 +112,7 @@
     plan: Plan<'_>,
     response_sender: &mut oneshot::Sender<Response>,
 ) -> Option<Response> {
+    let cost = record_cost::predict(state, incoming, &plan);
     let mut dispatch = Dispatch {
         state,
         incoming,
@@ -121,6 +127,7 @@
             .headers
             .get(request_headers::REQUEST_ID)
             .cloned(),
+        cost,
         attempts: Attempts::default(),
         tried: Vec::new(),
         detail: "",
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -26,6 +26,7 @@
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::SuspensionDetector;
+use agatehold_core::dispatch::cost::CostTable;
 use agatehold_core::dispatch::count_target_states;
 use agatehold_core::dispatch::may_exit;
 use agatehold_core::dispatch::may_take_request;
@@ -87,6 +88,8 @@
     pub(super) queue_filled: Notify,
     /// The state of each route, by the route's name.
     pub(super) routes: RefCell<HashMap<Box<str>, RouteState>>,
+    /// What requests cost; `None` unless targets are chosen by expected cost.
+    pub(super) costs: Option<RefCell<CostTable>>,
     /// The requests that were running in a target when it crashed.
     pub(super) poison: RefCell<PoisonTable>,
     /// The number of the last answer applied of those that other daemons gave this one
@@ -320,7 +323,10 @@
             return;
         }
     };
-    let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
+    let uses_expected_cost = shared.settings.expected_cost;
+    let mut targets = LiveTargets::new(&shared.settings.host.id);
+    targets.set_uses_expected_work(uses_expected_cost);
+    let targets = RefCell::new(targets);
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
     let state = Rc::new(TrafficState {
         shared,
@@ -334,6 +340,7 @@
         queues: RefCell::default(),
         queue_filled: Notify::new(),
         routes: RefCell::default(),
+        costs: uses_expected_cost.then(RefCell::default),
         poison: RefCell::default(),
         told_number: Cell::new(0),
         evidence,
@@ -452,4 +459,8 @@
             "service" => service.to_string(), "state" => state_name)
         .set(f64::from(count));
     }
+    if let Some(work) = state.targets.borrow().work_of(service) {
+        metrics::gauge!("agatehold_cost_log_error", "service" => service.to_string())
+            .set(work.mean_log_error);
+    }
 }
