measure: compare expected work, count and two random choices

Six traces without a network, 64 targets with 4 slots, one and eight daemons with homes, loads 0.5, 0.8 and 0.95: agatehold-measure expected-cost.

--- a/crates/agatehold-measure/src/lib.rs
+++ b/crates/agatehold-measure/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod balance;
 pub mod detection;
+pub mod expected_cost;
 pub mod false_ejection;
 pub mod flapping;
 pub mod leaving;
--- a/crates/agatehold-measure/src/main.rs
+++ b/crates/agatehold-measure/src/main.rs
@@ -8,6 +8,7 @@
 
 use agatehold_measure::balance;
 use agatehold_measure::detection;
+use agatehold_measure::expected_cost;
 use agatehold_measure::false_ejection;
 use agatehold_measure::flapping;
 use agatehold_measure::leaving;
@@ -15,7 +16,7 @@
 
 const USAGE: &str = "\
 usage: agatehold-measure [--trials N] \
-detection|false-ejections|poison|flapping|balance|leaving";
+detection|false-ejections|poison|flapping|balance|leaving|expected-cost";
 
 /// The number of trials per result without `--trials`.
 const DEFAULT_TRIALS: u32 = 4_000;
@@ -56,6 +57,7 @@
         "flapping" => flapping::report(trials),
         "balance" => balance::report(),
         "leaving" => leaving::report(),
+        "expected-cost" => expected_cost::report(),
         other => {
             eprintln!("agatehold-measure: unknown subcommand {other}\n{USAGE}");
             return ExitCode::from(2);
