--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod credentials;
 mod finish;
 mod record_attempt;
+mod record_cost;
 mod record_statements;
 
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use agatehold_core::dispatch::ResendBudget;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::after_attempt;
+use agatehold_core::dispatch::cost::RequestCost;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::refusal::RefusalKind;
@@ -83,6 +85,9 @@
     /// The deadline for the response to the caller.
     deadline: TimeMs,
     request_id: Option<HeaderValue>,
+    /// What the request is expected to cost, as predicted when it arrived; `None` unless
+    /// targets are chosen by expected cost.
+    cost: Option<RequestCost>,
     attempts: Attempts,
     tried: Vec<TargetName>,
     /// Why the last attempt failed, for the log.
@@ -117,6 +122,7 @@
     plan: Plan<'_>,
     response_sender: &mut oneshot::Sender<Response>,
 ) -> Option<Response> {
+    let cost = record_cost::predict(state, incoming, &plan);
     let mut dispatch = Dispatch {
         state,
         incoming,
@@ -131,6 +137,7 @@
             .headers
             .get(request_headers::REQUEST_ID)
             .cloned(),
+        cost,
         attempts: Attempts::default(),
         tried: Vec::new(),
         detail: "",
