core: allotments of tenants as a distributed token bucket

Cause: a tenant's rate and burst count over all daemons together, also while these don't reach each other; until now nothing limited them in the gateway.

Ruled out: equal parts for all entry daemons. Tokens that never lapse would let the granting daemon refill beside the granted tokens.

Change: limits::allotments. TenantTable gets an index by name.

--- a/crates/agatehold-core/src/limits/mod.rs
+++ b/crates/agatehold-core/src/limits/mod.rs
@@ -1,6 +1,8 @@
 //! Admission control: token buckets for tenants, the admission queue of a
 //! service, and `Retry-After` delays.
 
+pub mod allotments;
+
 mod bucket;
 mod class_queue;
 mod drain;
--- a/crates/agatehold-core/src/tenants/rows.rs
+++ b/crates/agatehold-core/src/tenants/rows.rs
@@ -64,6 +64,8 @@
     rows: Vec<TenantRow>,
     /// The position in `rows` of the tenant that holds a key.
     by_key: HashMap<KeyDigest, usize>,
+    /// The position in `rows` of the tenant with a name.
+    by_name: HashMap<TenantName, usize>,
 }
 
 impl TenantTable {
@@ -78,6 +80,9 @@
         for key in keys {
             self.by_key.entry(key).or_insert(self.rows.len());
         }
+        self.by_name
+            .entry(row.name.clone())
+            .or_insert(self.rows.len());
         self.rows.push(row);
     }
 
@@ -86,6 +91,11 @@
         self.rows.get(*self.by_key.get(key)?)
     }
 
+    /// Returns the tenant with a name.
+    pub fn by_name(&self, name: &TenantName) -> Option<&TenantRow> {
+        self.rows.get(*self.by_name.get(name)?)
+    }
+
     /// Returns the tenants in the order of the configuration.
     pub fn rows(&self) -> &[TenantRow] {
         &self.rows
