gateway: take a token for each request of a tenant with a limit

Change: after authorization and before a slot is claimed, a request takes a token, waits up to 40 ms for grants of other daemons, and is refused with 429 rate-limited and a Retry-After of its own. Its token goes back if nothing was sent to a target. Asks and grants use the socket for evidence. quota_window, quota_overshoot and quota_slack are read from the bounds; the window decides how long a larger part waits.

Ruled out: a wait in the queue of the service instead of 40 ms, which would hold places for requests that may not run.

Process tests: two daemons share one allotment; an ask is answered once in a datagram below 2,048 bytes.

--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -11,6 +11,7 @@
 use crate::telemetry::FieldText;
 use crate::traffic::strip_hop_by_hop;
 
+use crate::gateway::allotments;
 use crate::gateway::endpoint::Response;
 use crate::gateway::evidence;
 use crate::gateway::responses;
@@ -27,6 +28,12 @@
         let id = request_id_text(self.request_id.as_ref());
         let target = self.tried.last().map_or("-", TargetName::as_str);
         let now = self.now();
+        if let Some(token) = &self.token
+            && self.attempts.sent == 0
+            && !matches!(dispatch_end, DispatchEnd::Answered(_))
+        {
+            allotments::give_back(self.state, token);
+        }
         match &dispatch_end {
             DispatchEnd::Answered(response) => {
                 let is_served = !response.status.is_server_error();
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -28,6 +28,7 @@
 use agatehold_core::units::TimeMs;
 use agatehold_platform::request_headers;
 
+use crate::gateway::allotments::HeldToken;
 use crate::gateway::endpoint::IncomingRequest;
 use crate::gateway::endpoint::Response;
 use crate::gateway::pool::ConnectionUse;
@@ -53,6 +54,8 @@
 pub(super) struct Plan<'a> {
     /// What the request's key allows.
     pub(super) credentials: Credentials,
+    /// The token of the tenant's allotment; `None` if the tenant has no limit.
+    pub(super) token: Option<HeldToken>,
     /// The priority among the requests that wait for the service; 0 is the highest.
     pub(super) priority: u8,
     /// The matched route.
@@ -71,6 +74,7 @@
     incoming: &'a IncomingRequest,
     route: &'a CatalogRoute,
     credentials: Credentials,
+    token: Option<HeldToken>,
     priority: u8,
     version: ConfigVersion,
     service: ServiceName,
@@ -112,6 +116,7 @@
         incoming,
         route: plan.route,
         credentials: plan.credentials,
+        token: plan.token,
         priority: plan.priority,
         version: plan.version,
         service: plan.service,
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -19,6 +19,7 @@
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::TimeMs;
 
+use super::allotments;
 use super::messages::CrashMarkAge;
 use super::messages::CrashMarksMessage;
 use super::messages::DATAGRAM_BYTES_MAX;
@@ -302,8 +303,8 @@
 pub(super) async fn receive(state: Rc<TrafficState>) {
     let mut buffer = [0; DATAGRAM_BYTES_MAX];
     loop {
-        let length = match state.evidence.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, from) = match state.evidence.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 // The kernel reports here that an earlier datagram was sent to a
                 // closed port.
@@ -323,6 +324,8 @@
                 let now = state.shared.clock.now();
                 record_crash_marks(&state, &message, now, now);
             }
+            Some(TrafficMessage::Ask(message)) => allotments::answer_ask(&state, &message, from),
+            Some(TrafficMessage::Grant(message)) => allotments::apply_grant(&state, &message),
             None => log::debug!("event=news_skipped bytes={length}"),
         }
     }
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -22,6 +22,12 @@
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 
+use super::allotment_messages::AskJson;
+use super::allotment_messages::AskMessage;
+use super::allotment_messages::GrantJson;
+use super::allotment_messages::GrantMessage;
+use super::allotment_messages::decode_ask;
+use super::allotment_messages::decode_grant;
 use super::store_tasks::KeyGroup;
 
 /// The maximum size of a datagram.
@@ -158,6 +164,10 @@
     Leaving(LeavingMessage),
     /// The crash marks of a request.
     CrashMarks(CrashMarksMessage),
+    /// Another daemon asks for tokens of tenants.
+    Ask(AskMessage),
+    /// Another daemon grants tokens.
+    Grant(GrantMessage),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -212,6 +222,8 @@
     Pressure(PressureJson),
     Leaving(LeavingJson),
     CrashMarks(CrashMarksJson),
+    Ask(AskJson),
+    Grant(GrantJson),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -359,6 +371,8 @@
         TrafficMessageJson::CrashMarks(json) => {
             decode_crash_marks(&json).map(TrafficMessage::CrashMarks)
         }
+        TrafficMessageJson::Ask(json) => decode_ask(json).map(TrafficMessage::Ask),
+        TrafficMessageJson::Grant(json) => decode_grant(json).map(TrafficMessage::Grant),
     }
 }
 
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -2,6 +2,8 @@
 //! of targets. Callers query the directory endpoint for the addresses of the
 //! daemons to use and connect to them directly.
 
+mod allotment_messages;
+mod allotments;
 mod control;
 mod dispatch;
 mod endpoint;
@@ -58,7 +60,7 @@
     let signals = watch_signals()?;
     let shared = Arc::new(GatewayShared::new(Clock::new_steady(), settings, bounds));
     log::info!(
-        "event=start host={} incarnation={incarnation} version={} callers={} store={} least_entries={} resend_ratio={} resend_slack={} stop_limit={}",
+        "event=start host={} incarnation={incarnation} version={} callers={} store={} least_entries={} resend_ratio={} resend_slack={} quota_window={} quota_overshoot={} quota_slack={} stop_limit={}",
         shared.settings.host.id,
         env!("CARGO_PKG_VERSION"),
         shared.settings.listen.callers,
@@ -66,6 +68,9 @@
         shared.settings.entries.least,
         shared.bounds.retry_budget_ratio,
         shared.bounds.retry_slack,
+        shared.bounds.quota_window_ms,
+        shared.bounds.quota_overshoot,
+        shared.bounds.quota_slack,
         shared.bounds.stop_limit_ms
     );
     start_metrics_upkeep(metrics.clone());
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -165,7 +165,11 @@
     let retry_helps = matches!(advice, RetryAdvice::Later | RetryAdvice::OtherAddress);
     if retry_helps && outcome == RefusalOutcome::NotRun {
         let backlog_ms = backlog_ms.unwrap_or(DurationMs(0));
-        let delay_ms = spread_retry_after_fraction(backlog_ms, &mut *state.rng.borrow_mut());
+        let delay_ms = match kind {
+            // Each refused request has a time of its own already.
+            RefusalKind::RateLimited => backlog_ms,
+            _ => spread_retry_after_fraction(backlog_ms, &mut *state.rng.borrow_mut()),
+        };
         let seconds = format!("{}.{:03}", delay_ms.0 / 1_000, delay_ms.0 % 1_000);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             let name = HeaderName::from_static(request_headers::RETRY_AFTER);
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -15,6 +15,7 @@
 use crate::telemetry::FieldText;
 use crate::traffic::host_name;
 
+use super::allotments;
 use super::dispatch;
 use super::dispatch::Credentials;
 use super::dispatch::Plan;
@@ -118,9 +119,29 @@
             Err(kind) => return refuse(kind, catalog.version),
         };
     let deadline = state.shared.clock.now() + remaining_ms;
+    let token = match tenant {
+        Some(tenant) => match allotments::admit(state, tenant).await {
+            Ok(token) => token,
+            Err(retry_after_ms) => {
+                let kind = RefusalKind::RateLimited;
+                log_early_refusal(state, kind, incoming, catalog.version);
+                let id = request_id.as_ref();
+                let delay_ms = Some(retry_after_ms);
+                return Some(responses::refusal(
+                    state,
+                    kind,
+                    kind.outcome(),
+                    delay_ms,
+                    id,
+                ));
+            }
+        },
+        None => None,
+    };
     let service = routes::next_service(state, route);
     let plan = Plan {
         credentials,
+        token,
         priority: tenant
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.priority),
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -30,6 +30,7 @@
 use agatehold_core::dispatch::may_exit;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::ids::ServiceName;
+use agatehold_core::limits::allotments::AllotmentTable;
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -37,6 +38,8 @@
 
 use crate::clock::read_suspension_clocks;
 
+use super::allotments;
+use super::allotments::Allotments;
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
@@ -76,6 +79,8 @@
     pub(super) request_memory: BodyMemory,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<ResendBudgets>,
+    /// The allotments of tenants.
+    pub(super) allotments: Allotments,
     /// Detects suspensions of the host.
     suspension: RefCell<SuspensionDetector>,
     /// The counts of served and unserved requests of each service.
@@ -134,6 +139,7 @@
         }
         self.budgets.borrow_mut().set_entries(&counts, now);
         self.log_share_changes(now);
+        allotments::set_parts(self, newest, now);
         for (service, entries) in &newest.entries_by_service {
             let entries: Vec<EntryDaemon<'_>> = entries
                 .iter()
@@ -167,6 +173,7 @@
         };
         let now = self.shared.clock.now();
         self.budgets.borrow_mut().clear_saved(now);
+        self.allotments.table.borrow_mut().forget_tokens(now);
         log::warn!("event=suspended ms={}", suspended_ms.0);
     }
 
@@ -322,6 +329,7 @@
     };
     let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
+    let allotments = start_allotments(&shared);
     let state = Rc::new(TrafficState {
         shared,
         view: RefCell::default(),
@@ -329,6 +337,7 @@
         pool: RefCell::default(),
         request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
         budgets,
+        allotments,
         suspension: RefCell::new(SuspensionDetector::new(read_suspension_clocks())),
         service_stats: RefCell::default(),
         queues: RefCell::default(),
@@ -347,6 +356,18 @@
     local.block_on(&runtime, run(&state, wake, bind_result_sender));
 }
 
+/// Creates the allotments of this process, without parts.
+fn start_allotments(shared: &GatewayShared) -> Allotments {
+    let host = &shared.settings.host;
+    let table = AllotmentTable::new(
+        host.id.clone(),
+        host.failure_domain.clone(),
+        shared.bounds.quota_window_ms,
+        shared.clock.now(),
+    );
+    Allotments::new(table, &host.id, rand::random())
+}
+
 /// Returns the fleet-wide limit on retries.
 fn resend_policy(bounds: &FleetBounds) -> ResendPolicy {
     ResendPolicy {
@@ -430,6 +451,7 @@
     state.gauges_updated_at.set(now);
     state.check_suspension();
     state.log_share_changes(now);
+    allotments::tick(state, now);
     state.targets.borrow_mut().expire_statements(now);
     for service in &services {
         update_target_gauges(state, service, now);
