--- a/crates/agatehold-measure-load/benches/decisions.rs
+++ b/crates/agatehold-measure-load/benches/decisions.rs
@@ -24,17 +24,24 @@
 use agatehold_core::idempotency::KeyOwner;
 use agatehold_core::idempotency::KeyTable;
 use agatehold_core::ids::Digest;
+use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::ids::TenantName;
 use agatehold_core::limits::AdmissionQueue;
 use agatehold_core::limits::Offer;
 use agatehold_core::limits::QueueLimits;
+use agatehold_core::limits::allotments::AllotmentEntry;
+use agatehold_core::limits::allotments::AllotmentTable;
 use agatehold_core::note::Head;
 use agatehold_core::routing::RoutingTable;
 use agatehold_core::routing::build;
 use agatehold_core::routing::match_route;
 use agatehold_core::routing::pick_target;
 use agatehold_core::table::Table;
+use agatehold_core::tenants::Allotment;
+use agatehold_core::tenants::KeyDigest;
+use agatehold_core::tenants::TenantRow;
+use agatehold_core::tenants::TenantTable;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::SlotCount;
 use agatehold_core::units::TimeMs;
@@ -235,6 +242,61 @@
     Ok(())
 }
 
+/// Returns the tables of `tenants` tenants with one key each, and their keys.
+fn tenant_tables(
+    tenants: usize,
+) -> Result<(TenantTable, AllotmentTable, Vec<KeyDigest>), Box<dyn Error>> {
+    let mut table = TenantTable::new();
+    let mut keys = Vec::new();
+    for number in 0..tenants {
+        let row = TenantRow {
+            name: format!("tenant-{number}").parse()?,
+            priority: None,
+            allotment: Some(Allotment {
+                rate_per_s: 1_000_000.0,
+                burst: 1_000_000.0,
+            }),
+        };
+        let key = KeyDigest::of(format!("key-{number}").as_bytes());
+        table.insert(row, std::iter::once(key));
+        keys.push(key);
+    }
+    let own: HostId = "entry-0".parse()?;
+    let window_ms = DurationMs(5_000);
+    let domain = "domain-0".parse()?;
+    let mut allotments = AllotmentTable::new(own, domain, window_ms, TimeMs(0));
+    let mut entries = Vec::new();
+    for number in 0..30 {
+        entries.push(AllotmentEntry {
+            host: format!("entry-{number}").parse()?,
+            failure_domain: format!("domain-{}", number % 3).parse()?,
+        });
+    }
+    allotments.set_parts(entries, TimeMs(0));
+    Ok((table, allotments, keys))
+}
+
+/// Look-up of the key and one token, for tenants in turn.
+fn bench_allotments(criterion: &mut Criterion) -> Result<(), Box<dyn Error>> {
+    for tenants in [77, 63_000] {
+        let (table, mut allotments, keys) = tenant_tables(tenants)?;
+        let mut next = 0;
+        let mut requests = 0_u64;
+        criterion.bench_function(&format!("look_up_and_take/{tenants}"), |bencher| {
+            bencher.iter(|| {
+                // A prime step, so that neighbouring rows don't follow each other.
+                next = (next + 7_919) % keys.len();
+                requests += 1;
+                let now = TimeMs(10_000 + requests / 100);
+                allotments.record_answer(now);
+                let row = table.by_key(&keys[next])?;
+                allotments.take(&row.name, row.allotment.as_ref()?, now)
+            });
+        });
+    }
+    Ok(())
+}
+
 fn main() -> Result<(), Box<dyn Error>> {
     let mut criterion = Criterion::default()
         .without_plots()
@@ -245,6 +307,7 @@
     bench_routing(&mut criterion)?;
     bench_claims(&mut criterion)?;
     bench_admission(&mut criterion)?;
+    bench_allotments(&mut criterion)?;
     criterion.final_summary();
     Ok(())
 }
