--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -26,6 +26,12 @@
 use agatehold_core::units::StoreEra;
 use agatehold_core::units::StoreRevision;
 
+use super::allotment_messages::AskJson;
+use super::allotment_messages::AskMessage;
+use super::allotment_messages::GrantJson;
+use super::allotment_messages::GrantMessage;
+use super::allotment_messages::decode_ask;
+use super::allotment_messages::decode_grant;
 use super::shared::View;
 use super::store_tasks::KeyGroup;
 
@@ -166,6 +172,10 @@
     CrashMarks(CrashMarksMessage),
     /// A connection to a target was dead after this rest.
     DeadConnection(DurationMs),
+    /// Another daemon asks for tokens of tenants.
+    Ask(AskMessage),
+    /// Another daemon grants tokens.
+    Grant(GrantMessage),
 }
 
 /// Revisions are sent as [`StoreRevision::packed`].
@@ -227,6 +237,8 @@
     Leaving(LeavingJson),
     CrashMarks(CrashMarksJson),
     DeadConnection(DeadConnectionJson),
+    Ask(AskJson),
+    Grant(GrantJson),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -398,6 +410,8 @@
         TrafficMessageJson::DeadConnection(json) => Some(TrafficMessage::DeadConnection(
             DurationMs(json.dead_after_rest_ms),
         )),
+        TrafficMessageJson::Ask(json) => decode_ask(json).map(TrafficMessage::Ask),
+        TrafficMessageJson::Grant(json) => decode_grant(json).map(TrafficMessage::Grant),
     }
 }
 
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -156,7 +156,11 @@
     request_id: Option<&HeaderValue>,
 ) -> Response {
     let backlog_ms = backlog_ms.unwrap_or(DurationMs(0));
-    let delay_ms = spread_retry_after_fraction(backlog_ms, &mut *state.rng.borrow_mut());
+    let delay_ms = match kind {
+        // Each refused request has a time of its own already.
+        RefusalKind::RateLimited => backlog_ms,
+        _ => spread_retry_after_fraction(backlog_ms, &mut *state.rng.borrow_mut()),
+    };
     refusal_with_delay(kind, outcome, delay_ms, request_id)
 }
 
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -33,6 +33,7 @@
 use agatehold_core::dispatch::may_exit;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::ids::ServiceName;
+use agatehold_core::limits::allotments::AllotmentTable;
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -40,6 +41,8 @@
 
 use crate::clock::read_suspension_clocks;
 
+use super::allotments;
+use super::allotments::Allotments;
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
@@ -79,6 +82,8 @@
     pub(super) memory: MemoryAccount,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<ResendBudgets>,
+    /// The allotments of tenants.
+    pub(super) allotments: Allotments,
     /// Detects suspensions of the host.
     suspension: RefCell<SuspensionDetector>,
     /// The counts of served and unserved requests of each service.
@@ -146,6 +151,7 @@
         }
         self.budgets.borrow_mut().set_entries(&counts, now);
         self.log_share_changes(now);
+        allotments::set_parts(self, newest, now);
         for (service, entries) in &newest.entries_by_service {
             let entries: Vec<EntryDaemon<'_>> = entries
                 .iter()
@@ -179,6 +185,7 @@
         };
         let now = self.shared.clock.now();
         self.budgets.borrow_mut().clear_saved(now);
+        self.allotments.table.borrow_mut().forget_tokens(now);
         log::warn!("event=suspended ms={}", suspended_ms.0);
     }
 
@@ -339,6 +346,7 @@
     targets.set_uses_expected_work(uses_expected_cost);
     let targets = RefCell::new(targets);
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
+    let allotments = start_allotments(&shared);
     let state = Rc::new(TrafficState {
         shared,
         view: RefCell::default(),
@@ -347,6 +355,7 @@
         connection_reuse: Cell::default(),
         memory,
         budgets,
+        allotments,
         suspension: RefCell::new(SuspensionDetector::new(read_suspension_clocks())),
         service_stats: RefCell::default(),
         queues: RefCell::default(),
@@ -367,6 +376,18 @@
     local.block_on(&runtime, run(&state, wake, bind_result_sender));
 }
 
+/// Creates the allotments of this process, without parts.
+fn start_allotments(shared: &GatewayShared) -> Allotments {
+    let host = &shared.settings.host;
+    let table = AllotmentTable::new(
+        host.id.clone(),
+        host.failure_domain.clone(),
+        shared.bounds.quota_window_ms,
+        shared.clock.now(),
+    );
+    Allotments::new(table, &host.id, rand::random())
+}
+
 /// Returns the fleet-wide limit on retries.
 fn resend_policy(bounds: &FleetBounds) -> ResendPolicy {
     ResendPolicy {
@@ -450,6 +471,7 @@
     state.gauges_updated_at.set(now);
     state.check_suspension();
     state.log_share_changes(now);
+    allotments::tick(state, now);
     state.targets.borrow_mut().expire_statements(now);
     for kind in MemoryKind::ALL {
         metrics::gauge!("agatehold_memory_held_bytes", "kind" => kind.as_str())
