limits: added entry daemons take over parts within three seconds

Where entry daemons are only added, the holders of before keep their parts for 1.5 s and the added ones wait for 3 s. A wait of 13 s is for parts of daemons that may be gone.

--- a/crates/agatehold-core/src/limits/allotments/entries.rs
+++ b/crates/agatehold-core/src/limits/allotments/entries.rs
@@ -18,6 +18,14 @@
 /// earliest when its lease and the wait for a larger part have passed.
 pub const DROP_PART_AFTER_MS: DurationMs = DurationMs(10_000);
 
+/// How long the holders of before keep their parts after entry daemons were added: about
+/// the time until most daemons know of it.
+const HANDOVER_MS: DurationMs = DurationMs(1_500);
+
+/// How long an added entry daemon waits for its part: until the holders of before know of
+/// it and have given it up.
+const ADDED_AFTER_MS: DurationMs = DurationMs(3_000);
+
 /// How long after the last answer others are asked for one, and how many at a time.
 const PROBE_AFTER_MS: DurationMs = DurationMs(2_000);
 const PROBES: usize = 3;
@@ -58,6 +66,15 @@
         Self { rows }
     }
 
+    /// Returns whether all entry daemons of this set are in `other` too.
+    fn is_part_of(&self, other: &Self) -> bool {
+        let mut rows = self.rows.iter();
+        rows.all(|(entry, hash)| {
+            let mut others = other.rows.iter();
+            others.any(|(known, known_hash)| known_hash == hash && known.host == entry.host)
+        })
+    }
+
     fn is_same(&self, entries: &[AllotmentEntry]) -> bool {
         self.rows.iter().map(|(entry, _)| entry).eq(entries)
     }
@@ -115,17 +132,32 @@
     hash ^ (hash >> 31)
 }
 
+/// A set of entry daemons that was in force before.
+#[derive(Clone, Debug)]
+struct ReplacedSet {
+    entries: EntrySet,
+    /// Whether the set that replaced it has only more entry daemons.
+    only_added: bool,
+    replaced_at: TimeMs,
+}
+
 /// The entry daemons of now and of the time for which a larger part has to wait.
 ///
 /// A part is the smallest one that any of these sets gives, so that a smaller part applies
-/// at once and a larger one later.
+/// at once and a larger one later. If entry daemons were only added, the holders of before
+/// keep their parts for [`HANDOVER_MS`] and the added ones wait for [`ADDED_AFTER_MS`]:
+/// nobody has to be waited for that may be gone, and the tenants are not left with half of
+/// their allotments for the longer wait.
 #[derive(Clone, Debug)]
 pub(super) struct Parts {
     pub(super) own: HostId,
     pub(super) own_hash: u64,
     pub(super) current: EntrySet,
-    /// The sets that were in force before, and when each was replaced; the oldest first.
-    replaced: VecDeque<(EntrySet, TimeMs)>,
+    /// The sets that were in force before; the oldest first.
+    replaced: VecDeque<ReplacedSet>,
+    /// The number of sets that limit the parts now, and whether the newest of them still
+    /// gives the parts.
+    limits: (usize, bool),
     /// How long a larger part has to wait.
     larger_after_ms: DurationMs,
     started_at: TimeMs,
@@ -148,6 +180,7 @@
             own,
             current: EntrySet::default(),
             replaced: VecDeque::new(),
+            limits: (0, false),
             larger_after_ms: window_ms + CHANGE_KNOWN_AFTER_MS,
             started_at: now,
             filled_from: None,
@@ -166,7 +199,11 @@
         }
         let is_holder = entries.iter().any(|entry| entry.host == self.own);
         let before = std::mem::replace(&mut self.current, EntrySet::new(entries));
-        self.replaced.push_back((before, now));
+        self.replaced.push_back(ReplacedSet {
+            only_added: !before.rows.is_empty() && before.is_part_of(&self.current),
+            entries: before,
+            replaced_at: now,
+        });
         self.generation += 1;
         if is_holder && self.filled_from.is_none() {
             self.filled_from = Some(now);
@@ -212,13 +249,17 @@
     /// Applies what depends on the time: forgets old sets, and drops the parts if nobody
     /// has answered.
     pub(super) fn expire(&mut self, now: TimeMs) {
-        while let Some((_, at)) = self.replaced.front() {
-            if now.since(*at) < self.larger_after_ms {
+        while let Some(oldest) = self.replaced.front() {
+            if now.since(oldest.replaced_at) < self.larger_after_ms {
                 break;
             }
             self.replaced.pop_front();
             self.generation += 1;
         }
+        let limits = (self.limiting(now).count(), self.handed_over(now).is_some());
+        if std::mem::replace(&mut self.limits, limits) != limits {
+            self.generation += 1;
+        }
         if self.dropped_until.is_some_and(|until| now >= until) {
             self.dropped_until = None;
             self.generation += 1;
@@ -229,22 +270,43 @@
     }
 
     /// Returns the part of the allotment that this daemon holds, from 0 to 1.
-    pub(super) fn part(&self, tenant_hash: u64, allotment: &Allotment) -> f64 {
+    pub(super) fn part(&self, tenant_hash: u64, allotment: &Allotment, now: TimeMs) -> f64 {
         if self.dropped_until.is_some() {
             return 0.0;
         }
-        let mut part = self.current.part(&self.own, tenant_hash, allotment);
-        for (entries, _) in &self.replaced {
+        let newest = self.handed_over(now).unwrap_or(&self.current);
+        let mut part = newest.part(&self.own, tenant_hash, allotment);
+        for entries in self.limiting(now) {
             part = part.min(entries.part(&self.own, tenant_hash, allotment));
         }
         part
     }
 
+    /// Returns the sets that limit the parts.
+    fn limiting(&self, now: TimeMs) -> impl Iterator<Item = &EntrySet> {
+        let rows = self.replaced.iter();
+        let limiting = rows.filter(move |set| {
+            let limits_ms = match set.only_added {
+                true => ADDED_AFTER_MS,
+                false => self.larger_after_ms,
+            };
+            now.since(set.replaced_at) < limits_ms
+        });
+        limiting.map(|set| &set.entries)
+    }
+
+    /// Returns the set that still gives the parts, if entry daemons have just been added.
+    fn handed_over(&self, now: TimeMs) -> Option<&EntrySet> {
+        let newest = self.replaced.back()?;
+        let is_recent = now.since(newest.replaced_at) < HANDOVER_MS;
+        (newest.only_added && is_recent).then_some(&newest.entries)
+    }
+
     /// Returns the numbers that a log line on parts tells: the entry daemons, those by
     /// which the parts are worked out, and whether this daemon has parts.
-    pub(super) fn summary(&self) -> (usize, usize, bool) {
+    pub(super) fn summary(&self, now: TimeMs) -> (usize, usize, bool) {
         let is_entry = |set: &EntrySet| set.rows.iter().any(|(entry, _)| entry.host == self.own);
-        let sets = self.replaced.iter().map(|(set, _)| set);
+        let sets = self.limiting(now);
         let mut divisor = self.current.rows.len();
         let mut has_part = self.dropped_until.is_none() && is_entry(&self.current);
         for set in sets {
--- a/crates/agatehold-core/src/limits/allotments/table.rs
+++ b/crates/agatehold-core/src/limits/allotments/table.rs
@@ -136,7 +136,7 @@
     /// Returns what has changed in this daemon's parts since the last call.
     pub fn take_part_change(&mut self, now: TimeMs) -> Option<PartChange> {
         self.parts.expire(now);
-        let (entries, divisor, has_part) = self.parts.summary();
+        let (entries, divisor, has_part) = self.parts.summary(now);
         let newest = PartChange {
             entries,
             divisor,
@@ -450,7 +450,7 @@
             .entry(tenant.clone())
             .or_insert_with(|| new_row(tenant, allotment, parts, now));
         if row.generation != parts.generation || row.allotment != *allotment {
-            let part = parts.part(row.tenant_hash, allotment);
+            let part = parts.part(row.tenant_hash, allotment, now);
             row.set_part(part, *allotment, now);
             row.generation = parts.generation;
             row.peers_generation = None;
@@ -468,7 +468,7 @@
     Row {
         tenant_hash,
         allotment: *allotment,
-        part: parts.part(tenant_hash, allotment),
+        part: parts.part(tenant_hash, allotment, now),
         generation: parts.generation,
         tokens: 0.0,
         at: parts.filled_from.unwrap_or(now),
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -4,6 +4,7 @@
 use http::header;
 
 use agatehold_core::ids::TargetName;
+use agatehold_core::ids::TenantName;
 use agatehold_core::refusal::RefusalOutcome;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::target_headers;
@@ -23,6 +24,11 @@
 use super::DispatchEnd;
 
 impl Dispatch<'_> {
+    /// Returns the name of the request's tenant for the log; `-` if it has none.
+    fn tenant_text(&self) -> &str {
+        self.credentials.tenant().map_or("-", TenantName::as_str)
+    }
+
     /// Builds the response, updates the metrics and writes the log line from which
     /// operators reconstruct the request; `None` if the caller has disconnected.
     pub(super) fn finish(&self, dispatch_end: DispatchEnd) -> Option<Response> {
@@ -52,9 +58,10 @@
                     "service" => self.service.to_string())
                 .record(self.incoming.arrived_at.elapsed().as_secs_f64());
                 log::info!(
-                    "event=answered id={id} path={} route={} service={} target={target} connection={} sent={} status={} over_budget={} ms={} config={}",
+                    "event=answered id={id} path={} route={} tenant={} service={} target={target} connection={} sent={} status={} over_budget={} ms={} config={}",
                     FieldText(&self.incoming.head.target),
                     FieldText(&self.route.name),
+                    self.tenant_text(),
                     self.service,
                     self.connection_text(),
                     self.tried.len(),
@@ -85,9 +92,10 @@
                 .increment(1);
                 tenant_metrics::count_refusal(&self.state.view(), self.credentials.tenant());
                 log::warn!(
-                    "event=refused id={id} path={} kind={kind} outcome={outcome} route={} service={} target={target} connection={} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
+                    "event=refused id={id} path={} kind={kind} outcome={outcome} route={} tenant={} service={} target={target} connection={} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
                     FieldText(&self.incoming.head.target),
                     FieldText(&self.route.name),
+                    self.tenant_text(),
                     self.service,
                     self.connection_text(),
                     self.attempts.sent,
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -8,6 +8,7 @@
 
 use agatehold_core::catalog::ConfigVersion;
 use agatehold_core::catalog::match_catalog_route;
+use agatehold_core::ids::TenantName;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::request_headers;
@@ -98,7 +99,7 @@
         .get(request_headers::REQUEST_ID)
         .cloned();
     let refuse = |kind: RefusalKind, version: ConfigVersion| {
-        log_early_refusal(state, kind, incoming, version);
+        log_early_refusal(state, kind, incoming, version, None);
         let id = request_id.as_ref();
         Some(responses::refusal(state, kind, kind.outcome(), None, id))
     };
@@ -150,7 +151,7 @@
             Ok(token) => token,
             Err(retry_after_ms) => {
                 let kind = RefusalKind::RateLimited;
-                log_early_refusal(state, kind, incoming, catalog.version);
+                log_early_refusal(state, kind, incoming, catalog.version, Some(&tenant.name));
                 let id = request_id.as_ref();
                 let delay_ms = Some(retry_after_ms);
                 return Some(responses::refusal(
@@ -205,6 +206,7 @@
     kind: RefusalKind,
     incoming: &IncomingRequest,
     version: ConfigVersion,
+    tenant: Option<&TenantName>,
 ) {
     metrics::counter!("agatehold_refusals_total", "kind" => kind.answer().name).increment(1);
     let view = state.view();
@@ -213,9 +215,10 @@
         None => DurationMs(0),
     };
     log::warn!(
-        "event=refused id={} path={} kind={kind} outcome=not-run config={version} view={} store_away={store_unavailable_ms}",
+        "event=refused id={} path={} kind={kind} outcome=not-run tenant={} config={version} view={} store_away={store_unavailable_ms}",
         request_id_text(incoming.head.headers.get(request_headers::REQUEST_ID)),
         FieldText(&incoming.head.target),
+        tenant.map_or("-", TenantName::as_str),
         view.number
     );
 }
