--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -18,7 +18,11 @@
 
 use super::EntryDaemon;
 use super::FailureDetector;
+use super::LoadReport;
+use super::RequestCounts;
 use super::choose_homes;
+use super::cost::ServiceWork;
+use super::cost::TargetSpeed;
 use super::pick::default_home;
 use super::statements::Statement;
 use super::statements::Statements;
@@ -27,32 +31,13 @@
 /// run time of a request, after which other requests run in the target.
 const LOAD_REPORT_HALF_LIFE_MS: DurationMs = DurationMs(250);
 
-/// The load that a target reports with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// The number of running requests.
-    pub running: u32,
-    /// The number of requests that wait in the target.
-    pub waiting: u32,
-    /// The number of requests that can run concurrently.
-    pub slots: u32,
-}
-
-impl LoadReport {
-    /// Returns whether the target could run another request immediately.
-    pub const fn has_free_slot(&self) -> bool {
-        self.running.saturating_add(self.waiting) < self.slots
-    }
-}
+/// The limit on the bodies that this daemon has under way to one target process. A
+/// target holds them until it has answered, and crashes if they exceed its memory.
+const BODY_BYTES_MAX: u64 = 8 * 1024 * 1024;
 
-/// The requests that this daemon has sent to a target process and that have not ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RequestCounts {
-    /// The number of requests.
-    pub in_flight: u32,
-    /// The number of those that take much longer than usual.
-    pub overdue: u32,
-}
+/// The bytes of other bodies at a target beside which a body may exceed the limit, so
+/// that a body that is larger than the limit can be sent at all.
+const SMALL_BODY_BYTES: u64 = 128 * 1024;
 
 /// A target and what this daemon knows of it.
 #[derive(Clone, Debug)]
@@ -67,6 +52,8 @@
     reported_others: u32,
     /// When the last load report arrived.
     reported_at: TimeMs,
+    /// How fast the target runs requests.
+    pub(super) speed: TargetSpeed,
     /// Detects that the target fails or can't be reached.
     pub failure_detector: FailureDetector,
     /// Whether the target is leaving according to its registration or its own
@@ -102,6 +89,7 @@
             counts,
             reported_others: 0,
             reported_at: TimeMs(0),
+            speed: TargetSpeed::default(),
             failure_detector: FailureDetector::default(),
             leaving,
             paused_until: TimeMs(0),
@@ -150,6 +138,16 @@
     }
 }
 
+impl RequestCounts {
+    /// Returns whether a body may be sent to the target beside those under way: the sum
+    /// stays within the limit, or the body is alone.
+    pub const fn has_room_for(&self, body_bytes: u64) -> bool {
+        body_bytes == 0
+            || self.body_bytes <= SMALL_BODY_BYTES
+            || self.body_bytes.saturating_add(body_bytes) <= BODY_BYTES_MAX
+    }
+}
+
 /// A report that a daemon has sent a request to a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetUse {
@@ -178,6 +176,13 @@
     statements: Statements,
     /// The number of times that a target was chosen so far.
     choices: u64,
+    /// Whether targets are chosen by expected work.
+    pub(super) uses_expected_work: bool,
+    /// The mean work and speed of each service that had an answer; empty unless targets
+    /// are chosen by expected work.
+    pub(super) service_work: HashMap<ServiceName, ServiceWork>,
+    /// The number of requests whose work was recorded so far.
+    pub(super) work_ids: u64,
 }
 
 impl LiveTargets {
@@ -234,7 +239,7 @@
         for row in held.rows().map(|(_, row)| row).chain(&replaced) {
             if row.counts.in_flight > 0 {
                 let identity = row.record.identity.clone();
-                self.unregistered.insert(identity, row.counts);
+                self.unregistered.insert(identity, row.counts.clone());
             }
         }
     }
@@ -332,7 +337,21 @@
         }
     }
 
-    fn counts_mut(&mut self, identity: &TargetIdentity) -> Option<&mut RequestCounts> {
+    /// Adds the body of a request that was claimed for a target process.
+    pub fn add_body(&mut self, identity: &TargetIdentity, body_bytes: u64) {
+        if let Some(counts) = self.counts_mut(identity) {
+            counts.body_bytes = counts.body_bytes.saturating_add(body_bytes);
+        }
+    }
+
+    /// Removes the body of a request that is about to be released.
+    pub fn remove_body(&mut self, identity: &TargetIdentity, body_bytes: u64) {
+        if let Some(counts) = self.counts_mut(identity) {
+            counts.body_bytes = counts.body_bytes.saturating_sub(body_bytes);
+        }
+    }
+
+    pub(super) fn counts_mut(&mut self, identity: &TargetIdentity) -> Option<&mut RequestCounts> {
         match row_of_mut(&mut self.rows, identity) {
             Some(row) => Some(&mut row.counts),
             None => self.unregistered.get_mut(identity),
--- a/crates/agatehold-settings/src/process/gateway.rs
+++ b/crates/agatehold-settings/src/process/gateway.rs
@@ -18,7 +18,7 @@
 use super::values::parse_remote_address;
 
 /// The section names that the settings file may contain.
-const SECTIONS: &[&str] = &["host", "listen", "platform", "entries", "log"];
+const SECTIONS: &[&str] = &["host", "listen", "platform", "entries", "dispatch", "log"];
 
 /// The millicores (thousandths of a processor core) that the requests of one Mbit/s
 /// need. A request transfers about 12 kB on the link and takes 0.5 ms of a core.
@@ -32,6 +32,8 @@
     /// The request load that the host can carry, in thousandths of a processor core:
     /// the lower of the limits that its cores and its link set.
     pub capacity_millicores: u32,
+    /// The memory of the host in MB; `None` if the platform does not tell.
+    pub memory_mb: Option<u32>,
     /// The addresses that the daemon binds.
     pub listen: GatewayListen,
     /// The address of the platform's key-value store.
@@ -44,6 +46,9 @@
     pub bounds: Box<str>,
     /// How many entry daemons each group of callers is given.
     pub entries: EntryPolicy,
+    /// Whether targets are chosen by the expected cost of requests instead of by their
+    /// number.
+    pub expected_cost: bool,
     /// The lowest severity that is logged.
     pub log: LogLevel,
 }
@@ -79,6 +84,7 @@
     let failure_domain = reader.required("failure_domain", str::parse);
     let core_millicores = reader.required("cores", parse_millicores);
     let link_millicores = reader.optional("link_mbps", parse_link_millicores);
+    let memory_mb = reader.optional("memory_mb", parse_memory);
     reader.report_unknown_keys(None);
 
     let mut reader = SectionReader::open(&document, "listen", &mut errors);
@@ -102,6 +108,10 @@
     let slots_per_core = reader.required("slots_per_core", parse_slot_count);
     reader.report_unknown_keys(None);
 
+    let mut reader = SectionReader::open(&document, "dispatch", &mut errors);
+    let expected_cost = reader.optional("expected_cost", parse_true_false);
+    reader.report_unknown_keys(None);
+
     let mut reader = SectionReader::open(&document, "log", &mut errors);
     let log = reader.optional("level", str::parse);
     reader.report_unknown_keys(None);
@@ -113,6 +123,7 @@
                 failure_domain: failure_domain?,
             },
             capacity_millicores: core_millicores?.min(link_millicores.unwrap_or(u32::MAX)),
+            memory_mb,
             listen: GatewayListen {
                 callers: callers?,
                 readiness: readiness?,
@@ -129,6 +140,7 @@
                 least: least?,
                 slots_per_core: slots_per_core?,
             },
+            expected_cost: expected_cost.unwrap_or(false),
             log: log.unwrap_or_default(),
         })
     })();
@@ -158,6 +170,14 @@
     Ok(text.into())
 }
 
+fn parse_true_false(text: &str) -> Result<bool, ParseValueError> {
+    match text {
+        "true" => Ok(true),
+        "false" => Ok(false),
+        _ => Err(ParseValueError::Expected("true or false")),
+    }
+}
+
 /// Parses a number of cores such as `0.2`, or a share of several cores such as
 /// `0.2 x 4`, and returns the product in thousandths of a core.
 fn parse_millicores(text: &str) -> Result<u32, ParseValueError> {
@@ -186,6 +206,16 @@
     }
 }
 
+/// Parses the memory of the host, which may have a fraction, in whole MB.
+fn parse_memory(text: &str) -> Result<u32, ParseValueError> {
+    match text.parse::<f64>() {
+        Ok(memory_mb) if (64.0..=1e6).contains(&memory_mb) => Ok(memory_mb as u32),
+        _ => Err(ParseValueError::Expected(
+            "a number of megabytes from 64 to 1000000",
+        )),
+    }
+}
+
 fn parse_slot_count(text: &str) -> Result<u32, ParseValueError> {
     match text.parse() {
         Ok(slots) if (1..=10_000).contains(&slots) => Ok(slots),
--- a/crates/agatehold-settings/tests/gateway.rs
+++ b/crates/agatehold-settings/tests/gateway.rs
@@ -16,6 +16,25 @@
     assert!(settings.bounds.contains("retry_slack"));
 }
 
+/// The memory of a host is optional and may have a fraction. Guards against limits that
+/// follow a value which is no sensible size.
+#[test]
+fn the_memory_of_the_host_is_read() {
+    let memory_of = |value: &str| {
+        let text = EXAMPLE.replace("memory_mb = 256\n", value);
+        parse_gateway("gateway.ini", &text).map(|settings| settings.memory_mb)
+    };
+    assert_eq!(memory_of("memory_mb = 256\n"), Ok(Some(256)));
+    assert_eq!(memory_of("memory_mb = 160.0\n"), Ok(Some(160)));
+    assert_eq!(memory_of(""), Ok(None));
+    for wrong in ["0", "-5", "inf", "nan", "16", "much"] {
+        assert!(
+            memory_of(&format!("memory_mb = {wrong}\n")).is_err(),
+            "{wrong}"
+        );
+    }
+}
+
 /// A slow link limits the capacity of a host below that of its cores.
 #[test]
 fn a_slow_link_limits_the_capacity() {
@@ -43,6 +62,21 @@
     assert!(settings.bounds.is_empty());
 }
 
+/// Guards against a feature that is active where the settings don't ask for it.
+#[test]
+fn expected_cost_is_used_only_if_set() {
+    for (section, expected) in [
+        ("", false),
+        ("[dispatch]\n", false),
+        ("[dispatch]\nexpected_cost = false\n", false),
+        ("[dispatch]\nexpected_cost = true\n", true),
+    ] {
+        let text = format!("{EXAMPLE}\n{section}");
+        let settings = parse_gateway("gateway.ini", &text).expect("valid settings");
+        assert_eq!(settings.expected_cost, expected, "{section}");
+    }
+}
+
 /// Every error shows the file, the section and the key, the invalid value, and what
 /// was expected.
 #[test]
@@ -80,6 +114,11 @@
             "[log] level = loud: expected error",
         ),
         ("[entries]", "[entrances]", "[entrances]"),
+        (
+            "[log]",
+            "[dispatch]\nexpected_cost = yes\n[log]",
+            "[dispatch] expected_cost = yes: expected true or false",
+        ),
     ] {
         let text = EXAMPLE.replace(from, to);
         let errors = parse_gateway("gateway.ini", &text).expect_err(to);
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -4,6 +4,7 @@
 use http::header;
 
 use agatehold_core::ids::TargetName;
+use agatehold_core::ids::TenantName;
 use agatehold_core::refusal::RefusalOutcome;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::target_headers;
@@ -11,22 +12,35 @@
 use crate::telemetry::FieldText;
 use crate::traffic::strip_hop_by_hop;
 
+use crate::gateway::allotments;
 use crate::gateway::endpoint::Response;
 use crate::gateway::evidence;
 use crate::gateway::responses;
 use crate::gateway::serve::request_id_text;
 use crate::gateway::target::TargetResponse;
+use crate::gateway::tenant_metrics;
 
 use super::Dispatch;
 use super::DispatchEnd;
 
 impl Dispatch<'_> {
+    /// Returns the name of the request's tenant for the log; `-` if it has none.
+    fn tenant_text(&self) -> &str {
+        self.credentials.tenant().map_or("-", TenantName::as_str)
+    }
+
     /// Builds the response, updates the metrics and writes the log line from which
     /// operators reconstruct the request; `None` if the caller has disconnected.
     pub(super) fn finish(&self, dispatch_end: DispatchEnd) -> Option<Response> {
         let id = request_id_text(self.request_id.as_ref());
         let target = self.tried.last().map_or("-", TargetName::as_str);
         let now = self.now();
+        if let Some(token) = &self.token
+            && self.attempts.sent == 0
+            && !matches!(dispatch_end, DispatchEnd::Answered(_))
+        {
+            allotments::give_back(self.state, token);
+        }
         match &dispatch_end {
             DispatchEnd::Answered(response) => {
                 let is_served = !response.status.is_server_error();
@@ -44,9 +58,10 @@
                     "service" => self.service.to_string())
                 .record(self.incoming.arrived_at.elapsed().as_secs_f64());
                 log::info!(
-                    "event=answered id={id} path={} route={} service={} target={target} connection={} sent={} status={} over_budget={} ms={} config={}",
+                    "event=answered id={id} path={} route={} tenant={} service={} target={target} connection={} sent={} status={} over_budget={} ms={} config={}",
                     FieldText(&self.incoming.head.target),
                     FieldText(&self.route.name),
+                    self.tenant_text(),
                     self.service,
                     self.connection_text(),
                     self.tried.len(),
@@ -75,10 +90,12 @@
                 metrics::counter!("agatehold_refusals_total",
                     "kind" => kind.answer().name)
                 .increment(1);
+                tenant_metrics::count_refusal(&self.state.view(), self.credentials.tenant());
                 log::warn!(
-                    "event=refused id={id} path={} kind={kind} outcome={outcome} route={} service={} target={target} connection={} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
+                    "event=refused id={id} path={} kind={kind} outcome={outcome} route={} tenant={} service={} target={target} connection={} sent={} over_budget={} detail=\"{}\" backlog={} ms={} config={}",
                     FieldText(&self.incoming.head.target),
                     FieldText(&self.route.name),
+                    self.tenant_text(),
                     self.service,
                     self.connection_text(),
                     self.attempts.sent,
@@ -89,13 +106,10 @@
                     self.version
                 );
                 let id = self.request_id.as_ref();
-                Some(responses::refusal(
-                    self.state,
-                    kind,
-                    outcome,
-                    self.backlog_ms,
-                    id,
-                ))
+                Some(match self.return_ms {
+                    Some(delay_ms) => responses::refusal_with_delay(kind, outcome, delay_ms, id),
+                    None => responses::refusal(self.state, kind, outcome, self.backlog_ms, id),
+                })
             }
         }
     }
@@ -115,5 +129,6 @@
         closes_connection: false,
         is_head_response: false,
         in_flight: None,
+        memory: None,
     }
 }
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -5,10 +5,14 @@
 mod credentials;
 mod finish;
 mod record_attempt;
+mod record_cost;
 mod record_statements;
 
+use std::time::Duration;
+
 use http::HeaderValue;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use agatehold_core::catalog::CatalogRoute;
 use agatehold_core::catalog::ConfigVersion;
@@ -18,6 +22,7 @@
 use agatehold_core::dispatch::ResendBudget;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::after_attempt;
+use agatehold_core::dispatch::cost::RequestCost;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::refusal::RefusalKind;
@@ -28,15 +33,19 @@
 use agatehold_core::units::TimeMs;
 use agatehold_platform::request_headers;
 
+use crate::gateway::allotments::HeldToken;
 use crate::gateway::endpoint::IncomingRequest;
 use crate::gateway::endpoint::Response;
 use crate::gateway::pool::ConnectionUse;
 use crate::gateway::queue;
+use crate::gateway::queue::QueueRefusal;
 use crate::gateway::queue::SlotOutcome;
 use crate::gateway::queue::SlotRequest;
+use crate::gateway::routes;
 use crate::gateway::serve::request_id_text;
 use crate::gateway::target::AttemptEnd;
 use crate::gateway::target::TargetResponse;
+use crate::gateway::tenant_metrics;
 use crate::gateway::traffic::TrafficState;
 
 pub(super) use credentials::Credentials;
@@ -53,6 +62,8 @@
 pub(super) struct Plan<'a> {
     /// What the request's key allows.
     pub(super) credentials: Credentials,
+    /// The token of the tenant's allotment; `None` if the tenant has no limit.
+    pub(super) token: Option<HeldToken>,
     /// The priority among the requests that wait for the service; 0 is the highest.
     pub(super) priority: u8,
     /// The matched route.
@@ -71,12 +82,16 @@
     incoming: &'a IncomingRequest,
     route: &'a CatalogRoute,
     credentials: Credentials,
+    token: Option<HeldToken>,
     priority: u8,
     version: ConfigVersion,
     service: ServiceName,
     /// The deadline for the response to the caller.
     deadline: TimeMs,
     request_id: Option<HeaderValue>,
+    /// What the request is expected to cost, as predicted when it arrived; `None` unless
+    /// targets are chosen by expected cost.
+    cost: Option<RequestCost>,
     attempts: Attempts,
     tried: Vec<TargetName>,
     /// Why the last attempt failed, for the log.
@@ -87,6 +102,10 @@
     is_over_budget: bool,
     /// The queue's estimated drain time, if the queue refused the request.
     backlog_ms: Option<DurationMs>,
+    /// After which time the caller may return, if the queue said so.
+    return_ms: Option<DurationMs>,
+    /// The run time that the queue has charged the tenant for the next attempt.
+    charged_ms: DurationMs,
 }
 
 /// How the dispatch of a request ended.
@@ -107,11 +126,13 @@
     plan: Plan<'_>,
     response_sender: &mut oneshot::Sender<Response>,
 ) -> Option<Response> {
+    let cost = record_cost::predict(state, incoming, &plan);
     let mut dispatch = Dispatch {
         state,
         incoming,
         route: plan.route,
         credentials: plan.credentials,
+        token: plan.token,
         priority: plan.priority,
         version: plan.version,
         service: plan.service,
@@ -121,12 +142,15 @@
             .headers
             .get(request_headers::REQUEST_ID)
             .cloned(),
+        cost,
         attempts: Attempts::default(),
         tried: Vec::new(),
         detail: "",
         connection_use: None,
         is_over_budget: false,
         backlog_ms: None,
+        return_ms: None,
+        charged_ms: DurationMs(0),
     };
     let dispatch_end = dispatch.send_until_answered(response_sender).await;
     dispatch.finish(dispatch_end)
@@ -158,8 +182,7 @@
         };
         loop {
             if !self.credentials.is_valid(&self.state.view()) {
-                self.state.targets.borrow_mut().release_unused(&target);
-                queue::assign_free_slots(self.state, &self.service);
+                self.release_unused(&target);
                 return DispatchEnd::Refused(RefusalKind::UnknownKey);
             }
             self.tried.push(target.name.clone());
@@ -214,7 +237,16 @@
                 "service" => self.service.to_string())
             .increment(1);
             let idempotent = self.route.idempotent;
-            match queue::claim(self.state, &self.service, &self.tried, idempotent, true) {
+            let body_bytes = self.body_bytes();
+            let service = &self.service;
+            match queue::claim(
+                self.state,
+                service,
+                &self.tried,
+                idempotent,
+                true,
+                body_bytes,
+            ) {
                 Choice::Target(next) => target = next,
                 Choice::AllPaused(until) => {
                     self.backlog_ms = Some(until.since(self.now()));
@@ -264,6 +296,8 @@
         response_sender: &mut oneshot::Sender<Response>,
     ) -> Result<TargetIdentity, DispatchEnd> {
         let objective_ms = self.route.objective_ms;
+        let expected_run_ms = routes::average_run(self.state, self.route);
+        let headers = &self.incoming.head.headers;
         let slot_outcome = queue::claim_or_wait(
             self.state,
             &SlotRequest {
@@ -273,16 +307,20 @@
                 idempotent: self.route.idempotent,
                 deadline: self.deadline,
                 wait_ms: DurationMs(objective_ms.0 * WAIT_SHARE_PERCENT / 100),
+                body_bytes: self.body_bytes(),
+                expected_run_ms,
+                has_caller_deadline: headers.contains_key(request_headers::DEADLINE_REMAINING_MS),
             },
         );
         let (waiter, mut result_receiver) = match slot_outcome {
-            SlotOutcome::Target(target) => return Ok(target),
-            SlotOutcome::Refused(queue_refusal) => {
-                self.backlog_ms = Some(queue_refusal.backlog_ms);
-                return Err(DispatchEnd::Refused(queue_refusal.kind));
+            SlotOutcome::Target(target) => {
+                self.record_wait(Duration::ZERO);
+                return Ok(target);
             }
+            SlotOutcome::Refused(queue_refusal) => return Err(self.refused(queue_refusal)),
             SlotOutcome::Waiting(waiter, result_receiver) => (waiter, result_receiver),
         };
+        let waits_since = Instant::now();
         let result = tokio::select! {
             biased;
             // First, so that nothing is sent for a caller that has left.
@@ -291,25 +329,54 @@
                 // The queue may have assigned a slot in the meantime.
                 result_receiver.close();
                 if let Ok(Ok(target)) = result_receiver.try_recv() {
-                    self.state.targets.borrow_mut().release_unused(&target);
-                    queue::assign_free_slots(self.state, &self.service);
+                    self.release_unused(&target);
                 }
                 return Err(DispatchEnd::CallerGone);
             }
             result = &mut result_receiver => result,
         };
+        self.record_wait(waits_since.elapsed());
         match result {
-            Ok(Ok(target)) => Ok(target),
-            Ok(Err(queue_refusal)) => {
-                self.backlog_ms = Some(queue_refusal.backlog_ms);
-                Err(DispatchEnd::Refused(queue_refusal.kind))
+            Ok(Ok(target)) => {
+                self.charged_ms = expected_run_ms;
+                Ok(target)
             }
+            Ok(Err(queue_refusal)) => Err(self.refused(queue_refusal)),
             Err(_) => Err(DispatchEnd::Refused(RefusalKind::QueueTimeout)),
         }
     }
 
+    /// Returns the size of the request's body.
+    fn body_bytes(&self) -> u64 {
+        self.incoming.body.len() as u64
+    }
+
+    /// Gives back a slot whose request was not sent.
+    fn release_unused(&self, target: &TargetIdentity) {
+        let mut targets = self.state.targets.borrow_mut();
+        targets.remove_body(target, self.body_bytes());
+        targets.release_unused(target);
+        drop(targets);
+        queue::assign_free_slots(self.state, &self.service);
+    }
+
+    fn record_wait(&self, waited: Duration) {
+        let view = self.state.view();
+        tenant_metrics::record_wait(&view, &self.service, self.priority, waited);
+    }
+
+    /// Notes what a refusal of the queue says about the caller's return.
+    fn refused(&mut self, queue_refusal: QueueRefusal) -> DispatchEnd {
+        self.backlog_ms = Some(queue_refusal.backlog_ms);
+        self.return_ms = queue_refusal.return_ms;
+        DispatchEnd::Refused(queue_refusal.kind)
+    }
+
     fn release(&self, target: &TargetIdentity) {
-        self.state.targets.borrow_mut().release(target);
+        let mut targets = self.state.targets.borrow_mut();
+        targets.remove_body(target, self.body_bytes());
+        targets.release(target);
+        drop(targets);
         queue::assign_free_slots(self.state, &self.service);
     }
 }
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -115,15 +115,28 @@
             }
         }
         drop(targets);
+        self.record_reuse(end);
         if let Some(evidence) = report {
             evidence::send_evidence(self.state, &self.service, &evidence);
             if was_refused && evidence.answered.is_some() {
                 evidence::send_answered(self.state, &self.service, &evidence);
             }
         }
+        let charged_ms = std::mem::take(&mut self.charged_ms);
+        queue::charge_run(
+            self.state,
+            &self.service,
+            self.credentials.tenant(),
+            self.priority,
+            charged_ms,
+            run_ms,
+        );
         match end.outcome {
             AttemptOutcome::Answered => {
                 routes::record_run(self.state, self.route, run_ms);
+                if let Some(response) = &end.response {
+                    routes::record_response(self.state, self.route, response.body.len());
+                }
                 queue::record_run(self.state, &self.service, run_ms);
             }
             AttemptOutcome::ConnectionLost => {
@@ -145,6 +158,26 @@
         self.release(identity);
     }
 
+    /// Records whether a connection that had rested was still alive.
+    fn record_reuse(&self, end: &AttemptEnd) {
+        let Some(rested_ms) = end.rested_ms else {
+            return;
+        };
+        if end.was_dead {
+            evidence::report_dead_connection(self.state, &self.service, rested_ms);
+            return;
+        }
+        let answered = matches!(
+            end.outcome,
+            AttemptOutcome::Answered | AttemptOutcome::Failed
+        );
+        if answered {
+            let mut reuse = self.state.connection_reuse.get();
+            reuse.record_alive(rested_ms, self.now());
+            self.state.connection_reuse.set(reuse);
+        }
+    }
+
     fn fingerprint(&self) -> Digest {
         let head = &self.incoming.head;
         let host = head.headers.get(header::HOST);
--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -1,11 +1,9 @@
-//! The pool of connections to targets, and the memory limit for response bodies.
+//! The pool of connections to targets.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -26,19 +24,12 @@
     user_timeout: Duration::from_secs(2),
 };
 
-/// Connections that have been idle for longer are closed. Half of the shortest
-/// idle timeout of the targets.
+/// Connections that have been idle for longer are closed, unless the target announces a
+/// longer idle time. Half of the shortest idle timeout of the targets.
 pub(super) const IDLE_MAX: Duration = Duration::from_secs(4);
 
-/// The maximum number of idle connections to one target address.
-const IDLE_CONNECTIONS_MAX: usize = 8;
-
-/// The limit on the total size of the response bodies that are being read. When it
-/// is exceeded, reading a body larger than [`GUARANTEED_BODY_BYTES`] is aborted.
-const TOTAL_BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
-
-/// The size up to which a body is read even if the total limit is exceeded.
-const GUARANTEED_BODY_BYTES: usize = 128 * 1024;
+/// The number of idle connections to one target address until a limit is set.
+const IDLE_CONNECTIONS_DEFAULT: usize = 8;
 
 /// Which connection an attempt used, for logs: its number in this process, and the
 /// number of requests that it had carried before.
@@ -60,7 +51,7 @@
     /// Received bytes that have not been parsed yet.
     pub(super) buffer: BytesMut,
     /// The time after which the connection is not reused: the end of the keep-alive
-    /// time that the target announced, or one hour after opening.
+    /// time that the target announced, or [`IDLE_MAX`] after the last use.
     pub(super) usable_until: Instant,
     /// The connection's number and the requests that it has carried.
     pub(super) connection_use: ConnectionUse,
@@ -68,6 +59,11 @@
 }
 
 impl TargetStream {
+    /// Returns how long the connection has been idle.
+    pub(super) fn rested(&self) -> Duration {
+        self.idle_since.elapsed()
+    }
+
     /// Returns whether the connection is open and has received nothing while idle.
     /// Bytes that arrive without a pending request make the connection unusable.
     fn is_reusable(&self) -> bool {
@@ -82,8 +78,8 @@
     /// The number of connections opened so far.
     opened: u64,
     idle: HashMap<SocketAddr, Vec<TargetStream>>,
-    /// The memory of the response bodies that are being read.
-    body_memory: BodyMemory,
+    /// The maximum number of idle connections to one target address.
+    idle_connections_max: usize,
 }
 
 impl Default for TargetPool {
@@ -91,67 +87,24 @@
         Self {
             opened: 0,
             idle: HashMap::new(),
-            body_memory: BodyMemory::new(TOTAL_BODY_BYTES_MAX),
-        }
-    }
-}
-
-/// A limit on the memory that bodies take together.
-pub(super) struct BodyMemory {
-    total_bytes: Rc<Cell<usize>>,
-    limit_bytes: usize,
-}
-
-impl BodyMemory {
-    /// Creates a limit for bodies of `limit_bytes` in total.
-    pub(super) fn new(limit_bytes: usize) -> Self {
-        Self {
-            total_bytes: Rc::default(),
-            limit_bytes,
-        }
-    }
-
-    /// Starts accounting for the size of a body.
-    pub(super) fn reserve(&self) -> BodyReservation {
-        BodyReservation {
-            total_bytes: Rc::clone(&self.total_bytes),
-            limit_bytes: self.limit_bytes,
-            size_bytes: 0,
+            idle_connections_max: IDLE_CONNECTIONS_DEFAULT,
         }
     }
 }
 
-/// The share of one body in the total size. It is released on drop, also when the
-/// exchange is cancelled.
-pub(super) struct BodyReservation {
-    total_bytes: Rc<Cell<usize>>,
-    limit_bytes: usize,
-    size_bytes: usize,
-}
-
-impl BodyReservation {
-    /// Sets the size of this body; returns whether it is within the limits. A body
-    /// without others beside it may exceed the total.
-    pub(super) fn resize(&mut self, size_bytes: usize) -> bool {
-        let others_bytes = self.total_bytes.get() - self.size_bytes;
-        self.total_bytes.set(others_bytes + size_bytes);
-        self.size_bytes = size_bytes;
-        size_bytes <= GUARANTEED_BODY_BYTES
-            || others_bytes + size_bytes <= self.limit_bytes
-            || others_bytes <= GUARANTEED_BODY_BYTES
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.resize(0);
+impl TargetPool {
+    /// Sets the maximum number of idle connections to one target address.
+    pub(super) fn set_idle_connections_max(&mut self, idle_connections_max: usize) {
+        self.idle_connections_max = idle_connections_max;
     }
-}
 
-impl TargetPool {
-    /// Takes the most recently used connection that is still usable and has been idle
-    /// for at most `idle_max`.
-    pub(super) fn take(&mut self, address: SocketAddr, idle_max: Duration) -> Option<TargetStream> {
+    /// Takes the most recently used connection that is still usable and, with a limit,
+    /// has been idle for at most `idle_max`.
+    pub(super) fn take(
+        &mut self,
+        address: SocketAddr,
+        idle_max: Option<Duration>,
+    ) -> Option<TargetStream> {
         let idle_connections = self.idle.get_mut(&address)?;
         let now = Instant::now();
         while let Some(connection) = idle_connections.pop() {
@@ -160,14 +113,10 @@
             if now >= connection.usable_until {
                 continue;
             }
-            if now - connection.idle_since > idle_max {
-                // The remaining connections have been idle for even longer. With
-                // a shorter `idle_max`, they are left for other requests.
-                if idle_max >= IDLE_MAX {
-                    idle_connections.clear();
-                } else {
-                    idle_connections.push(connection);
-                }
+            if idle_max.is_some_and(|idle_max| now - connection.idle_since > idle_max) {
+                // The remaining connections have been idle for even longer. They are left
+                // for requests without a limit.
+                idle_connections.push(connection);
                 return None;
             }
             if connection.is_reusable() {
@@ -193,7 +142,7 @@
     /// opened: for the target it has been idle all the while.
     pub(super) fn put_unused(&mut self, address: SocketAddr, connection: TargetStream) {
         let idle_connections = self.idle.entry(address).or_default();
-        if idle_connections.len() < IDLE_CONNECTIONS_MAX {
+        if idle_connections.len() < self.idle_connections_max {
             // The last one is that used most recently.
             let used_before = |other: &TargetStream| other.idle_since <= connection.idle_since;
             let position = idle_connections.partition_point(used_before);
@@ -201,11 +150,6 @@
         }
     }
 
-    /// Starts accounting for the size of a response body.
-    pub(super) fn reserve_body(&self) -> BodyReservation {
-        self.body_memory.reserve()
-    }
-
     /// Closes the idle connections to an address, for example after its target
     /// crashed.
     pub(super) fn close_address(&mut self, address: SocketAddr) {
@@ -217,11 +161,8 @@
     pub(super) fn close_idle(&mut self) {
         let now = Instant::now();
         for idle_connections in self.idle.values_mut() {
-            idle_connections.retain(|connection| {
-                now < connection.usable_until
-                    && now - connection.idle_since <= IDLE_MAX
-                    && connection.is_reusable()
-            });
+            idle_connections
+                .retain(|connection| now < connection.usable_until && connection.is_reusable());
         }
         self.idle
             .retain(|_, idle_connections| !idle_connections.is_empty());
@@ -246,7 +187,7 @@
     Ok(TargetStream {
         stream,
         buffer: BytesMut::new(),
-        usable_until: now + Duration::from_secs(3_600),
+        usable_until: now + IDLE_MAX,
         connection_use: ConnectionUse::default(),
         idle_since: now,
     })
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -9,18 +9,21 @@
 use agatehold_core::catalog::ConfigVersion;
 use agatehold_core::catalog::match_catalog_route;
 use agatehold_core::refusal::RefusalKind;
+use agatehold_core::tenants::TenantRow;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::request_headers;
 
 use crate::telemetry::FieldText;
 use crate::traffic::host_name;
 
+use super::allotments;
 use super::dispatch;
 use super::dispatch::Credentials;
 use super::dispatch::Plan;
 use super::endpoint::IncomingRequest;
 use super::endpoint::Response;
 use super::http1::RequestHead;
+use super::memory::MemoryKind;
 use super::responses;
 use super::routes;
 use super::traffic::TrafficState;
@@ -34,6 +37,9 @@
     let in_flight = state.shared.count_request();
     let response = serve(state, &incoming, &mut response_sender).await;
     if let Some(mut response) = response {
+        let memory = incoming.response_memory;
+        memory.change(MemoryKind::Unwritten, response.body.len());
+        response.memory = Some(memory);
         response.in_flight = Some(in_flight);
         response.closes_connection |=
             !incoming.head.keeps_alive || state.shared.stopping_since().is_some();
@@ -65,6 +71,23 @@
     }
 }
 
+/// Returns the size that is expected of the response to a request; 0 if it is not known,
+/// or if expected responses are not counted.
+pub(super) fn expected_response(state: &TrafficState, head: &RequestHead) -> usize {
+    if !state.memory.limits().reserves_responses() || head.method == Method::HEAD {
+        return 0;
+    }
+    let view = state.view();
+    let Some(catalog) = &view.catalog else {
+        return 0;
+    };
+    let (host, path) = host_and_path(head);
+    let Some(position) = match_catalog_route(catalog, &host, path) else {
+        return 0;
+    };
+    routes::expected_response(state, &catalog.routes[position])
+}
+
 async fn serve(
     state: &TrafficState,
     incoming: &IncomingRequest,
@@ -76,7 +99,7 @@
         .get(request_headers::REQUEST_ID)
         .cloned();
     let refuse = |kind: RefusalKind, version: ConfigVersion| {
-        log_early_refusal(state, kind, incoming, version);
+        log_early_refusal(state, kind, incoming, version, None);
         let id = request_id.as_ref();
         Some(responses::refusal(state, kind, kind.outcome(), None, id))
     };
@@ -117,10 +140,35 @@
             }
             Err(kind) => return refuse(kind, catalog.version),
         };
+    let expected_bytes = incoming.expected_response_bytes;
+    if expected_bytes > 0 && !incoming.response_memory.resize(expected_bytes) {
+        metrics::counter!("agatehold_memory_refusals_total", "kind" => "expected").increment(1);
+        return refuse(RefusalKind::MemoryFull, catalog.version);
+    }
     let deadline = state.shared.clock.now() + remaining_ms;
+    let token = match tenant {
+        Some(tenant) => match allotments::admit(state, tenant).await {
+            Ok(token) => token,
+            Err(retry_after_ms) => {
+                let kind = RefusalKind::RateLimited;
+                log_early_refusal(state, kind, incoming, catalog.version, Some(tenant));
+                let id = request_id.as_ref();
+                let delay_ms = Some(retry_after_ms);
+                return Some(responses::refusal(
+                    state,
+                    kind,
+                    kind.outcome(),
+                    delay_ms,
+                    id,
+                ));
+            }
+        },
+        None => None,
+    };
     let service = routes::next_service(state, route);
     let plan = Plan {
         credentials,
+        token,
         priority: tenant
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.priority),
@@ -158,6 +206,7 @@
     kind: RefusalKind,
     incoming: &IncomingRequest,
     version: ConfigVersion,
+    tenant: Option<&TenantRow>,
 ) {
     metrics::counter!("agatehold_refusals_total", "kind" => kind.answer().name).increment(1);
     let view = state.view();
@@ -166,9 +215,16 @@
         None => DurationMs(0),
     };
     log::warn!(
-        "event=refused id={} path={} kind={kind} outcome=not-run config={version} view={} store_away={store_unavailable_ms}",
+        "event=refused id={} path={} kind={kind} outcome=not-run tenant={} limit={} config={version} view={} store_away={store_unavailable_ms}",
         request_id_text(incoming.head.headers.get(request_headers::REQUEST_ID)),
         FieldText(&incoming.head.target),
+        tenant.map_or("-", |tenant| tenant.name.as_str()),
+        tenant
+            .and_then(|tenant| tenant.allotment)
+            .map_or("-".to_owned(), |allotment| format!(
+                "{}+{}",
+                allotment.rate_per_s, allotment.burst
+            )),
         view.number
     );
 }
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -2,6 +2,7 @@
 //! connection, and classifies the result.
 
 use std::cell::RefCell;
+use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -16,6 +17,7 @@
 use tokio::time::Instant;
 
 use agatehold_core::dispatch::LoadReport;
+use agatehold_core::dispatch::was_dead_before;
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::DecodeError;
@@ -29,19 +31,13 @@
 use super::http1::HttpError;
 use super::http1::ResponseHead;
 use super::http1::take_response_head;
-use super::pool::BodyReservation;
+use super::memory::MemoryHold;
 use super::pool::ConnectionUse;
 use super::pool::IDLE_MAX;
 use super::pool::TargetPool;
 use super::pool::TargetStream;
 use super::pool::open;
 
-/// The longest idle time of a connection that is reused for a request that is not
-/// idempotent. An older connection may be dead or about to be closed, and such a
-/// request must not be sent again once it may have run. Opening a new connection
-/// takes about 1 ms.
-const IDLE_MAX_NON_IDEMPOTENT: Duration = Duration::from_millis(400);
-
 /// The maximum size of a response head.
 const HEAD_BYTES_MAX: usize = 32 * 1024;
 
@@ -58,21 +54,41 @@
 
 /// A request to a target in encoded form.
 pub(super) struct OutboundRequest<'a> {
-    /// The encoded head and body.
-    pub(super) bytes: &'a [u8],
+    /// The encoded head.
+    pub(super) head: &'a [u8],
+    /// The body.
+    pub(super) body: &'a [u8],
     /// The request id, which the response must echo.
     pub(super) request_id: Option<&'a [u8]>,
-    /// Whether the request may run more than once.
-    pub(super) idempotent: bool,
+    /// The longest rest of a connection that the request may use; `None` for no limit.
+    pub(super) idle_max: Option<Duration>,
     /// Whether this is a HEAD request, whose response has no body.
     pub(super) is_head_request: bool,
     /// The deadline for the response to the caller.
     pub(super) deadline: Instant,
+    /// Holds the memory of the response's body while it is read. The size that it has
+    /// before is what is expected.
+    pub(super) memory: &'a MemoryHold,
     /// Returns whether the target still takes requests, asked right before the first
     /// write.
     pub(super) may_write: &'a dyn Fn() -> bool,
 }
 
+impl OutboundRequest<'_> {
+    /// Returns the length of the encoded request.
+    const fn length(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Returns the parts of the head and of the body that follow the first `written`
+    /// bytes. They are not copied together, since a body may be large.
+    fn unsent(&self, written: usize) -> [IoSlice<'_>; 2] {
+        let head = self.head.get(written..).unwrap_or_default();
+        let body_written = written.saturating_sub(self.head.len());
+        [IoSlice::new(head), IoSlice::new(&self.body[body_written..])]
+    }
+}
+
 /// A complete response from a target.
 pub(super) struct TargetResponse {
     /// The status.
@@ -102,6 +118,10 @@
     pub(super) is_abandoned: bool,
     /// The connection that carried the request; `None` if none did.
     pub(super) connection_use: Option<ConnectionUse>,
+    /// How long the connection had rested, if it was reused.
+    pub(super) rested_ms: Option<DurationMs>,
+    /// Whether the connection turned out to have been dead before the request.
+    pub(super) was_dead: bool,
     /// A description of the failure for the log.
     pub(super) detail: &'static str,
 }
@@ -117,6 +137,8 @@
             pause: None,
             is_abandoned: false,
             connection_use: None,
+            rested_ms: None,
+            was_dead: false,
             detail,
         }
     }
@@ -139,12 +161,7 @@
     address: SocketAddr,
     outbound: &OutboundRequest<'_>,
 ) -> AttemptEnd {
-    let idle_max = if outbound.idempotent {
-        IDLE_MAX
-    } else {
-        IDLE_MAX_NON_IDEMPOTENT
-    };
-    let pooled = pool.borrow_mut().take(address, idle_max);
+    let pooled = pool.borrow_mut().take(address, outbound.idle_max);
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match open(address, outbound.deadline).await {
@@ -170,8 +187,9 @@
         );
     }
     let connection_use = connection.connection_use;
-    let body_reservation = pool.borrow().reserve_body();
-    let exchanging = exchange(&mut connection, outbound, body_reservation);
+    let rested = connection.rested();
+    let written_at = Instant::now();
+    let exchanging = exchange(&mut connection, outbound);
     let end = match tokio::time::timeout_at(outbound.deadline, exchanging).await {
         Err(_) => AttemptEnd::without_response(AttemptOutcome::TimedOut, "deadline passed"),
         Ok(Err(error)) => AttemptEnd::without_response(error.outcome, error.detail),
@@ -180,17 +198,22 @@
             // from the response to the same request sent once more.
             let is_reusable = received.is_reusable && !claims_not_run(&received.head);
             if is_reusable && connection.buffer.is_empty() {
-                if let Some(lifetime) = announced_keep_alive(&received.head.headers) {
-                    connection.usable_until = Instant::now() + lifetime;
-                }
+                let lifetime = announced_keep_alive(&received.head.headers).unwrap_or(IDLE_MAX);
+                connection.usable_until = Instant::now() + lifetime;
                 connection.connection_use.earlier_requests += 1;
                 pool.borrow_mut().put(address, connection);
             }
             classify(received)
         }
     };
+    let was_reused = connection_use.earlier_requests > 0;
+    let rested_ms = DurationMs(rested.as_millis() as u64);
+    let run_ms = DurationMs(written_at.elapsed().as_millis() as u64);
+    let is_lost = end.outcome == AttemptOutcome::ConnectionLost;
     AttemptEnd {
         connection_use: Some(connection_use),
+        rested_ms: was_reused.then_some(rested_ms),
+        was_dead: was_reused && is_lost && was_dead_before(rested_ms, run_ms),
         ..end
     }
 }
@@ -207,7 +230,6 @@
 async fn exchange(
     connection: &mut TargetStream,
     outbound: &OutboundRequest<'_>,
-    mut body_reservation: BodyReservation,
 ) -> Result<CompleteResponse, ExchangeError> {
     let TargetStream { stream, buffer, .. } = connection;
     let mut written = 0;
@@ -220,7 +242,9 @@
         }
         if let Some((_, body)) = &mut head {
             let complete = body.take(buffer).map_err(from_http_error)?;
-            if !body_reservation.resize(body.collected_bytes()) {
+            let size_bytes = body.collected_bytes();
+            if size_bytes > outbound.memory.size_bytes() && !outbound.memory.resize(size_bytes) {
+                metrics::counter!("agatehold_memory_refusals_total", "kind" => "read").increment(1);
                 return Err(cut("memory limit for answer bodies reached"));
             }
             if complete && let Some((read, body)) = head.take() {
@@ -233,7 +257,7 @@
                     }
                     continue;
                 }
-                let is_reusable = read.keeps_alive && written == outbound.bytes.len();
+                let is_reusable = read.keeps_alive && written == outbound.length();
                 return Ok(CompleteResponse {
                     head: read,
                     body: body.into_bytes(),
@@ -243,10 +267,10 @@
         }
         buffer.reserve(READ_BYTES);
         let (mut reading, mut writing) = stream.split();
-        let unsent = &outbound.bytes[written..];
+        let unsent = outbound.unsent(written);
         tokio::select! {
             biased;
-            sent = writing.write(unsent), if !unsent.is_empty() => match sent {
+            sent = writing.write_vectored(&unsent), if written < outbound.length() => match sent {
                 Ok(length) => written += length,
                 Err(_) if written == 0 => return Err(not_written()),
                 Err(_) => return Err(connection_lost("connection lost while writing")),
@@ -423,6 +447,8 @@
         pause,
         is_abandoned: false,
         connection_use: None,
+        rested_ms: None,
+        was_dead: false,
         detail,
     }
 }
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -19,6 +19,7 @@
 
 use agatehold_core::catalog::CallerLimits;
 use agatehold_core::catalog::match_catalog_route;
+use agatehold_core::dispatch::ConnectionReuse;
 use agatehold_core::dispatch::DaemonRank;
 use agatehold_core::dispatch::EntryDaemon;
 use agatehold_core::dispatch::LiveTargets;
@@ -26,10 +27,13 @@
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::SuspensionDetector;
+use agatehold_core::dispatch::cost::CostTable;
 use agatehold_core::dispatch::count_target_states;
+use agatehold_core::dispatch::idle_connections_max;
 use agatehold_core::dispatch::may_exit;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::ids::ServiceName;
+use agatehold_core::limits::allotments::AllotmentTable;
 use agatehold_core::poison::PoisonTable;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -37,10 +41,15 @@
 
 use crate::clock::read_suspension_clocks;
 
+use super::allotments;
+use super::allotments::Allotments;
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
-use super::pool::BodyMemory;
+use super::memory::MemoryAccount;
+use super::memory::MemoryKind;
+use super::memory::MemoryLimits;
+use super::memory::host_memory_mb;
 use super::pool::TargetPool;
 use super::queue::ServiceQueue;
 use super::routes::RouteState;
@@ -57,11 +66,6 @@
 /// The minimum interval between two updates of the target gauges.
 const GAUGE_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
-/// The limit on the total size of the bodies of requests that have not ended. A body
-/// takes up to three times its size: while it grows, and encoded for a target. The
-/// smallest hosts have 160 MB.
-const REQUEST_BODIES_BYTES_MAX: usize = 32 * 1024 * 1024;
-
 /// The state of the traffic thread.
 pub(super) struct TrafficState {
     /// The state shared with the other threads.
@@ -72,10 +76,14 @@
     pub(super) targets: RefCell<LiveTargets>,
     /// The pool of idle connections to targets.
     pub(super) pool: RefCell<TargetPool>,
-    /// The memory of the bodies of requests that have not ended.
-    pub(super) request_memory: BodyMemory,
+    /// How long idle connections to targets are trusted.
+    pub(super) connection_reuse: Cell<ConnectionReuse>,
+    /// The memory that is held for callers and targets.
+    pub(super) memory: MemoryAccount,
     /// The retry budget of each service.
     pub(super) budgets: RefCell<ResendBudgets>,
+    /// The allotments of tenants.
+    pub(super) allotments: Allotments,
     /// Detects suspensions of the host.
     suspension: RefCell<SuspensionDetector>,
     /// The counts of served and unserved requests of each service.
@@ -87,6 +95,8 @@
     pub(super) queue_filled: Notify,
     /// The state of each route, by the route's name.
     pub(super) routes: RefCell<HashMap<Box<str>, RouteState>>,
+    /// What requests cost; `None` unless targets are chosen by expected cost.
+    pub(super) costs: Option<RefCell<CostTable>>,
     /// The requests that were running in a target when it crashed.
     pub(super) poison: RefCell<PoisonTable>,
     /// The number of the last answer applied of those that other daemons gave this one
@@ -127,6 +137,11 @@
                 .map(|(record, seen_at)| (record, *seen_at)),
         );
         super::evidence::apply_told(self, newest);
+        let services = newest.catalog.iter().flat_map(|catalog| &catalog.services);
+        if let Some(connections_max) = services.map(|service| service.connections_max).min() {
+            let idle_max = idle_connections_max(connections_max, newest.members.len());
+            self.pool.borrow_mut().set_idle_connections_max(idle_max);
+        }
         let own = &self.shared.settings.host.id;
         let now = self.shared.clock.now();
         let mut counts = HashMap::new();
@@ -136,6 +151,7 @@
         }
         self.budgets.borrow_mut().set_entries(&counts, now);
         self.log_share_changes(now);
+        allotments::set_parts(self, newest, now);
         for (service, entries) in &newest.entries_by_service {
             let entries: Vec<EntryDaemon<'_>> = entries
                 .iter()
@@ -169,6 +185,7 @@
         };
         let now = self.shared.clock.now();
         self.budgets.borrow_mut().clear_saved(now);
+        self.allotments.table.borrow_mut().forget_tokens(now);
         log::warn!("event=suspended ms={}", suspended_ms.0);
     }
 
@@ -322,20 +339,29 @@
             return;
         }
     };
-    let targets = RefCell::new(LiveTargets::new(&shared.settings.host.id));
+    let memory_mb = shared.settings.memory_mb.or_else(host_memory_mb);
+    let memory = MemoryAccount::new(MemoryLimits::of_host(memory_mb));
+    let uses_expected_cost = shared.settings.expected_cost;
+    let mut targets = LiveTargets::new(&shared.settings.host.id);
+    targets.set_uses_expected_work(uses_expected_cost);
+    let targets = RefCell::new(targets);
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
+    let allotments = start_allotments(&shared);
     let state = Rc::new(TrafficState {
         shared,
         view: RefCell::default(),
         targets,
         pool: RefCell::default(),
-        request_memory: BodyMemory::new(REQUEST_BODIES_BYTES_MAX),
+        connection_reuse: Cell::default(),
+        memory,
         budgets,
+        allotments,
         suspension: RefCell::new(SuspensionDetector::new(read_suspension_clocks())),
         service_stats: RefCell::default(),
         queues: RefCell::default(),
         queue_filled: Notify::new(),
         routes: RefCell::default(),
+        costs: uses_expected_cost.then(RefCell::default),
         poison: RefCell::default(),
         told_number: Cell::new(0),
         relay_turn: Cell::new(0),
@@ -350,6 +376,18 @@
     local.block_on(&runtime, run(&state, wake, bind_result_sender));
 }
 
+/// Creates the allotments of this process, without parts.
+fn start_allotments(shared: &GatewayShared) -> Allotments {
+    let host = &shared.settings.host;
+    let table = AllotmentTable::new(
+        host.id.clone(),
+        host.failure_domain.clone(),
+        shared.bounds.quota_window_ms,
+        shared.clock.now(),
+    );
+    Allotments::new(table, &host.id, rand::random())
+}
+
 /// Returns the fleet-wide limit on retries.
 fn resend_policy(bounds: &FleetBounds) -> ResendPolicy {
     ResendPolicy {
@@ -433,7 +471,12 @@
     state.gauges_updated_at.set(now);
     state.check_suspension();
     state.log_share_changes(now);
+    allotments::tick(state, now);
     state.targets.borrow_mut().expire_statements(now);
+    for kind in MemoryKind::ALL {
+        metrics::gauge!("agatehold_memory_held_bytes", "kind" => kind.as_str())
+            .set(state.memory.held_bytes(kind) as f64);
+    }
     for service in &services {
         update_target_gauges(state, service, now);
     }
@@ -455,4 +498,8 @@
             "service" => service.to_string(), "state" => state_name)
         .set(f64::from(count));
     }
+    if let Some(work) = state.targets.borrow().work_of(service) {
+        metrics::gauge!("agatehold_cost_log_error", "service" => service.to_string())
+            .set(work.mean_log_error);
+    }
 }
