gateway: a request that may have been written keeps its token; keys follow the newest configuration

Found by review. A caller that left during the run of its request got the tenant's token back, so that a tenant whose callers hang up had no limit (seen to fail: a_caller_that_leaves_during_its_run_has_used_its_token).

A request that waited while a configuration with tenants came kept the credentials of the one before, and its key and a tenant that the caller stated itself reached the target. Each send is now checked by the newest configuration (tenants_that_are_added_while_a_request_waits_count_for_it). A request whose key was removed gets 503 in place of 401 while the store can't be reached, as a new request does.

--- a/crates/agatehold-core/src/tenants/authorize.rs
+++ b/crates/agatehold-core/src/tenants/authorize.rs
@@ -2,7 +2,6 @@
 
 use crate::catalog::Catalog;
 use crate::catalog::CatalogRoute;
-use crate::ids::TenantName;
 
 use super::KeyDigest;
 use super::TenantRow;
@@ -37,12 +36,3 @@
         None => Access::UnknownKey,
     }
 }
-
-/// Returns whether a key still belongs to a tenant under a configuration. A request may
-/// have waited since it was authorized under an earlier one.
-pub fn is_key_of(catalog: &Catalog, key: &KeyDigest, tenant: &TenantName) -> bool {
-    let Some(tenants) = &catalog.tenants else {
-        return true;
-    };
-    tenants.by_key(key).is_some_and(|row| row.name == *tenant)
-}
--- a/crates/agatehold-core/src/tenants/mod.rs
+++ b/crates/agatehold-core/src/tenants/mod.rs
@@ -6,7 +6,6 @@
 
 pub use authorize::Access;
 pub use authorize::authorize;
-pub use authorize::is_key_of;
 pub use rows::Allotment;
 pub use rows::KeyDigest;
 pub use rows::TenantRow;
--- a/crates/agatehold/src/gateway/dispatch/credentials.rs
+++ b/crates/agatehold/src/gateway/dispatch/credentials.rs
@@ -12,14 +12,11 @@
 use agatehold_core::tenants::KeyDigest;
 use agatehold_core::tenants::TenantRow;
 use agatehold_core::tenants::authorize;
-use agatehold_core::tenants::is_key_of;
 use agatehold_platform::parse_api_key;
 use agatehold_platform::request_headers;
 use agatehold_platform::target_headers;
 
-use crate::gateway::shared::View;
-
-/// What a request's key allows, as decided when the request arrived.
+/// What a request's key allows.
 #[derive(Clone, Debug)]
 pub(in crate::gateway) enum Credentials {
     /// The configuration has no tenants; the headers of keys and tenants are forwarded
@@ -28,7 +25,7 @@
     /// The route needs no key.
     Public,
     /// The key belongs to this tenant.
-    Tenant(TenantName, KeyDigest),
+    Tenant(TenantName),
 }
 
 impl Credentials {
@@ -41,33 +38,22 @@
         headers: &HeaderMap,
     ) -> Result<(Self, Option<&'a TenantRow>), RefusalKind> {
         let key = sent_key(headers);
-        match (authorize(catalog, route, key.as_ref()), key) {
-            (Access::NoTenants, _) => Ok((Self::NoTenants, None)),
-            (Access::Public, _) => Ok((Self::Public, None)),
-            (Access::Tenant(row), Some(key)) => {
-                Ok((Self::Tenant(row.name.clone(), key), Some(row)))
-            }
-            (Access::Tenant(_) | Access::UnknownKey, _) => Err(RefusalKind::UnknownKey),
+        match authorize(catalog, route, key.as_ref()) {
+            Access::NoTenants => Ok((Self::NoTenants, None)),
+            Access::Public => Ok((Self::Public, None)),
+            Access::Tenant(row) => Ok((Self::Tenant(row.name.clone()), Some(row))),
+            Access::UnknownKey => Err(RefusalKind::UnknownKey),
         }
     }
 
     /// Returns the tenant of the request.
     pub(in crate::gateway) const fn tenant(&self) -> Option<&TenantName> {
         match self {
-            Self::Tenant(tenant, _) => Some(tenant),
+            Self::Tenant(tenant) => Some(tenant),
             Self::NoTenants | Self::Public => None,
         }
     }
 
-    /// Returns whether the key is still valid under the newest configuration. It may have
-    /// been removed while the request waited for a slot.
-    pub(super) fn is_valid(&self, view: &View) -> bool {
-        match (self, &view.catalog) {
-            (Self::Tenant(tenant, key), Some(catalog)) => is_key_of(catalog, key, tenant),
-            _ => true,
-        }
-    }
-
     /// Removes the caller's key and sets the tenant in the headers of a request to a
     /// target.
     pub(super) fn apply_to(&self, fields: &mut HeaderMap) {
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -5,6 +5,7 @@
 
 use agatehold_core::ids::TargetName;
 use agatehold_core::ids::TenantName;
+use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::RefusalOutcome;
 use agatehold_core::units::DurationMs;
 use agatehold_platform::target_headers;
@@ -24,6 +25,19 @@
 use super::DispatchEnd;
 
 impl Dispatch<'_> {
+    /// Returns whether no byte of the request can have reached a target. An attempt that
+    /// ended with its caller may have been written.
+    fn is_certainly_unsent(&self, dispatch_end: &DispatchEnd) -> bool {
+        let is_certain = match dispatch_end {
+            DispatchEnd::Answered(_) => false,
+            DispatchEnd::CallerGone | DispatchEnd::Refused(RefusalKind::Internal) => {
+                self.tried.is_empty()
+            }
+            DispatchEnd::Refused(_) => true,
+        };
+        is_certain && self.attempts.sent == 0
+    }
+
     /// Returns the name of the request's tenant for the log; `-` if it has none.
     fn tenant_text(&self) -> &str {
         self.credentials.tenant().map_or("-", TenantName::as_str)
@@ -36,8 +50,7 @@
         let target = self.tried.last().map_or("-", TargetName::as_str);
         let now = self.now();
         if let Some(token) = &self.token
-            && self.attempts.sent == 0
-            && !matches!(dispatch_end, DispatchEnd::Answered(_))
+            && self.is_certainly_unsent(&dispatch_end)
         {
             allotments::give_back(self.state, token);
         }
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -16,6 +16,7 @@
 
 use agatehold_core::catalog::CatalogRoute;
 use agatehold_core::catalog::ConfigVersion;
+use agatehold_core::catalog::match_catalog_route;
 use agatehold_core::dispatch::AttemptFacts;
 use agatehold_core::dispatch::Choice;
 use agatehold_core::dispatch::Decision;
@@ -42,6 +43,7 @@
 use crate::gateway::queue::SlotOutcome;
 use crate::gateway::queue::SlotRequest;
 use crate::gateway::routes;
+use crate::gateway::serve::host_and_path;
 use crate::gateway::serve::request_id_text;
 use crate::gateway::target::AttemptEnd;
 use crate::gateway::target::TargetResponse;
@@ -82,6 +84,8 @@
     incoming: &'a IncomingRequest,
     route: &'a CatalogRoute,
     credentials: Credentials,
+    /// The version of the configuration by which `credentials` were checked.
+    checked_version: ConfigVersion,
     token: Option<HeldToken>,
     priority: u8,
     version: ConfigVersion,
@@ -132,6 +136,7 @@
         incoming,
         route: plan.route,
         credentials: plan.credentials,
+        checked_version: plan.version,
         token: plan.token,
         priority: plan.priority,
         version: plan.version,
@@ -181,9 +186,9 @@
             Err(dispatch_end) => return dispatch_end,
         };
         loop {
-            if !self.credentials.is_valid(&self.state.view()) {
+            if let Err(kind) = self.renew_credentials() {
                 self.release_unused(&target);
-                return DispatchEnd::Refused(RefusalKind::UnknownKey);
+                return DispatchEnd::Refused(kind);
             }
             self.tried.push(target.name.clone());
             let end = self.attempt(&target, response_sender).await;
@@ -346,6 +351,28 @@
         }
     }
 
+    /// Checks the request's key by the newest configuration, which may have changed while
+    /// the request waited. Fails with the refusal of a key that is no longer valid.
+    fn renew_credentials(&mut self) -> Result<(), RefusalKind> {
+        let view = self.state.view();
+        let Some(catalog) = &view.catalog else {
+            return Ok(());
+        };
+        if catalog.version == self.checked_version {
+            return Ok(());
+        }
+        let head = &self.incoming.head;
+        let (host, path) = host_and_path(head);
+        if let Some(position) = match_catalog_route(catalog, &host, path) {
+            let route = &catalog.routes[position];
+            let renewed = Credentials::of_request(catalog, route, &head.headers);
+            let (credentials, _) = renewed.map_err(|kind| view.refusal_of_unknown(kind))?;
+            self.credentials = credentials;
+        }
+        self.checked_version = catalog.version;
+        Ok(())
+    }
+
     /// Returns the size of the request's body.
     fn body_bytes(&self) -> u64 {
         self.incoming.body.len() as u64
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -109,12 +109,7 @@
     };
     let (host, path) = host_and_path(&incoming.head);
     let Some(position) = match_catalog_route(catalog, &host, path) else {
-        // While the store is unreachable, a newer configuration that
-        // contains the route may exist.
-        let kind = match view.store_unavailable_since {
-            Some(_) => RefusalKind::Isolated,
-            None => RefusalKind::UnknownRoute,
-        };
+        let kind = view.refusal_of_unknown(RefusalKind::UnknownRoute);
         return refuse(kind, catalog.version);
     };
     let route = &catalog.routes[position];
@@ -134,11 +129,7 @@
     let (credentials, tenant) =
         match Credentials::of_request(catalog, route, &incoming.head.headers) {
             Ok(credentials) => credentials,
-            // A newer configuration that this daemon can't read may hold the key.
-            Err(_) if view.store_unavailable_since.is_some() => {
-                return refuse(RefusalKind::Isolated, catalog.version);
-            }
-            Err(kind) => return refuse(kind, catalog.version),
+            Err(kind) => return refuse(view.refusal_of_unknown(kind), catalog.version),
         };
     let expected_bytes = incoming.expected_response_bytes;
     if expected_bytes > 0 && !incoming.response_memory.resize(expected_bytes) {
--- a/crates/agatehold/src/gateway/shared.rs
+++ b/crates/agatehold/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
+use agatehold_core::refusal::RefusalKind;
 use agatehold_core::table::Table;
 use agatehold_core::target_registry::EndedRegistration;
 use agatehold_core::target_registry::TargetRecord;
@@ -138,6 +139,15 @@
         })
     }
 
+    /// Returns the refusal of a request whose route or key is unknown: while the store is
+    /// unreachable, a newer configuration that holds it may exist.
+    pub(crate) fn refusal_of_unknown(&self, kind: RefusalKind) -> RefusalKind {
+        match self.store_unavailable_since {
+            Some(_) => RefusalKind::Isolated,
+            None => kind,
+        }
+    }
+
     /// Returns whether a host is an entry daemon of a service.
     pub(crate) fn is_entry(&self, host: &HostId, service: &ServiceName) -> bool {
         self.daemon_rank(host, service).is_some()
