gateway: the control loop does not spin while only far sources are ahead

Found by review. The time since which only sources in other failure domains were ahead stayed set when the daemon became one that watches, began a read, or expected no near source, and the loop then woke each millisecond. A daemon that had fetched but never read the store itself did the same. Both are cleared, a daemon without a configuration waits for nobody, and the second read of a started daemon comes after 1.8 s (was 2.5 s), so that a removed key does not work for longer than it may. A daemon pauses before it lists again after the store has lost its history.

--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -79,7 +79,7 @@
 /// How long after its start a daemon that has read the store waits for heartbeats before
 /// it reads the store again. A fleet that starts needs about two seconds to agree on the
 /// daemons that send them.
-const SECOND_READ_AFTER_MS: DurationMs = DurationMs(2_500);
+const SECOND_READ_AFTER_MS: DurationMs = DurationMs(1_800);
 
 /// The timeout of a fetch from another daemon.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
@@ -453,17 +453,19 @@
     }
 
     /// Returns whether to wait until a daemon in the own failure domain is ahead too,
-    /// given those that are ahead now, the nearest first.
+    /// given those that are ahead now, the nearest first. A daemon without a configuration
+    /// waits for nobody.
     fn waits_for_near(&mut self, tables: &ControlTables, ahead: &[HostId], now: TimeMs) -> bool {
         let own = &self.shared.settings.host.id;
         let is_near = |host: &HostId| tables.are_near(host, own);
-        if ahead.first().is_some_and(is_near) {
+        if ahead.first().is_some_and(is_near) || tables.catalog.is_none() {
             self.far_ahead_since = None;
             return false;
         }
         let mut senders = tables.heartbeats.recent_senders(now);
         let expects_near = senders.any(is_near);
         if !expects_near && self.shared.clock.uptime() > NEAR_HEARTBEAT_EXPECTED_MS {
+            self.far_ahead_since = None;
             return false;
         }
         let since = *self.far_ahead_since.get_or_insert(now);
@@ -481,16 +483,22 @@
             return;
         }
         if self.relies_on_own_watch(tables, now) {
+            self.far_ahead_since = None;
             return;
         }
         let own = tables.contents().complete_to();
-        match next_refresh(&tables.heartbeats, &own, tables.read_at, now) {
-            Refresh::Nothing => self.far_ahead_since = None,
+        let refresh = next_refresh(&tables.heartbeats, &own, tables.read_at, now);
+        if !matches!(refresh, Refresh::Fetch(_)) {
+            self.far_ahead_since = None;
+        }
+        match refresh {
+            Refresh::Nothing => {}
             // The sources may be too slow for a large configuration, or gone.
             Refresh::Fetch(_)
                 if self.last_fetch_failed && tables.store_unavailable_since.is_none() =>
             {
                 self.last_fetch_failed = false;
+                self.far_ahead_since = None;
                 self.read_store(tables, "fetch_failed", now);
             }
             Refresh::Fetch(mut hosts) => {
@@ -527,7 +535,8 @@
 }
 
 fn next_wait(tables: &ControlTables, store_sync: &StoreSync, now: TimeMs) -> Duration {
-    if tables.read_at == TimeMs(0) && store_sync.running_refreshes == 0 {
+    let has_nothing = tables.read_at == TimeMs(0) && tables.catalog.is_none();
+    if has_nothing && store_sync.running_refreshes == 0 {
         // Start the first read of the store at once.
         return Duration::ZERO;
     }
@@ -540,7 +549,9 @@
         let read_due = read_due_at(&tables.heartbeats, tables.read_at);
         due = due.min(read_due.max(store_sync.read_not_before(tables)));
     }
-    if let Some(since) = store_sync.far_ahead_since {
+    if let Some(since) = store_sync.far_ahead_since
+        && store_sync.running_refreshes == 0
+    {
         due = due.min(since + FAR_FETCH_DELAY_MS);
     }
     for sweep in [tables.targets.next_sweep(), tables.members.next_sweep()] {
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -258,6 +258,8 @@
             .send(StoreEvent::Listed(key_group, items, revision))
             .await;
         watch_changes(&store, key_group, revision, &turn, &events).await;
+        // A replica that lags behind could send each listing back to a new one.
+        tokio::time::sleep(BACKOFF_INITIAL).await;
     }
 }
 
