gateway: trust rested connections only by their targets' word

Found by review. A request that must not run twice uses a connection that has rested for over 400 ms only if its target has announced how long it keeps it. Dead connections are counted with a half-life of 4 s (was 2 s), so that one each 3.5 s is noticed. A request that seems to have crashed a target goes on a new connection: the loss of a rested one would count as another crash.

--- a/crates/agatehold-core/src/dispatch/connection_reuse.rs
+++ b/crates/agatehold-core/src/dispatch/connection_reuse.rs
@@ -28,7 +28,7 @@
 const IDLE_CONNECTIONS_MAX: usize = 8;
 
 /// The time after which the weight of a reuse has halved.
-const HALF_LIFE_MS: DurationMs = DurationMs(2_000);
+const HALF_LIFE_MS: DurationMs = DurationMs(4_000);
 
 /// The number of connections found dead from which rests are distrusted. Targets that
 /// fail by resetting connections are left after one failure each, so that one daemon
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -82,6 +82,7 @@
             body: &self.incoming.body,
             request_id: self.request_id.as_ref().map(HeaderValue::as_bytes),
             idle_max: self.connection_idle_max(),
+            idempotent: self.route.idempotent,
             is_head_request: self.incoming.head.method == Method::HEAD,
             deadline: self.state.shared.clock.instant(self.deadline),
             memory,
@@ -128,7 +129,13 @@
     }
 
     /// Returns the longest rest of a connection that the request may use.
+    ///
+    /// A request that seems to have crashed a target gets a new connection: the loss of a
+    /// rested one would be counted as another crash.
     fn connection_idle_max(&self) -> Option<std::time::Duration> {
+        if self.crash_count() > 0 {
+            return Some(std::time::Duration::ZERO);
+        }
         let reuse = self.state.connection_reuse.get();
         let idle_max = reuse.idle_max(self.route.idempotent, self.now());
         idle_max.map(duration)
--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -28,6 +28,9 @@
 /// longer idle time. Half of the shortest idle timeout of the targets.
 pub(super) const IDLE_MAX: Duration = Duration::from_secs(4);
 
+/// How long an idle connection is trusted whose target announces no idle time.
+const UNANNOUNCED_TRUST: Duration = Duration::from_millis(400);
+
 /// The number of idle connections to one target address until a limit is set.
 const IDLE_CONNECTIONS_DEFAULT: usize = 8;
 
@@ -53,12 +56,28 @@
     /// The time after which the connection is not reused: the end of the keep-alive
     /// time that the target announced, or [`IDLE_MAX`] after the last use.
     pub(super) usable_until: Instant,
+    /// How long the target keeps idle connections, if it has announced that.
+    pub(super) announced: Option<Duration>,
     /// The connection's number and the requests that it has carried.
     pub(super) connection_use: ConnectionUse,
     idle_since: Instant,
 }
 
 impl TargetStream {
+    /// Takes over what the last response announced. An earlier announcement counts as long
+    /// as there is no other.
+    pub(super) fn record_use(&mut self, announced: Option<Duration>) {
+        self.announced = announced.or(self.announced);
+        self.usable_until = Instant::now() + self.announced.unwrap_or(IDLE_MAX);
+    }
+
+    /// Returns whether a request that must not run twice may be written on the connection:
+    /// an older one may be dead or about to be closed, unless its target has announced how
+    /// long it keeps it.
+    fn is_trusted(&self) -> bool {
+        self.announced.is_some() || self.rested() <= UNANNOUNCED_TRUST
+    }
+
     /// Returns how long the connection has been idle.
     pub(super) fn rested(&self) -> Duration {
         self.idle_since.elapsed()
@@ -104,6 +123,7 @@
         &mut self,
         address: SocketAddr,
         idle_max: Option<Duration>,
+        idempotent: bool,
     ) -> Option<TargetStream> {
         let idle_connections = self.idle.get_mut(&address)?;
         let now = Instant::now();
@@ -113,7 +133,9 @@
             if now >= connection.usable_until {
                 continue;
             }
-            if idle_max.is_some_and(|idle_max| now - connection.idle_since > idle_max) {
+            let is_distrusted =
+                idle_max.is_some_and(|idle_max| now - connection.idle_since > idle_max);
+            if is_distrusted || !(idempotent || connection.is_trusted()) {
                 // The remaining connections have been idle for even longer. They are left
                 // for requests without a limit.
                 idle_connections.push(connection);
@@ -188,6 +210,7 @@
         stream,
         buffer: BytesMut::new(),
         usable_until: now + IDLE_MAX,
+        announced: None,
         connection_use: ConnectionUse::default(),
         idle_since: now,
     })
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -33,7 +33,6 @@
 use super::http1::take_response_head;
 use super::memory::MemoryHold;
 use super::pool::ConnectionUse;
-use super::pool::IDLE_MAX;
 use super::pool::TargetPool;
 use super::pool::TargetStream;
 use super::pool::open;
@@ -62,6 +61,8 @@
     pub(super) request_id: Option<&'a [u8]>,
     /// The longest rest of a connection that the request may use; `None` for no limit.
     pub(super) idle_max: Option<Duration>,
+    /// Whether the request may run more than once.
+    pub(super) idempotent: bool,
     /// Whether this is a HEAD request, whose response has no body.
     pub(super) is_head_request: bool,
     /// The deadline for the response to the caller.
@@ -161,7 +162,9 @@
     address: SocketAddr,
     outbound: &OutboundRequest<'_>,
 ) -> AttemptEnd {
-    let pooled = pool.borrow_mut().take(address, outbound.idle_max);
+    let pooled = pool
+        .borrow_mut()
+        .take(address, outbound.idle_max, outbound.idempotent);
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match open(address, outbound.deadline).await {
@@ -198,8 +201,7 @@
             // from the response to the same request sent once more.
             let is_reusable = received.is_reusable && !claims_not_run(&received.head);
             if is_reusable && connection.buffer.is_empty() {
-                let lifetime = announced_keep_alive(&received.head.headers).unwrap_or(IDLE_MAX);
-                connection.usable_until = Instant::now() + lifetime;
+                connection.record_use(announced_keep_alive(&received.head.headers));
                 connection.connection_use.earlier_requests += 1;
                 pool.borrow_mut().put(address, connection);
             }
