limits: only processes that have just started take a part at once

Found by review. A process of up to 10 s took its part at once also where another host had held it, which a host that is cut off may still do. It does so in its first 5 s and only when it first becomes a holder. A daemon that becomes a holder again starts with empty buckets.

--- a/crates/agatehold-core/src/directory/choose.rs
+++ b/crates/agatehold-core/src/directory/choose.rs
@@ -25,8 +25,8 @@
 pub struct EntryDemand {
     /// The minimum number of daemons.
     pub least: usize,
-    /// The minimum total capacity of the daemons; not reached if the whole fleet
-    /// has less.
+    /// The wanted total capacity of the daemons; not reached if the whole fleet has less,
+    /// or if the strong hosts have half of it and only weak ones are left.
     pub capacity_millicores: u32,
 }
 
--- a/crates/agatehold-core/src/limits/allotments/entries.rs
+++ b/crates/agatehold-core/src/limits/allotments/entries.rs
@@ -30,8 +30,9 @@
 const PROBE_AFTER_MS: DurationMs = DurationMs(2_000);
 const PROBES: usize = 3;
 
-/// How long after its start a process takes its part at once.
-const START_MS: DurationMs = DurationMs(10_000);
+/// How long after its start a process takes its part at once. A fleet that starts agrees
+/// on the holders within this time; later another host may have lost the part.
+const START_MS: DurationMs = DurationMs(5_000);
 
 /// The minimum number of holders of a tenant. With two of them, tenants got nothing for
 /// 18 s after a store had turned both hosts away, since a replaced part is not used for
@@ -177,7 +178,7 @@
     /// How long a larger part has to wait.
     larger_after_ms: DurationMs,
     started_at: TimeMs,
-    /// When this process first had a part; its buckets were empty then.
+    /// When this process last became a holder; its buckets were empty then.
     pub(super) filled_from: Option<TimeMs>,
     /// The position of the entry daemon that is probed next.
     next_probed: usize,
@@ -213,6 +214,10 @@
         if self.current.is_same(&entries) {
             return;
         }
+        let own_hash = self.own_hash;
+        let is_own =
+            |(entry, hash): &(AllotmentEntry, u64)| *hash == own_hash && entry.host == self.own;
+        let was_holder = self.current.rows.iter().any(is_own);
         let is_holder = entries.iter().any(|entry| entry.host == self.own);
         let before = std::mem::replace(&mut self.current, EntrySet::new(entries));
         self.replaced.push_back(ReplacedSet {
@@ -221,9 +226,9 @@
             replaced_at: now,
         });
         self.generation += 1;
-        if is_holder && self.filled_from.is_none() {
-            self.filled_from = Some(now);
-            if now.since(self.started_at) <= START_MS {
+        if is_holder && !was_holder {
+            let is_first = self.filled_from.replace(now).is_none();
+            if is_first && now.since(self.started_at) <= START_MS {
                 // The previous process on this host had the part.
                 self.replaced.clear();
             }
