--- a/crates/agatehold/src/gateway/relay.rs
+++ b/crates/agatehold/src/gateway/relay.rs
@@ -152,7 +152,7 @@
 
 fn send(state: &TrafficState, address: SocketAddr, bytes: &[u8], is_near: bool) {
     let domain = if is_near { "own" } else { "other" };
-    metrics::counter!("agatehold_peer_bytes_total", "domain" => domain)
+    metrics::counter!("agatehold_datagram_bytes_total", "domain" => domain)
         .increment(bytes.len() as u64);
     // A lost datagram is acceptable: the next requests bring the same information.
     let _ = state.evidence.try_send_to(bytes, address);
