agateholdctl: check a configuration before it is sent

Daemons skip a configuration that they can't decode and name neither the entry nor its value. Routes that never match, keys with two holders and a burst without a rate are accepted silently.

The checks and the comparison are functions on a Catalog in agatehold-core. A Catalog keeps neither the second holder of a key nor a burst without a rate. Keeping them there was ruled out, since every daemon would hold them in memory; the tool decodes them separately as StatedTenant. The decoder's messages quote values, which may be keys, and are not printed.

Not checked: rates against the capacity of services, as a configuration does not have the number of targets, and hosts without routes.

--- a/crates/agateholdctl/src/args/mod.rs
+++ b/crates/agateholdctl/src/args/mod.rs
@@ -38,6 +38,9 @@
   note check FILE [--against FILE]...
                         check a note against the platform's configuration or,
                         with --against, against the given notes only
+  check-config FILE [--against FILE]
+                        check a configuration of the gateway before it is sent
+                        and, with --against, show what differs from that one
   note release FILE [--force] [--wait MS]
                         release a note and wait up to MS milliseconds until
                         every daemon has it in force (default 15000; 0 does
@@ -67,6 +70,7 @@
 Exit codes:
   0 done   1 failed   2 wrong usage   3 invalid settings or note
   4 conflict with another note   5 outcome unknown   6 timed out
+  check-config: 0 clean   1 findings   2 a file can't be read
 ";
 
 /// The note that `note status` looks up.
@@ -139,6 +143,11 @@
         file: PathBuf,
         against: Vec<PathBuf>,
     },
+    /// Check a configuration of the gateway.
+    CheckConfig {
+        file: PathBuf,
+        against: Option<PathBuf>,
+    },
     /// Release a note.
     NoteRelease {
         file: PathBuf,
@@ -268,6 +277,10 @@
             file: path(2),
             against: raw.against.clone(),
         },
+        ["check-config", _] if raw.against.len() <= 1 => Command::CheckConfig {
+            file: path(1),
+            against: raw.against.first().cloned(),
+        },
         ["note", "release", _] => Command::NoteRelease {
             file: path(2),
             force: raw.force,
@@ -314,7 +327,10 @@
 /// `--force` were ignored, the user would assume that it took effect.
 fn reject_misplaced_options(raw: &RawArguments, command: &Command) -> Result<(), ToolFault> {
     let release = matches!(command, Command::NoteRelease { .. });
-    let against = matches!(command, Command::NoteCheck { .. });
+    let against = matches!(
+        command,
+        Command::NoteCheck { .. } | Command::CheckConfig { .. }
+    );
     let limit = matches!(command, Command::NoteHistory(_));
     let queries_daemon = matches!(
         command,
--- a/crates/agateholdctl/src/commands/mod.rs
+++ b/crates/agateholdctl/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands of the tool.
 
 mod check;
+mod check_config;
 mod diff;
 mod explain;
 mod fleet;
@@ -57,6 +58,7 @@
             history::run(&load_settings(&invocation.settings)?, *limit, json)
         }
         Command::NoteDiff(from, to) => diff::run(&invocation.settings, from, to, json),
+        Command::CheckConfig { file, against } => check_config::run(file, against.as_deref(), json),
         Command::Explain { id, files } => explain::run(id, files, json),
         Command::Drain(daemon) => fleet::drain(&load_settings(&invocation.settings)?, daemon, json),
     }
--- a/crates/agateholdctl/src/fault/mod.rs
+++ b/crates/agateholdctl/src/fault/mod.rs
@@ -21,6 +21,10 @@
         File(path: String, error: io::Error) {
             display("can't read {}: {}", path, error)
         }
+        /// A configuration to check can't be read, or is not JSON.
+        Unreadable(path: String, detail: String) {
+            display("can't read {}: {}", path, detail)
+        }
         /// The output can't be written.
         Output(error: io::Error) {
             from()
@@ -76,7 +80,7 @@
     /// Returns the exit code (docs/design.md, section 2).
     fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage(_) => 2,
+            Self::Usage(_) | Self::Unreadable(_, _) => 2,
             Self::Invalid(_) | Self::NoteTooLarge(_, _) => 3,
             Self::StatusUnknown(_) => 5,
             Self::File(_, _)
