--- a/crates/agatehold-core/src/limits/allotments/entries.rs
+++ b/crates/agatehold-core/src/limits/allotments/entries.rs
@@ -34,14 +34,12 @@
 /// on the holders within this time; later another host may have lost the part.
 const START_MS: DurationMs = DurationMs(5_000);
 
-/// The minimum number of holders of a tenant. With two of them, tenants got nothing for
-/// 18 s after a store had turned both hosts away, since a replaced part is not used for
-/// 13 s.
-const HOLDERS_MIN: usize = 5;
+/// The minimum number of holders of a tenant, so that it does not depend on one host.
+const HOLDERS_MIN: usize = 2;
 
 /// The part of the burst below which a tenant gets fewer holders. Of a part that is much
 /// smaller than one token, every request would have to ask many daemons.
-const HOLDER_TOKENS_MIN: f64 = 2.0;
+const HOLDER_TOKENS_MIN: f64 = 4.0;
 
 /// The minimum number of daemons that hold parts.
 const PART_HOLDERS_MIN: usize = 6;
