review: a stopping daemon breaks off a request that its server works on

Cause: the attempt timeout of an idempotent request gives up the running attempt before another target has taken the request, also after SIGTERM.

TROUBLE=0 held.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 //! RECORD and exits with 1 if the rule was broken, 0 if it held and 2 if the case could
 //! not run. With `TROUBLE=0` in the environment the disruption is left out.
 
+mod broken_off_at_stop;
 mod crash_in_answer;
 mod deployment;
 mod http;
@@ -44,6 +45,7 @@
     deployment::start_watchdog();
     let record = Arc::new(Record::create(file)?);
     match case {
+        "broken-off-at-stop" => broken_off_at_stop::play(&record, trouble),
         "crash-in-answer" => crash_in_answer::play(&record, trouble),
         _ => Err(io::Error::other("unknown case")),
     }
