review: two lost answers refuse a caller's request for ten minutes

Cause: a connection that is lost before the answer counts as a crash caused by the request, whether the target crashed or not; two marks refuse it everywhere.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 mod crash_in_answer;
 mod deployment;
 mod http;
+mod lost_answers;
 mod record;
 mod server;
 
@@ -46,6 +47,7 @@
     let record = Arc::new(Record::create(file)?);
     match case {
         "broken-off-at-stop" => broken_off_at_stop::play(&record, trouble),
+        "lost-answers" => lost_answers::play(&record, trouble),
         "crash-in-answer" => crash_in_answer::play(&record, trouble),
         _ => Err(io::Error::other("unknown case")),
     }
