--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -67,22 +67,8 @@
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         };
-        let head = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
+        let mut message = Self::parse_head(&self.buffer[..end]);
         self.buffer.drain(..end + 4);
-        let start = head.lines().next().unwrap_or("").to_owned();
-        let status = match start.strip_prefix("HTTP/1.1 ") {
-            Some(rest) => rest
-                .get(..3)
-                .and_then(|text| text.parse().ok())
-                .unwrap_or(0),
-            None => 0,
-        };
-        let mut message = Message {
-            start,
-            status,
-            head,
-            body: Vec::new(),
-        };
         let length: usize = message
             .header("content-length")
             .and_then(|value| value.parse().ok())
@@ -96,6 +82,20 @@
         Ok(Some(message))
     }
 
+    /// Returns the message that begins with a head.
+    pub fn parse_head(bytes: &[u8]) -> Message {
+        let head = String::from_utf8_lossy(bytes).trim_end().to_owned();
+        let start = head.lines().next().unwrap_or("").to_owned();
+        let status = start.strip_prefix("HTTP/1.1 ");
+        let status = status.and_then(|rest| rest.get(..3)?.parse().ok());
+        Message {
+            start,
+            status: status.unwrap_or(0),
+            head,
+            body: Vec::new(),
+        }
+    }
+
     fn fill(&mut self) -> io::Result<bool> {
         let mut part = vec![0; 64 * 1024];
         let length = self.stream.read(&mut part)?;
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -108,14 +108,8 @@
     }
 
     fn register(&self, store: &StoreStandin) {
-        let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","warmup_left":"0ms","sequence":1,"born":{}}}"#,
-            self.service,
-            self.address,
-            self.zone,
-            self.slots,
-            self.state().born
-        );
+        let born = self.state().born;
+        let entry = entry(&self.service, self.address, &self.zone, self.slots, born);
         store.put(&format!("servers/{}", self.id), &entry);
     }
 
@@ -271,6 +265,13 @@
     }
 }
 
+/// Returns the entry with which a server registers.
+pub fn entry(service: &str, address: SocketAddr, zone: &str, slots: u32, born: u64) -> String {
+    format!(
+        r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","warmup_left":"0ms","sequence":1,"born":{born}}}"#
+    )
+}
+
 /// Works on a request; ends early and returns true if its connection is closed.
 fn work_until_closed(stream: &TcpStream, work: Duration) -> io::Result<bool> {
     let until = Instant::now() + work;
@@ -287,7 +288,8 @@
     Ok(false)
 }
 
-fn unix_ms() -> u64 {
+/// Returns the time of day in Unix milliseconds.
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0))
 }
