review: a caller that pauses for over 10 s loses the requests sent ahead

Cause: TCP_USER_TIMEOUT of 10 s on connections of callers also ends those whose window is closed, whatever time the caller has.

--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Puts bytes back that were read from the connection.
+    pub fn unread(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
     /// Reads the next message; `None` if the connection ends before its first byte.
     /// A message that is cut off is an error.
     pub fn next(&mut self) -> io::Result<Option<Message>> {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -11,6 +11,7 @@
 mod lost_answers;
 mod record;
 mod server;
+mod slow_reader;
 mod slow_upload;
 
 use std::io;
@@ -48,6 +49,7 @@
     let record = Arc::new(Record::create(file)?);
     match case {
         "broken-off-at-stop" => broken_off_at_stop::play(&record, trouble),
+        "slow-reader" => slow_reader::play(&record, trouble),
         "slow-upload" => slow_upload::play(&record, trouble),
         "lost-answers" => lost_answers::play(&record, trouble),
         "crash-in-answer" => crash_in_answer::play(&record, trouble),
