gateway: check a target before a lost connection counts as a crash

Cause: record_attempt made a crash mark of each lost connection, and nothing looked whether the target had crashed. Marks are revoked by an answer only, and a refused request gets none. Ruled out: failing targets and an unknown route (the same targets and the same route served before and all the while).

Change: a lost connection is a suspicion, which holds the request back on all daemons from the first moment, as a mark does. The daemon that lost it contacts the target 50 ms later. A refused connection turns the suspicion into a mark; a connection that stays open withdraws it on all daemons; a target that can't be reached is crashed once the registry has removed it. A suspicion that nobody ends counts for 10 s. Copies that are sent at once are held back as before: counting only confirmed crashes was weighed and left, since each copy would crash a target during the check.

The process tests of crashes used targets that closed one connection and went on listening. That is no crash, and the daemon now sees it. The targets of these tests close their listener and all connections and are down for a second (CrashingTarget); the assertions are those of before. The test of an answer after two crashes needs a fourth target, since a real crash of the target that works on the first copy would end that copy.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -10,6 +10,8 @@
 use super::CrashMark;
 use super::PoisonRow;
 use super::PoisonTable;
+use super::suspect::SUSPICION_LIFETIME_MS;
+use super::suspect::open_suspicions;
 
 /// How long a crash counts against a request.
 const MARK_LIFETIME_MS: DurationMs = DurationMs(600_000);
@@ -23,8 +25,8 @@
 /// enough to refuse the request.
 const MAX_MARKS: usize = 4;
 
-/// The number of crashes of a request from which on it is refused.
-const CRASHES_MAX: usize = 2;
+/// The number of confirmed crashes of a request from which on it is refused.
+pub const CRASHES_MAX: usize = 2;
 
 /// Crashes of one target within this time count as the same crash, even if
 /// different daemons report them.
@@ -59,8 +61,9 @@
     /// The request crashed one target. If it is idempotent it may be resent
     /// once, to a different target.
     AdmittedOnce,
-    /// The request crashed one target, and may not be sent for now: at first only
-    /// the daemon that reported the crash resends it, after a short wait.
+    /// The request may not be sent for now. It crashed one target, and at first only the
+    /// daemon that reported the crash resends it, after a short wait; or it is not known
+    /// yet whether it crashed more than one.
     Deferred,
     /// The request crashed at least two targets and must not be sent.
     Refused,
@@ -81,20 +84,26 @@
     let Some(row) = table.rows.get_mut(fingerprint) else {
         return Admission::Admitted;
     };
-    row.marks
-        .retain(|mark| now.since(mark.at) <= MARK_LIFETIME_MS);
-    let mut active = row.marks.iter().filter(|mark| !mark.cleared);
-    let (Some(mark), second) = (active.next(), active.next()) else {
+    expire(row, now);
+    let marks = active_marks(&row.marks, now).map(|mark| (&mark.reporter, mark.at));
+    let crashes = marks.clone().count();
+    if crashes >= CRASHES_MAX {
+        return Admission::Refused;
+    }
+    let suspicions = open_suspicions(&row.suspicions, now);
+    let suspicions = suspicions.map(|suspicion| (&suspicion.reporter, suspicion.at));
+    let mut reports = marks.chain(suspicions);
+    let (Some((reporter, lost_at)), second) = (reports.next(), reports.next()) else {
         return Admission::Admitted;
     };
     if second.is_some() {
-        return Admission::Refused;
+        return Admission::Deferred;
     }
     let is_resend_in_flight = row
         .resent_at
         .is_some_and(|since| now.since(since) <= RESEND_TIMEOUT_MS);
-    let age_ms = now.since(mark.at);
-    let wait_ms = if mark.reporter == *own {
+    let age_ms = now.since(lost_at);
+    let wait_ms = if *reporter == *own {
         RESEND_DELAY_MS
     } else {
         DEFERRAL_MAX_MS
@@ -108,9 +117,10 @@
 
 /// Records a crash mark for a request whose connection to a target was lost.
 ///
-/// Call this as soon as the connection is lost, before the crash is confirmed,
-/// so that the request is not resent meanwhile. [`clear`] revokes the mark, and a
-/// cleared mark of a peer revokes the one that the peer sent before.
+/// A daemon without [`super::suspect`] calls this as soon as the connection is lost,
+/// before the crash is confirmed, so that the request is not resent meanwhile. [`clear`]
+/// revokes the mark, and a cleared mark of a peer revokes the one that the peer sent
+/// before.
 pub fn mark_crash(table: &mut PoisonTable, mark: CrashMark, now: TimeMs) {
     let row = table.rows.get_or_insert(mark.fingerprint, Default::default);
     if mark.cleared {
@@ -127,6 +137,14 @@
     evict_rows(table, now);
 }
 
+/// Drops the marks and the suspicions of a row that have expired.
+fn expire(row: &mut PoisonRow, now: TimeMs) {
+    row.marks
+        .retain(|mark| now.since(mark.at) <= MARK_LIFETIME_MS);
+    row.suspicions
+        .retain(|suspicion| now.since(suspicion.at) <= SUSPICION_LIFETIME_MS);
+}
+
 /// Adds a mark to a row, in place of a cleared one if the row is full. A full row without
 /// cleared marks stays as it is, since its request is refused already.
 fn insert_mark(row: &mut PoisonRow, mark: CrashMark) {
@@ -153,22 +171,30 @@
 }
 
 fn is_same_crash(held: &CrashMark, mark: &CrashMark) -> bool {
-    let apart = held.at.since(mark.at).max(mark.at.since(held.at));
-    held.target == mark.target && apart <= SAME_CRASH_MS
+    held.target == mark.target && is_same_time(held.at, mark.at)
+}
+
+/// Returns whether two reports on one target that are from these times are about the same
+/// crash.
+pub(super) fn is_same_time(one: TimeMs, other: TimeMs) -> bool {
+    one.since(other).max(other.since(one)) <= SAME_CRASH_MS
 }
 
-/// Drops expired marks, rows without marks and the oldest rows above the limit.
-fn evict_rows(table: &mut PoisonTable, now: TimeMs) {
+/// Drops expired marks and suspicions, rows without any, and the oldest rows above the
+/// limit.
+pub(super) fn evict_rows(table: &mut PoisonTable, now: TimeMs) {
     table.rows.retain(|_, row| {
-        row.marks
-            .retain(|mark| now.since(mark.at) <= MARK_LIFETIME_MS);
-        !row.marks.is_empty()
+        expire(row, now);
+        !row.marks.is_empty() || !row.suspicions.is_empty()
     });
     while table.rows.len() > MAX_ROWS {
         let oldest = table
             .rows
             .rows()
-            .min_by_key(|(_, row)| row.marks.last().map(|mark| mark.at))
+            .min_by_key(|(_, row)| {
+                let marked_at = row.marks.last().map(|mark| mark.at);
+                marked_at.max(row.suspicions.last().map(|suspicion| suspicion.at))
+            })
             .map(|(fingerprint, _)| *fingerprint);
         let Some(oldest) = oldest else {
             return;
@@ -191,11 +217,16 @@
     clear_marks(table, fingerprint, |mark| mark.reporter == *own)
 }
 
-/// Revokes the marks of all daemons on a request that a target has answered, since a
-/// poison request crashes every target that runs it. Returns whether there were any;
-/// the peers then have to be told.
+/// Revokes the marks and the suspicions of all daemons on a request that a target has
+/// answered, since a poison request crashes every target that runs it. Returns whether
+/// there were any; the peers then have to be told.
 pub fn revoke_marks(table: &mut PoisonTable, fingerprint: &Digest) -> bool {
-    !clear_marks(table, fingerprint, |_| true).is_empty()
+    let mut is_changed = !clear_marks(table, fingerprint, |_| true).is_empty();
+    let row = table.rows.get_mut(fingerprint);
+    for suspicion in row.into_iter().flat_map(|row| &mut row.suspicions) {
+        is_changed |= !std::mem::replace(&mut suspicion.withdrawn, true);
+    }
+    is_changed
 }
 
 /// Clears those marks on a request for which `is_revoked` returns true, and returns them.
@@ -224,8 +255,20 @@
     row.is_some_and(|row| active_marks(&row.marks, now).count() >= CRASHES_MAX)
 }
 
+/// Returns the number of crashes in which a request was involved, including those that
+/// are not confirmed yet.
+pub fn crash_count(table: &PoisonTable, fingerprint: &Digest, now: TimeMs) -> usize {
+    let Some(row) = table.rows.get(fingerprint) else {
+        return 0;
+    };
+    active_marks(&row.marks, now).count() + open_suspicions(&row.suspicions, now).count()
+}
+
 /// Returns the marks that count against a request.
-fn active_marks(marks: &[CrashMark], now: TimeMs) -> impl Iterator<Item = &CrashMark> {
+pub(super) fn active_marks(
+    marks: &[CrashMark],
+    now: TimeMs,
+) -> impl Iterator<Item = &CrashMark> + Clone {
     let marks = marks.iter();
     marks.filter(move |mark| !mark.cleared && now.since(mark.at) <= MARK_LIFETIME_MS)
 }
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -26,6 +26,7 @@
 use agatehold_core::dispatch::cost::RequestCost;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
+use agatehold_core::poison;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::claims_not_run;
 use agatehold_core::retry::Attempts;
@@ -56,10 +57,6 @@
 /// objective.
 const WAIT_SHARE_PERCENT: u64 = 60;
 
-/// The number of target crashes, as known to this daemon, after which a request
-/// is no longer retried.
-const CRASHES_MAX: usize = 2;
-
 /// The routing decision for a request.
 pub(super) struct Plan<'a> {
     /// What the request's key allows.
@@ -280,7 +277,7 @@
                 .is_some_and(|response| claims_not_run(response.status.as_u16())),
             attempts_max: self.route.attempts_max,
             tries: u32::try_from(self.tried.len()).unwrap_or(u32::MAX),
-            is_poisoned: self.crash_count() >= CRASHES_MAX,
+            is_poisoned: self.crash_count() >= poison::CRASHES_MAX,
             remaining_ms: self.deadline.since(self.now()),
         }
     }
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -1,19 +1,21 @@
 //! Records the result of an attempt: target health, crash marks of the request,
 //! run times, and the slot.
 
+use std::net::SocketAddr;
+
 use http::header;
 use rand::RngExt;
 
 use agatehold_core::ids::Digest;
-use agatehold_core::ids::TargetName;
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::poison;
-use agatehold_core::poison::CrashMark;
 use agatehold_core::poison::RequestIdentity;
+use agatehold_core::poison::Suspicion;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
 
+use crate::gateway::crash_check::LostConnection;
 use crate::gateway::evidence;
 use crate::gateway::messages::Evidence;
 use crate::gateway::queue;
@@ -31,7 +33,7 @@
     pub(super) fn record_attempt(
         &mut self,
         identity: &TargetIdentity,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         end: &AttemptEnd,
         run_ms: DurationMs,
     ) {
@@ -141,11 +143,7 @@
             }
             AttemptOutcome::ConnectionLost => {
                 self.state.pool.borrow_mut().close_address(address);
-                self.mark_crash(target, now);
-                if !was_refused && self.is_refused_by_poison_table(now) {
-                    let fingerprint = self.fingerprint();
-                    evidence::send_crash_marks(self.state, &self.service, &fingerprint, now);
-                }
+                self.suspect_crash(identity, address, now);
             }
             AttemptOutcome::ConnectFailed => {
                 self.state.pool.borrow_mut().close_address(address);
@@ -210,27 +208,40 @@
         !table.rows.is_empty() && poison::is_refused(&table, &self.fingerprint(), now)
     }
 
-    /// Returns the number of crash marks of the request that are not cleared.
+    /// Returns the number of crashes in which the request was involved, including those
+    /// that are not confirmed yet.
     pub(super) fn crash_count(&self) -> usize {
         let table = self.state.poison.borrow();
         if table.rows.is_empty() {
             return 0;
         }
-        let row = table.rows.get(&self.fingerprint());
-        row.map_or(0, |row| {
-            row.marks.iter().filter(|mark| !mark.cleared).count()
-        })
+        poison::crash_count(&table, &self.fingerprint(), self.now())
     }
 
-    pub(super) fn mark_crash(&self, target: &TargetName, now: TimeMs) {
-        let mark = CrashMark {
-            fingerprint: self.fingerprint(),
-            target: target.clone(),
+    /// Holds the request back, and has the target checked that closed its connection.
+    fn suspect_crash(&self, target: &TargetIdentity, address: SocketAddr, now: TimeMs) {
+        let fingerprint = self.fingerprint();
+        let suspicion = Suspicion {
+            target: target.name.clone(),
             reporter: self.state.shared.settings.host.id.clone(),
             at: now,
-            cleared: false,
+            withdrawn: false,
+        };
+        poison::suspect(
+            &mut self.state.poison.borrow_mut(),
+            &fingerprint,
+            suspicion,
+            now,
+        );
+        let lost = LostConnection {
+            target: target.clone(),
+            address,
+            service: self.service.clone(),
+            fingerprint,
+            lost_at: now,
         };
-        poison::mark_crash(&mut self.state.poison.borrow_mut(), mark, now);
+        // The receiver is only dropped with the traffic thread's tasks.
+        let _ = self.state.lost_connections.send(lost);
     }
 
     /// Revokes the crash marks of the request; returns whether it had any.
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -16,6 +16,7 @@
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
 use agatehold_core::poison::PoisonTable;
+use agatehold_core::poison::Suspicion;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -26,6 +27,7 @@
 use super::messages::DATAGRAM_BYTES_MAX;
 use super::messages::Evidence;
 use super::messages::LeavingMessage;
+use super::messages::NoCrashMessage;
 use super::messages::PeerStatements;
 use super::messages::PressureMessage;
 use super::messages::TrafficMessage;
@@ -34,6 +36,7 @@
 use super::messages::encode_dead_connection;
 use super::messages::encode_evidence;
 use super::messages::encode_leaving;
+use super::messages::encode_no_crash;
 use super::messages::encode_pressure;
 use super::relay;
 use super::relay::Copies;
@@ -113,16 +116,28 @@
     send_to_entry_daemons(state, service, &bytes, Recipients::All, Copies::Two);
 }
 
-/// Tells the daemons that are no entry daemons of a service, which get no evidence, that a
-/// request has crashed two targets. Each of them would let it crash two more.
+/// Tells the other entry daemons of a service of the crashes that are confirmed of a
+/// request, and all daemons if it is refused since the last of them: those that are no
+/// entry daemons would each let it crash two more targets.
 pub(super) fn send_crash_marks(
     state: &TrafficState,
     service: &ServiceName,
     fingerprint: &Digest,
+    was_refused: bool,
     now: TimeMs,
 ) {
     let message = crash_marks(&state.poison.borrow(), fingerprint, now);
-    send_to_other_daemons(state, service, &encode_crash_marks(&message));
+    let bytes = encode_crash_marks(&message);
+    send_to_entry_daemons(state, service, &bytes, Recipients::All, Copies::Two);
+    if !was_refused && poison::is_refused(&state.poison.borrow(), fingerprint, now) {
+        send_to_other_daemons(state, service, &bytes);
+    }
+}
+
+/// Tells the other entry daemons of a service that a target has not crashed.
+pub(super) fn send_no_crash(state: &TrafficState, service: &ServiceName, message: &NoCrashMessage) {
+    let bytes = encode_no_crash(message);
+    send_to_entry_daemons(state, service, &bytes, Recipients::All, Copies::Two);
 }
 
 /// Tells the daemons that are no entry daemons of a service that a request which had
@@ -348,6 +363,9 @@
                 let now = state.shared.clock.now();
                 record_crash_marks(&state, &message, now, now);
             }
+            Some(TrafficMessage::NoCrash(message)) => {
+                record_no_crash(&state, &message, state.shared.clock.now());
+            }
             Some(TrafficMessage::Ask(message)) => allotments::answer_ask(&state, &message, from),
             Some(TrafficMessage::Grant(message)) => allotments::apply_grant(&state, &message),
             None => log::debug!("event=news_skipped bytes={length}"),
@@ -362,21 +380,35 @@
     told_at: TimeMs,
     now: TimeMs,
 ) {
-    let mut marks = Vec::new();
+    let fingerprint = &message.fingerprint;
+    let was_refused = poison::is_refused(&state.poison.borrow(), fingerprint, now);
     for mark in &message.marks {
-        marks.push(CrashMark {
-            fingerprint: message.fingerprint,
+        let mark = CrashMark {
+            fingerprint: *fingerprint,
             target: mark.target.clone(),
             reporter: mark.reporter.clone(),
             at: told_at - mark.age_ms,
             cleared: false,
-        });
+        };
+        poison::confirm(&mut state.poison.borrow_mut(), &mark, now);
     }
-    poison::merge_marks(&mut state.poison.borrow_mut(), &marks, now);
     log::info!(
-        "event=crash_marks fingerprint={} marks={}",
-        message.fingerprint,
-        marks.len()
+        "event=crash_marks fingerprint={fingerprint} marks={}",
+        message.marks.len()
+    );
+    if !was_refused && poison::is_refused(&state.poison.borrow(), fingerprint, now) {
+        pass_on_crash_marks(state, message, now);
+    }
+}
+
+/// Withdraws the suspicion of a crash, as another daemon says.
+fn record_no_crash(state: &TrafficState, message: &NoCrashMessage, now: TimeMs) {
+    poison::withdraw(
+        &mut state.poison.borrow_mut(),
+        &message.fingerprint,
+        &message.target,
+        &message.reporter,
+        now - message.age_ms,
     );
 }
 
@@ -420,41 +452,37 @@
         .record_peer_use(&message.used, now);
 }
 
-/// Tells the daemons that are no entry daemons of a crash that one of them has reported,
+/// Tells the daemons that are no entry daemons of crashes that one of them has reported,
 /// which knows of no other crash of the request.
-fn pass_on_crash_marks(
-    state: &TrafficState,
-    evidence: &Evidence,
-    fingerprint: &Digest,
-    now: TimeMs,
-) {
+fn pass_on_crash_marks(state: &TrafficState, message: &CrashMarksMessage, now: TimeMs) {
     let view = state.view();
-    let service = state.targets.borrow().service_of(&evidence.target).cloned();
-    let Some(service) = service else {
-        return;
-    };
-    let is_sender = state.daemon_rank(&service);
-    let is_sender = is_sender.is_some_and(|daemon_rank| daemon_rank.rank < CRASH_MARK_SENDERS);
-    if is_sender && !view.is_entry(&evidence.reporter, &service) {
-        send_crash_marks(state, &service, fingerprint, now);
+    for mark in &message.marks {
+        let targets = state.targets.borrow();
+        let row = targets.rows.get(&mark.target);
+        let Some(service) = row.map(|row| row.record.service.clone()) else {
+            continue;
+        };
+        drop(targets);
+        let is_sender = state.daemon_rank(&service);
+        let is_sender = is_sender.is_some_and(|daemon_rank| daemon_rank.rank < CRASH_MARK_SENDERS);
+        if is_sender && !view.is_entry(&mark.reporter, &service) {
+            let marks = crash_marks(&state.poison.borrow(), &message.fingerprint, now);
+            send_to_other_daemons(state, &service, &encode_crash_marks(&marks));
+            return;
+        }
     }
 }
 
 fn apply_evidence(state: &TrafficState, evidence: &Evidence) {
     let now = state.shared.clock.now();
-    if let Some(fingerprint) = evidence.crash {
-        let was_refused = poison::is_refused(&state.poison.borrow(), &fingerprint, now);
-        let mark = CrashMark {
-            fingerprint,
+    if let Some(fingerprint) = &evidence.crash {
+        let suspicion = Suspicion {
             target: evidence.target.name.clone(),
             reporter: evidence.reporter.clone(),
             at: now,
-            cleared: false,
+            withdrawn: false,
         };
-        poison::mark_crash(&mut state.poison.borrow_mut(), mark, now);
-        if !was_refused && poison::is_refused(&state.poison.borrow(), &fingerprint, now) {
-            pass_on_crash_marks(state, evidence, &fingerprint, now);
-        }
+        poison::suspect(&mut state.poison.borrow_mut(), fingerprint, suspicion, now);
     }
     if let Some(fingerprint) = &evidence.answered {
         poison::revoke_marks(&mut state.poison.borrow_mut(), fingerprint);
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -106,7 +106,8 @@
     /// Whether the address now belongs to another target.
     pub(super) moved: bool,
     /// The fingerprint of the request that was running in the target when the
-    /// connection was lost; `None` if no connection was lost.
+    /// connection was lost; `None` if no connection was lost. Whether the target has
+    /// crashed is told later.
     pub(super) crash: Option<Digest>,
     /// The fingerprint of the request, if it had crash marks and the target has
     /// answered it.
@@ -139,7 +140,8 @@
     pub(super) reporter: HostId,
 }
 
-/// The crash marks of a request, for a daemon that has not seen them made.
+/// The crash marks of a request: when its crashes are confirmed, and for a daemon that
+/// has not heard of them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct CrashMarksMessage {
     /// The fingerprint of the request.
@@ -159,6 +161,19 @@
     pub(super) age_ms: DurationMs,
 }
 
+/// A report that a target whose connection was lost has not crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct NoCrashMessage {
+    /// The fingerprint of the request that was running.
+    pub(super) fingerprint: Digest,
+    /// The target.
+    pub(super) target: TargetName,
+    /// The daemon that lost the connection and has checked the target.
+    pub(super) reporter: HostId,
+    /// The time since the connection was lost.
+    pub(super) age_ms: DurationMs,
+}
+
 /// A datagram from another daemon's traffic thread.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum TrafficMessage {
@@ -170,6 +185,8 @@
     Leaving(LeavingMessage),
     /// The crash marks of a request.
     CrashMarks(CrashMarksMessage),
+    /// A target has not crashed.
+    NoCrash(NoCrashMessage),
     /// A connection to a target was dead after this rest.
     DeadConnection(DurationMs),
     /// Another daemon asks for tokens of tenants.
@@ -236,6 +253,7 @@
     Pressure(PressureJson),
     Leaving(LeavingJson),
     CrashMarks(CrashMarksJson),
+    NoCrash(NoCrashJson),
     DeadConnection(DeadConnectionJson),
     Ask(AskJson),
     Grant(GrantJson),
@@ -248,6 +266,14 @@
     marks: Vec<(String, String, u64)>,
 }
 
+#[derive(Serialize, Deserialize)]
+struct NoCrashJson {
+    not_crashed_by: String,
+    target: String,
+    reporter: String,
+    age_ms: u64,
+}
+
 #[derive(Serialize, Deserialize)]
 struct ItemJson {
     key: String,
@@ -407,6 +433,7 @@
         TrafficMessageJson::CrashMarks(json) => {
             decode_crash_marks(&json).map(TrafficMessage::CrashMarks)
         }
+        TrafficMessageJson::NoCrash(json) => decode_no_crash(&json).map(TrafficMessage::NoCrash),
         TrafficMessageJson::DeadConnection(json) => Some(TrafficMessage::DeadConnection(
             DurationMs(json.dead_after_rest_ms),
         )),
@@ -451,6 +478,27 @@
     })
 }
 
+/// Encodes the report that a target has not crashed.
+pub(super) fn encode_no_crash(message: &NoCrashMessage) -> Vec<u8> {
+    let json = NoCrashJson {
+        not_crashed_by: message.fingerprint.to_string(),
+        target: message.target.to_string(),
+        reporter: message.reporter.to_string(),
+        age_ms: message.age_ms.0,
+    };
+    // Strings and numbers always serialize to JSON.
+    serde_json::to_vec(&json).unwrap_or_default()
+}
+
+fn decode_no_crash(json: &NoCrashJson) -> Option<NoCrashMessage> {
+    Some(NoCrashMessage {
+        fingerprint: json.not_crashed_by.parse().ok()?,
+        target: json.target.parse().ok()?,
+        reporter: json.reporter.parse().ok()?,
+        age_ms: DurationMs(json.age_ms),
+    })
+}
+
 fn decode_leaving(json: &LeavingJson) -> Option<LeavingMessage> {
     Some(LeavingMessage {
         target: TargetIdentity {
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod allotment_messages;
 mod allotments;
 mod control;
+mod crash_check;
 mod dispatch;
 mod endpoint;
 mod evidence;
--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -83,6 +83,18 @@
         self.idle_since.elapsed()
     }
 
+    /// Returns whether the connection stays open, and receives nothing, for `duration`.
+    pub(super) async fn stays_open(&self, duration: Duration) -> bool {
+        let until = Instant::now() + duration;
+        while let Ok(readable) = tokio::time::timeout_at(until, self.stream.readable()).await {
+            // The socket may be reported as readable although nothing has arrived.
+            if readable.is_err() || !self.is_reusable() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Returns whether the connection is open and has received nothing while idle.
     /// Bytes that arrive without a pending request make the connection unusable.
     fn is_reusable(&self) -> bool {
@@ -92,6 +104,31 @@
     }
 }
 
+/// Why no connection to a target could be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OpenError {
+    /// The host answers, but no process listens at the address.
+    Refused,
+    /// The host can't be reached.
+    Failed,
+    /// The host does not answer.
+    TimedOut,
+    /// The options of the socket could not be set.
+    SocketOptions,
+}
+
+impl OpenError {
+    /// Returns a description for the log.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "connection refused by the target's host",
+            Self::Failed => "connecting to the target failed",
+            Self::TimedOut => "connecting to the target timed out",
+            Self::SocketOptions => "setting socket options failed",
+        }
+    }
+}
+
 /// The idle connections by target address, most recently used last.
 pub(super) struct TargetPool {
     /// The number of connections opened so far.
@@ -195,15 +232,18 @@
 pub(super) async fn open(
     address: SocketAddr,
     deadline: Instant,
-) -> Result<TargetStream, &'static str> {
+) -> Result<TargetStream, OpenError> {
     let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let stream = match tokio::time::timeout_at(until, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(_)) => return Err("connecting to the target failed"),
-        Err(_) => return Err("connecting to the target timed out"),
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(OpenError::Refused);
+        }
+        Ok(Err(_)) => return Err(OpenError::Failed),
+        Err(_) => return Err(OpenError::TimedOut),
     };
     if set_socket_options(&stream, TCP_TIMEOUTS).is_err() {
-        return Err("setting socket options failed");
+        return Err(OpenError::SocketOptions);
     }
     let now = Instant::now();
     Ok(TargetStream {
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -172,7 +172,8 @@
                 pool.borrow_mut().count_opened(&mut connection);
                 connection
             }
-            Err(detail) => {
+            Err(error) => {
+                let detail = error.as_str();
                 return AttemptEnd::without_response(AttemptOutcome::ConnectFailed, detail);
             }
         },
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -14,6 +14,8 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -43,6 +45,8 @@
 
 use super::allotments;
 use super::allotments::Allotments;
+use super::crash_check;
+use super::crash_check::LostConnection;
 use super::endpoint;
 use super::endpoint::Endpoint;
 use super::http1::RequestHead;
@@ -97,8 +101,11 @@
     pub(super) routes: RefCell<HashMap<Box<str>, RouteState>>,
     /// What requests cost; `None` unless targets are chosen by expected cost.
     pub(super) costs: Option<RefCell<CostTable>>,
-    /// The requests that were running in a target when it crashed.
+    /// The requests that were running in a target when it crashed, or when it closed their
+    /// connection.
     pub(super) poison: RefCell<PoisonTable>,
+    /// Passes lost connections to [`crash_check::run`].
+    pub(super) lost_connections: UnboundedSender<LostConnection>,
     /// The number of the last answer applied of those that other daemons gave this one
     /// after its start.
     pub(super) told_number: Cell<u64>,
@@ -347,6 +354,7 @@
     let targets = RefCell::new(targets);
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
     let allotments = start_allotments(&shared);
+    let (lost_connections, lost_receiver) = unbounded_channel();
     let state = Rc::new(TrafficState {
         shared,
         view: RefCell::default(),
@@ -363,6 +371,7 @@
         routes: RefCell::default(),
         costs: uses_expected_cost.then(RefCell::default),
         poison: RefCell::default(),
+        lost_connections,
         told_number: Cell::new(0),
         relay_turn: Cell::new(0),
         evidence,
@@ -373,6 +382,7 @@
         metrics,
     });
     let local = LocalSet::new();
+    local.spawn_local(crash_check::run(Rc::clone(&state), lost_receiver));
     local.block_on(&runtime, run(&state, wake, bind_result_sender));
 }
 
