gateway: count a crash of a target within its answer

Callers saw 502 for each attempt of a request that crashes targets while they write its answer, and so did others whose requests ran in these targets.

Cause: crash marks were made for AttemptOutcome::ConnectionLost only. A connection that is lost after the head of the answer ends as AttemptOutcome::Cut. Ruled out: lost messages (a daemon that had itself seen two crashes sent the request again) and marks revoked by an answer (there was none).

Change: an attempt says whether its connection was lost before the response was complete, whatever its outcome, and each such loss holds the request back while the target is checked. Malformed, oversized and mismatched answers don't.

--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -104,13 +104,12 @@
             // before or after the attempt: the entry daemons see most requests themselves.
             let is_reportable = is_shared && (had_evidence || row.failure_detector.nats() > 0.0);
             if is_reportable || has_moved || answered.is_some() {
-                let crashed = end.outcome == AttemptOutcome::ConnectionLost;
                 report = Some(Evidence {
                     target: row.record.identity.clone(),
                     outcome,
                     run_ms,
                     moved: has_moved,
-                    crash: crashed.then(|| self.fingerprint()),
+                    crash: end.is_connection_lost.then(|| self.fingerprint()),
                     answered,
                     reporter: self.state.shared.settings.host.id.clone(),
                 });
@@ -141,15 +140,14 @@
                 }
                 queue::record_run(self.state, &self.service, run_ms);
             }
-            AttemptOutcome::ConnectionLost => {
-                self.state.pool.borrow_mut().close_address(address);
-                self.suspect_crash(identity, address, now);
-            }
-            AttemptOutcome::ConnectFailed => {
+            AttemptOutcome::ConnectionLost | AttemptOutcome::ConnectFailed => {
                 self.state.pool.borrow_mut().close_address(address);
             }
             _ => {}
         }
+        if end.is_connection_lost {
+            self.suspect_crash(identity, address, now);
+        }
         metrics::counter!("agatehold_attempts_total",
             "service" => self.service.to_string(), "outcome" => end.outcome.as_str())
         .increment(1);
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -123,6 +123,9 @@
     pub(super) rested_ms: Option<DurationMs>,
     /// Whether the connection turned out to have been dead before the request.
     pub(super) was_dead: bool,
+    /// Whether the connection was lost after a part of the request had been written and
+    /// before the response was complete: the target may have crashed.
+    pub(super) is_connection_lost: bool,
     /// A description of the failure for the log.
     pub(super) detail: &'static str,
 }
@@ -140,6 +143,7 @@
             connection_use: None,
             rested_ms: None,
             was_dead: false,
+            is_connection_lost: false,
             detail,
         }
     }
@@ -149,6 +153,8 @@
 #[derive(Clone, Copy, Debug)]
 struct ExchangeError {
     outcome: AttemptOutcome,
+    /// See [`AttemptEnd::is_connection_lost`].
+    is_connection_lost: bool,
     detail: &'static str,
 }
 
@@ -196,7 +202,10 @@
     let exchanging = exchange(&mut connection, outbound);
     let end = match tokio::time::timeout_at(outbound.deadline, exchanging).await {
         Err(_) => AttemptEnd::without_response(AttemptOutcome::TimedOut, "deadline passed"),
-        Ok(Err(error)) => AttemptEnd::without_response(error.outcome, error.detail),
+        Ok(Err(error)) => AttemptEnd {
+            is_connection_lost: error.is_connection_lost,
+            ..AttemptEnd::without_response(error.outcome, error.detail)
+        },
         Ok(Ok(received)) => {
             // A copy of a rejection may follow on the connection, and nothing tells it
             // from the response to the same request sent once more.
@@ -316,7 +325,7 @@
         return Err(premature_close(false, written));
     };
     if !body.ends_with_close() {
-        return Err(cut("answer ended early"));
+        return Err(lost_in_answer("answer ended early"));
     }
     if !echoes_request_id(&head, outbound) {
         return Err(mismatched());
@@ -344,13 +353,23 @@
 const fn connection_lost(detail: &'static str) -> ExchangeError {
     ExchangeError {
         outcome: AttemptOutcome::ConnectionLost,
+        is_connection_lost: true,
         detail,
     }
 }
 
+/// The connection was lost after the head of the answer had arrived.
+const fn lost_in_answer(detail: &'static str) -> ExchangeError {
+    ExchangeError {
+        is_connection_lost: true,
+        ..cut(detail)
+    }
+}
+
 const fn cut(detail: &'static str) -> ExchangeError {
     ExchangeError {
         outcome: AttemptOutcome::Cut,
+        is_connection_lost: false,
         detail,
     }
 }
@@ -358,6 +377,7 @@
 const fn mismatched() -> ExchangeError {
     ExchangeError {
         outcome: AttemptOutcome::Mismatched,
+        is_connection_lost: false,
         detail: "answer to another request",
     }
 }
@@ -365,13 +385,14 @@
 const fn not_written() -> ExchangeError {
     ExchangeError {
         outcome: AttemptOutcome::NotWritten,
+        is_connection_lost: false,
         detail: "connection closed before the request was written",
     }
 }
 
 const fn premature_close(has_head: bool, written: usize) -> ExchangeError {
     if has_head {
-        return cut("connection lost during the answer");
+        return lost_in_answer("connection lost during the answer");
     }
     if written == 0 {
         return not_written();
@@ -452,6 +473,7 @@
         connection_use: None,
         rested_ms: None,
         was_dead: false,
+        is_connection_lost: false,
         detail,
     }
 }
