gateway: tell callers when a request that is held back may return

Callers whose request had lost two connections got 503 as poisoned, without Retry-After.

Cause: one refusal stood for "has crashed two targets" and for "may have".

Change: while it is not known whether a request has crashed a target, or only another daemon may resend it, it is refused as held-back, with a Retry-After at the usual end of the check (250 ms after the loss) or after a second. poisoned stays as it was, without a time to return. The delay is about what callers need to be served at their next attempt.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -49,6 +49,15 @@
 /// marks, takes up to 6 s.
 const DEFERRAL_MAX_MS: DurationMs = DurationMs(10_000);
 
+/// The time after a lost connection at which it is usually known whether the target has
+/// crashed: a check waits 50 ms and watches a new connection for 150 ms.
+const CHECK_MS: DurationMs = DurationMs(250);
+
+/// After which time the caller of a request that has crashed one target may return: another
+/// copy of the request is under way, or only another daemon may resend it, which no caller
+/// can choose.
+const DEFERRED_RETURN_MS: DurationMs = DurationMs(1_000);
+
 /// How long a daemon waits for the outcome of a resent request before it may
 /// resend it once more.
 const RESEND_TIMEOUT_MS: DurationMs = DurationMs(30_000);
@@ -115,6 +124,19 @@
     Admission::AdmittedOnce
 }
 
+/// Returns after which time the caller of a deferred request may return.
+pub fn deferral(table: &PoisonTable, fingerprint: &Digest, now: TimeMs) -> DurationMs {
+    let row = table.rows.get(fingerprint);
+    let suspicions = row.map_or(&[][..], |row| &row.suspicions);
+    let lost_at = open_suspicions(suspicions, now).map(|suspicion| suspicion.at);
+    match lost_at.max() {
+        Some(lost_at) if now.since(lost_at) < CHECK_MS => {
+            CHECK_MS.saturating_sub(now.since(lost_at))
+        }
+        _ => DEFERRED_RETURN_MS,
+    }
+}
+
 /// Records a crash mark for a request whose connection to a target was lost.
 ///
 /// A daemon without [`super::suspect`] calls this as soon as the connection is lost,
--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -14,6 +14,7 @@
 pub use admit::admit;
 pub use admit::clear;
 pub use admit::crash_count;
+pub use admit::deferral;
 pub use admit::is_blamed;
 pub(crate) use admit::is_known_crash;
 pub use admit::is_refused;
--- a/crates/agatehold-core/src/refusal/mod.rs
+++ b/crates/agatehold-core/src/refusal/mod.rs
@@ -119,6 +119,7 @@
     OwnerGone, "owner-gone", 409, Unknown, AfterLookup, "The daemon that owns the idempotency key is gone.";
     OwnerUnreachable, "owner-unreachable", 504, Unknown, Later, "The daemon that owns the idempotency key does not answer.";
     Poisoned, "poisoned", 503, Unknown, AfterLookup, "The request crashed targets and is held back.";
+    HeldBack, "held-back", 503, Unknown, Later, "The request may have crashed a target and is held back while that is checked.";
     TargetTimeout, "target-timeout", 504, Unknown, AfterLookup, "The target did not answer in time.";
     TargetFailed, "target-failed", 502, Unknown, AfterLookup, "The connection to the target failed after the request was sent.";
     AnswerCut, "answer-cut", 502, Unknown, AfterLookup, "The target's answer ended early.";
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -101,7 +101,8 @@
     connection_use: Option<ConnectionUse>,
     /// Whether a retry was denied because the retry budget was used up.
     is_over_budget: bool,
-    /// The queue's estimated drain time, if the queue refused the request.
+    /// The queue's estimated drain time, if the queue refused the request, or the time
+    /// until a request that is held back may be admitted.
     backlog_ms: Option<DurationMs>,
     /// After which time the caller may return, if the queue said so.
     return_ms: Option<DurationMs>,
@@ -175,8 +176,8 @@
         self.with_budget(|budget| budget.record_request(now));
         let idempotent = self.route.idempotent;
         self.with_service_stats(|stats| stats.record_arrival(idempotent, now));
-        if !self.is_admitted_by_poison_table() {
-            return DispatchEnd::Refused(RefusalKind::Poisoned);
+        if let Err(kind) = self.check_poison_table() {
+            return DispatchEnd::Refused(kind);
         }
         let mut target = match self.claim_or_wait(response_sender).await {
             Ok(target) => target,
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -11,6 +11,7 @@
 use agatehold_core::poison;
 use agatehold_core::poison::RequestIdentity;
 use agatehold_core::poison::Suspicion;
+use agatehold_core::refusal::RefusalKind;
 use agatehold_core::target_registry::TargetIdentity;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::TimeMs;
@@ -186,18 +187,22 @@
         })
     }
 
-    /// Returns whether the request may be sent, given the target crashes that it was
-    /// involved in.
-    pub(super) fn is_admitted_by_poison_table(&self) -> bool {
+    /// Checks whether the request may be sent, given the target crashes that it was
+    /// involved in. Fails with the refusal of one that may not.
+    pub(super) fn check_poison_table(&mut self) -> Result<(), RefusalKind> {
         let mut table = self.state.poison.borrow_mut();
         if table.rows.is_empty() {
-            return true;
+            return Ok(());
         }
         let own = &self.state.shared.settings.host.id;
-        let admission = poison::admit(&mut table, &self.fingerprint(), own, self.now());
-        match admission {
-            poison::Admission::Admitted | poison::Admission::AdmittedOnce => true,
-            poison::Admission::Deferred | poison::Admission::Refused => false,
+        let (fingerprint, now) = (self.fingerprint(), self.now());
+        match poison::admit(&mut table, &fingerprint, own, now) {
+            poison::Admission::Admitted | poison::Admission::AdmittedOnce => Ok(()),
+            poison::Admission::Deferred => {
+                self.backlog_ms = Some(poison::deferral(&table, &fingerprint, now));
+                Err(RefusalKind::HeldBack)
+            }
+            poison::Admission::Refused => Err(RefusalKind::Poisoned),
         }
     }
 
