gateway: await the reports of other daemons before a resend after a loss

A caller that sends copies of a request to several daemons at once can crash one target through each.

Cause: the gateway called poison::admit for arrivals only, not for its own resends; RESEND_DELAY_MS bound nobody there.

Change: after a lost connection the gateway waits 50 ms, in which the reports of other daemons arrive, and sends the request again only if admit allows it. The request that was admitted says when it has ended (end_resend), whatever its outcome; before, a copy that a full target rejected deferred all others for 30 s. Weighed: the wait costs innocent requests 50 ms after a lost connection, where the latency objectives of routes are 800 ms and more. Waiting for the whole check (200 ms) would cost more and crash no target less.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -41,7 +41,7 @@
 /// marks of simultaneous crashes, which take 1 to 3 ms to arrive from peers,
 /// arrive first. Without the wait, a request sent to three daemons at once
 /// crashes six targets instead of three.
-const RESEND_DELAY_MS: DurationMs = DurationMs(50);
+pub const RESEND_DELAY_MS: DurationMs = DurationMs(50);
 
 /// How long the daemons that did not report a crash leave the request to the one that
 /// did. It resends an idempotent request at once and reports the outcome; after that it
@@ -124,6 +124,15 @@
     Admission::AdmittedOnce
 }
 
+/// Ends the wait for the outcome of a request that was [`Admission::AdmittedOnce`], once it
+/// has ended. Until then the daemon defers other copies of the request, for up to
+/// [`RESEND_TIMEOUT_MS`].
+pub fn end_resend(table: &mut PoisonTable, fingerprint: &Digest) {
+    if let Some(row) = table.rows.get_mut(fingerprint) {
+        row.resent_at = None;
+    }
+}
+
 /// Returns after which time the caller of a deferred request may return.
 pub fn deferral(table: &PoisonTable, fingerprint: &Digest, now: TimeMs) -> DurationMs {
     let row = table.rows.get(fingerprint);
--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -11,10 +11,12 @@
 
 pub use admit::Admission;
 pub use admit::CRASHES_MAX;
+pub use admit::RESEND_DELAY_MS;
 pub use admit::admit;
 pub use admit::clear;
 pub use admit::crash_count;
 pub use admit::deferral;
+pub use admit::end_resend;
 pub use admit::is_blamed;
 pub(crate) use admit::is_known_crash;
 pub use admit::is_refused;
--- a/crates/agatehold-core/tests/poison_suspicions.rs
+++ b/crates/agatehold-core/tests/poison_suspicions.rs
@@ -11,6 +11,8 @@
 use agatehold_core::poison::admit;
 use agatehold_core::poison::confirm;
 use agatehold_core::poison::crash_count;
+use agatehold_core::poison::deferral;
+use agatehold_core::poison::end_resend;
 use agatehold_core::poison::is_refused;
 use agatehold_core::poison::revoke_marks;
 use agatehold_core::poison::suspect;
@@ -184,6 +186,34 @@
     assert!(!is_refused(&table, &request(), later));
 }
 
+/// A request that was resent after a lost connection is rejected by a full target. Guards
+/// against deferring its other copies for 30 s, as long as for a resend that is under way.
+#[test]
+fn a_resend_that_has_ended_defers_no_other_copy() {
+    let mut table = PoisonTable::default();
+    let own = host("host-1");
+    let later = NOW + DurationMs(50);
+    suspect(&mut table, &request(), suspicion("a", "host-1", NOW), NOW);
+    let mut admission = || admit(&mut table, &request(), &own, later);
+    assert_eq!(admission(), Admission::AdmittedOnce);
+    assert_eq!(admission(), Admission::Deferred);
+    end_resend(&mut table, &request());
+    let admission = admit(&mut table, &request(), &own, later);
+    assert_eq!(admission, Admission::AdmittedOnce);
+}
+
+/// Guards against a caller that is told to return before its request is admitted, again
+/// and again.
+#[test]
+fn a_deferred_caller_returns_when_the_check_has_ended() {
+    let table = two_losses();
+    let early = NOW + DurationMs(100);
+    assert_eq!(deferral(&table, &request(), early), DurationMs(150));
+    // The check takes long, or another daemon may resend the request first.
+    let late = NOW + DurationMs(260);
+    assert_eq!(deferral(&table, &request(), late), DurationMs(1_000));
+}
+
 /// Guards against unlimited growth of the table by connections that are lost without a
 /// crash.
 #[test]
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -35,6 +35,8 @@
 use agatehold_core::units::TimeMs;
 use agatehold_platform::request_headers;
 
+use crate::clock::duration;
+
 use crate::gateway::allotments::HeldToken;
 use crate::gateway::endpoint::IncomingRequest;
 use crate::gateway::endpoint::Response;
@@ -108,6 +110,9 @@
     return_ms: Option<DurationMs>,
     /// The run time that the queue has charged the tenant for the next attempt.
     charged_ms: DurationMs,
+    /// Whether other copies of the request are deferred until this one ends, since the
+    /// request may have crashed a target.
+    is_only_copy: bool,
 }
 
 /// How the dispatch of a request ended.
@@ -154,8 +159,10 @@
         backlog_ms: None,
         return_ms: None,
         charged_ms: DurationMs(0),
+        is_only_copy: false,
     };
     let dispatch_end = dispatch.send_until_answered(response_sender).await;
+    dispatch.end_only_copy();
     dispatch.finish(dispatch_end)
 }
 
@@ -225,6 +232,11 @@
                 Decision::Refuse(kind) => return DispatchEnd::Refused(kind),
                 Decision::SendAgain => {}
             }
+            if end.is_connection_lost
+                && let Err(dispatch_end) = self.await_crash_reports(response_sender).await
+            {
+                return dispatch_end;
+            }
             log::info!(
                 "event=send_again id={} service={} target={} connection={} outcome={} detail=\"{}\" sent={} budget=\"{}\"",
                 request_id_text(self.request_id.as_ref()),
@@ -264,6 +276,22 @@
         }
     }
 
+    /// Waits for what other daemons tell of crashes before the request is sent again whose
+    /// connection was lost: a caller may have sent copies to several daemons at once, and
+    /// each would crash a second target.
+    async fn await_crash_reports(
+        &mut self,
+        response_sender: &mut oneshot::Sender<Response>,
+    ) -> Result<(), DispatchEnd> {
+        tokio::select! {
+            biased;
+            () = response_sender.closed() => return Err(DispatchEnd::CallerGone),
+            () = tokio::time::sleep(duration(poison::RESEND_DELAY_MS)) => {}
+        }
+        let checked = self.check_poison_table();
+        checked.map_err(|kind| DispatchEnd::Refused(self.attempts.failure.unwrap_or(kind)))
+    }
+
     /// Returns the connection of the last attempt for the log; `-` if it used none.
     fn connection_text(&self) -> String {
         self.connection_use
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -197,7 +197,11 @@
         let own = &self.state.shared.settings.host.id;
         let (fingerprint, now) = (self.fingerprint(), self.now());
         match poison::admit(&mut table, &fingerprint, own, now) {
-            poison::Admission::Admitted | poison::Admission::AdmittedOnce => Ok(()),
+            poison::Admission::Admitted => Ok(()),
+            poison::Admission::AdmittedOnce => {
+                self.is_only_copy = true;
+                Ok(())
+            }
             poison::Admission::Deferred => {
                 self.backlog_ms = Some(poison::deferral(&table, &fingerprint, now));
                 Err(RefusalKind::HeldBack)
@@ -206,6 +210,13 @@
         }
     }
 
+    /// Lets other copies of the request be sent again, if they wait for the end of this one.
+    pub(super) fn end_only_copy(&mut self) {
+        if std::mem::take(&mut self.is_only_copy) {
+            poison::end_resend(&mut self.state.poison.borrow_mut(), &self.fingerprint());
+        }
+    }
+
     fn is_refused_by_poison_table(&self, now: TimeMs) -> bool {
         let table = self.state.poison.borrow();
         !table.rows.is_empty() && poison::is_refused(&table, &self.fingerprint(), now)
