daemon: count a crash of a target within its answer

Cause: finish_attempt checked the target only after AttemptOutcome::ConnectionLost; a connection that is lost within a body ends as AttemptOutcome::Cut.

Change: an attempt says whether its connection was lost before the answer was complete. A malformed body, a malformed status and an answer to another request don't count. Not covered, by reading: the rest of an answer that exceeds the buffer, which is relayed while it is read.

--- a/crates/agatehold/src/traffic/attempt.rs
+++ b/crates/agatehold/src/traffic/attempt.rs
@@ -1,6 +1,8 @@
 //! Sends a request to a target once and reads the answer.
 
 use std::cell::RefCell;
+use std::error::Error as _;
+use std::io;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -90,6 +92,9 @@
     pub(crate) outcome: AttemptOutcome,
     /// The answer, if it was received completely or exceeds the buffer size.
     pub(crate) received: Option<ReceivedAnswer>,
+    /// Whether the connection was lost before the answer was complete: the target may
+    /// have crashed.
+    pub(crate) is_connection_lost: bool,
 }
 
 impl Attempt {
@@ -97,6 +102,7 @@
         Self {
             outcome,
             received: None,
+            is_connection_lost: matches!(outcome, AttemptOutcome::ConnectionLost),
         }
     }
 }
@@ -269,9 +275,12 @@
         let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
             Ok(None) => break,
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => {
+            Ok(Some(Err(error))) => {
                 connection.close();
-                return Attempt::without_answer(AttemptOutcome::Cut);
+                return Attempt {
+                    is_connection_lost: is_connection_error(&error),
+                    ..Attempt::without_answer(AttemptOutcome::Cut)
+                };
             }
             Err(_) => {
                 connection.close();
@@ -292,6 +301,7 @@
                     body: buffer.freeze(),
                     rest: Some((body, connection)),
                 }),
+                is_connection_lost: false,
             };
         }
     }
@@ -312,9 +322,29 @@
             body: buffer.freeze(),
             rest: None,
         }),
+        is_connection_lost: false,
     }
 }
 
+/// Returns whether the body of an answer ended because the connection did, and not because
+/// the body is malformed.
+fn is_connection_error(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(error) = cause.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                io::ErrorKind::UnexpectedEof
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::ConnectionAborted
+                    | io::ErrorKind::BrokenPipe
+            );
+        }
+        source = cause.source();
+    }
+    error.is_incomplete_message()
+}
+
 /// The request id in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Echo {
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -328,14 +328,11 @@
         if let Some(in_target) = received.and_then(reported_load) {
             entry.cell.report_load(in_target, now);
         }
-        let crashed = match attempt.outcome {
-            AttemptOutcome::ConnectionLost => self.confirm_crash(&entry.name, entry.address).await,
-            AttemptOutcome::Answered => {
-                self.clear_marks();
-                false
-            }
-            _ => false,
-        };
+        let crashed =
+            attempt.is_connection_lost && self.confirm_crash(&entry.name, entry.address).await;
+        if attempt.outcome == AttemptOutcome::Answered {
+            self.clear_marks();
+        }
         self.report(&slot, attempt.outcome, elapsed, received);
         slot.release();
         self.process_queue();
