poison: clear only the mark of the target that has not crashed

The daemon of release notes cleared all of its marks on a request when one of its targets turned out to live after a lost connection: a crash of another target by the same request was forgotten with it, and the request could crash a third. Found by reading while the checks of the gateway were written.

Change: clear_target clears the mark of the checked target; an answer clears all marks as before.

Test: a_lost_connection_without_a_crash_clears_no_other_mark. It calls the new function; with clear in its place it fails, since the mark of the first target is gone.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -150,7 +150,7 @@
 ///
 /// A daemon without [`super::suspect`] calls this as soon as the connection is lost,
 /// before the crash is confirmed, so that the request is not resent meanwhile. [`clear`]
-/// revokes the mark, and a cleared mark of a peer revokes the one that the peer sent
+/// and [`clear_target`] revoke the mark, and a cleared mark of a peer revokes the one that the peer sent
 /// before.
 pub fn mark_crash(table: &mut PoisonTable, mark: CrashMark, now: TimeMs) {
     let row = table.rows.get_or_insert(mark.fingerprint, Default::default);
@@ -241,9 +241,21 @@
     }
 }
 
-/// Clears this daemon's own marks on a request that has since been answered, or
-/// whose connection was lost without a crash. Returns the cleared marks, which
-/// have to be pushed to peers.
+/// Clears this daemon's own mark of a crash that turned out to be none. Returns the cleared
+/// mark, which has to be pushed to peers.
+pub fn clear_target(
+    table: &mut PoisonTable,
+    fingerprint: &Digest,
+    target: &TargetName,
+    own: &HostId,
+) -> Vec<CrashMark> {
+    clear_marks(table, fingerprint, |mark| {
+        mark.reporter == *own && mark.target == *target
+    })
+}
+
+/// Clears this daemon's own marks on a request that has since been answered. Returns the
+/// cleared marks, which have to be pushed to peers.
 pub fn clear(table: &mut PoisonTable, fingerprint: &Digest, own: &HostId) -> Vec<CrashMark> {
     clear_marks(table, fingerprint, |mark| mark.reporter == *own)
 }
--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -14,6 +14,7 @@
 pub use admit::RESEND_DELAY_MS;
 pub use admit::admit;
 pub use admit::clear;
+pub use admit::clear_target;
 pub use admit::crash_count;
 pub use admit::deferral;
 pub use admit::end_resend;
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -9,6 +9,7 @@
 use agatehold_core::poison::RequestIdentity;
 use agatehold_core::poison::admit;
 use agatehold_core::poison::clear;
+use agatehold_core::poison::clear_target;
 use agatehold_core::poison::fingerprint;
 use agatehold_core::poison::is_blamed;
 use agatehold_core::poison::mark_crash;
@@ -111,6 +112,24 @@
     }
 }
 
+/// A request has crashed one target, and another target closes its connection without a
+/// crash. Guards against forgetting the crash together with the lost connection.
+#[test]
+fn a_lost_connection_without_a_crash_clears_no_other_mark() {
+    let mut table = PoisonTable::default();
+    let request = Digest::of_parts(&[b"request"]);
+    let (own, later) = (host("host-1"), NOW + DurationMs(60));
+    mark_crash(&mut table, mark(b"request", "a", "host-1", NOW), NOW);
+    mark_crash(&mut table, mark(b"request", "b", "host-1", later), later);
+    let cleared = clear_target(&mut table, &request, &target("b"), &own);
+    assert_eq!(cleared.len(), 1);
+    assert_eq!(cleared[0].target, target("b"));
+    assert_eq!(
+        admit(&mut table, &request, &host("host-2"), later),
+        Admission::Deferred
+    );
+}
+
 /// Guards against unlimited growth of the table: when a target crashes, every
 /// request that it ran gets a mark.
 #[test]
--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -24,6 +24,7 @@
 use agatehold_core::poison::CrashMark;
 use agatehold_core::poison::admit;
 use agatehold_core::poison::clear;
+use agatehold_core::poison::clear_target;
 use agatehold_core::poison::mark_crash;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::retry::Attempts;
@@ -443,18 +444,25 @@
         if !accepts_connection(address).await {
             return true;
         }
-        self.clear_marks();
+        // A crash that the request has caused at another target still counts.
+        let fingerprint = &self.plan.fingerprint;
+        let cleared = clear_target(&mut shared.poison(), fingerprint, target, &shared.host);
+        self.report_cleared(cleared);
         false
     }
 
-    /// Clears this daemon's crash marks of the request, which was answered or
-    /// did not crash its target, and reports that to the other daemons.
+    /// Clears this daemon's crash marks of the request, which was answered, and reports
+    /// that to the other daemons.
     fn clear_marks(&self) {
         let shared = &self.state.shared;
         let fingerprint = &self.plan.fingerprint;
         let cleared = clear(&mut shared.poison(), fingerprint, &shared.host);
+        self.report_cleared(cleared);
+    }
+
+    fn report_cleared(&self, cleared: Vec<CrashMark>) {
         if !cleared.is_empty() {
-            shared.report(TrafficReport::Poison(cleared));
+            self.state.shared.report(TrafficReport::Poison(cleared));
         }
     }
 
