gateway: try a refused request again after a while

A request that was in flight at two crashes which it did not cause was refused at all daemons for ten minutes: only an answer revokes its marks, and a refused request gets none.

Change: 10 s after the last of two crashes, and 60 s after three, one of the daemons that reported them, the one with the least host id, sends one copy. An answer revokes the marks on all daemons, as it did; a crash is the next mark. A request with four marks is not tried. While a copy is under way, or its target is checked, the others are refused. A copy whose target may still run it (a timeout, or a caller that left) keeps the others waiting for 30 s.

Weighed against copies sent at once: the trial is one daemon's, so that copies at all daemons crash one target. Ruled out: a trial by any daemon after a wait.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -108,24 +108,27 @@
     if second.is_some() {
         return Admission::Deferred;
     }
-    let is_resend_in_flight = row
-        .resent_at
-        .is_some_and(|since| now.since(since) <= RESEND_TIMEOUT_MS);
     let age_ms = now.since(lost_at);
     let wait_ms = if *reporter == *own {
         RESEND_DELAY_MS
     } else {
         DEFERRAL_MAX_MS
     };
-    if is_resend_in_flight || age_ms < wait_ms {
+    if is_resend_in_flight(row, now) || age_ms < wait_ms {
         return Admission::Deferred;
     }
     row.resent_at = Some(now);
     Admission::AdmittedOnce
 }
 
-/// Ends the wait for the outcome of a request that was [`Admission::AdmittedOnce`], once it
-/// has ended. Until then the daemon defers other copies of the request, for up to
+/// Returns whether this daemon waits for the outcome of a resent request.
+pub(super) fn is_resend_in_flight(row: &PoisonRow, now: TimeMs) -> bool {
+    row.resent_at
+        .is_some_and(|since| now.since(since) <= RESEND_TIMEOUT_MS)
+}
+
+/// Ends the wait for the outcome of a request that was [`Admission::AdmittedOnce`] or is a
+/// trial ([`super::begin_trial`]), once it has ended. Until then the daemon defers other copies of the request, for up to
 /// [`RESEND_TIMEOUT_MS`].
 pub fn end_resend(table: &mut PoisonTable, fingerprint: &Digest) {
     if let Some(row) = table.rows.get_mut(fingerprint) {
@@ -150,8 +153,8 @@
 ///
 /// A daemon without [`super::suspect`] calls this as soon as the connection is lost,
 /// before the crash is confirmed, so that the request is not resent meanwhile. [`clear`]
-/// and [`clear_target`] revoke the mark, and a cleared mark of a peer revokes the one that the peer sent
-/// before.
+/// and [`clear_target`] revoke the mark, and a cleared mark of a peer revokes the one that
+/// the peer sent before.
 pub fn mark_crash(table: &mut PoisonTable, mark: CrashMark, now: TimeMs) {
     let row = table.rows.get_or_insert(mark.fingerprint, Default::default);
     if mark.cleared {
--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -8,6 +8,7 @@
 mod fingerprint;
 mod rows;
 mod suspect;
+mod trial;
 
 pub use admit::Admission;
 pub use admit::CRASHES_MAX;
@@ -34,3 +35,4 @@
 pub use suspect::confirm;
 pub use suspect::suspect;
 pub use suspect::withdraw;
+pub use trial::begin_trial;
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -113,6 +113,8 @@
     /// Whether other copies of the request are deferred until this one ends, since the
     /// request may have crashed a target.
     is_only_copy: bool,
+    /// Whether the target of the last attempt may still run the request.
+    may_still_run: bool,
 }
 
 /// How the dispatch of a request ended.
@@ -160,6 +162,7 @@
         return_ms: None,
         charged_ms: DurationMs(0),
         is_only_copy: false,
+        may_still_run: false,
     };
     let dispatch_end = dispatch.send_until_answered(response_sender).await;
     dispatch.end_only_copy();
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -21,6 +21,7 @@
 use crate::gateway::messages::Evidence;
 use crate::gateway::queue;
 use crate::gateway::routes;
+use crate::gateway::serve::request_id_text;
 use crate::gateway::target::AttemptEnd;
 
 use super::Dispatch;
@@ -40,6 +41,10 @@
     ) {
         let target = &identity.name;
         let now = self.now();
+        self.may_still_run = matches!(
+            end.outcome,
+            AttemptOutcome::TimedOut | AttemptOutcome::Cancelled
+        );
         let jitter = self.state.rng.borrow_mut().random();
         let was_refused = self.is_refused_by_poison_table(now);
         let answered = end.outcome == AttemptOutcome::Answered;
@@ -206,13 +211,28 @@
                 self.backlog_ms = Some(poison::deferral(&table, &fingerprint, now));
                 Err(RefusalKind::HeldBack)
             }
-            poison::Admission::Refused => Err(RefusalKind::Poisoned),
+            poison::Admission::Refused => {
+                if !poison::begin_trial(&mut table, &fingerprint, own, now) {
+                    return Err(RefusalKind::Poisoned);
+                }
+                self.is_only_copy = true;
+                log::info!(
+                    "event=crash_trial id={} service={} fingerprint={fingerprint}",
+                    request_id_text(self.request_id.as_ref()),
+                    self.service
+                );
+                Ok(())
+            }
         }
     }
 
     /// Lets other copies of the request be sent again, if they wait for the end of this one.
+    ///
+    /// A target that has not answered in time, or whose caller has left, may still run the
+    /// request and crash; the other copies wait for longer then.
     pub(super) fn end_only_copy(&mut self) {
-        if std::mem::take(&mut self.is_only_copy) {
+        let is_only_copy = std::mem::take(&mut self.is_only_copy);
+        if is_only_copy && !self.may_still_run {
             poison::end_resend(&mut self.state.poison.borrow_mut(), &self.fingerprint());
         }
     }
