gateway: check the target after an answer that ends with its connection

The closed connection looks like the end of the answer, so that each crash was a complete answer, and as such revoked the marks of earlier crashes.

Cause: end_of_stream completes such an answer, and record_attempt took any answer as proof that the target lives.

Change: an answer that ends with its connection has the target checked. A crash becomes a mark; a target that lives revokes the marks, as an answer with a length does at once. The request is not held back meanwhile: targets that never give a length are legitimate.

--- a/crates/agatehold/src/gateway/crash_check.rs
+++ b/crates/agatehold/src/gateway/crash_check.rs
@@ -61,6 +61,9 @@
     pub(super) fingerprint: Digest,
     /// When the connection was lost.
     pub(super) lost_at: TimeMs,
+    /// Whether the end of the connection was that of an answer without a length. The
+    /// request is not held back then, since most such answers are complete.
+    pub(super) is_answered: bool,
 }
 
 /// What a check has shown about a target.
@@ -222,6 +225,11 @@
                 );
             }
         }
+        CheckResult::Alive if lost.is_answered => {
+            if poison::revoke_marks(&mut state.poison.borrow_mut(), &lost.fingerprint) {
+                evidence::send_survival(state, lost, now);
+            }
+        }
         CheckResult::Alive => {
             let is_withdrawn = poison::withdraw(
                 &mut state.poison.borrow_mut(),
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -47,8 +47,8 @@
         );
         let jitter = self.state.rng.borrow_mut().random();
         let was_refused = self.is_refused_by_poison_table(now);
-        let answered = end.outcome == AttemptOutcome::Answered;
-        let answered = (answered && self.revoke_crash_marks()).then(|| self.fingerprint());
+        let has_survived = end.outcome == AttemptOutcome::Answered && !end.ends_with_connection;
+        let answered = (has_survived && self.revoke_crash_marks()).then(|| self.fingerprint());
         let mut report = None;
         let mut targets = self.state.targets.borrow_mut();
         let row = targets.rows.get_mut(target);
@@ -152,7 +152,10 @@
             _ => {}
         }
         if end.is_connection_lost {
-            self.suspect_crash(identity, address, now);
+            self.suspect_crash(identity, now);
+        }
+        if end.is_connection_lost || end.ends_with_connection {
+            self.request_crash_check(identity, address, end, now);
         }
         metrics::counter!("agatehold_attempts_total",
             "service" => self.service.to_string(), "outcome" => end.outcome.as_str())
@@ -252,27 +255,33 @@
         poison::crash_count(&table, &self.fingerprint(), self.now())
     }
 
-    /// Holds the request back, and has the target checked that closed its connection.
-    fn suspect_crash(&self, target: &TargetIdentity, address: SocketAddr, now: TimeMs) {
-        let fingerprint = self.fingerprint();
+    /// Holds the request back until it is known whether it has crashed the target.
+    fn suspect_crash(&self, target: &TargetIdentity, now: TimeMs) {
         let suspicion = Suspicion {
             target: target.name.clone(),
             reporter: self.state.shared.settings.host.id.clone(),
             at: now,
             withdrawn: false,
         };
-        poison::suspect(
-            &mut self.state.poison.borrow_mut(),
-            &fingerprint,
-            suspicion,
-            now,
-        );
+        let mut poison = self.state.poison.borrow_mut();
+        poison::suspect(&mut poison, &self.fingerprint(), suspicion, now);
+    }
+
+    /// Has a target checked that closed the connection of the request.
+    fn request_crash_check(
+        &self,
+        target: &TargetIdentity,
+        address: SocketAddr,
+        end: &AttemptEnd,
+        now: TimeMs,
+    ) {
         let lost = LostConnection {
             target: target.clone(),
             address,
             service: self.service.clone(),
-            fingerprint,
+            fingerprint: self.fingerprint(),
             lost_at: now,
+            is_answered: end.outcome == AttemptOutcome::Answered,
         };
         // The receiver is only dropped with the traffic thread's tasks.
         let _ = self.state.lost_connections.send(lost);
--- a/crates/agatehold/src/gateway/evidence.rs
+++ b/crates/agatehold/src/gateway/evidence.rs
@@ -13,6 +13,7 @@
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::ServiceName;
+use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::poison;
 use agatehold_core::poison::CrashMark;
 use agatehold_core::poison::PoisonTable;
@@ -22,6 +23,7 @@
 use agatehold_core::units::TimeMs;
 
 use super::allotments;
+use super::crash_check::LostConnection;
 use super::messages::CrashMarkAge;
 use super::messages::CrashMarksMessage;
 use super::messages::DATAGRAM_BYTES_MAX;
@@ -146,6 +148,21 @@
     send_to_other_daemons(state, service, &encode_evidence(evidence));
 }
 
+/// Tells all daemons that a target has answered a request with crash marks, and lives.
+pub(super) fn send_survival(state: &TrafficState, lost: &LostConnection, now: TimeMs) {
+    let evidence = Evidence {
+        target: lost.target.clone(),
+        outcome: AttemptOutcome::Answered,
+        run_ms: now.since(lost.lost_at),
+        moved: false,
+        crash: None,
+        answered: Some(lost.fingerprint),
+        reporter: state.shared.settings.host.id.clone(),
+    };
+    send_evidence(state, &lost.service, &evidence);
+    send_answered(state, &lost.service, &evidence);
+}
+
 /// Sends a datagram to the daemons that are no entry daemons of a service.
 fn send_to_other_daemons(state: &TrafficState, service: &ServiceName, bytes: &[u8]) {
     let view = state.view();
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -126,6 +126,9 @@
     /// Whether the connection was lost after a part of the request had been written and
     /// before the response was complete: the target may have crashed.
     pub(super) is_connection_lost: bool,
+    /// Whether only the end of the connection told that the response was complete. It does
+    /// not tell whether the target has closed it or has crashed.
+    pub(super) ends_with_connection: bool,
     /// A description of the failure for the log.
     pub(super) detail: &'static str,
 }
@@ -144,6 +147,7 @@
             rested_ms: None,
             was_dead: false,
             is_connection_lost: false,
+            ends_with_connection: false,
             detail,
         }
     }
@@ -235,6 +239,8 @@
     head: ResponseHead,
     body: Bytes,
     is_reusable: bool,
+    /// See [`AttemptEnd::ends_with_connection`].
+    ends_with_connection: bool,
 }
 
 /// Writes the request and reads the response, which may arrive before the request
@@ -274,6 +280,7 @@
                     head: read,
                     body: body.into_bytes(),
                     is_reusable,
+                    ends_with_connection: false,
                 });
             }
         }
@@ -334,6 +341,7 @@
         head,
         body: body.into_bytes(),
         is_reusable: false,
+        ends_with_connection: true,
     })
 }
 
@@ -424,7 +432,12 @@
 }
 
 fn classify(received: CompleteResponse) -> AttemptEnd {
-    let CompleteResponse { head, body, .. } = received;
+    let CompleteResponse {
+        head,
+        body,
+        ends_with_connection,
+        ..
+    } = received;
     let load = head
         .headers
         .get(target_headers::LOAD)
@@ -474,6 +487,7 @@
         rested_ms: None,
         was_dead: false,
         is_connection_lost: false,
+        ends_with_connection,
         detail,
     }
 }
