--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -128,8 +128,8 @@
 }
 
 /// Ends the wait for the outcome of a request that was [`Admission::AdmittedOnce`] or is a
-/// trial ([`super::begin_trial`]), once it has ended. Until then the daemon defers other copies of the request, for up to
-/// [`RESEND_TIMEOUT_MS`].
+/// trial ([`super::begin_trial`]), once it has ended. Until then the daemon holds other
+/// copies of the request back, for up to [`RESEND_TIMEOUT_MS`].
 pub fn end_resend(table: &mut PoisonTable, fingerprint: &Digest) {
     if let Some(row) = table.rows.get_mut(fingerprint) {
         row.resent_at = None;
--- a/crates/agatehold/src/gateway/crash_check.rs
+++ b/crates/agatehold/src/gateway/crash_check.rs
@@ -36,9 +36,6 @@
 /// accepts connections until it is closed, and closes them with itself.
 const STAYS_OPEN: Duration = Duration::from_millis(150);
 
-/// The maximum time for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// A check that ends later than this after the loss, for example because the process was
 /// paused, may have reached a target that has been started again meanwhile.
 const CHECK_MAX_MS: DurationMs = DurationMs(1_000);
@@ -92,7 +89,7 @@
 type Waiting = Rc<RefCell<HashMap<SocketAddr, Vec<LostConnection>>>>;
 
 /// Checks the targets of lost connections, one check at a time for each address, until the
-/// sender is dropped.
+/// task is cancelled.
 pub(super) async fn run(state: Rc<TrafficState>, mut lost: UnboundedReceiver<LostConnection>) {
     let waiting = Waiting::default();
     while let Some(connection) = lost.recv().await {
@@ -111,11 +108,12 @@
 }
 
 /// Checks one address until no lost connection waits for it.
+///
+/// A check answers for the connections that were lost at least [`CHECK_DELAY_MS`] before
+/// it: the target may have crashed after it accepted the new connection.
 async fn check_address(state: Rc<TrafficState>, waiting: Waiting, address: SocketAddr) {
     loop {
         tokio::time::sleep(duration(CHECK_DELAY_MS)).await;
-        // A connection that is lost while the target is contacted needs another check: the
-        // target may have crashed after it accepted the new connection.
         let started_at = state.shared.clock.now();
         let due: Vec<LostConnection> = match waiting.borrow_mut().get_mut(&address) {
             Some(connections) => connections
@@ -154,7 +152,7 @@
     // A connection that closes at once was accepted by a process that ends, or by one that
     // takes no more connections; the second attempt tells.
     for _ in 0..2 {
-        match open(address, Instant::now() + CONNECT_TIMEOUT).await {
+        match open(address, Instant::now() + duration(CHECK_MAX_MS)).await {
             Ok(mut connection) => {
                 if connection.stays_open(STAYS_OPEN).await {
                     let mut pool = state.pool.borrow_mut();
