gateway: don't count the end of a leaving target as a crash

Targets that leave may end while they still work on a request. Two such ends in ten minutes counted as two crashes of a request that is sent again and again, so that a release in which targets are replaced one after the other could have it refused at all daemons.

Change: a lost connection says whether its target was known to be leaving, or to have left, before. If nothing listens at the target's address then, the check ends with the result "ended", and the suspicion is withdrawn.

--- a/crates/agatehold-core/src/dispatch/targets.rs
+++ b/crates/agatehold-core/src/dispatch/targets.rs
@@ -417,6 +417,11 @@
         row_of(&self.rows, identity).is_some()
     }
 
+    /// Returns whether a target process is leaving, or is not registered any more.
+    pub fn has_left(&self, identity: &TargetIdentity) -> bool {
+        row_of(&self.rows, identity).is_none_or(|row| row.leaving)
+    }
+
     /// Returns the service of a target process; `None` if it is not registered.
     pub fn service_of(&self, identity: &TargetIdentity) -> Option<&ServiceName> {
         row_of(&self.rows, identity).map(|row| &row.record.service)
--- a/crates/agatehold/src/gateway/crash_check.rs
+++ b/crates/agatehold/src/gateway/crash_check.rs
@@ -58,6 +58,8 @@
     pub(super) fingerprint: Digest,
     /// When the connection was lost.
     pub(super) lost_at: TimeMs,
+    /// Whether the target was known to be leaving, or to have left.
+    pub(super) has_left: bool,
     /// Whether the end of the connection was that of an answer without a length. The
     /// request is not held back then, since most such answers are complete.
     pub(super) is_answered: bool,
@@ -68,6 +70,8 @@
 enum CheckResult {
     /// No process listens at the target's address, or the registry says that it has ended.
     Crashed,
+    /// The target has ended as planned: it was leaving before the connection was lost.
+    Ended,
     /// The target accepts connections.
     Alive,
     /// The target can't be reached, or the check took too long.
@@ -78,6 +82,7 @@
     const fn as_str(self) -> &'static str {
         match self {
             Self::Crashed => "crashed",
+            Self::Ended => "ended",
             Self::Alive => "alive",
             Self::Unknown => "unknown",
         }
@@ -126,10 +131,10 @@
         let mut unknown = Vec::new();
         for lost in due {
             let is_late = ended_at.since(lost.lost_at) > CHECK_MAX_MS;
-            let result = if is_late {
-                CheckResult::Unknown
-            } else {
-                result
+            let result = match result {
+                CheckResult::Crashed if lost.has_left => CheckResult::Ended,
+                _ if is_late => CheckResult::Unknown,
+                _ => result,
             };
             apply(&state, &lost, result);
             if result == CheckResult::Unknown {
@@ -180,7 +185,11 @@
         connections.retain(|lost| {
             let is_registered = state.targets.borrow().is_registered(&lost.target);
             if !is_registered {
-                apply(&state, lost, CheckResult::Crashed);
+                let result = match lost.has_left {
+                    true => CheckResult::Ended,
+                    false => CheckResult::Crashed,
+                };
+                apply(&state, lost, result);
             }
             is_registered && now.since(lost.lost_at) < REGISTRY_WATCH_MS
         });
@@ -228,7 +237,7 @@
                 evidence::send_survival(state, lost, now);
             }
         }
-        CheckResult::Alive => {
+        CheckResult::Alive | CheckResult::Ended => {
             let is_withdrawn = poison::withdraw(
                 &mut state.poison.borrow_mut(),
                 &lost.fingerprint,
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -281,6 +281,7 @@
             service: self.service.clone(),
             fingerprint: self.fingerprint(),
             lost_at: now,
+            has_left: self.state.targets.borrow().has_left(target),
             is_answered: end.outcome == AttemptOutcome::Answered,
         };
         // The receiver is only dropped with the traffic thread's tasks.
