daemon: wait before a target is contacted whose connection was lost

A process that ends may still accept a connection after it has closed the others, so that its crash went uncounted and its mark was cleared.

Change: the daemon waits 50 ms before the check, as the gateway does, instead of after it. A request that crashed a target is sent again after the same time as before; one whose connection was lost without a crash 50 ms later.

--- a/crates/agatehold/src/traffic/dispatch.rs
+++ b/crates/agatehold/src/traffic/dispatch.rs
@@ -70,9 +70,11 @@
 /// a new connection within this time.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The delay before a request that crashed a target is sent again. During it,
-/// the crash marks of other daemons for the same request arrive.
-const CRASH_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The delay before a target whose connection was lost is contacted. A process that ends
+/// may close its listener some time after its connections, and accept a connection that
+/// comes in between. The crash marks of other daemons for the same request arrive during
+/// the delay, so that the request may be sent again after the check.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(50);
 
 /// How the dispatch of a request ended.
 pub(crate) enum DispatchEnd {
@@ -235,7 +237,6 @@
                     };
                 }
                 NextStep::SendAgain if crashed => {
-                    tokio::time::sleep(CRASH_RETRY_DELAY).await;
                     if !self.passes_poison_check() {
                         return self.refused(RefusalKind::Poisoned);
                     }
@@ -441,6 +442,7 @@
         };
         mark_crash(&mut shared.poison(), mark.clone(), at);
         shared.report(TrafficReport::Poison(vec![mark]));
+        tokio::time::sleep(CRASH_CHECK_DELAY).await;
         if !accepts_connection(address).await {
             return true;
         }
