poison: drop a function that only tests call, and a bare number

merge_marks lost its last caller when the gateway began to confirm the marks that peers send. It moves to the tests that use it, unchanged, with all of their assertions. The trial of a refused request counts from CRASHES_MAX in place of a 2. Behaviour stays as it was.

Looked at and left: the two places of crash_check.rs that tell an ended target from a crashed one, since only one of them also asks whether the check was late; setups and ends that tests of crashes.rs share, each with other targets.

Formatter and linter are clean; the 26 poison tests pass, and with them the 16 tests of crashes.rs.

--- a/crates/agatehold-core/src/poison/admit.rs
+++ b/crates/agatehold-core/src/poison/admit.rs
@@ -237,13 +237,6 @@
     }
 }
 
-/// Merges crash marks received from a peer.
-pub fn merge_marks(table: &mut PoisonTable, marks: &[CrashMark], now: TimeMs) {
-    for mark in marks {
-        mark_crash(table, mark.clone(), now);
-    }
-}
-
 /// Clears this daemon's own mark of a crash that turned out to be none. Returns the cleared
 /// mark, which has to be pushed to peers.
 pub fn clear_target(
--- a/crates/agatehold-core/src/poison/mod.rs
+++ b/crates/agatehold-core/src/poison/mod.rs
@@ -23,7 +23,6 @@
 pub(crate) use admit::is_known_crash;
 pub use admit::is_refused;
 pub use admit::mark_crash;
-pub use admit::merge_marks;
 pub use admit::refused_requests;
 pub use admit::revoke_marks;
 pub use fingerprint::RequestIdentity;
--- a/crates/agatehold-core/src/poison/trial.rs
+++ b/crates/agatehold-core/src/poison/trial.rs
@@ -6,6 +6,7 @@
 use crate::units::DurationMs;
 use crate::units::TimeMs;
 
+use super::CRASHES_MAX;
 use super::CrashMark;
 use super::PoisonTable;
 use super::admit::active_marks;
@@ -34,7 +35,7 @@
     let marks: Vec<&CrashMark> = active_marks(&row.marks, now).collect();
     let Some(delay_ms) = marks
         .len()
-        .checked_sub(2)
+        .checked_sub(CRASHES_MAX)
         .and_then(|further| TRIAL_DELAYS_MS.get(further))
     else {
         return false;
--- a/crates/agatehold-core/tests/poison.rs
+++ b/crates/agatehold-core/tests/poison.rs
@@ -13,7 +13,6 @@
 use agatehold_core::poison::fingerprint;
 use agatehold_core::poison::is_blamed;
 use agatehold_core::poison::mark_crash;
-use agatehold_core::poison::merge_marks;
 use agatehold_core::poison::refused_requests;
 use agatehold_core::poison::revoke_marks;
 use agatehold_core::units::DurationMs;
@@ -39,6 +38,13 @@
     }
 }
 
+/// Records the marks that a daemon gets from a peer.
+fn merge_marks(table: &mut PoisonTable, marks: &[CrashMark], now: TimeMs) {
+    for mark in marks {
+        mark_crash(table, mark.clone(), now);
+    }
+}
+
 /// Guards against a request that crashed two targets being sent to a third one,
 /// whichever daemon the caller resends it to.
 #[test]
