--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 mod allotment_messages;
 mod allotments;
+mod connection;
 mod control;
 mod crash_check;
 mod dispatch;
