gateway: record requests whose connection ended without an answer

The counter agatehold_unanswered_requests_total and the line event=unanswered give the reason for the end (the caller left, a write failed or timed out, an earlier answer closed the connection, the process exited) and where the requests were (being written, ready, running, not started). No change of behaviour.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -1,6 +1,6 @@
 //! Serves one connection. Pipelined requests are read ahead and answered in order.
 
-use std::collections::VecDeque;
+use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,6 +30,9 @@
 use super::memory::ConnectionMemory;
 use super::memory::MemoryHold;
 use super::memory::MemoryKind;
+use super::pending::ConnectionEnd;
+use super::pending::PendingRequests;
+use super::pending::request_id;
 use super::serve;
 use super::traffic::TrafficState;
 use super::write::close_gracefully;
@@ -83,8 +86,6 @@
     /// Whether the request that is being read is a HEAD request, to which no body is
     /// sent, not even with a refusal.
     reads_head_request: bool,
-    /// A complete request that can't start before the earlier ones are answered.
-    deferred: Option<IncomingRequest>,
     /// When an incomplete head was first seen in the buffer.
     incomplete_head_since: Option<Instant>,
     /// When the connection was opened or the last response was written.
@@ -110,12 +111,11 @@
         buffer: BytesMut::new(),
         current: None,
         reads_head_request: false,
-        deferred: None,
         incomplete_head_since: None,
         idle_since: Instant::now(),
         parsing_ended: false,
     };
-    let mut pending: VecDeque<oneshot::Receiver<Response>> = VecDeque::new();
+    let mut pending = PendingRequests::new();
     loop {
         if let Err(kind) = start_requests(
             state,
@@ -127,8 +127,10 @@
         .await
         {
             read_state.parsing_ended = true;
-            read_state.deferred = None;
-            pending.push_back(ready_refusal(state, kind, read_state.reads_head_request));
+            pending.push(
+                None,
+                ready_refusal(state, kind, read_state.reads_head_request),
+            );
         }
         let timeout = read_deadline(state, &read_state, pending.is_empty());
         let is_wanted = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
@@ -137,31 +139,36 @@
         read_state.buffer.reserve(READ_BYTES);
         tokio::select! {
             biased;
-            response = next_response(&mut pending), if !pending.is_empty() => {
-                pending.pop_front();
+            response = pending.next_response(), if !pending.is_empty() => {
                 let Some(response) = response else {
+                    pending.close(ConnectionEnd::NoResponse);
                     return;
                 };
                 let closes_connection = response.closes_connection
-                    || (read_state.parsing_ended && pending.is_empty());
-                if write_response(&mut write_half, &response, closes_connection)
-                    .await
-                    .is_err()
-                {
+                    || (read_state.parsing_ended && pending.len() == 1);
+                let written = write_response(&mut write_half, &response, closes_connection).await;
+                if let Err(error) = written {
+                    pending.close(match error.kind() {
+                        io::ErrorKind::TimedOut => ConnectionEnd::WriteTimedOut,
+                        _ => ConnectionEnd::WriteFailed,
+                    });
                     return;
                 }
+                pending.remove_written();
                 if closes_connection {
                     // Later pipelined requests are dropped; the caller treats
                     // them as not processed and retries them.
-                    pending.clear();
+                    pending.close(ConnectionEnd::ClosingResponse);
                     close_gracefully(read_half, write_half).await;
                     return;
                 }
                 read_state.idle_since = Instant::now();
             }
             read = read_half.read_buf(&mut read_state.buffer), if can_read => match read {
-                // Dropping the receivers cancels the pending requests.
-                Ok(0) | Err(_) => return,
+                Ok(0) | Err(_) => {
+                    pending.close(ConnectionEnd::CallerLeft);
+                    return;
+                }
                 Ok(_) => {}
             },
             () = tokio::time::sleep_until(timeout.unwrap_or_else(Instant::now)),
@@ -175,19 +182,12 @@
                 read_state.incomplete_head_since = None;
                 read_state.buffer.clear();
                 let kind = RefusalKind::SlowSender;
-                pending.push_back(ready_refusal(state, kind, read_state.reads_head_request));
+                pending.push(None, ready_refusal(state, kind, read_state.reads_head_request));
             }
         }
     }
 }
 
-async fn next_response(pending: &mut VecDeque<oneshot::Receiver<Response>>) -> Option<Response> {
-    match pending.front_mut() {
-        Some(first) => first.await.ok(),
-        None => std::future::pending().await,
-    }
-}
-
 /// Returns the time by which further bytes must arrive; `None` if there is no
 /// limit.
 fn read_deadline(state: &TrafficState, read_state: &ReadState, is_idle: bool) -> Option<Instant> {
@@ -215,18 +215,19 @@
 async fn start_requests(
     state: &Rc<TrafficState>,
     read_state: &mut ReadState,
-    pending: &mut VecDeque<oneshot::Receiver<Response>>,
+    pending: &mut PendingRequests,
     endpoint: Endpoint,
     write_half: &mut OwnedWriteHalf,
 ) -> Result<(), RefusalKind> {
     loop {
-        if let Some(incoming) = read_state.deferred.take() {
+        if let Some(incoming) = pending.deferred.take() {
             if !may_start(state, &incoming, &read_state.memory, pending, endpoint) {
-                read_state.deferred = Some(incoming);
+                pending.deferred = Some(incoming);
                 return Ok(());
             }
             read_state.parsing_ended = !incoming.head.keeps_alive;
-            pending.push_back(start(state, incoming, endpoint));
+            let id = request_id(&incoming.head);
+            pending.push(id, start(state, incoming, endpoint));
         }
         if read_state.parsing_ended || pending.len() >= PIPELINED_MAX {
             return Ok(());
@@ -287,7 +288,7 @@
             Endpoint::Callers => serve::expected_response(state, &current.head),
             _ => 0,
         };
-        read_state.deferred = Some(IncomingRequest {
+        pending.deferred = Some(IncomingRequest {
             caller: read_state.caller,
             head: current.head,
             body: current.body.into_bytes(),
@@ -313,7 +314,7 @@
     state: &TrafficState,
     incoming: &IncomingRequest,
     memory: &ConnectionMemory,
-    pending: &VecDeque<oneshot::Receiver<Response>>,
+    pending: &PendingRequests,
     endpoint: Endpoint,
 ) -> bool {
     pending.is_empty()
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod member;
 mod memory;
 mod messages;
+mod pending;
 mod pool;
 mod queue;
 mod relay;
