gateway: answer what has been started before a stopping daemon closes a connection

Cause: every answer that was built after SIGTERM closed its connection, whatever had been started behind it. Callers may send those requests again, but their runs and answers were lost, and runs that had begun were cut.

A connection now ends with the last request that has been started: no further request is started once the daemon stops, and the last answer has 'connection: close'. What was not started is dropped as before; callers take it as not read.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -144,8 +144,11 @@
                     pending.close(ConnectionEnd::NoResponse);
                     return;
                 };
-                let closes_connection = response.closes_connection
-                    || (read_state.parsing_ended && pending.len() == 1);
+                if ends_with_pending(state, endpoint) {
+                    read_state.parsing_ended = true;
+                }
+                // Requests that have been started are answered first.
+                let closes_connection = read_state.parsing_ended && pending.len() == 1;
                 let written = write_response(&mut write_half, &response, closes_connection).await;
                 if let Err(error) = written {
                     pending.close(match error.kind() {
@@ -156,8 +159,8 @@
                 }
                 pending.remove_written();
                 if closes_connection {
-                    // Later pipelined requests are dropped; the caller treats
-                    // them as not processed and retries them.
+                    // A request that was not started is dropped; the caller treats it
+                    // as not processed and retries it.
                     pending.close(ConnectionEnd::ClosingResponse);
                     close_gracefully(read_half, write_half).await;
                     return;
@@ -188,6 +191,12 @@
     }
 }
 
+/// Returns whether a connection ends with the requests that have been started, because the
+/// daemon is shutting down.
+fn ends_with_pending(state: &TrafficState, endpoint: Endpoint) -> bool {
+    endpoint == Endpoint::Callers && state.shared.stopping_since().is_some()
+}
+
 /// Returns the time by which further bytes must arrive; `None` if there is no
 /// limit.
 fn read_deadline(state: &TrafficState, read_state: &ReadState, is_idle: bool) -> Option<Instant> {
@@ -225,7 +234,8 @@
                 pending.deferred = Some(incoming);
                 return Ok(());
             }
-            read_state.parsing_ended = !incoming.head.keeps_alive;
+            read_state.parsing_ended =
+                !incoming.head.keeps_alive || ends_with_pending(state, endpoint);
             let id = request_id(&incoming.head);
             pending.push(id, start(state, incoming, endpoint));
         }
@@ -355,7 +365,6 @@
 ) -> oneshot::Receiver<Response> {
     let (response_sender, receiver) = oneshot::channel();
     let mut refusal = super::responses::refusal(state, kind, kind.outcome(), None, None);
-    refusal.closes_connection = true;
     refusal.is_head_response = is_head_response;
     log::warn!("event=refused id=- kind={kind} reason=unreadable");
     // The receiver still exists, so this can't fail.
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -139,7 +139,6 @@
         status: response.status.as_u16(),
         headers,
         body: response.body,
-        closes_connection: false,
         is_head_response: false,
         in_flight: None,
         memory: None,
--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -64,8 +64,6 @@
     pub(super) headers: HeaderMap,
     /// The body.
     pub(super) body: Bytes,
-    /// Whether the connection is closed after the response.
-    pub(super) closes_connection: bool,
     /// Whether this is the response to a HEAD request, which is sent without a body
     /// and without `content-length`.
     pub(super) is_head_response: bool,
--- a/crates/agatehold/src/gateway/responses.rs
+++ b/crates/agatehold/src/gateway/responses.rs
@@ -89,7 +89,6 @@
         status,
         headers,
         body,
-        closes_connection: false,
         is_head_response: false,
         in_flight: None,
         memory: None,
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -41,8 +41,6 @@
         memory.change(MemoryKind::Unwritten, response.body.len());
         response.memory = Some(memory);
         response.in_flight = Some(in_flight);
-        response.closes_connection |=
-            !incoming.head.keeps_alive || state.shared.stopping_since().is_some();
         response.is_head_response = incoming.head.method == Method::HEAD;
         // Sending fails only if the caller has disconnected.
         let _ = response_sender.send(response);
