gateway: count a request as in flight before its task runs

A request was counted by its own task, so that a stopping process that had just read one could find nothing in flight and exit. Found by reading; the window is one turn of the executor, and no run has shown it.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -346,10 +346,12 @@
         incoming
             .response_memory
             .change(MemoryKind::Read, expected_bytes);
+        // Counted before its task runs, so that the process does not exit in between.
+        let in_flight = state.shared.count_request();
         let state = Rc::clone(state);
-        tokio::task::spawn_local(
-            async move { serve::handle(&state, incoming, response_sender).await },
-        );
+        tokio::task::spawn_local(async move {
+            serve::handle(&state, incoming, response_sender, in_flight).await
+        });
         return receiver;
     }
     let response = super::responses::respond(state, &incoming, endpoint);
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -26,15 +26,17 @@
 use super::memory::MemoryKind;
 use super::responses;
 use super::routes;
+use super::shared::InFlightGuard;
 use super::traffic::TrafficState;
 
-/// Handles a request until it is answered or its caller disconnects.
+/// Handles a request until it is answered or its caller disconnects. `in_flight` counts it
+/// until its response is written.
 pub(super) async fn handle(
     state: &TrafficState,
     incoming: IncomingRequest,
     mut response_sender: oneshot::Sender<Response>,
+    in_flight: InFlightGuard,
 ) {
-    let in_flight = state.shared.count_request();
     let response = serve(state, &incoming, &mut response_sender).await;
     if let Some(mut response) = response {
         let memory = incoming.response_memory;
