gateway: answer all that has arrived before a stopping daemon closes a connection

A connection of a stopping daemon is now closed with the answer behind which nothing has arrived; a request that waits until those before it are answered is served as well. Whether a request is taken that late is decided as before.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -117,21 +117,8 @@
     };
     let mut pending = PendingRequests::new();
     loop {
-        if let Err(kind) = start_requests(
-            state,
-            &mut read_state,
-            &mut pending,
-            endpoint,
-            &mut write_half,
-        )
-        .await
-        {
-            read_state.parsing_ended = true;
-            pending.push(
-                None,
-                ready_refusal(state, kind, read_state.reads_head_request),
-            );
-        }
+        let (read, write) = (&mut read_state, &mut write_half);
+        start_requests(state, read, &mut pending, endpoint, write).await;
         let timeout = read_deadline(state, &read_state, pending.is_empty());
         let is_wanted = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
         // Once the earlier responses are written, the request that is being read is alone.
@@ -144,11 +131,15 @@
                     pending.close(ConnectionEnd::NoResponse);
                     return;
                 };
-                if ends_with_pending(state, endpoint) {
-                    read_state.parsing_ended = true;
+                if is_stopping(state, endpoint) && pending.is_last() {
+                    // Requests that have arrived meanwhile are answered before the
+                    // connection is closed. If reading fails, so will writing.
+                    let _ = read_half.try_read_buf(&mut read_state.buffer);
+                    let (read, write) = (&mut read_state, &mut write_half);
+                    start_requests(state, read, &mut pending, endpoint, write).await;
+                    read_state.parsing_ended |= pending.is_last();
                 }
-                // Requests that have been started are answered first.
-                let closes_connection = read_state.parsing_ended && pending.len() == 1;
+                let closes_connection = read_state.parsing_ended && pending.is_last();
                 let written = write_response(&mut write_half, &response, closes_connection).await;
                 if let Err(error) = written {
                     pending.close(match error.kind() {
@@ -191,9 +182,9 @@
     }
 }
 
-/// Returns whether a connection ends with the requests that have been started, because the
-/// daemon is shutting down.
-fn ends_with_pending(state: &TrafficState, endpoint: Endpoint) -> bool {
+/// Returns whether a connection ends as soon as what has been read is answered, because
+/// the daemon is shutting down.
+fn is_stopping(state: &TrafficState, endpoint: Endpoint) -> bool {
     endpoint == Endpoint::Callers && state.shared.stopping_since().is_some()
 }
 
@@ -220,13 +211,29 @@
     None
 }
 
-/// Parses the complete requests in the buffer and starts them.
+/// Starts the complete requests in the buffer, and refuses what can't be parsed.
 async fn start_requests(
     state: &Rc<TrafficState>,
     read_state: &mut ReadState,
     pending: &mut PendingRequests,
     endpoint: Endpoint,
     write_half: &mut OwnedWriteHalf,
+) {
+    let started = parse_and_start(state, read_state, pending, endpoint, write_half).await;
+    if let Err(kind) = started {
+        read_state.parsing_ended = true;
+        let is_head_request = read_state.reads_head_request;
+        pending.push(None, ready_refusal(state, kind, is_head_request));
+    }
+}
+
+/// Parses the complete requests in the buffer and starts them.
+async fn parse_and_start(
+    state: &Rc<TrafficState>,
+    read_state: &mut ReadState,
+    pending: &mut PendingRequests,
+    endpoint: Endpoint,
+    write_half: &mut OwnedWriteHalf,
 ) -> Result<(), RefusalKind> {
     loop {
         if let Some(incoming) = pending.deferred.take() {
@@ -234,8 +241,7 @@
                 pending.deferred = Some(incoming);
                 return Ok(());
             }
-            read_state.parsing_ended =
-                !incoming.head.keeps_alive || ends_with_pending(state, endpoint);
+            read_state.parsing_ended = !incoming.head.keeps_alive;
             let id = request_id(&incoming.head);
             pending.push(id, start(state, incoming, endpoint));
         }
--- a/crates/agatehold/src/gateway/pending.rs
+++ b/crates/agatehold/src/gateway/pending.rs
@@ -101,6 +101,11 @@
         self.started.is_empty()
     }
 
+    /// Returns whether the first request is the only one that has been read.
+    pub(super) fn is_last(&self) -> bool {
+        self.started.len() == 1 && self.deferred.is_none()
+    }
+
     /// Waits for the response to the first request; `None` if its task ended without one.
     /// Never ends without requests. [`Self::remove_written`] follows.
     pub(super) async fn next_response(&mut self) -> Option<Response> {
