gateway: answer or refuse every request before a stopping process exits

Cause: at the limit the process dropped its connections where they were. The kernel also resets a connection with unread bytes, which can destroy an answer that has been written.

A stop now ends in phases (dispatch/stop.rs). 600 ms before the limit, requests that have not ended are refused: 503 if no target has seen them, 502 if one may run them. So the answers behind them are written too. 500 ms before the limit, or when nothing is in flight, the connections are closed: a request of which a part has arrived is refused as not run, the sending side is shut down, and what callers still send is read for up to 100 ms. Requests are taken after SIGTERM if they end before the refusals.

Weighed and left: answering 408 or 503 to a request that a target still runs, which would be a false promise; refusing the blocking request only where answers wait behind it, which leaves the other callers without an answer.

--- a/crates/agatehold-core/src/dispatch/stop.rs
+++ b/crates/agatehold-core/src/dispatch/stop.rs
@@ -2,36 +2,55 @@
 
 use crate::units::DurationMs;
 
-/// How long before the stop limit, at which the platform kills the process, the
-/// process exits even if requests are still in flight.
-const STOP_MARGIN_MS: DurationMs = DurationMs(400);
+/// How long before the stop limit, at which the platform kills the process, requests
+/// that have not ended are refused: their callers get an answer, and so do those whose
+/// answers wait behind them on the same connection.
+const REFUSAL_MARGIN_MS: DurationMs = DurationMs(600);
+
+/// How long before the stop limit the connections are closed even if requests are still
+/// in flight. The difference to [`REFUSAL_MARGIN_MS`] is for writing the refusals; the
+/// rest is for closing the connections, writing the log and the end of the process.
+const CLOSE_MARGIN_MS: DurationMs = DurationMs(500);
 
 /// The minimum time that a daemon that is shutting down keeps serving. By then,
 /// the other daemons have stopped giving out its address.
 const STOP_MIN_MS: DurationMs = DurationMs(3_000);
 
-/// A daemon that is shutting down and has no requests in flight exits once it has
-/// had no new connection for this time.
-const QUIET_BEFORE_EXIT_MS: DurationMs = DurationMs(1_000);
+/// A daemon that is shutting down and has no requests in flight closes its connections
+/// once it has had no new connection for this time.
+const QUIET_BEFORE_CLOSE_MS: DurationMs = DurationMs(1_000);
+
+/// What a daemon does with the requests of its callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// They are served, also after the stop signal if they end in time.
+    #[default]
+    Serving,
+    /// Those that have not ended are refused.
+    Refusing,
+    /// The connections are closed.
+    Closing,
+}
 
-/// Returns the time after the stop signal at which the process exits in any case.
-fn exit_limit(stop_limit_ms: DurationMs) -> DurationMs {
-    stop_limit_ms.saturating_sub(STOP_MARGIN_MS)
+/// Returns the time after the stop signal at which requests that have not ended are
+/// refused.
+fn refusal_limit(stop_limit_ms: DurationMs) -> DurationMs {
+    stop_limit_ms.saturating_sub(REFUSAL_MARGIN_MS)
 }
 
 /// Returns whether a daemon takes a request `stopping_ms` after the stop signal. It
-/// takes only those whose time limit ends before the process does: others could be
-/// cut while a target works on them, and may not be sent again.
+/// takes only those whose time limit ends before unfinished requests are refused: others
+/// could be cut while a target works on them, and may not be sent again.
 pub fn may_take_request(
     stopping_ms: DurationMs,
     remaining_ms: DurationMs,
     stop_limit_ms: DurationMs,
 ) -> bool {
-    stopping_ms + remaining_ms <= exit_limit(stop_limit_ms)
+    stopping_ms + remaining_ms <= refusal_limit(stop_limit_ms)
 }
 
-/// Returns whether a daemon exits `stopping_ms` after the stop signal, with
-/// `in_flight` requests whose answers are not written and the last caller
+/// Returns whether a daemon closes its connections and exits `stopping_ms` after the stop
+/// signal, with `in_flight` requests whose answers are not written and the last caller
 /// connection `quiet_ms` ago.
 pub fn may_exit(
     stopping_ms: DurationMs,
@@ -39,8 +58,24 @@
     quiet_ms: DurationMs,
     stop_limit_ms: DurationMs,
 ) -> bool {
-    if stopping_ms >= exit_limit(stop_limit_ms) {
+    if stopping_ms >= stop_limit_ms.saturating_sub(CLOSE_MARGIN_MS) {
         return true;
     }
-    stopping_ms >= STOP_MIN_MS && in_flight == 0 && quiet_ms >= QUIET_BEFORE_EXIT_MS
+    stopping_ms >= STOP_MIN_MS && in_flight == 0 && quiet_ms >= QUIET_BEFORE_CLOSE_MS
+}
+
+/// Returns the phase of a shutdown. The parameters are those of [`may_exit`].
+pub fn stop_phase(
+    stopping_ms: DurationMs,
+    in_flight: u64,
+    quiet_ms: DurationMs,
+    stop_limit_ms: DurationMs,
+) -> StopPhase {
+    if may_exit(stopping_ms, in_flight, quiet_ms, stop_limit_ms) {
+        return StopPhase::Closing;
+    }
+    if stopping_ms >= refusal_limit(stop_limit_ms) {
+        return StopPhase::Refusing;
+    }
+    StopPhase::Serving
 }
--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use agatehold_core::dispatch::StopPhase;
 use agatehold_core::refusal::RefusalKind;
 
 use crate::clock::duration;
@@ -92,6 +93,8 @@
     idle_since: Instant,
     /// Whether no further requests are parsed.
     parsing_ended: bool,
+    /// Whether the connection knows that the daemon closes it.
+    is_closing: bool,
 }
 
 /// Serves a connection until it ends.
@@ -114,7 +117,10 @@
         incomplete_head_since: None,
         idle_since: Instant::now(),
         parsing_ended: false,
+        is_closing: false,
     };
+    let closing = state.stop_phase_reached(StopPhase::Closing);
+    let mut closing = std::pin::pin!(closing);
     let mut pending = PendingRequests::new();
     loop {
         let (read, write) = (&mut read_state, &mut write_half);
@@ -165,18 +171,24 @@
                 }
                 Ok(_) => {}
             },
+            () = closing.as_mut(), if !read_state.is_closing => {
+                read_state.is_closing = true;
+                if !pending.is_empty() {
+                    continue;
+                }
+                if read_state.incomplete_head_since.is_none() && read_state.current.is_none() {
+                    close_gracefully(read_half, write_half).await;
+                    return;
+                }
+                refuse_incomplete(state, &mut read_state, &mut pending, RefusalKind::Stopping);
+            }
             () = tokio::time::sleep_until(timeout.unwrap_or_else(Instant::now)),
                 if timeout.is_some() =>
             {
                 if read_state.incomplete_head_since.is_none() && read_state.current.is_none() {
                     return;
                 }
-                read_state.parsing_ended = true;
-                read_state.current = None;
-                read_state.incomplete_head_since = None;
-                read_state.buffer.clear();
-                let kind = RefusalKind::SlowSender;
-                pending.push(None, ready_refusal(state, kind, read_state.reads_head_request));
+                refuse_incomplete(state, &mut read_state, &mut pending, RefusalKind::SlowSender);
             }
         }
     }
@@ -380,6 +392,23 @@
     receiver
 }
 
+/// Refuses the request that is being read, and reads no further ones.
+fn refuse_incomplete(
+    state: &Rc<TrafficState>,
+    read_state: &mut ReadState,
+    pending: &mut PendingRequests,
+    kind: RefusalKind,
+) {
+    read_state.parsing_ended = true;
+    read_state.current = None;
+    read_state.incomplete_head_since = None;
+    read_state.buffer.clear();
+    pending.push(
+        None,
+        ready_refusal(state, kind, read_state.reads_head_request),
+    );
+}
+
 const fn refusal_kind(error: HttpError) -> RefusalKind {
     match error {
         HttpError::Malformed => RefusalKind::BadRequest,
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -22,6 +22,7 @@
 use agatehold_core::dispatch::Decision;
 use agatehold_core::dispatch::ResendBudget;
 use agatehold_core::dispatch::ServiceStats;
+use agatehold_core::dispatch::StopPhase;
 use agatehold_core::dispatch::after_attempt;
 use agatehold_core::dispatch::cost::RequestCost;
 use agatehold_core::ids::ServiceName;
@@ -115,6 +116,8 @@
     is_only_copy: bool,
     /// Whether the target of the last attempt may still run the request.
     may_still_run: bool,
+    /// Whether an attempt has begun and not ended.
+    is_attempting: bool,
 }
 
 /// How the dispatch of a request ended.
@@ -163,8 +166,13 @@
         charged_ms: DurationMs(0),
         is_only_copy: false,
         may_still_run: false,
+        is_attempting: false,
+    };
+    let dispatch_end = tokio::select! {
+        biased;
+        dispatch_end = dispatch.send_until_answered(response_sender) => dispatch_end,
+        () = state.stop_phase_reached(StopPhase::Refusing) => dispatch.end_at_stop_limit(),
     };
-    let dispatch_end = dispatch.send_until_answered(response_sender).await;
     dispatch.end_only_copy();
     dispatch.finish(dispatch_end)
 }
@@ -186,6 +194,9 @@
         self.with_budget(|budget| budget.record_request(now));
         let idempotent = self.route.idempotent;
         self.with_service_stats(|stats| stats.record_arrival(idempotent, now));
+        if self.state.has_ended_serving() {
+            return DispatchEnd::Refused(RefusalKind::Stopping);
+        }
         if let Err(kind) = self.check_poison_table() {
             return DispatchEnd::Refused(kind);
         }
@@ -199,7 +210,9 @@
                 return DispatchEnd::Refused(kind);
             }
             self.tried.push(target.name.clone());
+            self.is_attempting = true;
             let end = self.attempt(&target, response_sender).await;
+            self.is_attempting = false;
             self.detail = end.detail;
             self.connection_use = end.connection_use;
             let facts = self.facts(&end);
@@ -279,6 +292,16 @@
         }
     }
 
+    /// Refuses the request because the daemon exits; a running attempt is broken off.
+    fn end_at_stop_limit(&mut self) -> DispatchEnd {
+        if self.is_attempting {
+            self.attempts.sent += 1;
+            self.attempts.may_have_run += 1;
+            self.detail = "stop limit";
+        }
+        DispatchEnd::Refused(RefusalKind::Stopping)
+    }
+
     /// Waits for what other daemons tell of crashes before the request is sent again whose
     /// connection was lost: a caller may have sent copies to several daemons at once, and
     /// each would crash a second target.
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -28,12 +28,13 @@
 use agatehold_core::dispatch::ResendBudgets;
 use agatehold_core::dispatch::ResendPolicy;
 use agatehold_core::dispatch::ServiceStats;
+use agatehold_core::dispatch::StopPhase;
 use agatehold_core::dispatch::SuspensionDetector;
 use agatehold_core::dispatch::cost::CostTable;
 use agatehold_core::dispatch::count_target_states;
 use agatehold_core::dispatch::idle_connections_max;
-use agatehold_core::dispatch::may_exit;
 use agatehold_core::dispatch::may_take_request;
+use agatehold_core::dispatch::stop_phase;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::limits::allotments::AllotmentTable;
 use agatehold_core::poison::PoisonTable;
@@ -67,6 +68,9 @@
 /// The interval of the periodic tasks otherwise.
 const IDLE_TICK: Duration = Duration::from_secs(1);
 
+/// How long a daemon that exits waits for its callers to close their connections.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The minimum interval between two updates of the target gauges.
 const GAUGE_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
@@ -115,8 +119,12 @@
     pub(super) evidence: UdpSocket,
     /// The random number generator of this thread.
     pub(super) rng: RefCell<Pcg64Mcg>,
+    /// What is done with the requests of callers; never goes back to an earlier phase.
+    stop_phase: watch::Sender<StopPhase>,
     /// The number of open caller connections.
     connections: Cell<u64>,
+    /// Notified when the last caller connection closes.
+    connections_closed: Notify,
     /// When the last caller connection was accepted.
     last_connection_at: Cell<TimeMs>,
     /// When the target gauges were last updated.
@@ -236,9 +244,13 @@
 
     /// Counts a caller connection as closed.
     pub(super) fn count_close(&self, endpoint: Endpoint) {
-        if endpoint == Endpoint::Callers {
-            self.connections
-                .set(self.connections.get().saturating_sub(1));
+        if endpoint != Endpoint::Callers {
+            return;
+        }
+        self.connections
+            .set(self.connections.get().saturating_sub(1));
+        if self.connections.get() == 0 {
+            self.connections_closed.notify_one();
         }
     }
 
@@ -254,25 +266,53 @@
             return false;
         };
         let stopping_ms = self.shared.clock.now().since(since);
-        !may_take_request(stopping_ms, remaining_ms, self.shared.bounds.stop_limit_ms)
+        self.has_ended_serving()
+            || !may_take_request(stopping_ms, remaining_ms, self.shared.bounds.stop_limit_ms)
     }
 
-    /// Returns whether the thread may exit.
-    fn may_exit(&self, now: TimeMs) -> bool {
+    /// Returns whether requests that have not ended are refused because the process exits.
+    pub(super) fn has_ended_serving(&self) -> bool {
+        *self.stop_phase.borrow() != StopPhase::Serving
+    }
+
+    /// Waits until the shutdown has reached a phase.
+    pub(super) async fn stop_phase_reached(&self, phase: StopPhase) {
+        let mut receiver = self.stop_phase.subscribe();
+        // The sender exists as long as the state, so that this can't fail.
+        let _ = receiver.wait_for(|reached| *reached >= phase).await;
+    }
+
+    /// Moves the shutdown to the phase that is due, and returns it.
+    fn advance_stop_phase(&self, now: TimeMs) -> StopPhase {
         let Some(since) = self.shared.stopping_since() else {
-            return false;
+            return StopPhase::Serving;
         };
         let in_flight = self
             .shared
             .in_flight
             .load(std::sync::atomic::Ordering::Acquire);
         let quiet_ms = now.since(self.last_connection_at.get());
-        may_exit(
-            now.since(since),
-            in_flight,
-            quiet_ms,
-            self.shared.bounds.stop_limit_ms,
-        )
+        let stop_limit_ms = self.shared.bounds.stop_limit_ms;
+        let due = stop_phase(now.since(since), in_flight, quiet_ms, stop_limit_ms);
+        self.stop_phase.send_if_modified(|phase| {
+            let is_later = due > *phase;
+            *phase = due.max(*phase);
+            is_later
+        });
+        due
+    }
+
+    /// Waits a moment until callers have closed their connections, which have been shut
+    /// down. What they still send is read meanwhile: bytes that are unread when the process
+    /// exits would reset the connection, and the caller could lose an answer.
+    async fn wait_for_closed_connections(&self) {
+        let closed = async {
+            while self.connections.get() > 0 {
+                self.connections_closed.notified().await;
+            }
+        };
+        // After the timeout the process exits in any case.
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, closed).await;
     }
 }
 
@@ -376,7 +416,9 @@
         relay_turn: Cell::new(0),
         evidence,
         rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
+        stop_phase: watch::Sender::default(),
         connections: Cell::new(0),
+        connections_closed: Notify::new(),
         last_connection_at: Cell::new(TimeMs(0)),
         gauges_updated_at: Cell::new(TimeMs(0)),
         metrics,
@@ -459,7 +501,8 @@
         }
         ticked_at = tokio::time::Instant::now();
         tick(state);
-        if state.may_exit(state.shared.clock.now()) {
+        if state.advance_stop_phase(state.shared.clock.now()) == StopPhase::Closing {
+            state.wait_for_closed_connections().await;
             return;
         }
     }
