gateway: tell callers how long they may keep an idle connection

A request that crosses the close has no answer, and its caller can't know whether it ran.

Answers now have Keep-Alive with four fifths of the idle timeout in whole seconds, at most 4 s. A stopping daemon closes its connections no sooner than 1 s after callers may last use one that they keep, or at its limit, so that a stop with recent requests takes up to 5 s in place of 3 s.

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -45,6 +45,7 @@
 pub use step::Decision;
 pub use step::after_attempt;
 pub use stop::StopPhase;
+pub use stop::announced_keep_alive;
 pub use stop::may_exit;
 pub use stop::may_take_request;
 pub use stop::stop_phase;
--- a/crates/agatehold-core/src/dispatch/stop.rs
+++ b/crates/agatehold-core/src/dispatch/stop.rs
@@ -17,9 +17,14 @@
 const STOP_MIN_MS: DurationMs = DurationMs(3_000);
 
 /// A daemon that is shutting down and has no requests in flight closes its connections
-/// once it has had no new connection for this time.
+/// once it has had no new connection for this time, and no caller has been able to use
+/// an open one.
 const QUIET_BEFORE_CLOSE_MS: DurationMs = DurationMs(1_000);
 
+/// The longest time for which callers are told to keep an idle connection. A stopping
+/// daemon serves for longer, so that no request crosses the close of its connection.
+const KEEP_ALIVE_MAX_MS: DurationMs = DurationMs(4_000);
+
 /// What a daemon does with the requests of its callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -50,8 +55,9 @@
 }
 
 /// Returns whether a daemon closes its connections and exits `stopping_ms` after the stop
-/// signal, with `in_flight` requests whose answers are not written and the last caller
-/// connection `quiet_ms` ago.
+/// signal, with `in_flight` requests whose answers are not written. `quiet_ms` is the time
+/// since the last caller connected, or since callers may no longer use the connections
+/// that they keep, whichever is shorter.
 pub fn may_exit(
     stopping_ms: DurationMs,
     in_flight: u64,
@@ -79,3 +85,14 @@
     }
     StopPhase::Serving
 }
+
+/// Returns for how long callers are told to keep an idle connection, in whole seconds as
+/// the `keep-alive` header has them; `None` if that is less than a second.
+///
+/// A fifth of the idle timeout is left for requests on their way, which would otherwise
+/// cross the close of the connection.
+pub fn announced_keep_alive(idle_timeout_ms: DurationMs) -> Option<DurationMs> {
+    let usable_ms = idle_timeout_ms.0 / 5 * 4;
+    let whole_s = usable_ms.min(KEEP_ALIVE_MAX_MS.0) / 1_000;
+    (whole_s > 0).then_some(DurationMs(whole_s * 1_000))
+}
--- a/crates/agatehold-core/tests/stop_phases.rs
+++ b/crates/agatehold-core/tests/stop_phases.rs
@@ -1,6 +1,7 @@
 //! Tests the phases of a planned stop.
 
 use agatehold_core::dispatch::StopPhase;
+use agatehold_core::dispatch::announced_keep_alive;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::dispatch::stop_phase;
 use agatehold_core::units::DurationMs;
@@ -73,3 +74,25 @@
         assert_eq!(at_2_s, StopPhase::Serving);
     }
 }
+
+/// Guards against a connection that its caller may still use when the daemon closes it, for
+/// its idle timeout or in a planned stop.
+#[test]
+fn connections_are_kept_longer_than_announced() {
+    for idle_timeout_ms in [500, 1_500, 4_000, 15_000, 60_000] {
+        let idle_timeout = DurationMs(idle_timeout_ms);
+        let Some(announced) = announced_keep_alive(idle_timeout) else {
+            assert!(idle_timeout_ms < 2_000, "{idle_timeout}");
+            continue;
+        };
+        assert_eq!(announced.0 % 1_000, 0);
+        assert!(announced.0 * 5 <= idle_timeout_ms * 4, "{idle_timeout}");
+        for limit_ms in STOP_LIMITS_MS {
+            // A caller was told to keep its connection right before the stop signal, and
+            // sends a request as late as it may.
+            let sent = DurationMs(announced.0 + 500);
+            let phase = stop_phase(sent, 0, DurationMs(500), DurationMs(limit_ms));
+            assert_eq!(phase, StopPhase::Serving, "{idle_timeout} {limit_ms}");
+        }
+    }
+}
--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -15,7 +15,9 @@
 use tokio::time::Instant;
 
 use agatehold_core::dispatch::StopPhase;
+use agatehold_core::dispatch::announced_keep_alive;
 use agatehold_core::refusal::RefusalKind;
+use agatehold_core::units::DurationMs;
 
 use crate::clock::duration;
 use crate::traffic::TcpTimeouts;
@@ -36,6 +38,7 @@
 use super::pending::request_id;
 use super::serve;
 use super::traffic::TrafficState;
+use super::write::Persistence;
 use super::write::close_gracefully;
 use super::write::write_response;
 
@@ -145,8 +148,12 @@
                     start_requests(state, read, &mut pending, endpoint, write).await;
                     read_state.parsing_ended |= pending.is_last();
                 }
-                let closes_connection = read_state.parsing_ended && pending.is_last();
-                let written = write_response(&mut write_half, &response, closes_connection).await;
+                let persistence = if read_state.parsing_ended && pending.is_last() {
+                    Persistence::Close
+                } else {
+                    Persistence::KeepAlive(keep_alive(state, endpoint))
+                };
+                let written = write_response(&mut write_half, &response, persistence).await;
                 if let Err(error) = written {
                     pending.close(match error.kind() {
                         io::ErrorKind::TimedOut => ConnectionEnd::WriteTimedOut,
@@ -155,13 +162,16 @@
                     return;
                 }
                 pending.remove_written();
-                if closes_connection {
+                if persistence == Persistence::Close {
                     // A request that was not started is dropped; the caller treats it
                     // as not processed and retries it.
                     pending.close(ConnectionEnd::ClosingResponse);
                     close_gracefully(read_half, write_half).await;
                     return;
                 }
+                if let Persistence::KeepAlive(Some(idle_ms)) = persistence {
+                    state.note_kept_connection(idle_ms);
+                }
                 read_state.idle_since = Instant::now();
             }
             read = read_half.read_buf(&mut read_state.buffer), if can_read => match read {
@@ -200,6 +210,14 @@
     endpoint == Endpoint::Callers && state.shared.stopping_since().is_some()
 }
 
+/// Returns for how long the caller is told to keep the connection.
+fn keep_alive(state: &TrafficState, endpoint: Endpoint) -> Option<DurationMs> {
+    if endpoint != Endpoint::Callers {
+        return None;
+    }
+    announced_keep_alive(state.limits().idle_timeout_ms)
+}
+
 /// Returns the time by which further bytes must arrive; `None` if there is no
 /// limit.
 fn read_deadline(state: &TrafficState, read_state: &ReadState, is_idle: bool) -> Option<Instant> {
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -127,6 +127,8 @@
     connections_closed: Notify,
     /// When the last caller connection was accepted.
     last_connection_at: Cell<TimeMs>,
+    /// Until when callers may use the connections that they keep, as far as they were told.
+    connections_kept_until: Cell<TimeMs>,
     /// When the target gauges were last updated.
     gauges_updated_at: Cell<TimeMs>,
     metrics: PrometheusHandle,
@@ -254,6 +256,14 @@
         }
     }
 
+    /// Records that a caller was told to keep its connection while it is idle for no longer
+    /// than `idle_ms`.
+    pub(super) fn note_kept_connection(&self, idle_ms: DurationMs) {
+        let until = self.shared.clock.now() + idle_ms;
+        let latest = until.max(self.connections_kept_until.get());
+        self.connections_kept_until.set(latest);
+    }
+
     /// Renders the metrics in the Prometheus text format.
     pub(super) fn metrics(&self) -> String {
         self.metrics.render()
@@ -291,7 +301,8 @@
             .shared
             .in_flight
             .load(std::sync::atomic::Ordering::Acquire);
-        let quiet_ms = now.since(self.last_connection_at.get());
+        let used_at = self.last_connection_at.get();
+        let quiet_ms = now.since(used_at.max(self.connections_kept_until.get()));
         let stop_limit_ms = self.shared.bounds.stop_limit_ms;
         let due = stop_phase(now.since(since), in_flight, quiet_ms, stop_limit_ms);
         self.stop_phase.send_if_modified(|phase| {
@@ -420,6 +431,7 @@
         connections: Cell::new(0),
         connections_closed: Notify::new(),
         last_connection_at: Cell::new(TimeMs(0)),
+        connections_kept_until: Cell::new(TimeMs(0)),
         gauges_updated_at: Cell::new(TimeMs(0)),
         metrics,
     });
--- a/crates/agatehold/src/gateway/write.rs
+++ b/crates/agatehold/src/gateway/write.rs
@@ -10,6 +10,8 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use agatehold_core::units::DurationMs;
+
 use super::endpoint::Response;
 use super::http1::write_header;
 use super::http1::write_headers;
@@ -22,11 +24,21 @@
 /// could lose the response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What a response says about the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Persistence {
+    /// The connection is closed after the response.
+    Close,
+    /// The caller may use the connection again, after it has been idle for no longer than
+    /// this; `None` if no time is announced.
+    KeepAlive(Option<DurationMs>),
+}
+
 /// Writes a response; fails if the caller does not read it in time.
 pub(super) async fn write_response(
     write_half: &mut OwnedWriteHalf,
     response: &Response,
-    closes_connection: bool,
+    persistence: Persistence,
 ) -> io::Result<()> {
     let status = http::StatusCode::from_u16(response.status)
         .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
@@ -37,8 +49,14 @@
     out.extend_from_slice(status.canonical_reason().unwrap_or("").as_bytes());
     out.extend_from_slice(b"\r\n");
     write_headers(&mut out, &response.headers);
-    if closes_connection {
-        write_header(&mut out, "connection", b"close");
+    match persistence {
+        Persistence::Close => write_header(&mut out, "connection", b"close"),
+        Persistence::KeepAlive(Some(idle_ms)) => {
+            let parameters = format!("timeout={}", idle_ms.0 / 1_000);
+            write_header(&mut out, "connection", b"keep-alive");
+            write_header(&mut out, "keep-alive", parameters.as_bytes());
+        }
+        Persistence::KeepAlive(None) => {}
     }
     let has_no_body = response.status == 204 || response.status == 304;
     if !has_no_body && !response.is_head_response {
