dispatch: decide whether a stopping daemon still sends a request

may_start_attempt tells whether a request could end before unfinished ones are refused. Not used yet; the gateway follows once its attempts are joined.

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -47,6 +47,7 @@
 pub use stop::StopPhase;
 pub use stop::announced_keep_alive;
 pub use stop::may_exit;
+pub use stop::may_start_attempt;
 pub use stop::may_take_request;
 pub use stop::stop_phase;
 pub use suspension::ClockReading;
--- a/crates/agatehold-core/src/dispatch/stop.rs
+++ b/crates/agatehold-core/src/dispatch/stop.rs
@@ -54,6 +54,17 @@
     stopping_ms + remaining_ms <= refusal_limit(stop_limit_ms)
 }
 
+/// Returns whether a daemon still sends a request to a target `stopping_ms` after the stop
+/// signal, when it is expected to run for `expected_run_ms`. One that would be broken off
+/// is refused as not run instead, so that its caller can go elsewhere.
+pub fn may_start_attempt(
+    stopping_ms: DurationMs,
+    expected_run_ms: DurationMs,
+    stop_limit_ms: DurationMs,
+) -> bool {
+    stopping_ms + expected_run_ms <= refusal_limit(stop_limit_ms)
+}
+
 /// Returns whether a daemon closes its connections and exits `stopping_ms` after the stop
 /// signal, with `in_flight` requests whose answers are not written. `quiet_ms` is the time
 /// since the last caller connected, or since callers may no longer use the connections
--- a/crates/agatehold-core/tests/stop_phases.rs
+++ b/crates/agatehold-core/tests/stop_phases.rs
@@ -2,6 +2,7 @@
 
 use agatehold_core::dispatch::StopPhase;
 use agatehold_core::dispatch::announced_keep_alive;
+use agatehold_core::dispatch::may_start_attempt;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::dispatch::stop_phase;
 use agatehold_core::units::DurationMs;
@@ -96,3 +97,19 @@
         }
     }
 }
+
+/// Guards against a request that waited when the stop signal came, is sent to a target, and
+/// is broken off at the stop limit although it could have run elsewhere.
+#[test]
+fn requests_that_would_be_broken_off_are_not_sent() {
+    for limit_ms in STOP_LIMITS_MS {
+        let limit = DurationMs(limit_ms);
+        let refused_at = reached_at(StopPhase::Refusing, limit);
+        for expected_ms in [0, 200, 2_000] {
+            let last = DurationMs(refused_at - expected_ms);
+            let expected = DurationMs(expected_ms);
+            assert!(may_start_attempt(last, expected, limit));
+            assert!(!may_start_attempt(last + DurationMs(1), expected, limit));
+        }
+    }
+}
