gateway: record answers that were cut while they were written

The record of unanswered requests counted and logged the answer that was being written when its connection ended only in the line, and only if other requests waited behind it: the counter had no state `writing`, which docs/OPERATIONS.md lists, and a single answer that failed, timed out or was cut by the exit left no trace.

--- a/crates/agatehold/src/gateway/pending.rs
+++ b/crates/agatehold/src/gateway/pending.rs
@@ -144,11 +144,12 @@
             ids += &request_id_text(request.id.as_ref()).to_string();
         }
         let deferred = u64::from(self.deferred.is_some());
-        if ready + running + deferred == 0 {
+        if writing + ready + running + deferred == 0 {
             return;
         }
         let end = self.end;
         for (state, count) in [
+            ("writing", writing),
             ("ready", ready),
             ("running", running),
             ("deferred", deferred),
