gateway: keep an attempt that runs until another target has answered

Cause: at the attempt timeout the daemon closed the connection to a target that was at work, and only then claimed a second one.

Ruled out: a rule for stopping daemons only. The same request ends with the same 504 without SIGTERM; after it the stop rule also calls it lost.

Change: at the attempt timeout the request is sent to a second target while the first goes on. Slot, resend and memory for a second response are taken before. The first usable answer ends the other attempt, whose connection is closed at once; it counts as timed out if it had reached its own timeout. An attempt that fails leaves the other one running until the request's deadline. Running attempts count against max_attempts; requests that may have crashed a target are not sent to two at a time. dispatch/step.rs decides, the attempts are futures of their own that borrow nothing of the dispatch's state. Each second response has a memory hold of its own. may_still_run stays set until a target answers; it told only of the last attempt before.

The price is two slots in place of one until one of the two targets answers, as often as the retry budget allows.

--- a/crates/agatehold-core/src/dispatch/mod.rs
+++ b/crates/agatehold-core/src/dispatch/mod.rs
@@ -44,6 +44,7 @@
 pub use step::AttemptFacts;
 pub use step::Decision;
 pub use step::after_attempt;
+pub use step::may_send_beside;
 pub use stop::StopPhase;
 pub use stop::announced_keep_alive;
 pub use stop::may_exit;
--- a/crates/agatehold-core/src/dispatch/step.rs
+++ b/crates/agatehold-core/src/dispatch/step.rs
@@ -9,6 +9,10 @@
 /// targets that it does not reach.
 const TRIES_MAX: u32 = 4;
 
+/// The maximum number of targets that work on one request at the same time: one that
+/// takes longer than usual, and the one to which the request is sent beside it.
+const RUNNING_MAX: u32 = 2;
+
 /// What the decision depends on besides the outcome of the attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptFacts {
@@ -21,6 +25,11 @@
     pub attempts_max: u32,
     /// The number of targets at which the request was tried so far.
     pub tries: u32,
+    /// The number of targets at which the request runs, without that of the attempt that
+    /// has ended.
+    pub running: u32,
+    /// Whether the request may have crashed a target, even if that is not confirmed.
+    pub is_crash_suspected: bool,
     /// Whether the request has crashed targets before.
     pub is_poisoned: bool,
     /// The time left until the caller must have an answer.
@@ -34,6 +43,8 @@
     Answer,
     /// Send the request to another target.
     SendAgain,
+    /// Wait for the other attempt that runs.
+    Wait,
     /// Refuse the request; the kind tells whether it may have run.
     Refuse(RefusalKind),
     /// Do nothing, because the caller is gone.
@@ -47,6 +58,9 @@
 /// A request that is not idempotent is sent again only if none of its attempts
 /// may have run. Its caller sends it again after a status that claims so; such an
 /// answer of a target that has run it is replaced by a refusal.
+///
+/// While another attempt runs, the request is not refused: its target may still answer.
+/// `take_resend` then also returns false if no other target has a free slot.
 pub fn after_attempt(
     outcome: AttemptOutcome,
     facts: &AttemptFacts,
@@ -79,19 +93,39 @@
         attempts.failure = Some(kind);
     }
     let safe_to_repeat = facts.idempotent || attempts.may_have_run == 0;
-    let may_repeat = safe_to_repeat
-        && attempts.sent < facts.attempts_max
-        && facts.tries < TRIES_MAX
-        && !facts.is_poisoned
-        && facts.remaining_ms.0 > 0;
+    // Copies that run at the same time could crash several targets before it is known
+    // that the request crashes them.
+    let is_risk = facts.is_crash_suspected && facts.running > 0;
+    let may_repeat = safe_to_repeat && !is_risk && has_try_left(facts, attempts);
     // Sending the request again counts as a resend only if it has reached a
     // target before.
-    let is_resend = attempts.sent > 0;
+    let is_resend = attempts.sent + facts.running > 0;
     if may_repeat && (!is_resend || take_resend()) {
         return Decision::SendAgain;
     }
+    if facts.running > 0 {
+        return Decision::Wait;
+    }
     if outcome == AttemptOutcome::Failed && may_pass_on {
         return Decision::Answer;
     }
     Decision::Refuse(attempts.failure.unwrap_or(kind))
 }
+
+/// Decides whether a request whose attempt takes longer than usual is sent to a second
+/// target while the first goes on. `facts.running` counts all attempts that run.
+pub fn may_send_beside(facts: &AttemptFacts, attempts: &Attempts) -> bool {
+    facts.idempotent
+        && !facts.is_crash_suspected
+        && facts.running < RUNNING_MAX
+        && has_try_left(facts, attempts)
+}
+
+/// Returns whether the request may be sent to a further target, as far as the number of
+/// its targets, its crashes and its time allow it.
+fn has_try_left(facts: &AttemptFacts, attempts: &Attempts) -> bool {
+    attempts.sent + facts.running < facts.attempts_max
+        && facts.tries < TRIES_MAX
+        && !facts.is_poisoned
+        && facts.remaining_ms.0 > 0
+}
--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -14,6 +14,7 @@
 use agatehold_core::dispatch::after_attempt;
 use agatehold_core::dispatch::attempt_timeout;
 use agatehold_core::dispatch::may_exit;
+use agatehold_core::dispatch::may_send_beside;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::refusal::RefusalKind;
@@ -51,6 +52,8 @@
         answer_claims_not_run: false,
         attempts_max: 2,
         tries,
+        running: 0,
+        is_crash_suspected: false,
         is_poisoned: false,
         remaining_ms: DurationMs(1_000),
     }
@@ -585,3 +588,108 @@
         assert!(!may_exit(DurationMs(3_000), 1, DurationMs(1_000), limit));
     }
 }
+
+/// An attempt that runs is not given up for one that fails, whatever its outcome: the
+/// caller would get a refusal although its time is not over and a target is at work.
+#[test]
+fn a_failed_attempt_leaves_the_other_one_running() {
+    for outcome in OUTCOMES {
+        let facts = AttemptFacts {
+            running: 1,
+            ..facts(true, 2)
+        };
+        let mut attempts = Attempts::default();
+        let decision = after_attempt(outcome, &facts, &mut attempts, || false);
+        assert_eq!(decision, Decision::Wait, "{outcome}");
+        let last = AttemptFacts {
+            running: 0,
+            ..facts
+        };
+        let decision = after_attempt(AttemptOutcome::Answered, &last, &mut attempts, || false);
+        assert_eq!(decision, Decision::Answer, "{outcome}");
+    }
+}
+
+/// Guards against a request that reaches more targets than its route allows, since the
+/// attempts that run are not among those that have ended.
+#[test]
+fn running_attempts_count_against_the_limit_of_targets() {
+    let running = |running| AttemptFacts {
+        running,
+        ..facts(true, 2)
+    };
+    let mut attempts = Attempts::default();
+    assert!(may_send_beside(&running(1), &attempts));
+    assert!(!may_send_beside(&running(2), &attempts));
+    // The second target was not reached, so that another one may be.
+    let unreached = AttemptOutcome::ConnectFailed;
+    let decision = after_attempt(unreached, &running(1), &mut attempts, || true);
+    assert_eq!(decision, Decision::SendAgain);
+    // Now it was, which makes two of two.
+    let shed = AttemptOutcome::Shed;
+    let decision = after_attempt(shed, &running(1), &mut attempts, || true);
+    assert_eq!(decision, Decision::Wait);
+    assert!(!may_send_beside(&running(1), &attempts));
+}
+
+/// Guards against sends beside a running attempt that the retry budget does not cover.
+#[test]
+fn a_send_beside_a_running_attempt_takes_from_the_budget() {
+    let facts = AttemptFacts {
+        running: 1,
+        ..facts(true, 2)
+    };
+    let mut attempts = Attempts::default();
+    let mut taken = 0;
+    let decision = after_attempt(AttemptOutcome::ConnectFailed, &facts, &mut attempts, || {
+        taken += 1;
+        true
+    });
+    assert_eq!((decision, taken), (Decision::SendAgain, 1));
+}
+
+/// Guards against a second run at the same time of a request that must not run twice, that
+/// may crash its targets, or whose time is over.
+#[test]
+fn only_harmless_requests_are_sent_beside_a_running_attempt() {
+    let usual = AttemptFacts {
+        running: 1,
+        ..facts(true, 1)
+    };
+    let attempts = Attempts::default();
+    assert!(may_send_beside(&usual, &attempts));
+    let others = [
+        AttemptFacts {
+            idempotent: false,
+            ..usual
+        },
+        AttemptFacts {
+            is_crash_suspected: true,
+            ..usual
+        },
+        AttemptFacts {
+            is_poisoned: true,
+            ..usual
+        },
+        AttemptFacts {
+            remaining_ms: DurationMs(0),
+            ..usual
+        },
+        AttemptFacts { tries: 4, ..usual },
+        AttemptFacts {
+            attempts_max: 1,
+            ..usual
+        },
+    ];
+    for facts in others {
+        assert!(!may_send_beside(&facts, &attempts), "{facts:?}");
+    }
+    // Its connection was lost, and the other target may crash next.
+    let suspect = AttemptFacts {
+        is_crash_suspected: true,
+        ..usual
+    };
+    let lost = AttemptOutcome::ConnectionLost;
+    let decision = after_attempt(lost, &suspect, &mut Attempts::default(), || true);
+    assert_eq!(decision, Decision::Wait);
+}
--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -1,14 +1,18 @@
-//! Sends a request to one target and limits how long the attempt may take.
+//! Sends a request to a target, and tells when the attempt takes longer than usual.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
 
 use http::HeaderValue;
 use http::Method;
 use http::header;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use agatehold_core::dispatch::Choice;
 use agatehold_core::dispatch::attempt_timeout;
-use agatehold_core::dispatch::pick_live_target;
+use agatehold_core::dispatch::cost::WorkId;
 use agatehold_core::ids::TargetName;
 use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::target_registry::TargetIdentity;
@@ -19,15 +23,16 @@
 use crate::clock::duration;
 use crate::traffic::strip_hop_by_hop;
 
-use crate::gateway::endpoint::Response;
 use crate::gateway::http1::write_header;
 use crate::gateway::http1::write_headers;
+use crate::gateway::memory::MemoryHold;
 use crate::gateway::memory::MemoryKind;
 use crate::gateway::queue;
 use crate::gateway::routes;
 use crate::gateway::target::AttemptEnd;
 use crate::gateway::target::OutboundRequest;
 use crate::gateway::target::run_attempt;
+use crate::gateway::traffic::TrafficState;
 
 use super::Dispatch;
 
@@ -38,94 +43,232 @@
 /// The minimum run time before a request counts as overdue.
 const OVERDUE_MIN_MS: DurationMs = DurationMs(300);
 
-impl Dispatch<'_> {
-    /// Sends the request to a target process once and records the result.
-    pub(super) async fn attempt(
-        &mut self,
-        identity: &TargetIdentity,
-        response_sender: &mut oneshot::Sender<Response>,
-    ) -> AttemptEnd {
-        let address = self.state.targets.borrow().address_of(identity);
-        let Some(address) = address else {
-            self.release(identity);
-            return AttemptEnd::without_response(AttemptOutcome::NotWritten, "target removed");
-        };
-        let work = self.begin_work(identity);
-        let sent_at = Instant::now();
-        let end = self.exchange(identity, address, response_sender).await;
-        let run_ms = DurationMs(sent_at.elapsed().as_millis() as u64);
-        self.end_work(identity, work);
-        if end.outcome == AttemptOutcome::Answered {
-            self.record_cost(identity, run_ms);
+/// An attempt that has begun and not ended. If it is dropped, its connection is closed.
+pub(super) struct RunningAttempt<'a> {
+    identity: TargetIdentity,
+    /// The target's address; `None` if the target was removed before the request was sent.
+    address: Option<SocketAddr>,
+    work: Option<WorkId>,
+    /// The run time that the queue has charged the tenant for the attempt.
+    charged_ms: DurationMs,
+    sent_at: Instant,
+    /// When the request counts as overdue.
+    overdue_at: Instant,
+    is_overdue: bool,
+    /// When the request may be sent to another target beside this one.
+    timeout_at: Instant,
+    is_past_timeout: bool,
+    exchange: Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>,
+}
+
+/// What happens at a running attempt.
+pub(super) enum AttemptEvent {
+    /// It has ended.
+    Ended(Box<AttemptEnd>),
+    /// It takes much longer than usual.
+    Overdue,
+    /// It has reached the attempt timeout.
+    TimedOut,
+}
+
+impl RunningAttempt<'_> {
+    /// Returns the target at which the request runs.
+    pub(super) const fn target(&self) -> &TargetName {
+        &self.identity.name
+    }
+
+    /// Waits for the next event. No event is lost if the future is dropped.
+    async fn next_event(&mut self) -> AttemptEvent {
+        tokio::select! {
+            biased;
+            end = self.exchange.as_mut() => AttemptEvent::Ended(Box::new(end)),
+            () = tokio::time::sleep_until(self.overdue_at), if !self.is_overdue => {
+                self.is_overdue = true;
+                AttemptEvent::Overdue
+            }
+            () = tokio::time::sleep_until(self.timeout_at), if !self.is_past_timeout => {
+                self.is_past_timeout = true;
+                AttemptEvent::TimedOut
+            }
         }
-        self.record_statements(identity, address, &end);
-        self.record_attempt(identity, address, &end, run_ms);
-        end
     }
+}
 
-    async fn exchange(
-        &self,
-        identity: &TargetIdentity,
-        address: std::net::SocketAddr,
-        response_sender: &mut oneshot::Sender<Response>,
-    ) -> AttemptEnd {
-        let target = &identity.name;
+/// Waits for the next event at one of the attempts; returns the position of the attempt.
+pub(super) async fn next_event(running: &mut [RunningAttempt<'_>]) -> (usize, AttemptEvent) {
+    if let [only] = running {
+        return (0, only.next_event().await);
+    }
+    let mut events: Vec<_> = running
+        .iter_mut()
+        .map(|attempt| Box::pin(attempt.next_event()))
+        .collect();
+    poll_fn(|context| {
+        for (position, event) in events.iter_mut().enumerate() {
+            if let Poll::Ready(event) = event.as_mut().poll(context) {
+                return Poll::Ready((position, event));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+/// A slot and memory for a second attempt beside one that runs.
+pub(super) struct SlotBeside {
+    pub(super) target: TargetIdentity,
+    pub(super) memory: MemoryHold,
+}
+
+impl<'a> Dispatch<'a> {
+    /// Begins to send the request to a target of which a slot was claimed.
+    ///
+    /// `memory` holds the response while it is read; `None` for the memory that is held
+    /// since the request arrived, which only one attempt at a time may use.
+    pub(super) fn begin_attempt(
+        &mut self,
+        identity: TargetIdentity,
+        memory: Option<MemoryHold>,
+    ) -> RunningAttempt<'a> {
+        self.tried.push(identity.name.clone());
+        let address = self.state.targets.borrow().address_of(&identity);
         let now = self.now();
         let remaining_ms = self.deadline.since(now);
-        let head = self.encode_head(target, remaining_ms);
-        // An earlier attempt may have read a part of a response.
-        let memory = &self.incoming.response_memory;
-        memory.change(MemoryKind::Read, self.incoming.expected_response_bytes);
-        let may_write = || self.takes_requests(identity);
-        let outbound = OutboundRequest {
-            head: &head,
-            body: &self.incoming.body,
-            request_id: self.request_id.as_ref().map(HeaderValue::as_bytes),
-            idle_max: self.connection_idle_max(),
-            idempotent: self.route.idempotent,
-            is_head_request: self.incoming.head.method == Method::HEAD,
-            deadline: self.state.shared.clock.instant(self.deadline),
-            memory,
-            may_write: &may_write,
-        };
         let average_run_ms = routes::average_run(self.state, self.route);
         let overdue_after_ms = average_run_ms.times(OVERDUE_FACTOR).max(OVERDUE_MIN_MS);
         let attempt_timeout_ms =
             attempt_timeout(average_run_ms, self.route.objective_ms, remaining_ms);
-        let running = run_attempt(&self.state.pool, address, &outbound);
-        let mut running = std::pin::pin!(running);
-        let overdue = tokio::time::sleep(duration(overdue_after_ms));
-        let attempt_timer = tokio::time::sleep(duration(attempt_timeout_ms));
-        let mut overdue = std::pin::pin!(overdue);
-        let mut attempt_timer = std::pin::pin!(attempt_timer);
-        let mut is_overdue = false;
-        let mut is_timed_out = false;
-        let end = loop {
-            tokio::select! {
-                biased;
-                end = running.as_mut() => break end,
-                () = response_sender.closed() => {
-                    break AttemptEnd::without_response(AttemptOutcome::Cancelled, "caller gone");
-                }
-                () = overdue.as_mut(), if !is_overdue => {
-                    is_overdue = true;
-                    self.add_overdue(identity, 1);
-                }
-                () = attempt_timer.as_mut(), if !is_timed_out => {
-                    is_timed_out = true;
-                    if self.may_abandon_attempt() {
-                        break AttemptEnd {
-                            is_abandoned: true,
-                            ..AttemptEnd::without_response(AttemptOutcome::TimedOut, "attempt timeout")
-                        };
-                    }
-                }
-            }
+        let sent_at = Instant::now();
+        let mut attempt = RunningAttempt {
+            identity,
+            address,
+            work: None,
+            charged_ms: DurationMs(0),
+            sent_at,
+            overdue_at: sent_at + duration(overdue_after_ms),
+            is_overdue: false,
+            timeout_at: sent_at + duration(attempt_timeout_ms),
+            is_past_timeout: false,
+            exchange: Box::pin(std::future::ready(AttemptEnd::without_response(
+                AttemptOutcome::NotWritten,
+                "target removed",
+            ))),
+        };
+        if let Some(address) = address {
+            attempt.charged_ms = std::mem::take(&mut self.charged_ms);
+            attempt.work = self.begin_work(&attempt.identity);
+            attempt.exchange = self.exchange(&attempt.identity, address, remaining_ms, memory);
+        }
+        attempt
+    }
+
+    /// Sends the request to a target and reads its response, as a future of its own, so
+    /// that two attempts can run at the same time.
+    fn exchange(
+        &self,
+        identity: &TargetIdentity,
+        address: SocketAddr,
+        remaining_ms: DurationMs,
+        memory: Option<MemoryHold>,
+    ) -> Pin<Box<dyn Future<Output = AttemptEnd> + 'a>> {
+        let (state, incoming) = (self.state, self.incoming);
+        let head = self.encode_head(&identity.name, remaining_ms);
+        let identity = identity.clone();
+        let request_id = self.request_id.clone();
+        let idle_max = self.connection_idle_max();
+        let idempotent = self.route.idempotent;
+        let deadline = state.shared.clock.instant(self.deadline);
+        Box::pin(async move {
+            let memory = memory.as_ref().unwrap_or(&incoming.response_memory);
+            // An earlier attempt may have read a part of a response.
+            memory.change(MemoryKind::Read, incoming.expected_response_bytes);
+            let may_write = || takes_requests(state, &identity);
+            let outbound = OutboundRequest {
+                head: &head,
+                body: &incoming.body,
+                request_id: request_id.as_ref().map(HeaderValue::as_bytes),
+                idle_max,
+                idempotent,
+                is_head_request: incoming.head.method == Method::HEAD,
+                deadline,
+                memory,
+                may_write: &may_write,
+            };
+            run_attempt(&state.pool, address, &outbound).await
+        })
+    }
+
+    /// Records the end of an attempt and releases its slot. The connection is closed if
+    /// the attempt did not end by itself.
+    pub(super) fn end_attempt(&mut self, attempt: RunningAttempt<'a>, end: &AttemptEnd) {
+        let RunningAttempt {
+            identity,
+            address,
+            work,
+            charged_ms,
+            sent_at,
+            is_overdue,
+            exchange,
+            ..
+        } = attempt;
+        drop(exchange);
+        let Some(address) = address else {
+            self.release(&identity);
+            return;
         };
+        let run_ms = DurationMs(sent_at.elapsed().as_millis() as u64);
         if is_overdue {
-            self.add_overdue(identity, -1);
+            self.add_overdue(&identity, -1);
+        }
+        self.end_work(&identity, work);
+        if end.outcome == AttemptOutcome::Answered {
+            self.record_cost(&identity, run_ms);
+        }
+        self.record_statements(&identity, address, end);
+        self.record_attempt(&identity, address, end, charged_ms, run_ms);
+    }
+
+    /// Records that a running attempt takes much longer than usual.
+    pub(super) fn record_overdue(&self, attempt: &RunningAttempt<'a>) {
+        if attempt.address.is_some() {
+            self.add_overdue(&attempt.identity, 1);
+        }
+    }
+
+    /// Cancels the attempts that still run after the caller has left.
+    pub(super) fn cancel_attempts(&mut self, running: Vec<RunningAttempt<'a>>) {
+        for attempt in running {
+            let end = AttemptEnd::without_response(AttemptOutcome::Cancelled, "caller gone");
+            self.record_end_state(&attempt, &end);
+            self.end_attempt(attempt, &end);
+        }
+    }
+
+    /// Cancels the attempts that still run after another target has answered. Those that
+    /// have reached the attempt timeout count against their targets.
+    pub(super) fn cancel_overtaken(&mut self, running: Vec<RunningAttempt<'a>>) {
+        for attempt in running {
+            let end = AttemptEnd {
+                is_abandoned: attempt.is_past_timeout,
+                ..AttemptEnd::without_response(
+                    AttemptOutcome::TimedOut,
+                    "another target has answered",
+                )
+            };
+            self.end_attempt(attempt, &end);
+        }
+    }
+
+    /// Keeps what the log and the marks of crashes need of the end of an attempt.
+    pub(super) fn record_end_state(&mut self, attempt: &RunningAttempt<'a>, end: &AttemptEnd) {
+        self.ended_at = Some(attempt.identity.name.clone());
+        self.detail = end.detail;
+        self.connection_use = end.connection_use;
+        match end.outcome {
+            AttemptOutcome::Answered => self.may_still_run = false,
+            AttemptOutcome::TimedOut | AttemptOutcome::Cancelled => self.may_still_run = true,
+            _ => {}
         }
-        end
     }
 
     /// Returns the longest rest of a connection that the request may use.
@@ -141,34 +284,41 @@
         idle_max.map(duration)
     }
 
-    /// Returns whether a target process still takes requests, by the newest view: the
-    /// request may have waited since the target was chosen.
-    fn takes_requests(&self, identity: &TargetIdentity) -> bool {
-        self.state.view();
-        let now = self.now();
-        self.state.targets.borrow().takes_requests(identity, now)
-    }
-
     fn add_overdue(&self, identity: &TargetIdentity, change: i32) {
         let mut targets = self.state.targets.borrow_mut();
         targets.add_overdue(identity, change);
     }
 
-    /// Returns whether the running attempt may be abandoned: the request is
-    /// idempotent, has an attempt left, another target has a free slot, and the
-    /// retry budget allows a retry.
-    pub(super) fn may_abandon_attempt(&self) -> bool {
-        if !self.route.idempotent || self.attempts.sent + 1 >= self.route.attempts_max {
-            return false;
-        }
+    /// Claims a slot of another target for a second attempt beside one that runs, and
+    /// takes it from the retry budget; `None` if no slot is free, or if there is no budget
+    /// or memory left.
+    pub(super) fn claim_beside(&self) -> Option<SlotBeside> {
+        self.state.check_suspension();
         let now = self.now();
+        if !self.with_budget(|budget| budget.has_resend(now)) {
+            return None;
+        }
+        let memory = self.incoming.response_memory.hold_beside();
+        if !memory.resize(self.incoming.expected_response_bytes) {
+            return None;
+        }
         let body_bytes = self.body_bytes();
-        let service = &self.service;
-        let request =
-            queue::pick_request(self.state, service, &self.tried, true, false, body_bytes);
-        let targets = self.state.targets.borrow();
-        let choice = pick_live_target(&targets, &request, now);
-        matches!(choice, Choice::Target(_)) && self.with_budget(|budget| budget.has_resend(now))
+        let choice = queue::claim(
+            self.state,
+            &self.service,
+            &self.tried,
+            true,
+            false,
+            body_bytes,
+        );
+        let Choice::Target(target) = choice else {
+            return None;
+        };
+        if !self.with_budget(|budget| budget.take(now)) {
+            self.release_unused(&target);
+            return None;
+        }
+        Some(SlotBeside { target, memory })
     }
 
     /// Encodes the request's head as it is sent to the target: without hop-by-hop headers,
@@ -208,3 +358,11 @@
         out
     }
 }
+
+/// Returns whether a target process still takes requests, by the newest view: the
+/// request may have waited since the target was chosen.
+fn takes_requests(state: &TrafficState, identity: &TargetIdentity) -> bool {
+    state.view();
+    let now = state.shared.clock.now();
+    state.targets.borrow().takes_requests(identity, now)
+}
--- a/crates/agatehold/src/gateway/dispatch/finish.rs
+++ b/crates/agatehold/src/gateway/dispatch/finish.rs
@@ -3,7 +3,6 @@
 use http::HeaderName;
 use http::header;
 
-use agatehold_core::ids::TargetName;
 use agatehold_core::ids::TenantName;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::RefusalOutcome;
@@ -47,7 +46,7 @@
     /// operators reconstruct the request; `None` if the caller has disconnected.
     pub(super) fn finish(&self, dispatch_end: DispatchEnd) -> Option<Response> {
         let id = request_id_text(self.request_id.as_ref());
-        let target = self.tried.last().map_or("-", TargetName::as_str);
+        let target = self.target_text();
         let now = self.now();
         if let Some(token) = &self.token
             && self.is_certainly_unsent(&dispatch_end)
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -25,8 +25,10 @@
 use agatehold_core::dispatch::StopPhase;
 use agatehold_core::dispatch::after_attempt;
 use agatehold_core::dispatch::cost::RequestCost;
+use agatehold_core::dispatch::may_send_beside;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
+use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::poison;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::claims_not_run;
@@ -54,6 +56,11 @@
 use crate::gateway::tenant_metrics;
 use crate::gateway::traffic::TrafficState;
 
+use attempt::AttemptEvent;
+use attempt::RunningAttempt;
+use attempt::SlotBeside;
+use attempt::next_event;
+
 pub(super) use credentials::Credentials;
 
 /// How long a request may wait for a slot, as a percentage of the route's latency
@@ -98,9 +105,11 @@
     cost: Option<RequestCost>,
     attempts: Attempts,
     tried: Vec<TargetName>,
-    /// Why the last attempt failed, for the log.
+    /// The target of the attempt that ended last, for the log.
+    ended_at: Option<TargetName>,
+    /// Why that attempt failed, for the log.
     detail: &'static str,
-    /// The connection of the last attempt, for the log.
+    /// The connection of that attempt, for the log.
     connection_use: Option<ConnectionUse>,
     /// Whether a retry was denied because the retry budget was used up.
     is_over_budget: bool,
@@ -114,10 +123,13 @@
     /// Whether other copies of the request are deferred until this one ends, since the
     /// request may have crashed a target.
     is_only_copy: bool,
-    /// Whether the target of the last attempt may still run the request.
+    /// Whether a target that has not answered may still run the request.
     may_still_run: bool,
     /// Whether an attempt has begun and not ended.
     is_attempting: bool,
+    /// Whether an attempt ended with its connection, and what other daemons tell of
+    /// crashes was not awaited since.
+    is_crash_suspected: bool,
 }
 
 /// How the dispatch of a request ended.
@@ -158,6 +170,7 @@
         cost,
         attempts: Attempts::default(),
         tried: Vec::new(),
+        ended_at: None,
         detail: "",
         connection_use: None,
         is_over_budget: false,
@@ -167,6 +180,7 @@
         is_only_copy: false,
         may_still_run: false,
         is_attempting: false,
+        is_crash_suspected: false,
     };
     let dispatch_end = tokio::select! {
         biased;
@@ -177,7 +191,7 @@
     dispatch.finish(dispatch_end)
 }
 
-impl Dispatch<'_> {
+impl<'a> Dispatch<'a> {
     fn now(&self) -> TimeMs {
         self.state.shared.clock.now()
     }
@@ -200,93 +214,86 @@
         if let Err(kind) = self.check_poison_table() {
             return DispatchEnd::Refused(kind);
         }
-        let mut target = match self.claim_or_wait(response_sender).await {
+        let target = match self.claim_or_wait(response_sender).await {
             Ok(target) => target,
             Err(dispatch_end) => return dispatch_end,
         };
+        if let Err(kind) = self.renew_credentials() {
+            self.release_unused(&target);
+            return DispatchEnd::Refused(kind);
+        }
+        let mut running = vec![self.begin_attempt(target, None)];
         loop {
-            if let Err(kind) = self.renew_credentials() {
-                self.release_unused(&target);
-                return DispatchEnd::Refused(kind);
-            }
-            self.tried.push(target.name.clone());
             self.is_attempting = true;
-            let end = self.attempt(&target, response_sender).await;
-            self.is_attempting = false;
-            self.detail = end.detail;
-            self.connection_use = end.connection_use;
-            let facts = self.facts(&end);
-            let now = self.now();
-            let mut attempts = self.attempts;
-            let mut is_over_budget = false;
-            let decision = after_attempt(end.outcome, &facts, &mut attempts, || {
-                self.state.check_suspension();
-                let taken = self.with_budget(|budget| budget.take(now));
-                is_over_budget = !taken;
-                taken
-            });
-            self.attempts = attempts;
-            self.is_over_budget |= is_over_budget;
-            if is_over_budget {
-                log::info!(
-                    "event=resend_denied id={} service={} target={} outcome={} budget=\"{}\"",
-                    request_id_text(self.request_id.as_ref()),
-                    self.service,
-                    target.name,
-                    end.outcome,
-                    self.with_budget(|budget| budget.state(now))
-                );
-            }
+            let (position, event) = tokio::select! {
+                biased;
+                event = next_event(&mut running) => event,
+                () = response_sender.closed() => {
+                    self.cancel_attempts(running);
+                    return DispatchEnd::CallerGone;
+                }
+            };
+            let end = match event {
+                AttemptEvent::Overdue => {
+                    self.record_overdue(&running[position]);
+                    continue;
+                }
+                AttemptEvent::TimedOut => {
+                    if !response_sender.is_closed() {
+                        self.send_beside(&mut running, position);
+                    }
+                    continue;
+                }
+                AttemptEvent::Ended(end) => end,
+            };
+            let attempt = running.remove(position);
+            self.is_attempting = !running.is_empty();
+            self.record_end_state(&attempt, &end);
+            self.end_attempt(attempt, &end);
+            self.is_crash_suspected |= end.is_connection_lost;
+            let (decision, slot) = self.decide(&end, &running, response_sender);
             match decision {
                 Decision::Answer => {
+                    self.cancel_overtaken(running);
                     return match end.response {
                         Some(response) => DispatchEnd::Answered(response),
                         None => DispatchEnd::Refused(RefusalKind::Internal),
                     };
                 }
-                Decision::CallerGone => return DispatchEnd::CallerGone,
+                Decision::CallerGone => {
+                    self.cancel_attempts(running);
+                    return DispatchEnd::CallerGone;
+                }
                 Decision::Refuse(kind) => return DispatchEnd::Refused(kind),
-                Decision::SendAgain => {}
-            }
-            if end.is_connection_lost
-                && let Err(dispatch_end) = self.await_crash_reports(response_sender).await
-            {
-                return dispatch_end;
-            }
-            log::info!(
-                "event=send_again id={} service={} target={} connection={} outcome={} detail=\"{}\" sent={} budget=\"{}\"",
-                request_id_text(self.request_id.as_ref()),
-                self.service,
-                target.name,
-                self.connection_text(),
-                end.outcome,
-                end.detail,
-                self.attempts.sent,
-                self.with_budget(|budget| budget.state(now))
-            );
-            metrics::counter!("agatehold_retries_total",
-                "service" => self.service.to_string())
-            .increment(1);
-            let idempotent = self.route.idempotent;
-            let body_bytes = self.body_bytes();
-            let service = &self.service;
-            match queue::claim(
-                self.state,
-                service,
-                &self.tried,
-                idempotent,
-                true,
-                body_bytes,
-            ) {
-                Choice::Target(next) => target = next,
-                Choice::AllPaused(until) => {
-                    self.backlog_ms = Some(until.since(self.now()));
-                    let kind = self.attempts.failure.unwrap_or(RefusalKind::TargetsPaused);
-                    return DispatchEnd::Refused(kind);
+                Decision::Wait => {
+                    log::info!(
+                        "event=awaits_other id={} service={} target={} connection={} outcome={} detail=\"{}\"",
+                        request_id_text(self.request_id.as_ref()),
+                        self.service,
+                        self.target_text(),
+                        self.connection_text(),
+                        end.outcome,
+                        end.detail
+                    );
                 }
-                Choice::AllBusy | Choice::NoTarget => {
-                    let kind = self.attempts.failure.unwrap_or(RefusalKind::TargetShed);
-                    return DispatchEnd::Refused(kind);
+                Decision::SendAgain => {
+                    if running.is_empty()
+                        && std::mem::take(&mut self.is_crash_suspected)
+                        && let Err(dispatch_end) = self.await_crash_reports(response_sender).await
+                    {
+                        return dispatch_end;
+                    }
+                    let sent = self.attempts.sent as usize + running.len();
+                    self.record_resend(self.target_text(), end.outcome, end.detail, sent);
+                    let next = match slot {
+                        Some(slot) => self.begin_beside(slot),
+                        None => self.begin_next(),
+                    };
+                    match next {
+                        Ok(attempt) => running.push(attempt),
+                        Err(_) if !running.is_empty() => {}
+                        Err(kind) => return DispatchEnd::Refused(kind),
+                    }
                 }
             }
         }
@@ -297,11 +304,130 @@
         if self.is_attempting {
             self.attempts.sent += 1;
             self.attempts.may_have_run += 1;
+            self.ended_at = self.tried.last().cloned();
             self.detail = "stop limit";
         }
         DispatchEnd::Refused(RefusalKind::Stopping)
     }
 
+    /// Decides what to do after an attempt has ended while those in `running` go on. If the
+    /// request is to be sent again beside one of them, returns the slot for that.
+    fn decide(
+        &mut self,
+        end: &AttemptEnd,
+        running: &[RunningAttempt<'a>],
+        response_sender: &oneshot::Sender<Response>,
+    ) -> (Decision, Option<SlotBeside>) {
+        let facts = self.facts(Some(end), running.len());
+        let now = self.now();
+        let mut attempts = self.attempts;
+        let mut is_over_budget = false;
+        let mut slot = None;
+        let decision = after_attempt(end.outcome, &facts, &mut attempts, || {
+            if !running.is_empty() {
+                if !response_sender.is_closed() {
+                    slot = self.claim_beside();
+                }
+                return slot.is_some();
+            }
+            self.state.check_suspension();
+            let taken = self.with_budget(|budget| budget.take(now));
+            is_over_budget = !taken;
+            taken
+        });
+        self.attempts = attempts;
+        self.is_over_budget |= is_over_budget;
+        if is_over_budget {
+            log::info!(
+                "event=resend_denied id={} service={} target={} outcome={} budget=\"{}\"",
+                request_id_text(self.request_id.as_ref()),
+                self.service,
+                self.target_text(),
+                end.outcome,
+                self.with_budget(|budget| budget.state(now))
+            );
+        }
+        (decision, slot)
+    }
+
+    /// Sends the request to a second target, if it may be sent there while the attempts in
+    /// `running` go on. The first one that answers ends the others. `position` is that of
+    /// the attempt that takes longer than usual.
+    fn send_beside(&mut self, running: &mut Vec<RunningAttempt<'a>>, position: usize) {
+        let facts = self.facts(None, running.len());
+        if !may_send_beside(&facts, &self.attempts) {
+            return;
+        }
+        let Some(slot) = self.claim_beside() else {
+            return;
+        };
+        let sent = self.attempts.sent as usize + running.len();
+        let slow_target = running[position].target().as_str();
+        self.record_resend(
+            slow_target,
+            AttemptOutcome::Overdue,
+            "attempt timeout",
+            sent,
+        );
+        // Without a valid key the attempts that run go on.
+        running.extend(self.begin_beside(slot));
+    }
+
+    /// Begins an attempt beside one that runs. Fails if the request's key is no longer
+    /// valid.
+    fn begin_beside(&mut self, slot: SlotBeside) -> Result<RunningAttempt<'a>, RefusalKind> {
+        if let Err(kind) = self.renew_credentials() {
+            self.release_unused(&slot.target);
+            return Err(kind);
+        }
+        Ok(self.begin_attempt(slot.target, Some(slot.memory)))
+    }
+
+    /// Begins the next attempt after all others have ended. Fails with the refusal if no
+    /// target can take the request.
+    fn begin_next(&mut self) -> Result<RunningAttempt<'a>, RefusalKind> {
+        let idempotent = self.route.idempotent;
+        let body_bytes = self.body_bytes();
+        match queue::claim(
+            self.state,
+            &self.service,
+            &self.tried,
+            idempotent,
+            true,
+            body_bytes,
+        ) {
+            Choice::Target(target) => {
+                if let Err(kind) = self.renew_credentials() {
+                    self.release_unused(&target);
+                    return Err(kind);
+                }
+                Ok(self.begin_attempt(target, None))
+            }
+            Choice::AllPaused(until) => {
+                self.backlog_ms = Some(until.since(self.now()));
+                Err(self.attempts.failure.unwrap_or(RefusalKind::TargetsPaused))
+            }
+            Choice::AllBusy | Choice::NoTarget => {
+                Err(self.attempts.failure.unwrap_or(RefusalKind::TargetShed))
+            }
+        }
+    }
+
+    /// Counts and logs a further send of the request.
+    fn record_resend(&self, target: &str, outcome: AttemptOutcome, detail: &str, sent: usize) {
+        let now = self.now();
+        log::info!(
+            "event=send_again id={} service={} target={target} connection={} outcome={outcome} detail=\"{detail}\" sent={sent} budget=\"{}\"",
+            request_id_text(self.request_id.as_ref()),
+            self.service,
+            self.connection_text(),
+            self.with_budget(|budget| budget.state(now))
+        );
+        metrics::counter!("agatehold_retries_total",
+            "service" => self.service.to_string())
+        .increment(1);
+    }
+
     /// Waits for what other daemons tell of crashes before the request is sent again whose
     /// connection was lost: a caller may have sent copies to several daemons at once, and
     /// each would crash a second target.
@@ -318,21 +444,31 @@
         checked.map_err(|kind| DispatchEnd::Refused(self.attempts.failure.unwrap_or(kind)))
     }
 
+    /// Returns the target of the attempt that ended last for the log; `-` if there is none.
+    fn target_text(&self) -> &str {
+        self.ended_at.as_ref().map_or("-", TargetName::as_str)
+    }
+
     /// Returns the connection of the last attempt for the log; `-` if it used none.
     fn connection_text(&self) -> String {
         self.connection_use
             .map_or_else(|| "-".to_owned(), |connection| connection.to_string())
     }
 
-    fn facts(&self, end: &AttemptEnd) -> AttemptFacts {
-        let response = end.response.as_ref();
+    /// Returns what the next decision depends on, after the end of an attempt or without
+    /// one, while `running` attempts go on.
+    fn facts(&self, end: Option<&AttemptEnd>, running: usize) -> AttemptFacts {
+        let response = end.and_then(|end| end.response.as_ref());
+        let crash_count = self.crash_count();
         AttemptFacts {
             idempotent: self.route.idempotent,
             answer_claims_not_run: response
                 .is_some_and(|response| claims_not_run(response.status.as_u16())),
             attempts_max: self.route.attempts_max,
             tries: u32::try_from(self.tried.len()).unwrap_or(u32::MAX),
-            is_poisoned: self.crash_count() >= poison::CRASHES_MAX,
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            is_crash_suspected: crash_count > 0,
+            is_poisoned: crash_count >= poison::CRASHES_MAX,
             remaining_ms: self.deadline.since(self.now()),
         }
     }
--- a/crates/agatehold/src/gateway/dispatch/record_attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/record_attempt.rs
@@ -37,14 +37,11 @@
         identity: &TargetIdentity,
         address: SocketAddr,
         end: &AttemptEnd,
+        charged_ms: DurationMs,
         run_ms: DurationMs,
     ) {
         let target = &identity.name;
         let now = self.now();
-        self.may_still_run = matches!(
-            end.outcome,
-            AttemptOutcome::TimedOut | AttemptOutcome::Cancelled
-        );
         let jitter = self.state.rng.borrow_mut().random();
         let was_refused = self.is_refused_by_poison_table(now);
         let has_survived = end.outcome == AttemptOutcome::Answered && !end.ends_with_connection;
@@ -129,7 +126,6 @@
                 evidence::send_answered(self.state, &self.service, &evidence);
             }
         }
-        let charged_ms = std::mem::take(&mut self.charged_ms);
         queue::charge_run(
             self.state,
             &self.service,
--- a/crates/agatehold/src/gateway/memory.rs
+++ b/crates/agatehold/src/gateway/memory.rs
@@ -219,6 +219,11 @@
             || others_bytes <= GUARANTEED_BYTES
     }
 
+    /// Starts to hold memory for a further response of the same caller connection.
+    pub(super) fn hold_beside(&self) -> Self {
+        self.connection.hold(MemoryKind::Read)
+    }
+
     /// Returns the size.
     pub(super) fn size_bytes(&self) -> usize {
         self.size_bytes.get()
