gateway: do not break off an upload while its target pauses

Cause: connections to targets have a TCP_USER_TIMEOUT of 2 s.

Ruled out: a user timeout that lasts until the request's deadline. The second upload on a connection ended with 502 in the test: the kernel may count a pause from the first one on the connection.

Change: a request over 16 KB, which may fill the window, has no user timeout while it is on a connection; the deadline ends it. The connection gets its 2 s back before it is returned to the pool. Small requests fit into the window, and cost no system call more. The price: a path that dies under a large request is noticed at the request's deadline.

--- a/crates/agatehold/src/gateway/pool.rs
+++ b/crates/agatehold/src/gateway/pool.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -18,12 +19,19 @@
 /// packet was lost; the request can then go to another target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How soon a dead connection to a target is detected.
+/// How soon a dead connection to a target is detected. The user timeout holds while
+/// nothing larger than [`SMALL_REQUEST_BYTES`] is sent.
 const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
     keepalive_interval: Duration::from_secs(1),
     user_timeout: Duration::from_secs(2),
 };
 
+/// The length up to which a request fits into the receive window of a target that reads
+/// nothing. Unacknowledged bytes then mean a dead path. Those of a longer request may also
+/// mean that the target pauses while it reads; the kernel applies `TCP_USER_TIMEOUT` to a
+/// closed window too, so that a pause of 2 s would end the request.
+const SMALL_REQUEST_BYTES: usize = 16 * 1024;
+
 /// Connections that have been idle for longer are closed, unless the target announces a
 /// longer idle time. Half of the shortest idle timeout of the targets.
 pub(super) const IDLE_MAX: Duration = Duration::from_secs(4);
@@ -61,6 +69,8 @@
     /// The connection's number and the requests that it has carried.
     pub(super) connection_use: ConnectionUse,
     idle_since: Instant,
+    /// Whether the target may pause while it reads the request on the connection.
+    allows_pauses: bool,
 }
 
 impl TargetStream {
@@ -71,6 +81,33 @@
         self.usable_until = Instant::now() + self.announced.unwrap_or(IDLE_MAX);
     }
 
+    /// Lets the target pause while it reads a request of `length` bytes, if it may have to.
+    /// [`Self::end_pauses`] takes that back. Meanwhile only the request's deadline limits
+    /// the pauses.
+    ///
+    /// A limit would count from the wrong time: the kernel may keep when it first probed
+    /// the closed window of an earlier request on the connection.
+    pub(super) fn allow_pauses(&mut self, length: usize) -> io::Result<()> {
+        if length <= SMALL_REQUEST_BYTES {
+            return Ok(());
+        }
+        self.allows_pauses = true;
+        self.set_user_timeout(None)
+    }
+
+    /// Lets unacknowledged bytes end the connection soon again, as at its opening.
+    pub(super) fn end_pauses(&mut self) -> io::Result<()> {
+        if !std::mem::take(&mut self.allows_pauses) {
+            return Ok(());
+        }
+        self.set_user_timeout(Some(TCP_TIMEOUTS.user_timeout))
+    }
+
+    /// Sets `TCP_USER_TIMEOUT`; `None` for the kernel's own limit of many minutes.
+    fn set_user_timeout(&self, timeout: Option<Duration>) -> io::Result<()> {
+        SockRef::from(&self.stream).set_tcp_user_timeout(timeout)
+    }
+
     /// Returns whether a request that must not run twice may be written on the connection:
     /// an older one may be dead or about to be closed, unless its target has announced how
     /// long it keeps it.
@@ -253,5 +290,6 @@
         announced: None,
         connection_use: ConnectionUse::default(),
         idle_since: now,
+        allows_pauses: false,
     })
 }
--- a/crates/agatehold/src/gateway/target.rs
+++ b/crates/agatehold/src/gateway/target.rs
@@ -33,6 +33,7 @@
 use super::http1::take_response_head;
 use super::memory::MemoryHold;
 use super::pool::ConnectionUse;
+use super::pool::OpenError;
 use super::pool::TargetPool;
 use super::pool::TargetStream;
 use super::pool::open;
@@ -200,6 +201,10 @@
             "target takes no requests",
         );
     }
+    if connection.allow_pauses(outbound.length()).is_err() {
+        let detail = OpenError::SocketOptions.as_str();
+        return AttemptEnd::without_response(AttemptOutcome::NotWritten, detail);
+    }
     let connection_use = connection.connection_use;
     let rested = connection.rested();
     let written_at = Instant::now();
@@ -214,7 +219,7 @@
             // A copy of a rejection may follow on the connection, and nothing tells it
             // from the response to the same request sent once more.
             let is_reusable = received.is_reusable && !claims_not_run(&received.head);
-            if is_reusable && connection.buffer.is_empty() {
+            if is_reusable && connection.buffer.is_empty() && connection.end_pauses().is_ok() {
                 connection.record_use(announced_keep_alive(&received.head.headers));
                 connection.connection_use.earlier_requests += 1;
                 pool.borrow_mut().put(address, connection);
