gateway: give callers the time of their requests to read the responses

A caller with 15 s for its requests reads nothing for 11.5 s. Its connection is reset, and what it had sent ahead, all run, is not answered.

Cause: two fixed times of 10 s. TCP_USER_TIMEOUT also counts data that waits because the caller's window is closed, and WRITE_TIMEOUT counted from the start of a response, however much of it had been read. Neither looked at the time that the requests have.

Change: each connection keeps the time at which the last of its requests reaches its time limit (reading_time.rs; Deadline-Remaining and the route's timeout, as for reading bodies). Writing is given up at that time, 10 s after the start of the response at the earliest, and not as long as 64 KB of it are read in 10 s. The user timeout of the socket is raised only for a request whose time limit is longer than what is set, in steps of 5 s: no system call for requests of up to 10 s.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -36,13 +36,15 @@
 use super::pending::ConnectionEnd;
 use super::pending::PendingRequests;
 use super::pending::request_id;
+use super::reading_time::ReadingTime;
 use super::serve;
 use super::traffic::TrafficState;
 use super::write::Persistence;
 use super::write::close_gracefully;
 use super::write::write_response;
 
-/// How soon a dead connection of a caller is detected.
+/// How soon a dead connection of a caller is detected. [`ReadingTime`] raises the user
+/// timeout for requests with a longer time limit.
 const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
     keepalive_interval: Duration::from_secs(5),
     user_timeout: Duration::from_secs(10),
@@ -98,6 +100,8 @@
     parsing_ended: bool,
     /// Whether the connection knows that the daemon closes it.
     is_closing: bool,
+    /// The time that the caller has to read the responses.
+    reading_time: ReadingTime,
 }
 
 /// Serves a connection until it ends.
@@ -121,6 +125,7 @@
         idle_since: Instant::now(),
         parsing_ended: false,
         is_closing: false,
+        reading_time: ReadingTime::new(TCP_TIMEOUTS.user_timeout),
     };
     let closing = state.stop_phase_reached(StopPhase::Closing);
     let mut closing = std::pin::pin!(closing);
@@ -153,7 +158,8 @@
                 } else {
                     Persistence::KeepAlive(keep_alive(state, endpoint))
                 };
-                let written = write_response(&mut write_half, &response, persistence).await;
+                let time = &read_state.reading_time;
+                let written = write_response(&mut write_half, &response, persistence, time).await;
                 if let Err(error) = written {
                     pending.close(match error.kind() {
                         io::ErrorKind::TimedOut => ConnectionEnd::WriteTimedOut,
@@ -301,6 +307,11 @@
             let awaits_continue = expects_continue(&head) && read_state.buffer.is_empty();
             let body_timeout = serve::time_limit(state, &head);
             let arrived_at = Instant::now();
+            if let Some(time_limit) = body_timeout {
+                let stream = write_half.as_ref();
+                let time_limit = duration(time_limit);
+                read_state.reading_time.add(stream, arrived_at, time_limit);
+            }
             read_state.current = Some(IncompleteRequest {
                 head,
                 body,
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod pending;
 mod pool;
 mod queue;
+mod reading_time;
 mod relay;
 mod responses;
 mod routes;
--- a/crates/agatehold/src/gateway/write.rs
+++ b/crates/agatehold/src/gateway/write.rs
@@ -9,16 +9,23 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::time::Instant;
 
 use agatehold_core::units::DurationMs;
 
 use super::endpoint::Response;
 use super::http1::write_header;
 use super::http1::write_headers;
+use super::reading_time::ReadingTime;
 
-/// The timeout for writing one response to a caller.
+/// How long writing a response may take without progress, once the requests of the
+/// connection have reached their time limits.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The bytes of a response that count as progress. A caller that reads less in
+/// [`WRITE_TIMEOUT`] would hold the memory of its responses for long.
+const PROGRESS_BYTES: usize = 64 * 1024;
+
 /// How long to wait for the caller to close the connection after the last response.
 /// Closing a socket with unread bytes would reset the connection, and the caller
 /// could lose the response.
@@ -34,11 +41,13 @@
     KeepAlive(Option<DurationMs>),
 }
 
-/// Writes a response; fails if the caller does not read it in time.
+/// Writes a response; fails if the caller does not read it in time. It has until the
+/// requests of its connection have reached their time limits, and longer while it reads.
 pub(super) async fn write_response(
     write_half: &mut OwnedWriteHalf,
     response: &Response,
     persistence: Persistence,
+    reading_time: &ReadingTime,
 ) -> io::Result<()> {
     let status = http::StatusCode::from_u16(response.status)
         .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
@@ -70,10 +79,21 @@
     }
     // The body is not copied behind the head, since it may be large.
     let mut out = Bytes::from(out).chain(body);
-    match tokio::time::timeout(WRITE_TIMEOUT, write_half.write_all_buf(&mut out)).await {
-        Ok(result) => result,
-        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    let mut give_up_at = reading_time.until().max(Instant::now() + WRITE_TIMEOUT);
+    let mut progress_bytes = 0;
+    while out.has_remaining() {
+        let written = tokio::time::timeout_at(give_up_at, write_half.write_buf(&mut out));
+        let written_bytes = written.await.map_err(|_| io::ErrorKind::TimedOut)??;
+        if written_bytes == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        progress_bytes += written_bytes;
+        if progress_bytes >= PROGRESS_BYTES {
+            progress_bytes = 0;
+            give_up_at = give_up_at.max(Instant::now() + WRITE_TIMEOUT);
+        }
     }
+    Ok(())
 }
 
 /// Shuts down the write half and waits until the caller closes the connection.
