gateway: wait for callers that may still read before a socket is closed

Cause: after the response that closes its connection, the daemon shut the socket down, read and dropped what the caller still sent for 1 s, and then closed the socket. A byte that arrives at a closed socket resets the connection, and the kernel drops what the caller has not read, which are all responses in its send buffer. At the idle timeout the socket was closed without waiting at all.

Change: a connection is closed once its caller has closed it or its requests have reached their time limits, after 1 s at the earliest, at the idle timeout too. The guard that keeps a stopping process is released after 1 s as before, the body of the response at once.

Tests, before the change, one run each: a caller that still sends read 3,980, one with a malformed request behind the first 3,999, one whose connection reached the idle timeout 3,999 of 204,800 bytes. All pass now. The fourth, that such a caller does not keep a stopping process, passed before too; it guards against holding the guard for as long.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -141,7 +141,7 @@
         tokio::select! {
             biased;
             response = pending.next_response(), if !pending.is_empty() => {
-                let Some(response) = response else {
+                let Some(mut response) = response else {
                     pending.close(ConnectionEnd::NoResponse);
                     return;
                 };
@@ -172,7 +172,10 @@
                     // A request that was not started is dropped; the caller treats it
                     // as not processed and retries it.
                     pending.close(ConnectionEnd::ClosingResponse);
-                    close_gracefully(read_half, write_half).await;
+                    let in_flight = response.in_flight.take();
+                    drop(response);
+                    close_gracefully(read_half, write_half, &read_state.reading_time, in_flight)
+                        .await;
                     return;
                 }
                 if let Persistence::KeepAlive(Some(idle_ms)) = persistence {
@@ -193,7 +196,8 @@
                     continue;
                 }
                 if read_state.incomplete_head_since.is_none() && read_state.current.is_none() {
-                    close_gracefully(read_half, write_half).await;
+                    let time = &read_state.reading_time;
+                    close_gracefully(read_half, write_half, time, None).await;
                     return;
                 }
                 refuse_incomplete(state, &mut read_state, &mut pending, RefusalKind::Stopping);
@@ -202,6 +206,8 @@
                 if timeout.is_some() =>
             {
                 if read_state.incomplete_head_since.is_none() && read_state.current.is_none() {
+                    let time = &read_state.reading_time;
+                    close_gracefully(read_half, write_half, time, None).await;
                     return;
                 }
                 refuse_incomplete(state, &mut read_state, &mut pending, RefusalKind::SlowSender);
--- a/crates/agatehold/src/gateway/write.rs
+++ b/crates/agatehold/src/gateway/write.rs
@@ -17,6 +17,7 @@
 use super::http1::write_header;
 use super::http1::write_headers;
 use super::reading_time::ReadingTime;
+use super::shared::InFlightGuard;
 
 /// How long writing a response may take without progress, once the requests of the
 /// connection have reached their time limits.
@@ -26,9 +27,9 @@
 /// [`WRITE_TIMEOUT`] would hold the memory of its responses for long.
 const PROGRESS_BYTES: usize = 64 * 1024;
 
-/// How long to wait for the caller to close the connection after the last response.
-/// Closing a socket with unread bytes would reset the connection, and the caller
-/// could lose the response.
+/// How long to wait at least for the caller to close the connection after the last
+/// response. Closing a socket with unread bytes, or bytes that arrive afterwards, would
+/// reset the connection, and the caller could lose the response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What a response says about the connection.
@@ -96,8 +97,15 @@
     Ok(())
 }
 
-/// Shuts down the write half and waits until the caller closes the connection.
-pub(super) async fn close_gracefully(mut read_half: OwnedReadHalf, mut write_half: OwnedWriteHalf) {
+/// Shuts down the write half and waits until the caller closes the connection, or until
+/// its requests have reached their time limits: it may still be reading. `in_flight`, the
+/// guard of the last response, keeps a stopping process for [`CLOSE_TIMEOUT`] at most.
+pub(super) async fn close_gracefully(
+    mut read_half: OwnedReadHalf,
+    mut write_half: OwnedWriteHalf,
+    reading_time: &ReadingTime,
+    in_flight: Option<InFlightGuard>,
+) {
     if write_half.shutdown().await.is_err() {
         return;
     }
@@ -109,6 +117,11 @@
             }
         }
     };
-    // After the timeout the connection is closed in any case.
-    let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
+    let mut drained = std::pin::pin!(drained);
+    let closed = tokio::time::timeout(CLOSE_TIMEOUT, drained.as_mut()).await;
+    drop(in_flight);
+    if closed.is_err() {
+        // After this, the connection is closed in any case.
+        let _ = tokio::time::timeout_at(reading_time.until(), drained).await;
+    }
 }
