gateway: don't count the daemon's own pause as one of a slow sender

Cause: a connection over its part of the memory is not read until earlier responses are written. The timers for heads and bodies went on meanwhile, so that a body of which the caller had sent everything was refused with 408 and its connection closed.

Change: there is no limit on reading while nothing is read. The time limit of the request still bounds its body once reading goes on.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -133,10 +133,14 @@
     loop {
         let (read, write) = (&mut read_state, &mut write_half);
         start_requests(state, read, &mut pending, endpoint, write).await;
-        let timeout = read_deadline(state, &read_state, pending.is_empty());
         let is_wanted = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
         // Once the earlier responses are written, the request that is being read is alone.
         let can_read = is_wanted && (pending.is_empty() || read_state.memory.has_room_for(0));
+        let timeout = match can_read || pending.is_empty() {
+            true => read_deadline(state, &read_state, pending.is_empty()),
+            // What has not come may wait in the socket.
+            false => None,
+        };
         read_state.buffer.reserve(READ_BYTES);
         tokio::select! {
             biased;
