--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -36,13 +36,15 @@
 use super::pending::ConnectionEnd;
 use super::pending::PendingRequests;
 use super::pending::request_id;
+use super::reading_time::ReadingTime;
 use super::serve;
 use super::traffic::TrafficState;
 use super::write::Persistence;
 use super::write::close_gracefully;
 use super::write::write_response;
 
-/// How soon a dead connection of a caller is detected.
+/// How soon a dead connection of a caller is detected. [`ReadingTime`] raises the user
+/// timeout for requests with a longer time limit.
 const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
     keepalive_interval: Duration::from_secs(5),
     user_timeout: Duration::from_secs(10),
@@ -98,6 +100,8 @@
     parsing_ended: bool,
     /// Whether the connection knows that the daemon closes it.
     is_closing: bool,
+    /// The time that the caller has to read the responses.
+    reading_time: ReadingTime,
 }
 
 /// Serves a connection until it ends.
@@ -121,6 +125,7 @@
         idle_since: Instant::now(),
         parsing_ended: false,
         is_closing: false,
+        reading_time: ReadingTime::new(TCP_TIMEOUTS.user_timeout),
     };
     let closing = state.stop_phase_reached(StopPhase::Closing);
     let mut closing = std::pin::pin!(closing);
@@ -128,15 +133,19 @@
     loop {
         let (read, write) = (&mut read_state, &mut write_half);
         start_requests(state, read, &mut pending, endpoint, write).await;
-        let timeout = read_deadline(state, &read_state, pending.is_empty());
         let is_wanted = read_state.buffer.len() < READ_AHEAD_BYTES || read_state.current.is_some();
         // Once the earlier responses are written, the request that is being read is alone.
         let can_read = is_wanted && (pending.is_empty() || read_state.memory.has_room_for(0));
+        let timeout = match can_read || pending.is_empty() {
+            true => read_deadline(state, &read_state, pending.is_empty()),
+            // What has not come may wait in the socket.
+            false => None,
+        };
         read_state.buffer.reserve(READ_BYTES);
         tokio::select! {
             biased;
             response = pending.next_response(), if !pending.is_empty() => {
-                let Some(response) = response else {
+                let Some(mut response) = response else {
                     pending.close(ConnectionEnd::NoResponse);
                     return;
                 };
@@ -153,7 +162,8 @@
                 } else {
                     Persistence::KeepAlive(keep_alive(state, endpoint))
                 };
-                let written = write_response(&mut write_half, &response, persistence).await;
+                let time = &read_state.reading_time;
+                let written = write_response(&mut write_half, &response, persistence, time).await;
                 if let Err(error) = written {
                     pending.close(match error.kind() {
                         io::ErrorKind::TimedOut => ConnectionEnd::WriteTimedOut,
@@ -166,7 +176,10 @@
                     // A request that was not started is dropped; the caller treats it
                     // as not processed and retries it.
                     pending.close(ConnectionEnd::ClosingResponse);
-                    close_gracefully(read_half, write_half).await;
+                    let in_flight = response.in_flight.take();
+                    drop(response);
+                    close_gracefully(read_half, write_half, &read_state.reading_time, in_flight)
+                        .await;
                     return;
                 }
                 if let Persistence::KeepAlive(Some(idle_ms)) = persistence {
@@ -187,7 +200,8 @@
                     continue;
                 }
                 if read_state.incomplete_head_since.is_none() && read_state.current.is_none() {
-                    close_gracefully(read_half, write_half).await;
+                    let time = &read_state.reading_time;
+                    close_gracefully(read_half, write_half, time, None).await;
                     return;
                 }
                 refuse_incomplete(state, &mut read_state, &mut pending, RefusalKind::Stopping);
@@ -196,6 +210,8 @@
                 if timeout.is_some() =>
             {
                 if read_state.incomplete_head_since.is_none() && read_state.current.is_none() {
+                    let time = &read_state.reading_time;
+                    close_gracefully(read_half, write_half, time, None).await;
                     return;
                 }
                 refuse_incomplete(state, &mut read_state, &mut pending, RefusalKind::SlowSender);
@@ -301,6 +317,11 @@
             let awaits_continue = expects_continue(&head) && read_state.buffer.is_empty();
             let body_timeout = serve::time_limit(state, &head);
             let arrived_at = Instant::now();
+            if let Some(time_limit) = body_timeout {
+                let stream = write_half.as_ref();
+                let time_limit = duration(time_limit);
+                read_state.reading_time.add(stream, arrived_at, time_limit);
+            }
             read_state.current = Some(IncompleteRequest {
                 head,
                 body,
