gateway: refuse requests that a stopping daemon would break off

A request that waited in a queue when SIGTERM came, or that was sent again later, was sent to a target although the daemon would refuse it before its target is expected to answer: 502 for a request that could have run elsewhere. Found by reading.

Before each send of a stopping daemon, the average run time of the route must fit before unfinished requests are refused; otherwise the request is refused as not run, or left to the attempt that runs.

--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -208,9 +208,6 @@
         self.with_budget(|budget| budget.record_request(now));
         let idempotent = self.route.idempotent;
         self.with_service_stats(|stats| stats.record_arrival(idempotent, now));
-        if self.state.has_ended_serving() {
-            return DispatchEnd::Refused(RefusalKind::Stopping);
-        }
         if let Err(kind) = self.check_poison_table() {
             return DispatchEnd::Refused(kind);
         }
@@ -218,7 +215,7 @@
             Ok(target) => target,
             Err(dispatch_end) => return dispatch_end,
         };
-        if let Err(kind) = self.renew_credentials() {
+        if let Err(kind) = self.check_before_send() {
             self.release_unused(&target);
             return DispatchEnd::Refused(kind);
         }
@@ -376,7 +373,7 @@
     /// Begins an attempt beside one that runs. Fails if the request's key is no longer
     /// valid.
     fn begin_beside(&mut self, slot: SlotBeside) -> Result<RunningAttempt<'a>, RefusalKind> {
-        if let Err(kind) = self.renew_credentials() {
+        if let Err(kind) = self.check_before_send() {
             self.release_unused(&slot.target);
             return Err(kind);
         }
@@ -397,7 +394,7 @@
             body_bytes,
         ) {
             Choice::Target(target) => {
-                if let Err(kind) = self.renew_credentials() {
+                if let Err(kind) = self.check_before_send() {
                     self.release_unused(&target);
                     return Err(kind);
                 }
@@ -539,6 +536,16 @@
         }
     }
 
+    /// Checks right before the request is sent whether it still may be. Fails with the
+    /// refusal if its key is no longer valid, or if a stopping daemon would break it off.
+    fn check_before_send(&mut self) -> Result<(), RefusalKind> {
+        let expected_run_ms = routes::average_run(self.state, self.route);
+        if !self.state.may_start_attempt(expected_run_ms) {
+            return Err(RefusalKind::Stopping);
+        }
+        self.renew_credentials()
+    }
+
     /// Checks the request's key by the newest configuration, which may have changed while
     /// the request waited. Fails with the refusal of a key that is no longer valid.
     fn renew_credentials(&mut self) -> Result<(), RefusalKind> {
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -33,6 +33,7 @@
 use agatehold_core::dispatch::cost::CostTable;
 use agatehold_core::dispatch::count_target_states;
 use agatehold_core::dispatch::idle_connections_max;
+use agatehold_core::dispatch::may_start_attempt;
 use agatehold_core::dispatch::may_take_request;
 use agatehold_core::dispatch::stop_phase;
 use agatehold_core::ids::ServiceName;
@@ -276,13 +277,20 @@
             return false;
         };
         let stopping_ms = self.shared.clock.now().since(since);
-        self.has_ended_serving()
+        *self.stop_phase.borrow() != StopPhase::Serving
             || !may_take_request(stopping_ms, remaining_ms, self.shared.bounds.stop_limit_ms)
     }
 
-    /// Returns whether requests that have not ended are refused because the process exits.
-    pub(super) fn has_ended_serving(&self) -> bool {
-        *self.stop_phase.borrow() != StopPhase::Serving
+    /// Returns whether a request may still be sent to a target, where it is expected to run
+    /// for `expected_run_ms`.
+    pub(super) fn may_start_attempt(&self, expected_run_ms: DurationMs) -> bool {
+        let Some(since) = self.shared.stopping_since() else {
+            return true;
+        };
+        let stopping_ms = self.shared.clock.now().since(since);
+        let stop_limit_ms = self.shared.bounds.stop_limit_ms;
+        *self.stop_phase.borrow() == StopPhase::Serving
+            && may_start_attempt(stopping_ms, expected_run_ms, stop_limit_ms)
     }
 
     /// Waits until the shutdown has reached a phase.
