traffic: wait for callers that may still read before a socket is closed

Unread or later bytes of the caller (requests sent ahead, the rest of a body) then reset the connection, and the kernel drops what the caller has not read.

--- a/crates/agatehold/src/traffic/framing.rs
+++ b/crates/agatehold/src/traffic/framing.rs
@@ -115,6 +115,9 @@
     head_started_at: Instant,
     read_timer: Option<Pin<Box<Sleep>>>,
     write_timer: Option<Pin<Box<Sleep>>>,
+    /// When the write half was shut down.
+    shut_down_at: Option<Instant>,
+    close_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl FramingGuard {
@@ -134,6 +137,8 @@
             head_started_at: Instant::now(),
             read_timer: None,
             write_timer: None,
+            shut_down_at: None,
+            close_timer: None,
         }
     }
 
@@ -276,6 +281,24 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Completes when the caller has had its time to read after the write half was shut
+    /// down. A caller that does not close its connection keeps a stopping daemon no longer
+    /// than an idle one does.
+    fn poll_close_timer(&mut self, cx: &mut Context<'_>, shut_down_at: Instant) -> Poll<()> {
+        let expires_at = shut_down_at
+            + match self.connection.stopping.get() {
+                true => self.limits.stop_idle_timeout,
+                false => self.limits.write_timeout,
+            };
+        let timer = self
+            .close_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(expires_at)));
+        if timer.deadline() != expires_at {
+            timer.as_mut().reset(expires_at);
+        }
+        timer.as_mut().poll(cx)
+    }
+
     fn copy_checked(&mut self, buf: &mut ReadBuf<'_>) {
         let count = buf.remaining().min(self.checked.len());
         buf.put_slice(&self.checked[..count]);
@@ -342,8 +365,29 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
+    /// Shuts down the write half and waits until the caller closes the connection. Closing
+    /// the socket before would reset the connection if bytes are unread or still come, and
+    /// the caller could lose the response.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let shut_down_at = match self.shut_down_at {
+            Some(shut_down_at) => shut_down_at,
+            None => {
+                std::task::ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+                *self.shut_down_at.insert(Instant::now())
+            }
+        };
+        if self.poll_close_timer(cx, shut_down_at).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            let mut bytes = [0_u8; READ_BYTES];
+            let mut part = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut part) {
+                Poll::Ready(Ok(())) if !part.filled().is_empty() => {}
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
     }
 }
 
--- a/crates/agatehold/tests/planned_stop.rs
+++ b/crates/agatehold/tests/planned_stop.rs
@@ -3,12 +3,18 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::RequestsPerSecond;
@@ -189,6 +195,17 @@
     let _ = stream.write_all(part.as_bytes());
 }
 
+/// Routes `/raw` to a target of the test's own.
+fn release_raw_route(fleet: &mut Fleet, address: SocketAddr) {
+    let note = format!(
+        "[note]\ncomment = a target of the test's own\n\n\
+         [service raw]\nfloor = 0\n\n[route raw]\nservice = raw\npath_prefix = /raw\n\n\
+         [target raw-0]\nservice = raw\naddress = {address}\nfailure_domain = domain-0\nslots = 4\n"
+    );
+    let number = fleet.notes.release(&note).expect("a number");
+    fleet.wait_for_note(number).expect("the note in force");
+}
+
 /// A relayed answer must count as in flight until its last part has been sent, even if
 /// the target pauses for longer than `quiet_ms`.
 #[test]
@@ -196,13 +213,7 @@
     let mut fleet = start_fleet();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let note = format!(
-        "[note]\ncomment = a target of the test's own\n\n\
-         [service raw]\nfloor = 0\n\n[route raw]\nservice = raw\npath_prefix = /raw\n\n\
-         [target raw-0]\nservice = raw\naddress = {address}\nfailure_domain = domain-0\nslots = 4\n"
-    );
-    let number = fleet.notes.release(&note).unwrap();
-    fleet.wait_for_note(number).unwrap();
+    release_raw_route(&mut fleet, address);
     let target = thread::spawn(move || serve_with_pause(&listener));
     let mut options = lookups(&fleet, "paused");
     options.daemons = vec![fleet.daemons[0].callers];
@@ -220,3 +231,36 @@
     assert_eq!(exit_code(&fleet.daemons[0]), Some(0));
     fleet.close().unwrap();
 }
+
+/// A caller asks to close its connection, reads the answer late and still sends. Guards
+/// against a daemon that closes its socket while the answer is unread: the next byte resets
+/// the connection, and the kernel drops the answer.
+#[test]
+fn an_unread_answer_survives_bytes_of_its_caller() {
+    let mut fleet = start_fleet();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    release_raw_route(&mut fleet, listener.local_addr().unwrap());
+    let target = thread::spawn(move || serve_with_pause(&listener));
+    // With the receive buffer of the system, the caller's kernel would take the answer.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.connect(&fleet.daemons[0].callers.into()).unwrap();
+    let mut stream = TcpStream::from(socket);
+    let timeout = Some(Duration::from_secs(20));
+    stream.set_read_timeout(timeout).unwrap();
+    let head = "GET /raw HTTP/1.1\r\nhost: service\r\nagatehold-tenant: exporter\r\n\
+                connection: close\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let sent_at = Instant::now();
+    while sent_at.elapsed() < Duration::from_secs(5) {
+        thread::sleep(Duration::from_millis(200));
+        // The daemon may have reset the connection.
+        let _ = stream.write_all(b"G");
+    }
+    let mut answer = Vec::new();
+    let result = stream.read_to_end(&mut answer);
+    let body = answer.iter().rev().take_while(|byte| **byte == b'p');
+    assert_eq!(body.count(), 2 * ANSWER_PART_BYTES, "{result:?}");
+    target.join().unwrap();
+    fleet.close().unwrap();
+}
