--- a/crates/agatehold/tests/planned_stop.rs
+++ b/crates/agatehold/tests/planned_stop.rs
@@ -202,8 +202,8 @@
          [service raw]\nfloor = 0\n\n[route raw]\nservice = raw\npath_prefix = /raw\n\n\
          [target raw-0]\nservice = raw\naddress = {address}\nfailure_domain = domain-0\nslots = 4\n"
     );
-    let number = fleet.notes.release(&note).unwrap();
-    fleet.wait_for_note(number).unwrap();
+    let number = fleet.notes.release(&note).expect("a number");
+    fleet.wait_for_note(number).expect("the note in force");
 }
 
 /// A relayed answer must count as in flight until its last part has been sent, even if
