gateway: move the planned stop and further sends to modules of their own

The progress of a planned stop, with the caller connections that it waits for, is now shutdown.rs; the decisions about further sends are dispatch/resend.rs. No change of behaviour otherwise.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -127,7 +127,7 @@
         is_closing: false,
         reading_time: ReadingTime::new(TCP_TIMEOUTS.user_timeout),
     };
-    let closing = state.stop_phase_reached(StopPhase::Closing);
+    let closing = state.shutdown.reached(StopPhase::Closing);
     let mut closing = std::pin::pin!(closing);
     let mut pending = PendingRequests::new();
     loop {
@@ -183,7 +183,7 @@
                     return;
                 }
                 if let Persistence::KeepAlive(Some(idle_ms)) = persistence {
-                    state.note_kept_connection(idle_ms);
+                    state.shutdown.note_kept_connection(idle_ms);
                 }
                 read_state.idle_since = Instant::now();
             }
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod record_attempt;
 mod record_cost;
 mod record_statements;
+mod resend;
 
 use std::time::Duration;
 
@@ -18,17 +19,13 @@
 use agatehold_core::catalog::ConfigVersion;
 use agatehold_core::catalog::match_catalog_route;
 use agatehold_core::dispatch::AttemptFacts;
-use agatehold_core::dispatch::Choice;
 use agatehold_core::dispatch::Decision;
 use agatehold_core::dispatch::ResendBudget;
 use agatehold_core::dispatch::ServiceStats;
 use agatehold_core::dispatch::StopPhase;
-use agatehold_core::dispatch::after_attempt;
 use agatehold_core::dispatch::cost::RequestCost;
-use agatehold_core::dispatch::may_send_beside;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
-use agatehold_core::outcome::AttemptOutcome;
 use agatehold_core::poison;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::refusal::claims_not_run;
@@ -57,8 +54,6 @@
 use crate::gateway::traffic::TrafficState;
 
 use attempt::AttemptEvent;
-use attempt::RunningAttempt;
-use attempt::SlotBeside;
 use attempt::next_event;
 
 pub(super) use credentials::Credentials;
@@ -185,7 +180,7 @@
     let dispatch_end = tokio::select! {
         biased;
         dispatch_end = dispatch.send_until_answered(response_sender) => dispatch_end,
-        () = state.stop_phase_reached(StopPhase::Refusing) => dispatch.end_at_stop_limit(),
+        () = state.shutdown.reached(StopPhase::Refusing) => dispatch.end_at_stop_limit(),
     };
     dispatch.end_only_copy();
     dispatch.finish(dispatch_end)
@@ -307,124 +302,6 @@
         DispatchEnd::Refused(RefusalKind::Stopping)
     }
 
-    /// Decides what to do after an attempt has ended while those in `running` go on. If the
-    /// request is to be sent again beside one of them, returns the slot for that.
-    fn decide(
-        &mut self,
-        end: &AttemptEnd,
-        running: &[RunningAttempt<'a>],
-        response_sender: &oneshot::Sender<Response>,
-    ) -> (Decision, Option<SlotBeside>) {
-        let facts = self.facts(Some(end), running.len());
-        let now = self.now();
-        let mut attempts = self.attempts;
-        let mut is_over_budget = false;
-        let mut slot = None;
-        let decision = after_attempt(end.outcome, &facts, &mut attempts, || {
-            if !running.is_empty() {
-                if !response_sender.is_closed() {
-                    slot = self.claim_beside();
-                }
-                return slot.is_some();
-            }
-            self.state.check_suspension();
-            let taken = self.with_budget(|budget| budget.take(now));
-            is_over_budget = !taken;
-            taken
-        });
-        self.attempts = attempts;
-        self.is_over_budget |= is_over_budget;
-        if is_over_budget {
-            log::info!(
-                "event=resend_denied id={} service={} target={} outcome={} budget=\"{}\"",
-                request_id_text(self.request_id.as_ref()),
-                self.service,
-                self.target_text(),
-                end.outcome,
-                self.with_budget(|budget| budget.state(now))
-            );
-        }
-        (decision, slot)
-    }
-
-    /// Sends the request to a second target, if it may be sent there while the attempts in
-    /// `running` go on. The first one that answers ends the others. `position` is that of
-    /// the attempt that takes longer than usual.
-    fn send_beside(&mut self, running: &mut Vec<RunningAttempt<'a>>, position: usize) {
-        let facts = self.facts(None, running.len());
-        if !may_send_beside(&facts, &self.attempts) {
-            return;
-        }
-        let Some(slot) = self.claim_beside() else {
-            return;
-        };
-        let sent = self.attempts.sent as usize + running.len();
-        let slow_target = running[position].target().as_str();
-        self.record_resend(
-            slow_target,
-            AttemptOutcome::Overdue,
-            "attempt timeout",
-            sent,
-        );
-        // Without a valid key the attempts that run go on.
-        running.extend(self.begin_beside(slot));
-    }
-
-    /// Begins an attempt beside one that runs. Fails if the request's key is no longer
-    /// valid.
-    fn begin_beside(&mut self, slot: SlotBeside) -> Result<RunningAttempt<'a>, RefusalKind> {
-        if let Err(kind) = self.check_before_send() {
-            self.release_unused(&slot.target);
-            return Err(kind);
-        }
-        Ok(self.begin_attempt(slot.target, Some(slot.memory)))
-    }
-
-    /// Begins the next attempt after all others have ended. Fails with the refusal if no
-    /// target can take the request.
-    fn begin_next(&mut self) -> Result<RunningAttempt<'a>, RefusalKind> {
-        let idempotent = self.route.idempotent;
-        let body_bytes = self.body_bytes();
-        match queue::claim(
-            self.state,
-            &self.service,
-            &self.tried,
-            idempotent,
-            true,
-            body_bytes,
-        ) {
-            Choice::Target(target) => {
-                if let Err(kind) = self.check_before_send() {
-                    self.release_unused(&target);
-                    return Err(kind);
-                }
-                Ok(self.begin_attempt(target, None))
-            }
-            Choice::AllPaused(until) => {
-                self.backlog_ms = Some(until.since(self.now()));
-                Err(self.attempts.failure.unwrap_or(RefusalKind::TargetsPaused))
-            }
-            Choice::AllBusy | Choice::NoTarget => {
-                Err(self.attempts.failure.unwrap_or(RefusalKind::TargetShed))
-            }
-        }
-    }
-
-    /// Counts and logs a further send of the request.
-    fn record_resend(&self, target: &str, outcome: AttemptOutcome, detail: &str, sent: usize) {
-        let now = self.now();
-        log::info!(
-            "event=send_again id={} service={} target={target} connection={} outcome={outcome} detail=\"{detail}\" sent={sent} budget=\"{}\"",
-            request_id_text(self.request_id.as_ref()),
-            self.service,
-            self.connection_text(),
-            self.with_budget(|budget| budget.state(now))
-        );
-        metrics::counter!("agatehold_retries_total",
-            "service" => self.service.to_string())
-        .increment(1);
-    }
-
     /// Waits for what other daemons tell of crashes before the request is sent again whose
     /// connection was lost: a caller may have sent copies to several daemons at once, and
     /// each would crash a second target.
@@ -540,7 +417,7 @@
     /// refusal if its key is no longer valid, or if a stopping daemon would break it off.
     fn check_before_send(&mut self) -> Result<(), RefusalKind> {
         let expected_run_ms = routes::average_run(self.state, self.route);
-        if !self.state.may_start_attempt(expected_run_ms) {
+        if !self.state.shutdown.may_start_attempt(expected_run_ms) {
             return Err(RefusalKind::Stopping);
         }
         self.renew_credentials()
--- a/crates/agatehold/src/gateway/endpoint.rs
+++ b/crates/agatehold/src/gateway/endpoint.rs
@@ -90,10 +90,10 @@
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let state = Rc::clone(&state);
-                state.count_connection(endpoint);
+                state.shutdown.count_connection(endpoint);
                 tokio::task::spawn_local(async move {
                     run_connection(&state, stream, peer.ip(), endpoint).await;
-                    state.count_close(endpoint);
+                    state.shutdown.count_close(endpoint);
                 });
             }
             Err(error) => {
--- a/crates/agatehold/src/gateway/mod.rs
+++ b/crates/agatehold/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod routes;
 mod serve;
 mod shared;
+mod shutdown;
 mod store;
 mod store_tasks;
 mod target;
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -123,7 +123,7 @@
     if remaining_ms.0 == 0 {
         return refuse(RefusalKind::DeadlinePassed, catalog.version);
     }
-    if state.refuses_new(remaining_ms) {
+    if state.shutdown.refuses_new(remaining_ms) {
         return refuse(RefusalKind::Stopping, catalog.version);
     }
     let (credentials, tenant) =
--- a/crates/agatehold/src/gateway/traffic.rs
+++ b/crates/agatehold/src/gateway/traffic.rs
@@ -33,9 +33,6 @@
 use agatehold_core::dispatch::cost::CostTable;
 use agatehold_core::dispatch::count_target_states;
 use agatehold_core::dispatch::idle_connections_max;
-use agatehold_core::dispatch::may_start_attempt;
-use agatehold_core::dispatch::may_take_request;
-use agatehold_core::dispatch::stop_phase;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::limits::allotments::AllotmentTable;
 use agatehold_core::poison::PoisonTable;
@@ -61,6 +58,7 @@
 use super::routes::RouteState;
 use super::shared::GatewayShared;
 use super::shared::View;
+use super::shutdown::Shutdown;
 
 /// The interval of the periodic tasks while requests are queued or the daemon is
 /// shutting down.
@@ -69,9 +67,6 @@
 /// The interval of the periodic tasks otherwise.
 const IDLE_TICK: Duration = Duration::from_secs(1);
 
-/// How long a daemon that exits waits for its callers to close their connections.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// The minimum interval between two updates of the target gauges.
 const GAUGE_INTERVAL_MS: DurationMs = DurationMs(1_000);
 
@@ -120,16 +115,8 @@
     pub(super) evidence: UdpSocket,
     /// The random number generator of this thread.
     pub(super) rng: RefCell<Pcg64Mcg>,
-    /// What is done with the requests of callers; never goes back to an earlier phase.
-    stop_phase: watch::Sender<StopPhase>,
-    /// The number of open caller connections.
-    connections: Cell<u64>,
-    /// Notified when the last caller connection closes.
-    connections_closed: Notify,
-    /// When the last caller connection was accepted.
-    last_connection_at: Cell<TimeMs>,
-    /// Until when callers may use the connections that they keep, as far as they were told.
-    connections_kept_until: Cell<TimeMs>,
+    /// The progress of a planned stop.
+    pub(super) shutdown: Shutdown,
     /// When the target gauges were last updated.
     gauges_updated_at: Cell<TimeMs>,
     metrics: PrometheusHandle,
@@ -236,103 +223,10 @@
         }
     }
 
-    /// Counts a newly accepted caller connection.
-    pub(super) fn count_connection(&self, endpoint: Endpoint) {
-        if endpoint != Endpoint::Callers {
-            return;
-        }
-        self.connections.set(self.connections.get() + 1);
-        self.last_connection_at.set(self.shared.clock.now());
-    }
-
-    /// Counts a caller connection as closed.
-    pub(super) fn count_close(&self, endpoint: Endpoint) {
-        if endpoint != Endpoint::Callers {
-            return;
-        }
-        self.connections
-            .set(self.connections.get().saturating_sub(1));
-        if self.connections.get() == 0 {
-            self.connections_closed.notify_one();
-        }
-    }
-
-    /// Records that a caller was told to keep its connection while it is idle for no longer
-    /// than `idle_ms`.
-    pub(super) fn note_kept_connection(&self, idle_ms: DurationMs) {
-        let until = self.shared.clock.now() + idle_ms;
-        let latest = until.max(self.connections_kept_until.get());
-        self.connections_kept_until.set(latest);
-    }
-
     /// Renders the metrics in the Prometheus text format.
     pub(super) fn metrics(&self) -> String {
         self.metrics.render()
     }
-
-    /// Returns whether a request with `remaining_ms` until its deadline is refused
-    /// because the daemon is shutting down.
-    pub(super) fn refuses_new(&self, remaining_ms: DurationMs) -> bool {
-        let Some(since) = self.shared.stopping_since() else {
-            return false;
-        };
-        let stopping_ms = self.shared.clock.now().since(since);
-        *self.stop_phase.borrow() != StopPhase::Serving
-            || !may_take_request(stopping_ms, remaining_ms, self.shared.bounds.stop_limit_ms)
-    }
-
-    /// Returns whether a request may still be sent to a target, where it is expected to run
-    /// for `expected_run_ms`.
-    pub(super) fn may_start_attempt(&self, expected_run_ms: DurationMs) -> bool {
-        let Some(since) = self.shared.stopping_since() else {
-            return true;
-        };
-        let stopping_ms = self.shared.clock.now().since(since);
-        let stop_limit_ms = self.shared.bounds.stop_limit_ms;
-        *self.stop_phase.borrow() == StopPhase::Serving
-            && may_start_attempt(stopping_ms, expected_run_ms, stop_limit_ms)
-    }
-
-    /// Waits until the shutdown has reached a phase.
-    pub(super) async fn stop_phase_reached(&self, phase: StopPhase) {
-        let mut receiver = self.stop_phase.subscribe();
-        // The sender exists as long as the state, so that this can't fail.
-        let _ = receiver.wait_for(|reached| *reached >= phase).await;
-    }
-
-    /// Moves the shutdown to the phase that is due, and returns it.
-    fn advance_stop_phase(&self, now: TimeMs) -> StopPhase {
-        let Some(since) = self.shared.stopping_since() else {
-            return StopPhase::Serving;
-        };
-        let in_flight = self
-            .shared
-            .in_flight
-            .load(std::sync::atomic::Ordering::Acquire);
-        let used_at = self.last_connection_at.get();
-        let quiet_ms = now.since(used_at.max(self.connections_kept_until.get()));
-        let stop_limit_ms = self.shared.bounds.stop_limit_ms;
-        let due = stop_phase(now.since(since), in_flight, quiet_ms, stop_limit_ms);
-        self.stop_phase.send_if_modified(|phase| {
-            let is_later = due > *phase;
-            *phase = due.max(*phase);
-            is_later
-        });
-        due
-    }
-
-    /// Waits a moment until callers have closed their connections, which have been shut
-    /// down. What they still send is read meanwhile: bytes that are unread when the process
-    /// exits would reset the connection, and the caller could lose an answer.
-    async fn wait_for_closed_connections(&self) {
-        let closed = async {
-            while self.connections.get() > 0 {
-                self.connections_closed.notified().await;
-            }
-        };
-        // After the timeout the process exits in any case.
-        let _ = tokio::time::timeout(CLOSE_TIMEOUT, closed).await;
-    }
 }
 
 /// A handle to the running traffic thread.
@@ -414,6 +308,7 @@
     let budgets = RefCell::new(ResendBudgets::new(resend_policy(&shared.bounds)));
     let allotments = start_allotments(&shared);
     let (lost_connections, lost_receiver) = unbounded_channel();
+    let shutdown = Shutdown::new(&shared);
     let state = Rc::new(TrafficState {
         shared,
         view: RefCell::default(),
@@ -435,11 +330,7 @@
         relay_turn: Cell::new(0),
         evidence,
         rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
-        stop_phase: watch::Sender::default(),
-        connections: Cell::new(0),
-        connections_closed: Notify::new(),
-        last_connection_at: Cell::new(TimeMs(0)),
-        connections_kept_until: Cell::new(TimeMs(0)),
+        shutdown,
         gauges_updated_at: Cell::new(TimeMs(0)),
         metrics,
     });
@@ -521,8 +412,8 @@
         }
         ticked_at = tokio::time::Instant::now();
         tick(state);
-        if state.advance_stop_phase(state.shared.clock.now()) == StopPhase::Closing {
-            state.wait_for_closed_connections().await;
+        if state.shutdown.advance(state.shared.clock.now()) == StopPhase::Closing {
+            state.shutdown.wait_for_closed_connections().await;
             return;
         }
     }
