gateway: count attempts that were given up against their targets

An attempt that takes too long goes on while the request is sent to a second target. It counted against its target only if another one answered: callers leave a little before the deadline that the daemon knows, and a request with less time than the objective ends without evidence. Targets that hung together were therefore never avoided.

--- a/crates/agatehold/src/gateway/dispatch/attempt.rs
+++ b/crates/agatehold/src/gateway/dispatch/attempt.rs
@@ -58,6 +58,9 @@
     /// When the request may be sent to another target beside this one.
     timeout_at: Instant,
     is_past_timeout: bool,
+    /// Whether the request was sent to another target because this one takes too long. It
+    /// then counts against this one unless it answers, also if nobody waits any longer.
+    pub(super) is_given_up: bool,
     exchange: Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>,
 }
 
@@ -149,6 +152,7 @@
             is_overdue: false,
             timeout_at: sent_at + duration(attempt_timeout_ms),
             is_past_timeout: false,
+            is_given_up: false,
             exchange: Box::pin(std::future::ready(AttemptEnd::without_response(
                 AttemptOutcome::NotWritten,
                 "target removed",
@@ -238,7 +242,15 @@
     /// Cancels the attempts that still run after the caller has left.
     pub(super) fn cancel_attempts(&mut self, running: Vec<RunningAttempt<'a>>) {
         for attempt in running {
-            let end = AttemptEnd::without_response(AttemptOutcome::Cancelled, "caller gone");
+            // Callers leave a little before the deadline that this daemon knows.
+            let outcome = match attempt.is_given_up {
+                true => AttemptOutcome::TimedOut,
+                false => AttemptOutcome::Cancelled,
+            };
+            let end = AttemptEnd {
+                is_abandoned: attempt.is_given_up,
+                ..AttemptEnd::without_response(outcome, "caller gone")
+            };
             self.record_end_state(&attempt, &end);
             self.end_attempt(attempt, &end);
         }
--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -230,7 +230,7 @@
                     return DispatchEnd::CallerGone;
                 }
             };
-            let end = match event {
+            let mut end = match event {
                 AttemptEvent::Overdue => {
                     self.record_overdue(&running[position]);
                     continue;
@@ -244,6 +244,7 @@
                 AttemptEvent::Ended(end) => end,
             };
             let attempt = running.remove(position);
+            end.is_abandoned |= attempt.is_given_up;
             self.is_attempting = !running.is_empty();
             self.record_end_state(&attempt, &end);
             self.end_attempt(attempt, &end);
@@ -366,6 +367,7 @@
             "attempt timeout",
             sent,
         );
+        running[position].is_given_up = true;
         // Without a valid key the attempts that run go on.
         running.extend(self.begin_beside(slot));
     }
