--- a/crates/agatehold/src/gateway/dispatch/resend.rs
+++ b/crates/agatehold/src/gateway/dispatch/resend.rs
@@ -79,6 +79,7 @@
             "attempt timeout",
             sent,
         );
+        running[position].is_given_up = true;
         // Without a valid key the attempts that run go on.
         running.extend(self.begin_beside(slot));
     }
