--- a/crates/agatehold-core/src/dispatch/step.rs
+++ b/crates/agatehold-core/src/dispatch/step.rs
@@ -9,10 +9,6 @@
 /// targets that it does not reach.
 const TRIES_MAX: u32 = 4;
 
-/// The maximum number of targets that work on one request at the same time: one that
-/// takes longer than usual, and the one to which the request is sent beside it.
-const RUNNING_MAX: u32 = 2;
-
 /// What the decision depends on besides the outcome of the attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptFacts {
@@ -112,13 +108,10 @@
     Decision::Refuse(attempts.failure.unwrap_or(kind))
 }
 
-/// Decides whether a request whose attempt takes longer than usual is sent to a second
-/// target while the first goes on. `facts.running` counts all attempts that run.
+/// Decides whether a request whose attempt takes longer than usual is sent to a further
+/// target while those that run go on. `facts.running` counts all attempts that run.
 pub fn may_send_beside(facts: &AttemptFacts, attempts: &Attempts) -> bool {
-    facts.idempotent
-        && !facts.is_crash_suspected
-        && facts.running < RUNNING_MAX
-        && has_try_left(facts, attempts)
+    facts.idempotent && !facts.is_crash_suspected && has_try_left(facts, attempts)
 }
 
 /// Returns whether the request may be sent to a further target, as far as the number of
--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -693,3 +693,22 @@
     let decision = after_attempt(lost, &suspect, &mut Attempts::default(), || true);
     assert_eq!(decision, Decision::Wait);
 }
+
+/// Guards against a request that is not sent to a third target, as its route allows, while
+/// the first two hang.
+#[test]
+fn a_further_target_is_tried_while_two_hang() {
+    let hanging = AttemptFacts {
+        attempts_max: 3,
+        running: 2,
+        ..facts(true, 2)
+    };
+    let attempts = Attempts::default();
+    assert!(may_send_beside(&hanging, &attempts));
+    let all = AttemptFacts {
+        running: 3,
+        tries: 3,
+        ..hanging
+    };
+    assert!(!may_send_beside(&all, &attempts));
+}
