gateway: announce no keep-alive while the daemon stops

An answer of a stopping daemon with others behind it announced 4 s, and the process then waited for these 4 s although the connection is closed by the last answer.

--- a/crates/agatehold/src/gateway/connection.rs
+++ b/crates/agatehold/src/gateway/connection.rs
@@ -226,9 +226,10 @@
     endpoint == Endpoint::Callers && state.shared.stopping_since().is_some()
 }
 
-/// Returns for how long the caller is told to keep the connection.
+/// Returns for how long the caller is told to keep the connection; `None` if nothing is
+/// announced, as by a stopping daemon, which closes it with a later answer.
 fn keep_alive(state: &TrafficState, endpoint: Endpoint) -> Option<DurationMs> {
-    if endpoint != Endpoint::Callers {
+    if endpoint != Endpoint::Callers || is_stopping(state, endpoint) {
         return None;
     }
     announced_keep_alive(state.limits().idle_timeout_ms)
