gateway: read the id of a request in one place

The record of unanswered requests brought a function for the id of a request, while serve.rs and dispatch/mod.rs read the header by themselves. The function now stands beside request_id_text and serves all three. No change of behaviour.

--- a/crates/agatehold/src/gateway/dispatch/mod.rs
+++ b/crates/agatehold/src/gateway/dispatch/mod.rs
@@ -47,6 +47,7 @@
 use crate::gateway::queue::SlotRequest;
 use crate::gateway::routes;
 use crate::gateway::serve::host_and_path;
+use crate::gateway::serve::request_id;
 use crate::gateway::serve::request_id_text;
 use crate::gateway::target::AttemptEnd;
 use crate::gateway::target::TargetResponse;
@@ -157,11 +158,7 @@
         version: plan.version,
         service: plan.service,
         deadline: plan.deadline,
-        request_id: incoming
-            .head
-            .headers
-            .get(request_headers::REQUEST_ID)
-            .cloned(),
+        request_id: request_id(&incoming.head),
         cost,
         attempts: Attempts::default(),
         tried: Vec::new(),
--- a/crates/agatehold/src/gateway/pending.rs
+++ b/crates/agatehold/src/gateway/pending.rs
@@ -8,11 +8,8 @@
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 
-use agatehold_platform::request_headers;
-
 use super::endpoint::IncomingRequest;
 use super::endpoint::Response;
-use super::http1::RequestHead;
 use super::serve::request_id_text;
 
 /// Why a connection ended.
@@ -173,8 +170,3 @@
         self.record_unanswered();
     }
 }
-
-/// Returns the id of a request.
-pub(super) fn request_id(head: &RequestHead) -> Option<HeaderValue> {
-    head.headers.get(request_headers::REQUEST_ID).cloned()
-}
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -93,11 +93,7 @@
     incoming: &IncomingRequest,
     response_sender: &mut oneshot::Sender<Response>,
 ) -> Option<Response> {
-    let request_id = incoming
-        .head
-        .headers
-        .get(request_headers::REQUEST_ID)
-        .cloned();
+    let request_id = request_id(&incoming.head);
     let refuse = |kind: RefusalKind, version: ConfigVersion| {
         log_early_refusal(state, kind, incoming, version, None);
         let id = request_id.as_ref();
@@ -220,6 +216,11 @@
     );
 }
 
+/// Returns the id of a request; `None` if it has none.
+pub(super) fn request_id(head: &RequestHead) -> Option<HeaderValue> {
+    head.headers.get(request_headers::REQUEST_ID).cloned()
+}
+
 /// Returns a request id as the value of a log field; `-` if there is none or it is not
 /// text.
 pub(super) fn request_id_text(id: Option<&HeaderValue>) -> FieldText<'_> {
