--- a/review/standin-3/src/upstream.rs
+++ b/review/standin-3/src/upstream.rs
@@ -84,6 +84,11 @@
         )
     }
 
+    /// Returns the time of its start, as in its entry.
+    pub const fn born_ms(&self) -> u64 {
+        self.born_ms
+    }
+
     /// Returns the key in the store.
     pub fn key(&self) -> String {
         format!("servers/{}", self.instance_id)
