--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/agatehold target/review-3/release/turned_away; do
     [ -x "$program" ] || { echo "cannot run: $program is not built"; exit 2; }
 done
-RECORD=review/11/record-drain.txt exec target/review-3/release/turned_away drain
+RECORD=review/12/record.txt exec target/review-3/release/turned_away drain
