--- a/crates/agatehold-core/src/dissemination/heartbeats.rs
+++ b/crates/agatehold-core/src/dissemination/heartbeats.rs
@@ -10,6 +10,7 @@
 use crate::units::TimeMs;
 
 use super::HEARTBEAT_TIMEOUT_MS;
+use super::STORE_ANSWER_AGE_MAX_MS;
 
 /// The newest revisions of the store's contents that a daemon knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -36,6 +37,12 @@
             || self.members > other.members
     }
 
+    /// Returns whether `self` has a newer configuration or newer targets than `other`. The
+    /// registered daemons don't count: a request is handled as before without them.
+    pub fn has_newer_contents_than(&self, other: &Self) -> bool {
+        self.configuration > other.configuration || self.targets > other.targets
+    }
+
     /// Returns the newest era of any revision.
     pub fn era(&self) -> StoreEra {
         let newest = self.configuration.max(self.targets).max(self.members);
@@ -65,6 +72,14 @@
     pub heard_at: TimeMs,
 }
 
+impl ReceivedHeartbeat {
+    /// Returns until when the heartbeat shows that its sender reaches the store.
+    pub(super) fn recent_until(&self) -> TimeMs {
+        let heard_until = self.heard_at + HEARTBEAT_TIMEOUT_MS;
+        heard_until.min(self.store_answered_at + STORE_ANSWER_AGE_MAX_MS)
+    }
+}
+
 /// The last received heartbeats by host.
 #[derive(Clone, Debug, Default)]
 pub struct HeartbeatTable {
@@ -75,6 +90,9 @@
     salt: Box<str>,
     /// The newest era of the store that is known; it never decreases.
     newest_era: StoreEra,
+    /// Until when heartbeats that have been replaced since, or are not needed any more,
+    /// confirm the daemon's own contents; of the newest era.
+    confirmed_until: TimeMs,
 }
 
 impl HeartbeatTable {
@@ -84,6 +102,7 @@
             rows: Table::new(),
             salt: host.as_str().into(),
             newest_era: StoreEra(0),
+            confirmed_until: TimeMs(0),
         }
     }
 
@@ -98,11 +117,36 @@
         self.rows.insert(heartbeat.host.clone(), heard);
     }
 
-    /// Returns the hosts whose heartbeats have arrived recently.
-    pub fn recent_senders(&self, now: TimeMs) -> impl Iterator<Item = &HostId> {
+    /// Keeps until when the heartbeats confirm the contents `own`. It is called at each
+    /// heartbeat and each change of the contents, since the next heartbeat of the same
+    /// sender replaces the row.
+    pub fn confirm(&mut self, own: &Revisions) {
+        self.confirmed_until = self.confirmed_until(own);
+    }
+
+    /// Returns until when heartbeats confirm the contents `own`.
+    pub(super) fn confirmed_until(&self, own: &Revisions) -> TimeMs {
+        let mut until = self.confirmed_until;
+        for heartbeat in self.rows_of_newest_era() {
+            if heartbeat.revisions.has_newer_contents_than(own) {
+                continue;
+            }
+            until = until.max(heartbeat.recent_until());
+        }
+        until
+    }
+
+    /// Returns the heartbeats whose senders know the newest era. Another sender may be
+    /// served by an old replica of the store.
+    pub(super) fn rows_of_newest_era(&self) -> impl Iterator<Item = &ReceivedHeartbeat> {
+        let rows = self.rows.rows().map(|(_, heartbeat)| heartbeat);
+        rows.filter(|heartbeat| heartbeat.revisions.era() >= self.newest_era)
+    }
+
+    /// Returns the heartbeats that have arrived recently, with their senders.
+    pub fn recent_rows(&self, now: TimeMs) -> impl Iterator<Item = (&HostId, &ReceivedHeartbeat)> {
         let rows = self.rows.rows();
-        let recent = rows.filter(move |(_, row)| now.since(row.heard_at) <= HEARTBEAT_TIMEOUT_MS);
-        recent.map(|(host, _)| host)
+        rows.filter(move |(_, row)| now.since(row.heard_at) <= HEARTBEAT_TIMEOUT_MS)
     }
 
     /// Returns the newest era of the store that is known from any source.
@@ -114,7 +158,10 @@
     /// it is newer than all known ones.
     pub fn raise_era(&mut self, era: StoreEra) -> bool {
         let is_newer = era > self.newest_era;
-        self.newest_era = self.newest_era.max(era);
+        if is_newer {
+            self.newest_era = era;
+            self.confirmed_until = TimeMs(0);
+        }
         is_newer
     }
 
--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! A few entry daemons watch the store and send the others heartbeats with the
 //! revisions that they know. The others fetch what has changed from them, and
-//! read the store themselves if no heartbeats arrive. If the store rejects them
-//! too, they ask daemons that they pick at random.
+//! read the store themselves if no heartbeat confirms their contents. If the store
+//! rejects them too, they ask daemons that they pick at random.
 
 mod heartbeats;
 mod recipients;
 mod refresh;
+mod refresher;
 mod relays;
 mod replica;
 
@@ -20,13 +21,18 @@
 pub use recipients::watching_daemons;
 pub use refresh::HEARTBEAT_INTERVAL_MS;
 pub use refresh::HEARTBEAT_TIMEOUT_MS;
-pub use refresh::Refresh;
 pub use refresh::STORE_ANSWER_AGE_MAX_MS;
 pub use refresh::STORE_CHECK_INTERVAL_MS;
+pub use refresh::fetch_sources;
 pub use refresh::has_recent_heartbeat;
+pub use refresh::is_read_due;
 pub use refresh::is_store_unavailable;
-pub use refresh::next_refresh;
 pub use refresh::read_due_at;
+pub use refresher::FETCH_TIMEOUT_MS;
+pub use refresher::ReadReason;
+pub use refresher::Refresh;
+pub use refresher::RefreshInputs;
+pub use refresher::Refresher;
 pub use relays::Delivery;
 pub use relays::deliveries;
 pub use replica::KeyChange;
--- a/crates/agatehold-core/src/dissemination/refresh.rs
+++ b/crates/agatehold-core/src/dissemination/refresh.rs
@@ -1,4 +1,5 @@
-//! Decides from where a daemon gets newer contents of the store.
+//! What heartbeats tell a daemon about the age of its contents, and about the daemons that
+//! have newer ones.
 
 use std::cmp::Reverse;
 
@@ -7,6 +8,7 @@
 use crate::units::TimeMs;
 
 use super::HeartbeatTable;
+use super::ReceivedHeartbeat;
 use super::Revisions;
 
 /// The interval at which a daemon that watches the store sends heartbeats.
@@ -31,17 +33,6 @@
 /// The maximum number of daemons that are asked in one fetch.
 const FETCH_SOURCES_MAX: usize = 3;
 
-/// What a daemon does to get newer contents of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Refresh {
-    /// Nothing: no newer contents are known.
-    Nothing,
-    /// Fetch from these daemons, those with the newest revisions first.
-    Fetch(Vec<HostId>),
-    /// Read the store itself.
-    ReadStore,
-}
-
 /// Returns whether a recent heartbeat arrived from any daemon that reaches the
 /// store.
 pub fn has_recent_heartbeat(heartbeats: &HeartbeatTable, now: TimeMs) -> bool {
@@ -50,24 +41,34 @@
 
 /// Returns until when the known heartbeats count as recent; `None` if there are none.
 fn recent_until(heartbeats: &HeartbeatTable) -> Option<TimeMs> {
-    let rows = heartbeats.rows.rows();
-    // A sender that knows only an older era may be served by an old replica of the store.
-    let current =
-        rows.filter(|(_, heartbeat)| heartbeat.revisions.era() >= heartbeats.newest_era());
-    current
-        .map(|(_, heartbeat)| {
-            let heard_until = heartbeat.heard_at + HEARTBEAT_TIMEOUT_MS;
-            heard_until.min(heartbeat.store_answered_at + STORE_ANSWER_AGE_MAX_MS)
-        })
+    heartbeats
+        .rows_of_newest_era()
+        .map(ReceivedHeartbeat::recent_until)
         .max()
 }
 
-/// Returns when [`next_refresh`] decides to read the store if no further heartbeat
-/// arrives, so that the read does not wait for the next tick.
-pub fn read_due_at(heartbeats: &HeartbeatTable, own_answer_at: TimeMs) -> TimeMs {
-    let own_until = own_answer_at + HEARTBEAT_TIMEOUT_MS;
-    let until = recent_until(heartbeats).map_or(own_until, |recent| recent.max(own_until));
-    until + DurationMs(1)
+/// Returns whether the contents of a daemon may be too old, so that it must read the store
+/// whatever other daemons announce.
+///
+/// `own` are the revisions up to which the daemon's contents are complete. They are known to
+/// be current as of a heartbeat that reports no newer ones, for as long as that heartbeat
+/// counts as recent, and for [`HEARTBEAT_TIMEOUT_MS`] from the last read of the store, which
+/// began at `read_at`. Heartbeats that report newer contents confirm nothing: their senders
+/// may be unknown, gone or slow, and the contents can't be fetched from them then.
+pub fn is_read_due(
+    heartbeats: &HeartbeatTable,
+    own: &Revisions,
+    read_at: TimeMs,
+    now: TimeMs,
+) -> bool {
+    now >= read_due_at(heartbeats, own, read_at)
+}
+
+/// Returns when [`is_read_due`] becomes true if no further heartbeat arrives, so that the
+/// read does not wait for the next tick.
+pub fn read_due_at(heartbeats: &HeartbeatTable, own: &Revisions, read_at: TimeMs) -> TimeMs {
+    let read_until = read_at + HEARTBEAT_TIMEOUT_MS;
+    heartbeats.confirmed_until(own).max(read_until) + DurationMs(1)
 }
 
 /// Returns whether the store counts as unavailable to the whole fleet.
@@ -79,39 +80,26 @@
     is_lost && !has_recent_heartbeat(heartbeats, now)
 }
 
-/// Decides how a daemon gets newer contents of the store.
+/// Returns the daemons from which newer contents than `own` can be fetched, those with the
+/// newest revisions first.
 ///
-/// `own` are the revisions up to which the daemon's contents are complete;
-/// `own_answer_at` is when the store last answered this daemon with contents.
-/// A daemon fetches from the daemons with the newest revisions if a recent
-/// heartbeat reports newer ones; daemons that are equally new are ordered by a
-/// hash that differs between receivers. It reads the store if no recent heartbeat
-/// came from a daemon that reaches the store and its own last answer from the
-/// store is older than [`HEARTBEAT_TIMEOUT_MS`].
-pub fn next_refresh(
+/// Only daemons with a recent heartbeat for which `has_address` is true are sources. Those
+/// that are equally new are ordered by a hash that differs between receivers.
+pub fn fetch_sources(
     heartbeats: &HeartbeatTable,
     own: &Revisions,
-    own_answer_at: TimeMs,
+    has_address: &dyn Fn(&HostId) -> bool,
     now: TimeMs,
-) -> Refresh {
+) -> Vec<HostId> {
     let mut ahead: Vec<(&HostId, Revisions)> = Vec::new();
-    for (host, heartbeat) in heartbeats.rows.rows() {
-        if now.since(heartbeat.heard_at) > HEARTBEAT_TIMEOUT_MS
-            || !heartbeat.revisions.is_ahead_of(own)
-        {
-            continue;
+    for (host, heartbeat) in heartbeats.recent_rows(now) {
+        if heartbeat.revisions.is_ahead_of(own) && has_address(host) {
+            ahead.push((host, heartbeat.revisions));
         }
-        ahead.push((host, heartbeat.revisions));
-    }
-    if !ahead.is_empty() {
-        ahead.sort_by_cached_key(|(host, revisions)| {
-            Reverse((revisions.by_urgency(), heartbeats.source_rank(host)))
-        });
-        ahead.truncate(FETCH_SOURCES_MAX);
-        return Refresh::Fetch(ahead.into_iter().map(|(host, _)| host.clone()).collect());
-    }
-    if !has_recent_heartbeat(heartbeats, now) && now.since(own_answer_at) > HEARTBEAT_TIMEOUT_MS {
-        return Refresh::ReadStore;
     }
-    Refresh::Nothing
+    ahead.sort_by_cached_key(|(host, revisions)| {
+        Reverse((revisions.by_urgency(), heartbeats.source_rank(host)))
+    });
+    ahead.truncate(FETCH_SOURCES_MAX);
+    ahead.into_iter().map(|(host, _)| host.clone()).collect()
 }
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -16,17 +16,21 @@
 use agatehold_core::directory::EntryDemand;
 use agatehold_core::directory::MemberRecord;
 use agatehold_core::directory::entry_daemons;
+use agatehold_core::dissemination::FETCH_TIMEOUT_MS;
 use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
+use agatehold_core::dissemination::HEARTBEAT_TIMEOUT_MS;
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
 use agatehold_core::dissemination::Refresh;
+use agatehold_core::dissemination::RefreshInputs;
+use agatehold_core::dissemination::Refresher;
 use agatehold_core::dissemination::Replica;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::heartbeat_recipients;
-use agatehold_core::dissemination::next_refresh;
+use agatehold_core::dissemination::is_read_due;
 use agatehold_core::dissemination::pull_sources;
 use agatehold_core::dissemination::read_due_at;
 use agatehold_core::dissemination::watching_daemons;
@@ -371,6 +375,20 @@
     fetches_max: u32,
     /// The largest number of fetches that one daemon answered within 100 ms.
     answered_max: u32,
+    /// The largest number of times that one daemon read the store.
+    reads_max: u32,
+    /// When the simulation ended.
+    ended_ms: u64,
+}
+
+/// Which daemons the store turns away when the contents change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TurnedAway {
+    /// 35% of the hosts, whose registrations have been revoked. It serves those that watch.
+    Unregistered,
+    /// All that watch. It serves the 35% again that were unregistered: three of them still
+    /// watch and send heartbeats to everyone, and nobody knows their addresses.
+    Watching,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -382,20 +400,21 @@
     },
     Beat(usize),
     Tick(usize),
+    /// A read of the store is due.
+    Wake(usize),
     Answer {
         from: usize,
         to: usize,
     },
     Timeout(usize),
+    ReadRejected(usize),
 }
 
 const TICK_MS: u64 = 500;
-const FETCH_TIMEOUT_MS: u64 = 400;
 
-/// Simulates one change of the configuration at time 0: 35% of the hosts are turned
-/// away by the store and their registrations are revoked, and 5% of the datagrams and
-/// of the fetches are lost.
-fn simulate(hosts: usize, domains: usize, seed: u64) -> Spread {
+/// Simulates one change of the configuration at time 0, while the store turns daemons away
+/// and 5% of the datagrams and of the fetches are lost.
+fn simulate(hosts: usize, domains: usize, turned_away: TurnedAway, seed: u64) -> Spread {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let all = fleet(hosts, domains);
     let names: Vec<HostId> = all.keys().cloned().collect();
@@ -404,7 +423,7 @@
         .enumerate()
         .map(|(number, name)| (name, number))
         .collect();
-    let rejected: Vec<bool> = (0..hosts).map(|_| rng.random_bool(0.35)).collect();
+    let mut rejected: Vec<bool> = (0..hosts).map(|_| rng.random_bool(0.35)).collect();
     let mut registered: Table<HostId, MemberRecord> = Table::new();
     for (host, record) in all.rows() {
         if !rejected[number_of[host]] {
@@ -423,19 +442,33 @@
         let list = list.into_iter().map(|host| number_of[host]).collect();
         recipients.insert(number_of[*entry], list);
     }
+    if turned_away == TurnedAway::Watching {
+        let returned = (0..hosts).filter(|number| rejected[*number]);
+        let senders: Vec<usize> = returned.take(3).collect();
+        rejected.fill(false);
+        for entry in recipients.keys() {
+            rejected[*entry] = true;
+        }
+        for sender in senders {
+            recipients.insert(sender, (0..hosts).filter(|to| *to != sender).collect());
+        }
+    }
     let mut revisions = vec![1_u64; hosts];
     let mut heartbeats: Vec<HeartbeatTable> = names.iter().map(HeartbeatTable::new).collect();
-    let mut read_at = vec![TimeMs(0); hosts];
-    let mut running = vec![0_u32; hosts];
+    let mut refreshers = vec![Refresher::default(); hosts];
     let mut rounds = vec![0_u64; hosts];
     let mut fetches = vec![0_u32; hosts];
     let mut answered: BTreeMap<(usize, u64), u32> = BTreeMap::new();
     let mut known_at = vec![None; hosts];
     let mut unaware = hosts;
     let mut queue: BinaryHeap<Reverse<(u64, Event)>> = BinaryHeap::new();
-    for number in 0..hosts {
+    for (number, is_rejected) in rejected.iter().enumerate() {
         queue.push(Reverse((rng.random_range(0..TICK_MS), Event::Tick(number))));
         if recipients.contains_key(&number) {
+            let beat_ms = rng.random_range(0..HEARTBEAT_INTERVAL_MS.0);
+            queue.push(Reverse((beat_ms, Event::Beat(number))));
+        }
+        if recipients.contains_key(&number) && !is_rejected {
             // Watches that paused after an earlier change see this one late.
             let seen_ms = 10 + rng.random_range(0..350);
             queue.push(Reverse((
@@ -445,14 +478,16 @@
                     to: number,
                 },
             )));
-            let beat_ms = rng.random_range(0..HEARTBEAT_INTERVAL_MS.0);
-            queue.push(Reverse((beat_ms, Event::Beat(number))));
         }
     }
+    let mut reads = vec![0_u32; hosts];
+    let mut wakes_at = vec![0; hosts];
+    let mut ended_ms = 0;
     while let Some(Reverse((now_ms, event))) = queue.pop() {
         if now_ms > 30_000 || unaware == 0 {
             break;
         }
+        ended_ms = now_ms;
         let now = TimeMs(now_ms);
         let decides = match event {
             Event::Beat(from) => {
@@ -481,7 +516,7 @@
                         targets: rev(1),
                         members: rev(1),
                     },
-                    store_age_ms: DurationMs(100),
+                    store_age_ms: DurationMs(if rejected[from] { now_ms } else { 100 }),
                 };
                 heartbeats[to].record(&heartbeat, now);
                 to
@@ -490,9 +525,13 @@
                 queue.push(Reverse((now_ms + TICK_MS, Event::Tick(number))));
                 number
             }
+            Event::Wake(number) => number,
             Event::Answer { from, to } => {
                 let revision = if from == to { 2 } else { revisions[from] };
-                running[to] = 0;
+                match from == to {
+                    true => refreshers[to].end_read(),
+                    false => refreshers[to].end_fetch(false),
+                }
                 if revision > revisions[to] {
                     revisions[to] = revision;
                     known_at[to] = Some(now_ms);
@@ -504,11 +543,15 @@
                 to
             }
             Event::Timeout(number) => {
-                running[number] = running[number].saturating_sub(1);
+                refreshers[number].end_fetch(true);
+                number
+            }
+            Event::ReadRejected(number) => {
+                refreshers[number].end_read();
                 number
             }
         };
-        if running[decides] > 0 || recipients.contains_key(&decides) {
+        if recipients.contains_key(&decides) && !rejected[decides] {
             continue;
         }
         let own = Revisions {
@@ -516,36 +559,48 @@
             targets: rev(1),
             members: rev(1),
         };
-        let sources: Vec<usize> =
-            match next_refresh(&heartbeats[decides], &own, read_at[decides], now) {
-                Refresh::Nothing => continue,
-                Refresh::Fetch(sources) => {
-                    sources.iter().take(1).map(|host| number_of[host]).collect()
-                }
-                Refresh::ReadStore => {
-                    read_at[decides] = now;
-                    if !rejected[decides] {
-                        let answer = Event::Answer {
-                            from: decides,
-                            to: decides,
-                        };
-                        queue.push(Reverse((now_ms + 10, answer)));
-                        continue;
-                    }
-                    rounds[decides] += 1;
-                    let sources = pull_sources(&names[decides], all.keys(), rounds[decides]);
-                    sources.into_iter().map(|host| number_of[host]).collect()
+        heartbeats[decides].confirm(&own);
+        let due = refreshers[decides].next_due(&heartbeats[decides], &own, TimeMs(0));
+        if let Some(due) = due.filter(|due| due.0 > wakes_at[decides].max(now_ms)) {
+            wakes_at[decides] = due.0;
+            queue.push(Reverse((due.0, Event::Wake(decides))));
+        }
+        let inputs = RefreshInputs {
+            own,
+            read_not_before: TimeMs(0),
+            is_store_available: !rejected[decides],
+            may_wait_for_near: false,
+            is_near: &|_| false,
+            has_address: &|host| registered.contains(host),
+        };
+        let sources: Vec<usize> = match refreshers[decides].next(&heartbeats[decides], &inputs, now)
+        {
+            Refresh::Nothing => continue,
+            Refresh::Fetch(sources) => sources.iter().map(|host| number_of[host]).collect(),
+            Refresh::ReadStore(_) => {
+                reads[decides] += 1;
+                if !rejected[decides] {
+                    let answer = Event::Answer {
+                        from: decides,
+                        to: decides,
+                    };
+                    queue.push(Reverse((now_ms + 10, answer)));
+                    continue;
                 }
-            };
+                queue.push(Reverse((now_ms + 10, Event::ReadRejected(decides))));
+                rounds[decides] += 1;
+                let sources = pull_sources(&names[decides], all.keys(), rounds[decides]);
+                sources.into_iter().map(|host| number_of[host]).collect()
+            }
+        };
         for from in sources {
-            running[decides] += 1;
             fetches[decides] += u32::from(revisions[decides] < 2);
             *answered.entry((from, now_ms / 100)).or_default() += 1;
             let event = if rng.random_bool(0.95) {
                 (now_ms + 10, Event::Answer { from, to: decides })
             } else {
                 heartbeats[decides].rows.remove(&names[from]);
-                (now_ms + FETCH_TIMEOUT_MS, Event::Timeout(decides))
+                (now_ms + FETCH_TIMEOUT_MS.0, Event::Timeout(decides))
             };
             queue.push(Reverse(event));
         }
@@ -562,6 +617,8 @@
         rejected_ms: latest(true),
         fetches_max: fetches.iter().copied().max().unwrap_or(0),
         answered_max: answered.values().copied().max().unwrap_or(0),
+        reads_max: reads.iter().copied().max().unwrap_or(0),
+        ended_ms,
     }
 }
 
@@ -572,7 +629,7 @@
 fn a_change_reaches_a_large_fleet_while_the_store_turns_hosts_away() {
     for (hosts, domains) in [(30, 3), (300, 5), (880, 7)] {
         for seed in 1..=5 {
-            let spread = simulate(hosts, domains, seed);
+            let spread = simulate(hosts, domains, TurnedAway::Unregistered, seed);
             let context = format!("{hosts} hosts, seed {seed}");
             assert!(
                 spread.served_ms <= 2_000,
@@ -601,6 +658,37 @@
     }
 }
 
+/// The pattern: the store turns the daemons away that watch it, and those that it serves
+/// again after an outage of their own announce a change from addresses that nobody knows.
+/// Guards against daemons that prefer these to the store, and against reads that grow with
+/// what is announced.
+#[test]
+fn a_change_reaches_a_large_fleet_while_only_unknown_daemons_announce_it() {
+    for (hosts, domains) in [(30, 3), (300, 5), (880, 7)] {
+        for seed in 1..=5 {
+            let spread = simulate(hosts, domains, TurnedAway::Watching, seed);
+            let context = format!("{hosts} hosts, seed {seed}");
+            assert!(
+                spread.served_ms <= PROPAGATION_MS,
+                "{context}: {} ms",
+                spread.served_ms
+            );
+            assert!(
+                spread.rejected_ms <= 7_000,
+                "{context}: {} ms",
+                spread.rejected_ms
+            );
+            let reads_allowed = spread.ended_ms / HEARTBEAT_TIMEOUT_MS.0 + 1;
+            assert!(
+                u64::from(spread.reads_max) <= reads_allowed,
+                "{context}: {} reads in {} ms",
+                spread.reads_max,
+                spread.ended_ms
+            );
+        }
+    }
+}
+
 /// The time within which a daemon that the store serves must know a change
 /// (`config_propagation` and `drain` of the smallest deployments).
 const PROPAGATION_MS: u64 = 2_000;
@@ -647,12 +735,13 @@
         let own_answer_at = TimeMs(1_000);
         for (beat, next) in beats.iter().zip(&beats[1..]) {
             heartbeats.record(&heartbeat_of(beat.1, beat.2), TimeMs(beat.0));
-            let due_at = read_due_at(&heartbeats, own_answer_at).max(TimeMs(beat.0));
+            let due_at = read_due_at(&heartbeats, &own_revisions, own_answer_at);
+            let due_at = due_at.max(TimeMs(beat.0));
             if beat.0 < changed_at || due_at.0 >= next.0 {
                 continue;
             }
-            let refresh = next_refresh(&heartbeats, &own_revisions, own_answer_at, due_at);
-            assert_eq!(refresh, Refresh::ReadStore, "round {round}");
+            let is_due = is_read_due(&heartbeats, &own_revisions, own_answer_at, due_at);
+            assert!(is_due, "round {round}");
             read_at = Some(due_at.0 - changed_at);
             break;
         }
@@ -679,7 +768,8 @@
             sent_at += HEARTBEAT_INTERVAL_MS.0;
             let just_before = TimeMs(sent_at - 1);
             assert!(has_recent_heartbeat(&heartbeats, just_before));
-            let is_due = read_due_at(&heartbeats, TimeMs(0)) <= just_before;
+            let own = heartbeat_of("own", 0).revisions;
+            let is_due = read_due_at(&heartbeats, &own, TimeMs(0)) <= just_before;
             assert!(!is_due, "phase {phase_ms}");
         }
         // Of three senders, the two others are lost for one more interval.
--- /dev/null
+++ b/crates/agatehold-core/tests/refresh_bound.rs
@@ -0,0 +1,333 @@
+//! Tests that a daemon which the store serves knows each change in time, and does not read
+//! the store too often, whatever other daemons announce.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use agatehold_core::dissemination::FETCH_TIMEOUT_MS;
+use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
+use agatehold_core::dissemination::HEARTBEAT_TIMEOUT_MS;
+use agatehold_core::dissemination::HeartbeatTable;
+use agatehold_core::dissemination::Refresh;
+use agatehold_core::dissemination::RefreshInputs;
+use agatehold_core::dissemination::Refresher;
+use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
+use agatehold_core::dissemination::StoreHeartbeat;
+use agatehold_core::ids::HostId;
+use agatehold_core::units::DurationMs;
+use agatehold_core::units::StoreEra;
+use agatehold_core::units::StoreRevision;
+use agatehold_core::units::TimeMs;
+
+/// The time within which a daemon that the store serves must know a change
+/// (`config_propagation` and `drain` of the smallest deployments).
+const PROPAGATION_MS: u64 = 2_000;
+
+/// The longest read of the store: a page each of the configuration and the targets, and
+/// decoding them on a fifth of a core.
+const READ_MS_MAX: u64 = 400;
+
+/// The maximum time between two iterations of the control loop.
+const TICK_MS: u64 = 500;
+
+/// The time at which a simulation starts, and how long it takes.
+const START_MS: u64 = 100_000;
+const LENGTH_MS: u64 = 30_000;
+
+/// What is wrong with a sender of heartbeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sender {
+    /// Nothing: the store serves it, and it answers.
+    Served,
+    /// The store turns it away since a while, and it answers.
+    TurnedAway,
+    /// It is always ahead, and its address is unknown.
+    WithoutAddress,
+    /// It is always ahead, and its host is down: connections are reset.
+    Gone,
+    /// It is always ahead, and fetches from it time out.
+    Slow,
+    /// It is ahead with its registered daemons only, and fetches from it time out.
+    SlowAheadWithMembers,
+    /// It sends nothing.
+    Silent,
+    /// It knows an older era of the store only.
+    OfOlderEra,
+}
+
+const FAULTS: [Sender; 7] = [
+    Sender::TurnedAway,
+    Sender::WithoutAddress,
+    Sender::Gone,
+    Sender::Slow,
+    Sender::SlowAheadWithMembers,
+    Sender::Silent,
+    Sender::OfOlderEra,
+];
+
+impl Sender {
+    /// Returns whether it announces newer contents than any that exist.
+    const fn is_always_ahead(self) -> bool {
+        matches!(self, Self::WithoutAddress | Self::Gone | Self::Slow)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Heartbeat(usize),
+    Tick,
+    Wake,
+    ReadEnded { revision: u64 },
+    Fetched { revision: u64 },
+    FetchFailed(usize),
+    Changed { revision: u64 },
+}
+
+/// What a simulated daemon did.
+struct Outcome {
+    /// The longest time from a change until the daemon knew it.
+    known_after_ms: u64,
+    /// The number of reads of the store.
+    reads: u64,
+    /// The shortest time between the begins of two reads.
+    read_gap_ms: u64,
+}
+
+fn at(revision: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), revision).expect("a revision")
+}
+
+fn of_older_era() -> StoreRevision {
+    StoreRevision::new(StoreEra(0), 9_000).expect("a revision")
+}
+
+fn name(number: usize) -> HostId {
+    format!("sender-{number}").parse().expect("a name")
+}
+
+/// Simulates a daemon that hears `senders`, of which the first half is in its own failure
+/// domain, while the store's contents change at `changes`.
+fn simulate(senders: &[Sender], changes: &[u64], rng: &mut Pcg64Mcg) -> Outcome {
+    let own_host: HostId = "own".parse().expect("a name");
+    let mut heartbeats = HeartbeatTable::new(&own_host);
+    heartbeats.raise_era(StoreEra(1));
+    let mut refresher = Refresher::default();
+    refresher.put_off_read(TimeMs(START_MS));
+    let mut queue = BinaryHeap::new();
+    queue.push(Reverse((START_MS, Event::Tick)));
+    for (number, change_ms) in changes.iter().enumerate() {
+        let revision = number as u64 + 2;
+        queue.push(Reverse((*change_ms, Event::Changed { revision })));
+    }
+    let mut phases = Vec::new();
+    for (number, sender) in senders.iter().enumerate() {
+        // When the store last answers those that it turns away, and the phase of the
+        // heartbeats and renewals of all.
+        let phase_ms = rng.random_range(0..LENGTH_MS);
+        if *sender != Sender::Silent {
+            let first_ms = START_MS + phase_ms % HEARTBEAT_INTERVAL_MS.0;
+            queue.push(Reverse((first_ms, Event::Heartbeat(number))));
+        }
+        phases.push(phase_ms);
+    }
+    let (mut stored, mut known) = (1, 1);
+    let mut changed_at_ms = START_MS;
+    let mut woken_at_ms = 0;
+    let mut outcome = Outcome {
+        known_after_ms: 0,
+        reads: 0,
+        read_gap_ms: u64::MAX,
+    };
+    while let Some(Reverse((now_ms, event))) = queue.pop() {
+        if now_ms > START_MS + LENGTH_MS {
+            break;
+        }
+        let now = TimeMs(now_ms);
+        let known_before = known;
+        match event {
+            Event::Changed { revision } => {
+                assert_eq!(known, stored, "changes are further apart than the bound");
+                stored = revision;
+                changed_at_ms = now_ms;
+                for (number, sender) in senders.iter().enumerate() {
+                    if *sender == Sender::Served {
+                        queue.push(Reverse((now_ms + 10, Event::Heartbeat(number))));
+                    }
+                }
+                continue;
+            }
+            Event::Tick => queue.push(Reverse((now_ms + TICK_MS, Event::Tick))),
+            Event::Wake => {}
+            Event::ReadEnded { revision } => {
+                refresher.end_read();
+                known = known.max(revision);
+            }
+            Event::Fetched { revision } => {
+                refresher.end_fetch(false);
+                known = known.max(revision);
+            }
+            Event::FetchFailed(sender) => {
+                refresher.end_fetch(true);
+                heartbeats.rows.remove(&name(sender));
+            }
+            Event::Heartbeat(number) => {
+                let sender = senders[number];
+                let is_regular = (now_ms - START_MS) % HEARTBEAT_INTERVAL_MS.0
+                    == phases[number] % HEARTBEAT_INTERVAL_MS.0;
+                if is_regular {
+                    let next_ms = now_ms + HEARTBEAT_INTERVAL_MS.0;
+                    queue.push(Reverse((next_ms, Event::Heartbeat(number))));
+                }
+                let lost_at_ms = START_MS + phases[number];
+                let is_turned_away = sender == Sender::TurnedAway && now_ms > lost_at_ms;
+                let answered_ms = match is_turned_away {
+                    true => lost_at_ms,
+                    false => now_ms - (now_ms + phases[number]) % STORE_CHECK_INTERVAL_MS.0,
+                };
+                // A sender that watches knows a change at once.
+                let sees_change = !is_turned_away || changed_at_ms <= lost_at_ms;
+                let contents = match sees_change {
+                    true => stored,
+                    false => stored - 1,
+                };
+                let contents = match sender {
+                    _ if sender.is_always_ahead() => at(1_000 + now_ms),
+                    Sender::OfOlderEra => of_older_era(),
+                    _ => at(contents),
+                };
+                let members = match sender {
+                    Sender::SlowAheadWithMembers => at(1_000 + now_ms),
+                    Sender::OfOlderEra => of_older_era(),
+                    _ => at(1),
+                };
+                let heartbeat = StoreHeartbeat {
+                    host: name(number),
+                    revisions: Revisions {
+                        configuration: contents,
+                        targets: contents,
+                        members,
+                    },
+                    store_age_ms: DurationMs(now_ms - answered_ms),
+                };
+                heartbeats.record(&heartbeat, now);
+            }
+        }
+        if known > known_before {
+            outcome.known_after_ms = outcome.known_after_ms.max(now_ms - changed_at_ms);
+        }
+        let own = Revisions {
+            configuration: at(known),
+            targets: at(known),
+            members: at(1),
+        };
+        heartbeats.confirm(&own);
+        let number_of = |host: &HostId| {
+            let numbered = (0..senders.len()).find(|number| name(*number) == *host);
+            numbered.expect("a sender")
+        };
+        let inputs = RefreshInputs {
+            own,
+            read_not_before: TimeMs(0),
+            is_store_available: true,
+            may_wait_for_near: true,
+            is_near: &|host| number_of(host) < senders.len() / 2,
+            has_address: &|host| senders[number_of(host)] != Sender::WithoutAddress,
+        };
+        let read_at = refresher.read_at();
+        match refresher.next(&heartbeats, &inputs, now) {
+            Refresh::Nothing => {}
+            Refresh::ReadStore(_) => {
+                outcome.reads += 1;
+                outcome.read_gap_ms = outcome.read_gap_ms.min(now.since(read_at).0);
+                let end_ms = now_ms + rng.random_range(8..=READ_MS_MAX);
+                let revision = stored;
+                queue.push(Reverse((end_ms, Event::ReadEnded { revision })));
+            }
+            Refresh::Fetch(hosts) => {
+                for host in hosts {
+                    let sender = number_of(&host);
+                    let (end_ms, event) = match senders[sender] {
+                        Sender::Gone => (now_ms + 1, Event::FetchFailed(sender)),
+                        Sender::Slow | Sender::SlowAheadWithMembers => {
+                            (now_ms + FETCH_TIMEOUT_MS.0, Event::FetchFailed(sender))
+                        }
+                        _ => (now_ms + 10, Event::Fetched { revision: stored }),
+                    };
+                    queue.push(Reverse((end_ms, event)));
+                }
+            }
+        }
+        // The control loop wakes when a read is due.
+        let due = refresher.next_due(&heartbeats, &own, TimeMs(0));
+        if let Some(due) = due.filter(|due| *due > now && now_ms > woken_at_ms) {
+            woken_at_ms = now_ms;
+            queue.push(Reverse((due.0, Event::Wake)));
+        }
+    }
+    outcome
+}
+
+/// Returns times of changes that are further apart than the bound.
+fn changes(rng: &mut Pcg64Mcg) -> Vec<u64> {
+    let mut changes = Vec::new();
+    let mut change_ms = START_MS + rng.random_range(1_000..4_000);
+    while change_ms < START_MS + LENGTH_MS - PROPAGATION_MS {
+        changes.push(change_ms);
+        change_ms += PROPAGATION_MS + rng.random_range(1..3_000);
+    }
+    changes
+}
+
+/// The pattern: the store serves the daemon and none of those that send it heartbeats, or
+/// these can't be fetched from. What a daemon hears does not grow with the fleet
+/// (`every_daemon_hears_of_two_or_three_watching_daemons`); daemons that the others have not
+/// registered yet come on top. Guards against a daemon that knows that its contents may be
+/// too old and waits for others.
+#[test]
+fn a_served_daemon_knows_changes_in_time_whatever_others_announce() {
+    let mut rng = Pcg64Mcg::seed_from_u64(5_011);
+    for round in 0..400 {
+        let count = rng.random_range(1..=8);
+        let senders: Vec<Sender> = (0..count)
+            .map(|_| FAULTS[rng.random_range(0..FAULTS.len())])
+            .collect();
+        let changes = changes(&mut rng);
+        let outcome = simulate(&senders, &changes, &mut rng);
+        let context = format!("round {round}, {senders:?}");
+        assert!(
+            outcome.known_after_ms <= PROPAGATION_MS,
+            "{context}: known after {} ms",
+            outcome.known_after_ms
+        );
+        // Each read has a price, however many daemons announce something.
+        assert!(
+            outcome.read_gap_ms > HEARTBEAT_TIMEOUT_MS.0,
+            "{context}: reads {} ms apart",
+            outcome.read_gap_ms
+        );
+    }
+}
+
+/// Guards against a fleet that reads the store in calm, or because others are turned away,
+/// although each daemon hears from one that the store serves and can be fetched from.
+#[test]
+fn a_daemon_with_a_served_sender_does_not_read_the_store() {
+    let harmless = [Sender::TurnedAway, Sender::Silent, Sender::OfOlderEra];
+    let mut rng = Pcg64Mcg::seed_from_u64(5_012);
+    for round in 0..200 {
+        let mut senders = vec![Sender::Served];
+        for _ in 0..rng.random_range(0..4) {
+            senders.push(harmless[rng.random_range(0..harmless.len())]);
+        }
+        let changes = changes(&mut rng);
+        let outcome = simulate(&senders, &changes, &mut rng);
+        let context = format!("round {round}, {senders:?}");
+        assert!(outcome.known_after_ms <= PROPAGATION_MS, "{context}");
+        assert_eq!(outcome.reads, 0, "{context}");
+    }
+}
--- a/crates/agatehold-core/tests/store_eras.rs
+++ b/crates/agatehold-core/tests/store_eras.rs
@@ -11,12 +11,13 @@
 
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
-use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::Replica;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::StoreHeartbeat;
+use agatehold_core::dissemination::fetch_sources;
 use agatehold_core::dissemination::has_recent_heartbeat;
-use agatehold_core::dissemination::next_refresh;
+use agatehold_core::dissemination::is_read_due;
+use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::HostId;
 use agatehold_core::target_registry::EndedRegistration;
 use agatehold_core::target_registry::MISSING_ROW_GRACE_MS;
@@ -146,12 +147,16 @@
     let own = beat("own", at(1, 5)).revisions;
     assert!(heartbeats.raise_era(own.era()));
     assert!(!has_recent_heartbeat(&heartbeats, START));
-    let refresh = next_refresh(&heartbeats, &own, START, START);
-    assert_eq!(refresh, Refresh::Nothing, "a knows nothing newer");
+    let sources = fetch_sources(&heartbeats, &own, &|_| true, START);
+    assert_eq!(sources, [], "a knows nothing newer");
+    assert!(!is_read_due(&heartbeats, &own, START, START));
+    let read_due_at = read_due_at(&heartbeats, &own, TimeMs(0));
+    assert!(read_due_at < START, "a confirms nothing of the new era");
     heartbeats.record(&beat("b", at(2, 1)), START);
-    let refresh = next_refresh(&heartbeats, &own, START, START);
     let newest: HostId = "b".parse().expect("a name");
-    assert_eq!(refresh, Refresh::Fetch(vec![newest]));
+    let sources = fetch_sources(&heartbeats, &own, &|_| true, START);
+    assert_eq!(sources, [newest]);
+    assert!(!is_read_due(&heartbeats, &own, START, START));
 }
 
 /// What a target writes to the store: its process, sequence, and whether it is leaving.
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -21,11 +21,11 @@
 use agatehold_core::directory::entry_groups;
 use agatehold_core::dissemination::HEARTBEAT_TIMEOUT_MS;
 use agatehold_core::dissemination::HeartbeatTable;
-use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::StoreHeartbeat;
+use agatehold_core::dissemination::fetch_sources;
+use agatehold_core::dissemination::is_read_due;
 use agatehold_core::dissemination::is_store_unavailable;
-use agatehold_core::dissemination::next_refresh;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::table::Table;
@@ -247,15 +247,16 @@
     heartbeats.record(&heartbeat(1, 10, 0), START);
     heartbeats.record(&heartbeat(2, 12, 0), START);
     heartbeats.record(&heartbeat(3, 11, 0), START);
-    let refresh = next_refresh(&heartbeats, &known(10), START, START);
     let newest_first = vec![host(2), host(3)];
     assert_eq!(
-        refresh,
-        Refresh::Fetch(newest_first),
+        fetch_sources(&heartbeats, &known(10), &|_| true, START),
+        newest_first,
         "entry-1 has no newer revisions"
     );
-    let refresh = next_refresh(&heartbeats, &known(12), START, START);
-    assert_eq!(refresh, Refresh::Nothing);
+    assert!(!is_read_due(&heartbeats, &known(10), START, START));
+    let sources = fetch_sources(&heartbeats, &known(12), &|_| true, START);
+    assert_eq!(sources, []);
+    assert!(!is_read_due(&heartbeats, &known(12), START, START));
 }
 
 /// If the daemon that sends heartbeats is killed, cut off or frozen, the
@@ -265,20 +266,17 @@
     let mut heartbeats = HeartbeatTable::default();
     heartbeats.record(&heartbeat(1, 10, 0), START);
     let within = START + HEARTBEAT_TIMEOUT_MS;
-    assert_eq!(
-        next_refresh(&heartbeats, &known(10), START, within),
-        Refresh::Nothing
-    );
+    assert!(!is_read_due(&heartbeats, &known(10), START, within));
     let after = within + DurationMs(1);
-    assert_eq!(
-        next_refresh(&heartbeats, &known(10), START, after),
-        Refresh::ReadStore
-    );
-    assert_eq!(
-        next_refresh(&heartbeats, &known(10), after, after),
-        Refresh::Nothing,
+    assert!(is_read_due(&heartbeats, &known(10), START, after));
+    assert!(
+        !is_read_due(&heartbeats, &known(10), after, after),
         "the store has just answered"
     );
+    for now in [within, after] {
+        let sources = fetch_sources(&heartbeats, &known(10), &|_| true, now);
+        assert_eq!(sources, []);
+    }
 }
 
 /// The store rejects the daemons that send heartbeats, and serves this one.
@@ -288,10 +286,7 @@
     let mut heartbeats = HeartbeatTable::default();
     let now = START + DurationMs(5_000);
     heartbeats.record(&heartbeat(1, 10, 4_000), now);
-    assert_eq!(
-        next_refresh(&heartbeats, &known(10), START, now),
-        Refresh::ReadStore
-    );
+    assert!(is_read_due(&heartbeats, &known(10), START, now));
 }
 
 /// The store rejects this host for seconds while a target's entry is removed.
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -16,13 +16,16 @@
 use tokio::task::LocalSet;
 
 use agatehold_core::directory::MemberRecord;
+use agatehold_core::dissemination::FETCH_TIMEOUT_MS;
 use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
+use agatehold_core::dissemination::ReadReason;
 use agatehold_core::dissemination::Refresh;
+use agatehold_core::dissemination::RefreshInputs;
+use agatehold_core::dissemination::Refresher;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
+use agatehold_core::dissemination::fetch_sources;
 use agatehold_core::dissemination::has_recent_heartbeat;
-use agatehold_core::dissemination::next_refresh;
-use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
@@ -68,10 +71,6 @@
 /// this time it asks several rounds of them.
 const STARTED_MS: DurationMs = DurationMs(10_000);
 
-/// How long a daemon puts off fetching from another failure domain, so that one in its
-/// own learns of the change first. A watch pauses for 350 ms after each change.
-const FAR_FETCH_DELAY_MS: DurationMs = DurationMs(450);
-
 /// How long after its start a daemon expects a heartbeat from its own failure domain
 /// although it has heard none.
 const NEAR_HEARTBEAT_EXPECTED_MS: DurationMs = DurationMs(5_000);
@@ -81,9 +80,6 @@
 /// daemons that send them.
 const SECOND_READ_AFTER_MS: DurationMs = DurationMs(1_800);
 
-/// The timeout of a fetch from another daemon.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// A handle to the running control thread.
 pub(crate) struct ControlThread {
     thread: JoinHandle<()>,
@@ -165,16 +161,11 @@
     watch_tasks: Vec<tokio::task::JoinHandle<()>>,
     /// The place of this daemon among those that watch the store.
     watch_turn: Rc<Cell<WatchTurn>>,
-    /// The number of running fetches and reads; reset to 0 as soon as a fetch
-    /// succeeds or a read ends.
-    running_refreshes: usize,
-    /// Whether the last fetch failed, so that the next one asks several daemons.
-    last_fetch_failed: bool,
+    /// The running fetches and reads of the store.
+    refresher: Refresher,
     /// Since when this daemon has been behind other daemons although it watches the
     /// store.
     behind_since: Option<TimeMs>,
-    /// Since when only daemons in other failure domains are known to be ahead.
-    far_ahead_since: Option<TimeMs>,
     /// When the last heartbeat was sent.
     heartbeat_sent_at: TimeMs,
     /// The number of times that daemons were asked without a heartbeat from them.
@@ -199,10 +190,8 @@
         events,
         watch_tasks: Vec::new(),
         watch_turn: Rc::default(),
-        running_refreshes: 0,
-        last_fetch_failed: false,
+        refresher: Refresher::default(),
         behind_since: None,
-        far_ahead_since: None,
         heartbeat_sent_at: TimeMs(0),
         pull_round: 0,
     };
@@ -285,19 +274,17 @@
     fn handle_event(&mut self, tables: &mut ControlTables, event: StoreEvent) -> bool {
         let now = self.shared.clock.now();
         match &event {
-            StoreEvent::RefreshEnded(host) => {
-                self.last_fetch_failed = host.is_some();
-                match host {
-                    // Other fetches may still succeed.
-                    Some(host) => {
-                        self.running_refreshes = self.running_refreshes.saturating_sub(1);
-                        tables.heartbeats.rows.remove(host);
-                    }
-                    None => self.running_refreshes = 0,
+            StoreEvent::ReadEnded => {
+                self.refresher.end_read();
+                return false;
+            }
+            StoreEvent::FetchEnded { failed_host } => {
+                self.refresher.end_fetch(failed_host.is_some());
+                if let Some(host) = failed_host {
+                    tables.heartbeats.rows.remove(host);
                 }
                 return false;
             }
-            StoreEvent::ReadCompleted => tables.read_at = now,
             _ => {}
         }
         apply_event(tables, event, now)
@@ -355,7 +342,7 @@
         log::warn!("event=store_era era={era} before={old_era}");
         // The heartbeats of the era before no longer count. The daemons that watch the store
         // read it now, and the others read it too only if they don't hear from these.
-        tables.read_at = tables.read_at.max(now);
+        self.refresher.put_off_read(now);
         self.restart_watching("store_era");
     }
 
@@ -377,8 +364,7 @@
             return false;
         }
         let own = tables.contents().complete_to();
-        let refresh = next_refresh(&tables.heartbeats, &own, now, now);
-        if !matches!(refresh, Refresh::Fetch(_)) {
+        if fetch_sources(&tables.heartbeats, &own, &|_| true, now).is_empty() {
             self.behind_since = None;
             return true;
         }
@@ -400,11 +386,17 @@
     }
 
     /// Returns the interval for polling the registered daemons: short if this daemon
-    /// sends heartbeats or receives none.
+    /// sends heartbeats, receives none, or can't fetch from those that are ahead because
+    /// their addresses are unknown.
     fn members_poll_interval(&self, tables: &ControlTables, now: TimeMs) -> Duration {
         if self.is_watching() || !has_recent_heartbeat(&tables.heartbeats, now) {
             return MEMBERS_POLL_INTERVAL;
         }
+        let own = tables.contents().complete_to();
+        let is_unknown = |host: &HostId| tables.fetch_address(host).is_none();
+        if !fetch_sources(&tables.heartbeats, &own, &is_unknown, now).is_empty() {
+            return MEMBERS_POLL_INTERVAL;
+        }
         if tables.is_entry(&self.shared.settings.host.id) {
             return MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS;
         }
@@ -427,14 +419,15 @@
                 addresses.push(*seed);
             }
         }
+        let timeout = crate::clock::duration(FETCH_TIMEOUT_MS);
         for address in addresses {
             let events = self.events.clone();
-            let fetching = peers::fetch_from_any(address, known, FETCH_TIMEOUT, events);
+            let fetching = peers::fetch_from_any(address, known, timeout, events);
             tokio::task::spawn_local(fetching);
         }
     }
 
-    /// Returns the time before which the store is not read for lack of heartbeats.
+    /// Returns the time before which the store is not read for lack of a confirmation.
     fn read_not_before(&self, tables: &ControlTables) -> TimeMs {
         if tables.catalog.is_none() || tables.store_unavailable_since.is_some() {
             return TimeMs(0);
@@ -443,89 +436,62 @@
     }
 
     /// Starts reading the configuration and the targets from the store.
-    fn read_store(&mut self, tables: &mut ControlTables, reason: &'static str, now: TimeMs) {
-        self.running_refreshes = 1;
-        tables.read_at = now;
-        log::info!("event=read_store reason={reason}");
+    fn read_store(&self, tables: &ControlTables, reason: ReadReason) {
+        log::info!("event=read_store reason={}", reason.name());
         let is_start = tables.contents().targets.complete_to() == StoreRevision::ZERO;
         let reading = read_all(Rc::clone(&self.store), is_start, self.events.clone());
         tokio::task::spawn_local(reading);
     }
 
-    /// Returns whether to wait until a daemon in the own failure domain is ahead too,
-    /// given those that are ahead now, the nearest first. A daemon without a configuration
-    /// waits for nobody.
-    fn waits_for_near(&mut self, tables: &ControlTables, ahead: &[HostId], now: TimeMs) -> bool {
-        let own = &self.shared.settings.host.id;
-        let is_near = |host: &HostId| tables.are_near(host, own);
-        if ahead.first().is_some_and(is_near) || tables.catalog.is_none() {
-            self.far_ahead_since = None;
-            return false;
+    /// Starts fetching from other daemons.
+    fn fetch(&self, tables: &ControlTables, hosts: Vec<HostId>) {
+        let known = tables.known();
+        let timeout = crate::clock::duration(FETCH_TIMEOUT_MS);
+        for host in hosts {
+            let Some(address) = tables.fetch_address(&host) else {
+                continue;
+            };
+            let events = self.events.clone();
+            let fetching = peers::fetch(host, address, known, timeout, events);
+            tokio::task::spawn_local(fetching);
         }
-        let mut senders = tables.heartbeats.recent_senders(now);
-        let expects_near = senders.any(is_near);
-        if !expects_near && self.shared.clock.uptime() > NEAR_HEARTBEAT_EXPECTED_MS {
-            self.far_ahead_since = None;
+    }
+
+    /// Returns whether this daemon may put off a fetch until a daemon in its own failure
+    /// domain is ahead too. A daemon without a configuration waits for nobody.
+    fn may_wait_for_near(&self, tables: &ControlTables, now: TimeMs) -> bool {
+        if tables.catalog.is_none() {
             return false;
         }
-        let since = *self.far_ahead_since.get_or_insert(now);
-        if now.since(since) < FAR_FETCH_DELAY_MS {
-            return true;
-        }
-        self.far_ahead_since = None;
-        false
+        let own_host = &self.shared.settings.host.id;
+        let mut senders = tables.heartbeats.recent_rows(now);
+        senders.any(|(host, _)| tables.are_near(host, own_host))
+            || self.shared.clock.uptime() <= NEAR_HEARTBEAT_EXPECTED_MS
     }
 
-    /// Starts fetching newer contents from other daemons, or reading the store if no
-    /// daemon that reaches the store sends heartbeats.
+    /// Starts reading the store if the contents may be too old, or fetching newer contents
+    /// from other daemons.
     fn refresh(&mut self, tables: &mut ControlTables, now: TimeMs) {
-        if self.running_refreshes > 0 {
-            return;
-        }
+        let own = tables.contents().complete_to();
+        tables.heartbeats.confirm(&own);
         if self.relies_on_own_watch(tables, now) {
-            self.far_ahead_since = None;
+            self.refresher.follow_own_watch();
             return;
         }
-        let own = tables.contents().complete_to();
-        let refresh = next_refresh(&tables.heartbeats, &own, tables.read_at, now);
-        if !matches!(refresh, Refresh::Fetch(_)) {
-            self.far_ahead_since = None;
-        }
-        match refresh {
+        let own_host = &self.shared.settings.host.id;
+        let inputs = RefreshInputs {
+            own,
+            read_not_before: self.read_not_before(tables),
+            is_store_available: tables.store_unavailable_since.is_none(),
+            may_wait_for_near: self.may_wait_for_near(tables, now),
+            is_near: &|host| tables.are_near(host, own_host),
+            has_address: &|host| tables.fetch_address(host).is_some(),
+        };
+        match self.refresher.next(&tables.heartbeats, &inputs, now) {
             Refresh::Nothing => {}
-            // The sources may be too slow for a large configuration, or gone.
-            Refresh::Fetch(_)
-                if self.last_fetch_failed && tables.store_unavailable_since.is_none() =>
-            {
-                self.last_fetch_failed = false;
-                self.far_ahead_since = None;
-                self.read_store(tables, "fetch_failed", now);
-            }
-            Refresh::Fetch(mut hosts) => {
-                let known = tables.known();
-                // Bytes between failure domains cost bandwidth.
-                let own_host = &self.shared.settings.host.id;
-                hosts.sort_by_key(|host| !tables.are_near(host, own_host));
-                if self.waits_for_near(tables, &hosts, now) {
-                    return;
-                }
-                if !self.last_fetch_failed {
-                    hosts.truncate(1);
-                }
-                for host in hosts {
-                    let Some(address) = tables.fetch_address(&host) else {
-                        tables.heartbeats.rows.remove(&host);
-                        continue;
-                    };
-                    self.running_refreshes += 1;
-                    let events = self.events.clone();
-                    let fetching = peers::fetch(host, address, known, FETCH_TIMEOUT, events);
-                    tokio::task::spawn_local(fetching);
-                }
-            }
-            Refresh::ReadStore if now < self.read_not_before(tables) => {}
-            Refresh::ReadStore => {
-                self.read_store(tables, "not_told", now);
+            Refresh::Fetch(hosts) => self.fetch(tables, hosts),
+            Refresh::ReadStore(reason) => {
+                self.read_store(tables, reason);
                 if tables.store_unavailable_since.is_some() || tables.catalog.is_none() {
                     self.fetch_from_any(tables);
                 }
@@ -535,8 +501,9 @@
 }
 
 fn next_wait(tables: &ControlTables, store_sync: &StoreSync, now: TimeMs) -> Duration {
-    let has_nothing = tables.read_at == TimeMs(0) && tables.catalog.is_none();
-    if has_nothing && store_sync.running_refreshes == 0 {
+    let refresher = &store_sync.refresher;
+    let has_nothing = refresher.read_at() == TimeMs(0) && tables.catalog.is_none();
+    if has_nothing && refresher.is_idle() {
         // Start the first read of the store at once.
         return Duration::ZERO;
     }
@@ -544,15 +511,11 @@
     if store_sync.is_watching() {
         due = due.min(store_sync.heartbeat_sent_at + HEARTBEAT_INTERVAL_MS);
     }
-    let follows_heartbeats = !store_sync.is_watching() || tables.store_unavailable_since.is_some();
-    if follows_heartbeats && store_sync.running_refreshes == 0 {
-        let read_due = read_due_at(&tables.heartbeats, tables.read_at);
-        due = due.min(read_due.max(store_sync.read_not_before(tables)));
-    }
-    if let Some(since) = store_sync.far_ahead_since
-        && store_sync.running_refreshes == 0
-    {
-        due = due.min(since + FAR_FETCH_DELAY_MS);
+    if !store_sync.is_watching() || tables.store_unavailable_since.is_some() {
+        let own = tables.contents().complete_to();
+        let read_not_before = store_sync.read_not_before(tables);
+        let refresh = refresher.next_due(&tables.heartbeats, &own, read_not_before);
+        due = due.min(refresh.unwrap_or(due));
     }
     for sweep in [tables.targets.next_sweep(), tables.members.next_sweep()] {
         due = due.min(sweep.unwrap_or(due));
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -83,7 +83,7 @@
             .await;
     }
     let failed_host = has_failed.then_some(host);
-    let _ = events.send(StoreEvent::RefreshEnded(failed_host)).await;
+    let _ = events.send(StoreEvent::FetchEnded { failed_host }).await;
 }
 
 /// Fetches from a daemon that has sent no heartbeat what is newer than `known`.
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -65,9 +65,6 @@
     pub(super) store_recovered: bool,
     /// When the store last responded to a call.
     pub(super) store_answered_at: TimeMs,
-    /// When this daemon last started or completed reading the configuration and
-    /// the targets from the store.
-    pub(super) read_at: TimeMs,
     /// The last heartbeat of each other daemon.
     pub(super) heartbeats: HeartbeatTable,
     /// What other daemons have told this one since its start, the latest last.
@@ -92,8 +89,6 @@
             store_unavailable_since: None,
             store_recovered: false,
             store_answered_at: TimeMs(0),
-            // Causes a read in the first iteration of the control loop.
-            read_at: TimeMs(0),
             heartbeats: HeartbeatTable::new(own),
             told: Vec::new(),
             told_count: 0,
@@ -194,8 +189,8 @@
 pub(super) fn apply_event(tables: &mut ControlTables, event: StoreEvent, now: TimeMs) -> bool {
     match event {
         StoreEvent::CallFailed(call, error) => record_store_failure(tables, call, &error, now),
-        StoreEvent::CallSucceeded | StoreEvent::ReadCompleted => record_store_response(tables, now),
-        StoreEvent::RefreshEnded(_) => false,
+        StoreEvent::CallSucceeded => record_store_response(tables, now),
+        StoreEvent::ReadEnded | StoreEvent::FetchEnded { .. } => false,
         // It was sent before this daemon learned of the new era.
         StoreEvent::Listed(_, _, revision) if revision.era() < tables.era => false,
         StoreEvent::Listed(key_group, items, revision) => {
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -153,13 +153,15 @@
     CallFailed(&'static str, StoreError),
     /// A call succeeded.
     CallSucceeded,
-    /// The configuration and the targets have been read completely.
-    ReadCompleted,
     /// Contents fetched from the daemon at this address.
     Fetched(SocketAddr, Box<Fetched>),
-    /// A fetch from another daemon or a read of the store ended; holds the
-    /// daemon's host if the fetch failed.
-    RefreshEnded(Option<HostId>),
+    /// A read of the configuration and the targets ended.
+    ReadEnded,
+    /// A fetch from another daemon ended.
+    FetchEnded {
+        /// That daemon's host if the fetch failed.
+        failed_host: Option<HostId>,
+    },
 }
 
 /// The daemon's own entry in the store, as last written.
@@ -371,25 +373,21 @@
 /// store while a whole fleet starts. It learns what is newer from the next heartbeat,
 /// or reads the store again if none arrives. The configuration is always current.
 pub(crate) async fn read_all(store: Rc<StoreClient>, is_start: bool, events: Sender<StoreEvent>) {
-    let mut failed = false;
     for key_group in [KeyGroup::Configuration, KeyGroup::Targets] {
         let may_be_stale = is_start && key_group == KeyGroup::Targets;
-        let event = match list(&store, key_group, may_be_stale).await {
-            Ok((items, revision)) => StoreEvent::Listed(key_group, items, revision),
+        match list(&store, key_group, may_be_stale).await {
+            Ok((items, revision)) => {
+                let listed = StoreEvent::Listed(key_group, items, revision);
+                let _ = events.send(listed).await;
+            }
             Err(error) => {
-                failed = true;
-                StoreEvent::CallFailed(key_group.name(), error)
+                let failed = StoreEvent::CallFailed(key_group.name(), error);
+                let _ = events.send(failed).await;
+                break;
             }
-        };
-        let _ = events.send(event).await;
-        if failed {
-            break;
         }
     }
-    if !failed {
-        let _ = events.send(StoreEvent::ReadCompleted).await;
-    }
-    let _ = events.send(StoreEvent::RefreshEnded(None)).await;
+    let _ = events.send(StoreEvent::ReadEnded).await;
 }
 
 /// Polls the registered daemons, forever. The reads may return stale data, which is
