gateway: take any name that operators, targets and the platform choose

Cause: names from the platform were held to the grammar of our own release notes, a DNS label of at most 63 characters. The same stood at the names of tenants (configuration), failure domains and targets (entries skipped), hosts and failure domains (settings: the daemon did not start), and at the zone of a caller. A route's host with a port, and a Host header outside of ASCII, never matched.

Ruled out: the configuration is delivered; the log names its revision.

Change: ServiceName, TenantName, FailureDomain and HostId take any text through `external`, which shortens what is long or breaks log lines to its beginning and a part of its hash. These names are identities, so that all daemons agree and messages keep their size. Target names stay as they are, since requests name them in a header; tenants' stated names are kept for the header that targets get. A tenant whose name no header can hold is refused with the new `entry-unusable` (503, not run). The grammar of release notes and of their daemon's settings is unchanged.

--- a/crates/agatehold-core/src/ids/mod.rs
+++ b/crates/agatehold-core/src/ids/mod.rs
@@ -12,6 +12,7 @@
 pub use name::ServiceName;
 pub use name::TargetName;
 pub use name::TenantName;
+pub use name::is_header_text;
 pub use number::Epoch;
 pub use number::Incarnation;
 pub use number::NoteNumber;
--- a/crates/agatehold-core/src/refusal/mod.rs
+++ b/crates/agatehold-core/src/refusal/mod.rs
@@ -110,6 +110,7 @@
     ClaimUnavailable, "claim-unavailable", 503, NotRun, Later, "The idempotency key could not be claimed.";
     Starting, "starting", 503, NotRun, OtherAddress, "This daemon has no configuration yet.";
     Isolated, "isolated", 503, NotRun, OtherAddress, "This daemon can't confirm that its configuration is current.";
+    EntryUnusable, "entry-unusable", 503, NotRun, Later, "The configuration's entry for the request can't be used.";
     Stopping, "stopping", 503, NotRun, OtherAddress, "This daemon is stopping.";
     MemoryFull, "memory-full", 503, NotRun, OtherAddress, "This daemon has no memory left for the request.";
     KeyReused, "key-reused", 422, Unknown, Never, "The idempotency key belongs to a different request.";
--- a/crates/agatehold-core/src/tenants/rows.rs
+++ b/crates/agatehold-core/src/tenants/rows.rs
@@ -49,14 +49,25 @@
 /// A tenant.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TenantRow {
-    /// The tenant's name, which targets are told.
+    /// The tenant's name.
     pub name: TenantName,
+    /// The text that the operators chose for the name, if `name` is a shortened one.
+    pub stated_name: Option<Box<str>>,
     /// Takes precedence over the priority of the route; 0 is the highest.
     pub priority: Option<u8>,
     /// The limit on the tenant's requests; `None` if there is no limit.
     pub allotment: Option<Allotment>,
 }
 
+impl TenantRow {
+    /// Returns the name that targets are told.
+    pub fn told_name(&self) -> &str {
+        self.stated_name
+            .as_deref()
+            .unwrap_or_else(|| self.name.as_str())
+    }
+}
+
 /// The tenants of a configuration, with an index by key.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TenantTable {
--- a/crates/agatehold-measure-load/benches/decisions.rs
+++ b/crates/agatehold-measure-load/benches/decisions.rs
@@ -253,6 +253,7 @@
     for number in 0..tenants {
         let row = TenantRow {
             name: format!("tenant-{number}").parse()?,
+            stated_name: None,
             priority: None,
             allotment: Some(Allotment {
                 rate_per_s: 1_000_000.0,
--- a/crates/agatehold-settings/src/process/gateway.rs
+++ b/crates/agatehold-settings/src/process/gateway.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 
 use agatehold_core::directory::EntryPolicy;
+use agatehold_core::ids::FailureDomain;
+use agatehold_core::ids::HostId;
 
 use crate::document::SectionReader;
 use crate::document::parse_document;
@@ -73,6 +75,16 @@
     pub metrics: SocketAddr,
 }
 
+/// Returns the host for a name that the platform has chosen.
+fn parse_host(text: &str) -> Result<HostId, ParseValueError> {
+    Ok(HostId::external(text))
+}
+
+/// Returns the failure domain for a name that the platform has chosen.
+fn parse_failure_domain(text: &str) -> Result<FailureDomain, ParseValueError> {
+    Ok(FailureDomain::external(text))
+}
+
 /// Parses the settings of a daemon in gateway mode, or returns every error in them.
 pub fn parse_gateway(file: &str, text: &str) -> Result<GatewaySettings, Vec<SettingsError>> {
     let mut errors = Vec::new();
@@ -80,8 +92,8 @@
     check_sections(&document, SECTIONS, &mut errors);
 
     let mut reader = SectionReader::open(&document, "host", &mut errors);
-    let id = reader.required("id", str::parse);
-    let failure_domain = reader.required("failure_domain", str::parse);
+    let id = reader.required("id", parse_host);
+    let failure_domain = reader.required("failure_domain", parse_failure_domain);
     let core_millicores = reader.required("cores", parse_millicores);
     let link_millicores = reader.optional("link_mbps", parse_link_millicores);
     let memory_mb = reader.optional("memory_mb", parse_memory);
--- a/crates/agatehold/src/gateway/allotment_messages.rs
+++ b/crates/agatehold/src/gateway/allotment_messages.rs
@@ -108,7 +108,7 @@
 pub(super) fn decode_ask(json: AskJson) -> Option<AskMessage> {
     let mut items = Vec::with_capacity(json.items.len());
     for (tenant, tokens) in json.items {
-        items.push((tenant.parse().ok()?, valid_tokens(tokens)?));
+        items.push((TenantName::external(&tenant), valid_tokens(tokens)?));
     }
     Some(AskMessage {
         process: json.process,
@@ -122,7 +122,7 @@
     let mut items = Vec::with_capacity(json.items.len());
     for (tenant, tokens, left) in json.items {
         items.push(GrantItem {
-            tenant: tenant.parse().ok()?,
+            tenant: TenantName::external(&tenant),
             tokens: valid_tokens(tokens)?,
             left: valid_tokens(left)?,
         });
@@ -130,7 +130,7 @@
     Some(GrantMessage {
         process: json.process,
         grant: Grant {
-            from: json.from.parse().ok()?,
+            from: HostId::external(&json.from),
             number: AskNumber(json.grant),
             items,
         },
--- a/crates/agatehold/src/gateway/dispatch/credentials.rs
+++ b/crates/agatehold/src/gateway/dispatch/credentials.rs
@@ -7,6 +7,7 @@
 use agatehold_core::catalog::Catalog;
 use agatehold_core::catalog::CatalogRoute;
 use agatehold_core::ids::TenantName;
+use agatehold_core::ids::is_header_text;
 use agatehold_core::refusal::RefusalKind;
 use agatehold_core::tenants::Access;
 use agatehold_core::tenants::KeyDigest;
@@ -25,7 +26,12 @@
     /// The route needs no key.
     Public,
     /// The key belongs to this tenant.
-    Tenant(TenantName),
+    Tenant {
+        /// The tenant.
+        name: TenantName,
+        /// The name that targets are told.
+        told: HeaderValue,
+    },
 }
 
 impl Credentials {
@@ -41,7 +47,10 @@
         match authorize(catalog, route, key.as_ref()) {
             Access::NoTenants => Ok((Self::NoTenants, None)),
             Access::Public => Ok((Self::Public, None)),
-            Access::Tenant(row) => Ok((Self::Tenant(row.name.clone()), Some(row))),
+            Access::Tenant(row) => {
+                let (name, told) = (row.name.clone(), told_name(row)?);
+                Ok((Self::Tenant { name, told }, Some(row)))
+            }
             Access::UnknownKey => Err(RefusalKind::UnknownKey),
         }
     }
@@ -49,7 +58,7 @@
     /// Returns the tenant of the request.
     pub(in crate::gateway) const fn tenant(&self) -> Option<&TenantName> {
         match self {
-            Self::Tenant(tenant) => Some(tenant),
+            Self::Tenant { name, .. } => Some(name),
             Self::NoTenants | Self::Public => None,
         }
     }
@@ -62,13 +71,26 @@
         }
         fields.remove(request_headers::API_KEY);
         fields.remove(target_headers::TENANT);
-        let name = self.tenant().map(TenantName::as_str);
-        if let Some(Ok(value)) = name.map(HeaderValue::from_str) {
-            fields.insert(HeaderName::from_static(target_headers::TENANT), value);
+        if let Self::Tenant { told, .. } = self {
+            fields.insert(
+                HeaderName::from_static(target_headers::TENANT),
+                told.clone(),
+            );
         }
     }
 }
 
+/// Returns the header value by which targets are told a tenant's name. Fails with
+/// `EntryUnusable` if no header can hold it: a target would take the request for one of
+/// another tenant.
+fn told_name(row: &TenantRow) -> Result<HeaderValue, RefusalKind> {
+    let name = row.told_name();
+    let value = HeaderValue::from_bytes(name.as_bytes()).ok();
+    value
+        .filter(|_| is_header_text(name))
+        .ok_or(RefusalKind::EntryUnusable)
+}
+
 /// Returns the hash of the key that a request carries; `None` if it carries none, or
 /// more than one, of which a target might take another one than this daemon.
 fn sent_key(headers: &HeaderMap) -> Option<KeyDigest> {
--- a/crates/agatehold/src/gateway/member.rs
+++ b/crates/agatehold/src/gateway/member.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use agatehold_core::directory::MemberRecord;
+use agatehold_core::ids::FailureDomain;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 
@@ -30,7 +31,7 @@
 /// Returns the host that a store key belongs to; `None` if it is not the key of
 /// a daemon.
 pub(crate) fn member_host(key: &str) -> Option<HostId> {
-    key.strip_prefix(MEMBERS_PREFIX)?.parse().ok()
+    Some(HostId::external(key.strip_prefix(MEMBERS_PREFIX)?))
 }
 
 /// Encodes a daemon's record as JSON.
@@ -52,7 +53,7 @@
 pub(crate) fn decode_member(bytes: &[u8]) -> Option<MemberRecord> {
     let json: MemberJson = serde_json::from_slice(bytes).ok()?;
     Some(MemberRecord {
-        failure_domain: json.failure_domain.parse().ok()?,
+        failure_domain: FailureDomain::external(&json.failure_domain),
         callers: json.callers.parse().ok()?,
         news: json.news.parse().ok()?,
         evidence: json.evidence.parse().ok()?,
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -351,7 +351,7 @@
 pub(super) fn decode_heartbeat(bytes: &[u8]) -> Option<StoreHeartbeat> {
     let json: HeartbeatJson = serde_json::from_slice(bytes).ok()?;
     Some(StoreHeartbeat {
-        host: json.host.parse().ok()?,
+        host: HostId::external(&json.host),
         revisions: Revisions {
             configuration: StoreRevision::from_packed(json.configuration),
             targets: StoreRevision::from_packed(json.targets),
@@ -467,8 +467,8 @@
     let mut marks = Vec::new();
     for (target, reporter, age_ms) in &json.marks {
         marks.push(CrashMarkAge {
-            target: target.parse().ok()?,
-            reporter: reporter.parse().ok()?,
+            target: TargetName::external(target)?,
+            reporter: HostId::external(reporter),
             age_ms: DurationMs(*age_ms),
         });
     }
@@ -493,8 +493,8 @@
 fn decode_no_crash(json: &NoCrashJson) -> Option<NoCrashMessage> {
     Some(NoCrashMessage {
         fingerprint: json.not_crashed_by.parse().ok()?,
-        target: json.target.parse().ok()?,
-        reporter: json.reporter.parse().ok()?,
+        target: TargetName::external(&json.target)?,
+        reporter: HostId::external(&json.reporter),
         age_ms: DurationMs(json.age_ms),
     })
 }
@@ -502,10 +502,10 @@
 fn decode_leaving(json: &LeavingJson) -> Option<LeavingMessage> {
     Some(LeavingMessage {
         target: TargetIdentity {
-            name: json.leaving.parse().ok()?,
+            name: TargetName::external(&json.leaving)?,
             started_unix_ms: json.started_unix_ms,
         },
-        reporter: json.reporter.parse().ok()?,
+        reporter: HostId::external(&json.reporter),
     })
 }
 
@@ -521,7 +521,7 @@
         moved: json.moved,
         crash: fingerprint(json.crash).ok()?,
         answered: fingerprint(json.answered).ok()?,
-        reporter: json.reporter.parse().ok()?,
+        reporter: HostId::external(&json.reporter),
     })
 }
 
@@ -529,13 +529,13 @@
     let mut used = Vec::with_capacity(json.used.len());
     for (position, (name, age_ms)) in json.used.into_iter().enumerate() {
         used.push(TargetUse {
-            target: name.parse().ok()?,
+            target: TargetName::external(&name)?,
             process: json.processes.get(position).copied().map(ProcessMark),
             age_ms: DurationMs(age_ms),
         });
     }
     Some(PressureMessage {
-        service: json.service.parse().ok()?,
+        service: ServiceName::external(&json.service),
         counts: ServedCounts {
             served: json.served,
             unserved: json.unserved,
@@ -650,12 +650,15 @@
     let json: ContentsJson = serde_json::from_slice(bytes).ok()?;
     let mut removed = Vec::new();
     for (name, revision) in json.removed {
-        removed.push((name.parse().ok()?, StoreRevision::from_packed(revision)));
+        removed.push((
+            TargetName::external(&name)?,
+            StoreRevision::from_packed(revision),
+        ));
     }
     let mut ended = Vec::new();
     for registration in json.ended {
         ended.push(EndedRegistration {
-            key: registration.target.parse().ok()?,
+            key: TargetName::external(&registration.target)?,
             mark: RegistrationMark {
                 started_unix_ms: registration.started_unix_ms,
                 sequence: registration.sequence,
@@ -667,7 +670,7 @@
     let mut statements = PeerStatements::default();
     for (name, started_unix_ms) in json.leaving {
         statements.leaving.push(TargetIdentity {
-            name: name.parse().ok()?,
+            name: TargetName::external(&name)?,
             started_unix_ms,
         });
     }
--- a/crates/agatehold/src/gateway/queue.rs
+++ b/crates/agatehold/src/gateway/queue.rs
@@ -8,7 +8,6 @@
 use agatehold_core::dispatch::Choice;
 use agatehold_core::dispatch::PickRequest;
 use agatehold_core::dispatch::pick_live_target;
-use agatehold_core::ids::ParseIdError;
 use agatehold_core::ids::ServiceName;
 use agatehold_core::ids::TargetName;
 use agatehold_core::ids::TenantName;
@@ -30,9 +29,6 @@
 /// The capacity of the queue of one service in one daemon.
 const QUEUE_CAPACITY: usize = 128;
 
-/// The tenant of queued requests without a tenant.
-const SHARED_TENANT: &str = "shared";
-
 /// Why the queue refused a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct QueueRefusal {
@@ -278,14 +274,8 @@
             Choice::AllBusy => {}
         }
     }
-    let Ok(tenant) = queue_tenant(slot_request.tenant) else {
-        return SlotOutcome::Refused(QueueRefusal::by_targets(
-            RefusalKind::Internal,
-            DurationMs(0),
-        ));
-    };
     let offer = Offer {
-        tenant,
+        tenant: queue_tenant(slot_request.tenant),
         class: traffic_class(slot_request.priority),
         deadline: slot_request.deadline,
         expected_run_ms: Some(slot_request.expected_run_ms),
@@ -330,12 +320,9 @@
     row.is_some_and(|row| row.failure_detector.is_suspected())
 }
 
-/// Returns the tenant under which a request waits.
-fn queue_tenant(tenant: Option<&TenantName>) -> Result<TenantName, ParseIdError> {
-    match tenant {
-        Some(tenant) => Ok(tenant.clone()),
-        None => SHARED_TENANT.parse(),
-    }
+/// Returns the tenant under which a request waits; requests without a tenant share one.
+fn queue_tenant(tenant: Option<&TenantName>) -> TenantName {
+    tenant.map_or_else(|| TenantName::external(""), TenantName::clone)
 }
 
 const fn traffic_class(priority: u8) -> TrafficClass {
@@ -375,8 +362,9 @@
     run_ms: DurationMs,
 ) {
     let mut queues = state.queues.borrow_mut();
-    if let (Some(row), Ok(tenant)) = (queues.get_mut(service), queue_tenant(tenant)) {
+    if let Some(row) = queues.get_mut(service) {
         let class = traffic_class(priority);
+        let tenant = queue_tenant(tenant);
         row.queue.charge_run(class, &tenant, charged_ms, run_ms);
     }
 }
--- a/crates/agatehold/src/gateway/relay.rs
+++ b/crates/agatehold/src/gateway/relay.rs
@@ -99,9 +99,8 @@
         return datagram;
     };
     let message = json.message.get().as_bytes();
-    let (Ok(service), Ok(sender)) = (json.relay_to.parse(), json.sender.parse()) else {
-        return message;
-    };
+    let service = ServiceName::external(&json.relay_to);
+    let sender = HostId::external(&json.sender);
     let recipients = match json.use_reports {
         true => Recipients::UseReports,
         false => Recipients::All,
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
+use http::header;
 use tokio::sync::oneshot;
 
 use agatehold_core::catalog::ConfigVersion;
@@ -14,7 +15,6 @@
 use agatehold_platform::request_headers;
 
 use crate::telemetry::FieldText;
-use crate::traffic::host_name;
 
 use super::allotments;
 use super::dispatch;
@@ -49,12 +49,15 @@
     }
 }
 
-/// Returns the request's host name, in lower case and without the port, and its
-/// path without the query.
+/// Returns the request's host name, in lower case and with the port if there is one, and
+/// its path without the query.
 pub(super) fn host_and_path(head: &RequestHead) -> (Box<str>, &str) {
     let target = &*head.target;
     let path = target.split_once('?').map_or(target, |(path, _)| path);
-    (host_name(&head.headers, None), path)
+    let host = head.headers.get(header::HOST);
+    // Host names that aren't DNS names may have any characters.
+    let host = host.and_then(|value| std::str::from_utf8(value.as_bytes()).ok());
+    (host.unwrap_or("").to_ascii_lowercase().into(), path)
 }
 
 /// Returns how long after the arrival of a request its answer is of use: the time that the
--- a/crates/agatehold/src/traffic/mod.rs
+++ b/crates/agatehold/src/traffic/mod.rs
@@ -37,7 +37,6 @@
 pub(crate) use pool::Connection;
 pub(crate) use pool::TcpTimeouts;
 pub(crate) use pool::set_socket_options;
-pub(crate) use request_reader::host_name;
 
 /// State shared by the tasks of one traffic thread.
 pub(crate) struct ThreadState {
