gateway: follow a configuration although one of its entries is odd

The store accepts only valid configurations, and what it accepted is followed.

Change: decode_accepted_configuration decodes entry by entry if the strict decoding fails. The others take effect; the odd one is logged (configuration_entry_odd) and read as far as it can be. A route whose service can't be read keeps its place and refuses its requests with entry-unusable, since they would go to the service of a shorter prefix otherwise. A version or a list that can't be read voids the whole, as before. The check of a configuration before it is sent stays strict.

--- a/crates/agatehold/src/gateway/control/configuration.rs
+++ b/crates/agatehold/src/gateway/control/configuration.rs
@@ -4,13 +4,18 @@
 
 use agatehold_core::catalog::is_newer;
 use agatehold_core::dissemination::KeyChange;
-use agatehold_platform::decode_configuration;
+use agatehold_platform::AcceptedConfiguration;
+use agatehold_platform::EntryFault;
+use agatehold_platform::decode_accepted_configuration;
 
 use crate::gateway::store_tasks::KeyGroup;
 use crate::telemetry::FieldText;
 
 use super::tables::ControlTables;
 
+/// The number of odd entries of a configuration of which each has a log line.
+const LOGGED_FAULTS_MAX: usize = 16;
+
 /// Takes a configuration over if it is newer than the one in force. Returns whether it
 /// was.
 pub(super) fn apply_configuration(tables: &mut ControlTables, item: &KeyChange) -> bool {
@@ -18,8 +23,8 @@
         log::warn!("event=configuration_removed revision={}", item.revision);
         return false;
     };
-    let catalog = match decode_configuration(value) {
-        Ok(catalog) => catalog,
+    let AcceptedConfiguration { catalog, faults } = match decode_accepted_configuration(value) {
+        Ok(accepted) => accepted,
         Err(error) => {
             metrics::counter!("agatehold_entries_skipped_total", "subject" => "configuration")
                 .increment(1);
@@ -42,11 +47,25 @@
         catalog.routes.len(),
         catalog.services.len()
     );
+    log_entry_faults(&faults);
     tables.catalog = Some(Arc::new(catalog));
     tables.catalog_value = Some(Arc::clone(value));
     true
 }
 
+fn log_entry_faults(faults: &[EntryFault]) {
+    metrics::counter!("agatehold_entries_skipped_total", "subject" => "configuration_entries")
+        .increment(faults.len() as u64);
+    for fault in faults.iter().take(LOGGED_FAULTS_MAX) {
+        log::warn!(
+            "event=configuration_entry_odd list={} position={} error={}",
+            fault.list,
+            fault.position,
+            FieldText(&fault.error)
+        );
+    }
+}
+
 /// Replaces a configuration of a new era by the one in force if that is newer: the store
 /// came back from a copy of the time before it. Daemons that fetch from this one thus get
 /// the newer one until the operator has written it again.
@@ -66,9 +85,10 @@
         let Some(value) = &change.value else {
             continue;
         };
-        let Ok(listed) = decode_configuration(value) else {
+        let Ok(accepted) = decode_accepted_configuration(value) else {
             continue;
         };
+        let listed = accepted.catalog;
         if listed.version < held.version {
             log::info!(
                 "event=configuration_kept version={} listed={} revision={}",
--- a/crates/agatehold/src/gateway/serve.rs
+++ b/crates/agatehold/src/gateway/serve.rs
@@ -125,6 +125,9 @@
     if state.shutdown.refuses_new(remaining_ms) {
         return refuse(RefusalKind::Stopping, catalog.version);
     }
+    if route.services.is_empty() {
+        return refuse(RefusalKind::EntryUnusable, catalog.version);
+    }
     let (credentials, tenant) =
         match Credentials::of_request(catalog, route, &incoming.head.headers) {
             Ok(credentials) => credentials,
