gateway: count the delay of heartbeats toward the age of the store's answer

A heartbeat says how long ago the store answered its sender.

Change: heartbeats carry the process and its clock, which goes on during suspensions of the host. The receiver takes what a heartbeat needs longer than the fastest ones of its sender as its delay. Clocks may drift apart by 1 ms a heartbeat. Heartbeats of daemons that don't tell count as before.

--- a/crates/agatehold-core/src/dissemination/heartbeats.rs
+++ b/crates/agatehold-core/src/dissemination/heartbeats.rs
@@ -3,6 +3,7 @@
 
 use crate::addresses::rendezvous_score;
 use crate::ids::HostId;
+use crate::ids::Incarnation;
 use crate::table::Table;
 use crate::units::DurationMs;
 use crate::units::StoreEra;
@@ -12,6 +13,12 @@
 use super::HEARTBEAT_TIMEOUT_MS;
 use super::STORE_ANSWER_AGE_MAX_MS;
 
+/// How much the clocks of two hosts may drift apart between two heartbeats: 0.17%.
+const DRIFT_MS: i64 = 1;
+
+/// The number of senders whose clocks are remembered. A daemon hears three at a time.
+const CLOCKS_MAX: usize = 64;
+
 /// The newest revisions of the store's contents that a daemon knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Revisions {
@@ -59,6 +66,46 @@
     pub revisions: Revisions,
     /// How long ago the store last answered the sender.
     pub store_age_ms: DurationMs,
+    /// When the heartbeat was sent; `None` in those of daemons that don't tell.
+    pub sent: Option<SentTime>,
+}
+
+/// A point in time by the clock of another process, which goes on while its host is
+/// suspended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentTime {
+    /// The process.
+    pub incarnation: Incarnation,
+    /// The time since an origin that the process has chosen.
+    pub at: TimeMs,
+}
+
+/// How far the local clock is ahead of the clock of a sender.
+#[derive(Clone, Copy, Debug)]
+struct SenderClock {
+    /// The sender's process.
+    incarnation: Incarnation,
+    /// The least difference between the time of arrival and the time of sending, which is
+    /// that of a heartbeat without delay.
+    offset_ms: i64,
+}
+
+impl SenderClock {
+    /// Returns how much longer a heartbeat was on its way than the fastest ones of its
+    /// sender, and takes it into account. Clocks may drift apart by [`DRIFT_MS`] from one
+    /// heartbeat to the next.
+    fn delay(clock: &mut Option<Self>, sent: SentTime, now: TimeMs) -> DurationMs {
+        let offset_ms = now.0 as i64 - sent.at.0 as i64;
+        let known = clock.filter(|clock| clock.incarnation == sent.incarnation);
+        let least_ms = known.map_or(offset_ms, |clock| {
+            offset_ms.min(clock.offset_ms.saturating_add(DRIFT_MS))
+        });
+        *clock = Some(Self {
+            incarnation: sent.incarnation,
+            offset_ms: least_ms,
+        });
+        DurationMs(offset_ms.abs_diff(least_ms))
+    }
 }
 
 /// The last heartbeat received from a daemon.
@@ -66,7 +113,8 @@
 pub struct ReceivedHeartbeat {
     /// The revisions that the sender knew.
     pub revisions: Revisions,
-    /// When the store had last answered the sender, by the local clock.
+    /// When the store had last answered the sender, by the local clock and less the time
+    /// that the heartbeat was delayed.
     pub store_answered_at: TimeMs,
     /// When the heartbeat arrived.
     pub heard_at: TimeMs,
@@ -90,6 +138,8 @@
     salt: Box<str>,
     /// The newest era of the store that is known; it never decreases.
     newest_era: StoreEra,
+    /// The clocks of the senders.
+    clocks: Table<HostId, Option<SenderClock>>,
     /// Until when heartbeats that have been replaced since, or are not needed any more,
     /// confirm the daemon's own contents; of the newest era.
     confirmed_until: TimeMs,
@@ -102,21 +152,34 @@
             rows: Table::new(),
             salt: host.as_str().into(),
             newest_era: StoreEra(0),
+            clocks: Table::new(),
             confirmed_until: TimeMs(0),
         }
     }
 
     /// Records a received heartbeat.
     pub fn record(&mut self, heartbeat: &StoreHeartbeat, now: TimeMs) {
+        let delay_ms = heartbeat
+            .sent
+            .map_or(DurationMs(0), |sent| self.delay(&heartbeat.host, sent, now));
         let heard = ReceivedHeartbeat {
             revisions: heartbeat.revisions,
-            store_answered_at: now - heartbeat.store_age_ms,
+            store_answered_at: now - heartbeat.store_age_ms - delay_ms,
             heard_at: now,
         };
         self.raise_era(heartbeat.revisions.era());
         self.rows.insert(heartbeat.host.clone(), heard);
     }
 
+    fn delay(&mut self, host: &HostId, sent: SentTime, now: TimeMs) -> DurationMs {
+        if self.clocks.len() >= CLOCKS_MAX && !self.clocks.contains(host) {
+            // Learned again with the next heartbeats.
+            self.clocks = Table::new();
+        }
+        let clock = self.clocks.get_or_insert(host.clone(), || None);
+        SenderClock::delay(clock, sent, now)
+    }
+
     /// Keeps until when the heartbeats confirm the contents `own`. It is called at each
     /// heartbeat and each change of the contents, since the next heartbeat of the same
     /// sender replaces the row.
--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -15,6 +15,7 @@
 pub use heartbeats::HeartbeatTable;
 pub use heartbeats::ReceivedHeartbeat;
 pub use heartbeats::Revisions;
+pub use heartbeats::SentTime;
 pub use heartbeats::StoreHeartbeat;
 pub use recipients::heartbeat_recipients;
 pub use recipients::pull_sources;
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -517,6 +517,7 @@
                         members: rev(1),
                     },
                     store_age_ms: DurationMs(if rejected[from] { now_ms } else { 100 }),
+                    sent: None,
                 };
                 heartbeats[to].record(&heartbeat, now);
                 to
@@ -706,6 +707,7 @@
             members: rev(1),
         },
         store_age_ms: DurationMs(store_age_ms),
+        sent: None,
     }
 }
 
--- a/crates/agatehold-core/tests/refresh_bound.rs
+++ b/crates/agatehold-core/tests/refresh_bound.rs
@@ -17,8 +17,10 @@
 use agatehold_core::dissemination::Refresher;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
+use agatehold_core::dissemination::SentTime;
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::ids::HostId;
+use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::StoreEra;
 use agatehold_core::units::StoreRevision;
@@ -39,6 +41,12 @@
 const START_MS: u64 = 100_000;
 const LENGTH_MS: u64 = 30_000;
 
+/// How long delayed heartbeats are on their way.
+const DELAY_MS: u64 = 1_500;
+
+/// How far the senders' clocks are ahead.
+const CLOCK_OFFSET_MS: u64 = 7_000_000;
+
 /// What is wrong with a sender of heartbeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sender {
@@ -46,6 +54,8 @@
     Served,
     /// The store turns it away since a while, and it answers.
     TurnedAway,
+    /// The store turns it away since a while, and its heartbeats are delayed by then.
+    Delayed,
     /// It is always ahead, and its address is unknown.
     WithoutAddress,
     /// It is always ahead, and its host is down: connections are reset.
@@ -60,8 +70,9 @@
     OfOlderEra,
 }
 
-const FAULTS: [Sender; 7] = [
+const FAULTS: [Sender; 8] = [
     Sender::TurnedAway,
+    Sender::Delayed,
     Sender::WithoutAddress,
     Sender::Gone,
     Sender::Slow,
@@ -184,13 +195,20 @@
                     queue.push(Reverse((next_ms, Event::Heartbeat(number))));
                 }
                 let lost_at_ms = START_MS + phases[number];
-                let is_turned_away = sender == Sender::TurnedAway && now_ms > lost_at_ms;
+                let is_lost_now = now_ms > lost_at_ms;
+                let sent_ms = match sender == Sender::Delayed && is_lost_now {
+                    true => now_ms - DELAY_MS,
+                    false => now_ms,
+                };
+                let is_turned_away =
+                    matches!(sender, Sender::TurnedAway | Sender::Delayed) && sent_ms > lost_at_ms;
                 let answered_ms = match is_turned_away {
                     true => lost_at_ms,
-                    false => now_ms - (now_ms + phases[number]) % STORE_CHECK_INTERVAL_MS.0,
+                    false => sent_ms - (sent_ms + phases[number]) % STORE_CHECK_INTERVAL_MS.0,
                 };
                 // A sender that watches knows a change at once.
-                let sees_change = !is_turned_away || changed_at_ms <= lost_at_ms;
+                let known_to_ms = if is_turned_away { lost_at_ms } else { sent_ms };
+                let sees_change = changed_at_ms <= known_to_ms;
                 let contents = match sees_change {
                     true => stored,
                     false => stored - 1,
@@ -212,7 +230,11 @@
                         targets: contents,
                         members,
                     },
-                    store_age_ms: DurationMs(now_ms - answered_ms),
+                    store_age_ms: DurationMs(sent_ms - answered_ms),
+                    sent: Some(SentTime {
+                        incarnation: Incarnation(number as u64),
+                        at: TimeMs(sent_ms + CLOCK_OFFSET_MS),
+                    }),
                 };
                 heartbeats.record(&heartbeat, now);
             }
@@ -331,3 +353,45 @@
         assert_eq!(outcome.reads, 0, "{context}");
     }
 }
+
+fn sent_heartbeat(incarnation: u64, sent_ms: u64) -> StoreHeartbeat {
+    StoreHeartbeat {
+        host: name(0),
+        revisions: Revisions::default(),
+        store_age_ms: DurationMs(100),
+        sent: Some(SentTime {
+            incarnation: Incarnation(incarnation),
+            at: TimeMs(sent_ms),
+        }),
+    }
+}
+
+/// Guards against a sender that counts as delayed for good, so that all its receivers read
+/// the store: after it was started again with a clock of its own, after its receiver was
+/// suspended, or because their clocks drift apart.
+#[test]
+fn only_a_delay_makes_a_heartbeat_old() {
+    let own: HostId = "own".parse().expect("a name");
+    let mut heartbeats = HeartbeatTable::new(&own);
+    let mut age = |incarnation, sent_ms, heard_ms| {
+        let now = TimeMs(heard_ms);
+        heartbeats.record(&sent_heartbeat(incarnation, sent_ms), now);
+        let row = heartbeats.rows.get(&name(0)).expect("a heartbeat");
+        now.since(row.store_answered_at).0
+    };
+    assert_eq!(age(1, 50_000, 100_000), 100);
+    assert_eq!(age(1, 50_600, 100_900), 399, "299 ms more than before");
+    assert_eq!(age(1, 51_200, 101_202), 100, "the clock may drift");
+    assert_eq!(age(2, 1_000, 102_000), 100, "another process");
+    assert_eq!(age(2, 31_000, 102_600), 100, "the receiver was suspended");
+    assert_eq!(age(2, 31_600, 103_700), 599, "499 ms more than before");
+    let (mut sent_ms, mut heard_ms) = (40_000, 200_000);
+    for _ in 0..10_000 {
+        sent_ms += 600;
+        heard_ms += 601;
+        assert!(
+            age(3, sent_ms, heard_ms) <= 101,
+            "a clock that drifts by 0.17%"
+        );
+    }
+}
--- a/crates/agatehold-core/tests/store_eras.rs
+++ b/crates/agatehold-core/tests/store_eras.rs
@@ -141,6 +141,7 @@
             members: revision,
         },
         store_age_ms: DurationMs(0),
+        sent: None,
     };
     heartbeats.record(&beat("a", at(0, 900)), START);
     assert!(has_recent_heartbeat(&heartbeats, START));
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -228,6 +228,7 @@
             members: at(1),
         },
         store_age_ms: DurationMs(store_age_ms),
+        sent: None,
     }
 }
 
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -173,7 +173,8 @@
 }
 
 async fn run(shared: &Arc<GatewayShared>, mut own: watch::Receiver<MemberRecord>) {
-    let peers = match Peers::bind(shared.settings.listen.news).await {
+    let incarnation = own.borrow().incarnation;
+    let peers = match Peers::bind(shared.settings.listen.news, incarnation).await {
         Ok(peers) => peers,
         Err(error) => {
             log::error!(
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -8,11 +8,14 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use agatehold_core::dissemination::SentTime;
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::ids::HostId;
+use agatehold_core::ids::Incarnation;
 use agatehold_core::units::TimeMs;
 use agatehold_platform::StoreCall;
 
+use crate::clock::Clock;
 use crate::gateway::messages::Fetched;
 use crate::gateway::messages::KnownContents;
 use crate::gateway::messages::contents_path;
@@ -28,13 +31,20 @@
 /// The UDP socket for heartbeats.
 pub(super) struct Peers {
     socket: UdpSocket,
+    incarnation: Incarnation,
+    /// The clock of the times at which heartbeats are sent.
+    clock: Clock,
 }
 
 impl Peers {
     /// Binds the socket.
-    pub(super) async fn bind(address: SocketAddr) -> io::Result<Self> {
+    pub(super) async fn bind(address: SocketAddr, incarnation: Incarnation) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Self { socket })
+        Ok(Self {
+            socket,
+            incarnation,
+            clock: Clock::new_with_suspensions(),
+        })
     }
 
     /// Waits for a datagram; `None` if it is not a valid heartbeat or receiving
@@ -58,6 +68,10 @@
             host: own.clone(),
             revisions: tables.contents().changed_at(),
             store_age_ms: now.since(tables.store_answered_at),
+            sent: Some(SentTime {
+                incarnation: self.incarnation,
+                at: self.clock.now(),
+            }),
         };
         let bytes = encode_heartbeat(&heartbeat);
         for address in tables.heartbeat_addresses(own) {
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -12,6 +12,7 @@
 use agatehold_core::dissemination::Replica;
 use agatehold_core::dissemination::ReplicaUpdate;
 use agatehold_core::dissemination::Revisions;
+use agatehold_core::dissemination::SentTime;
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::ids::Digest;
 use agatehold_core::ids::HostId;
@@ -25,6 +26,7 @@
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::StoreEra;
 use agatehold_core::units::StoreRevision;
+use agatehold_core::units::TimeMs;
 
 use super::allotment_messages::AskJson;
 use super::allotment_messages::AskMessage;
@@ -203,6 +205,10 @@
     targets: u64,
     members: u64,
     store_age_ms: u64,
+    /// The sender's process and its clock; absent in the heartbeats of daemons that don't
+    /// tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    sent: Option<(String, u64)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -342,6 +348,9 @@
         targets: heartbeat.revisions.targets.packed(),
         members: heartbeat.revisions.members.packed(),
         store_age_ms: heartbeat.store_age_ms.0,
+        sent: heartbeat
+            .sent
+            .map(|sent| (sent.incarnation.to_string(), sent.at.0)),
     };
     // Strings, numbers and booleans always serialize to JSON.
     serde_json::to_vec(&json).unwrap_or_default()
@@ -358,6 +367,12 @@
             members: StoreRevision::from_packed(json.members),
         },
         store_age_ms: DurationMs(json.store_age_ms),
+        sent: json.sent.and_then(|(incarnation, at_ms)| {
+            Some(SentTime {
+                incarnation: incarnation.parse().ok()?,
+                at: TimeMs(at_ms),
+            })
+        }),
     })
 }
 
