gateway: do not take a lease renewal for current contents while a watch pauses

A daemon that watches the store pauses for 350 ms after a change. If its lease was renewed in the pause, its heartbeats said that the store had just answered, although a change in the pause was not known yet.

Change: heartbeats say how long ago the store showed that the contents are current: by a listing, an answer to a watch, or any other answer while the watch waits, which a change would have ended.

Test: a_renewal_while_the_watch_pauses_confirms_nothing fails if renewals count all the same.

--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -5,6 +5,7 @@
 //! read the store themselves if no heartbeat confirms their contents. If the store
 //! rejects them too, they ask daemons that they pick at random.
 
+mod confirmations;
 mod heartbeats;
 mod recipients;
 mod refresh;
@@ -12,6 +13,8 @@
 mod relays;
 mod replica;
 
+pub use confirmations::Confirmations;
+pub use confirmations::WatchedGroup;
 pub use heartbeats::HeartbeatTable;
 pub use heartbeats::ReceivedHeartbeat;
 pub use heartbeats::Revisions;
--- a/crates/agatehold-core/tests/refresh_bound.rs
+++ b/crates/agatehold-core/tests/refresh_bound.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use agatehold_core::dissemination::Confirmations;
 use agatehold_core::dissemination::FETCH_TIMEOUT_MS;
 use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
 use agatehold_core::dissemination::HEARTBEAT_TIMEOUT_MS;
@@ -19,6 +20,8 @@
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
 use agatehold_core::dissemination::SentTime;
 use agatehold_core::dissemination::StoreHeartbeat;
+use agatehold_core::dissemination::WatchedGroup;
+use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
@@ -395,3 +398,49 @@
         );
     }
 }
+
+/// How long a watch pauses after a change.
+const WATCH_PAUSE_MS: u64 = 350;
+
+/// A sender renews its lease while its watch pauses, and the store turns it away before the
+/// watch asks again. Guards against a renewal that confirms contents which have changed in
+/// the pause: receivers read the store up to 350 ms too late.
+#[test]
+fn a_renewal_while_the_watch_pauses_confirms_nothing() {
+    let mut rng = Pcg64Mcg::seed_from_u64(5_013);
+    let own: HostId = "own".parse().expect("a name");
+    for round in 0..500 {
+        let first_change_ms = START_MS;
+        let second_change_ms = first_change_ms + rng.random_range(1..WATCH_PAUSE_MS);
+        let mut confirmations = Confirmations::default();
+        let mut renewed_ms = START_MS - rng.random_range(0..STORE_CHECK_INTERVAL_MS.0);
+        let groups = [WatchedGroup::Configuration, WatchedGroup::Targets];
+        for group in groups {
+            confirmations.record_other_answer(group, true, TimeMs(renewed_ms));
+        }
+        confirmations.record_answer(WatchedGroup::Configuration, TimeMs(first_change_ms));
+        renewed_ms += STORE_CHECK_INTERVAL_MS.0;
+        if renewed_ms < first_change_ms + WATCH_PAUSE_MS {
+            for (group, is_waiting) in groups.into_iter().zip([false, true]) {
+                confirmations.record_other_answer(group, is_waiting, TimeMs(renewed_ms));
+            }
+        }
+        // The change is heard of at once, and the heartbeats after it say how old it is.
+        let mut heartbeats = HeartbeatTable::new(&own);
+        let mut sent_ms = first_change_ms;
+        while sent_ms < START_MS + 5_000 {
+            let store_age_ms = TimeMs(sent_ms).since(confirmations.oldest());
+            let heartbeat = StoreHeartbeat {
+                store_age_ms,
+                sent: None,
+                ..sent_heartbeat(0, 0)
+            };
+            heartbeats.record(&heartbeat, TimeMs(sent_ms));
+            heartbeats.confirm(&Revisions::default());
+            sent_ms += HEARTBEAT_INTERVAL_MS.0;
+        }
+        let due_at = read_due_at(&heartbeats, &Revisions::default(), TimeMs(0));
+        let read_ms = due_at.0.saturating_sub(second_change_ms) + READ_MS_MAX;
+        assert!(read_ms <= PROPAGATION_MS, "round {round}: {read_ms} ms");
+    }
+}
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -24,6 +24,7 @@
 use agatehold_core::dissemination::Refresher;
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::STORE_CHECK_INTERVAL_MS;
+use agatehold_core::dissemination::WatchedGroup;
 use agatehold_core::dissemination::fetch_sources;
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::ids::HostId;
@@ -38,7 +39,6 @@
 use super::messages::KnownContents;
 use super::shared::GatewayShared;
 use super::store::StoreClient;
-use super::store_tasks::KeyGroup;
 use super::store_tasks::MEMBERS_POLL_INTERVAL;
 use super::store_tasks::MEMBERS_POLL_INTERVAL_AS_RESERVE;
 use super::store_tasks::MEMBERS_POLL_INTERVAL_WITH_HEARTBEATS;
@@ -159,6 +159,8 @@
     /// The tasks that watch the store; empty unless this daemon is one of those that
     /// do.
     watch_tasks: Vec<tokio::task::JoinHandle<()>>,
+    /// Whether the watch of each key group waits for changes.
+    waiting: Vec<(WatchedGroup, Rc<Cell<bool>>)>,
     /// The place of this daemon among those that watch the store.
     watch_turn: Rc<Cell<WatchTurn>>,
     /// The running fetches and reads of the store.
@@ -190,6 +192,7 @@
         store: Rc::new(StoreClient::new(shared.settings.store)),
         events,
         watch_tasks: Vec::new(),
+        waiting: Vec::new(),
         watch_turn: Rc::default(),
         refresher: Refresher::default(),
         behind_since: None,
@@ -286,6 +289,14 @@
                 }
                 return false;
             }
+            StoreEvent::Changed(group, _) => tables.confirmations.record_answer(*group, now),
+            StoreEvent::LeaseKept => {
+                for (group, is_waiting) in &self.waiting {
+                    let is_waiting = is_waiting.get();
+                    let confirmations = &mut tables.confirmations;
+                    confirmations.record_other_answer(*group, is_waiting, now);
+                }
+            }
             _ => {}
         }
         apply_event(tables, event, now)
@@ -312,13 +323,20 @@
         for task in self.watch_tasks.drain(..) {
             task.abort();
         }
+        self.waiting.clear();
     }
 
     fn start_watching(&mut self) {
-        for key_group in [KeyGroup::Configuration, KeyGroup::Targets] {
-            let turn = Rc::clone(&self.watch_turn);
-            let watching =
-                list_and_watch(Rc::clone(&self.store), key_group, turn, self.events.clone());
+        for group in [WatchedGroup::Configuration, WatchedGroup::Targets] {
+            let is_waiting = Rc::new(Cell::new(false));
+            self.waiting.push((group, Rc::clone(&is_waiting)));
+            let watching = list_and_watch(
+                Rc::clone(&self.store),
+                group,
+                Rc::clone(&self.watch_turn),
+                is_waiting,
+                self.events.clone(),
+            );
             self.watch_tasks.push(tokio::task::spawn_local(watching));
         }
     }
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -62,12 +62,12 @@
     }
 
     /// Sends a heartbeat to other daemons, with the revisions of the last changes that
-    /// this daemon knows and the time since the store last responded to it.
+    /// this daemon knows and the time since the store last confirmed them.
     pub(super) async fn send_heartbeat(&self, own: &HostId, tables: &ControlTables, now: TimeMs) {
         let heartbeat = StoreHeartbeat {
             host: own.clone(),
             revisions: tables.contents().changed_at(),
-            store_age_ms: now.since(tables.store_answered_at),
+            store_age_ms: now.since(tables.confirmations.oldest()),
             sent: Some(SentTime {
                 incarnation: self.incarnation,
                 at: self.clock.now(),
--- a/crates/agatehold/src/gateway/control/tables.rs
+++ b/crates/agatehold/src/gateway/control/tables.rs
@@ -6,6 +6,7 @@
 
 use agatehold_core::catalog::Catalog;
 use agatehold_core::directory::MemberRecord;
+use agatehold_core::dissemination::Confirmations;
 use agatehold_core::dissemination::HeartbeatTable;
 use agatehold_core::dissemination::KeyChange;
 use agatehold_core::dissemination::heartbeat_recipients;
@@ -63,8 +64,8 @@
     /// Whether the store has responded again after an outage and the watches have
     /// not been restarted yet.
     pub(super) store_recovered: bool,
-    /// When the store last responded to a call.
-    pub(super) store_answered_at: TimeMs,
+    /// When the store last showed that what this daemon watches is current.
+    pub(super) confirmations: Confirmations,
     /// The last heartbeat of each other daemon.
     pub(super) heartbeats: HeartbeatTable,
     /// What other daemons have told this one since its start, the latest last.
@@ -88,7 +89,7 @@
             members: StoreMirror::new(),
             store_unavailable_since: None,
             store_recovered: false,
-            store_answered_at: TimeMs(0),
+            confirmations: Confirmations::default(),
             heartbeats: HeartbeatTable::new(own),
             told: Vec::new(),
             told_count: 0,
@@ -189,7 +190,11 @@
 pub(super) fn apply_event(tables: &mut ControlTables, event: StoreEvent, now: TimeMs) -> bool {
     match event {
         StoreEvent::CallFailed(call, error) => record_store_failure(tables, call, &error, now),
-        StoreEvent::CallSucceeded => record_store_response(tables, now),
+        StoreEvent::LeaseKept => record_store_response(tables, now),
+        StoreEvent::Confirmed(group) => {
+            tables.confirmations.record_answer(group, now);
+            record_store_response(tables, now)
+        }
         StoreEvent::ReadEnded | StoreEvent::FetchEnded { .. } => false,
         // It was sent before this daemon learned of the new era.
         StoreEvent::Listed(_, _, revision) if revision.era() < tables.era => false,
@@ -202,7 +207,8 @@
             let applied = replica.apply_listing(&listed, revision);
             apply_changes(tables, key_group, &applied, now) || recovered
         }
-        StoreEvent::Changed(key_group, items) => {
+        StoreEvent::Changed(group, items) => {
+            let key_group = KeyGroup::from(group);
             let recovered = record_store_response(tables, now);
             update_store_state(tables, now);
             let mut changes: Vec<KeyChange> = items.into_iter().map(key_change).collect();
@@ -341,7 +347,6 @@
 }
 
 fn record_store_response(tables: &mut ControlTables, now: TimeMs) -> bool {
-    tables.store_answered_at = now;
     let Some(since) = tables.store_unavailable_since.take() else {
         return false;
     };
--- a/crates/agatehold/src/gateway/store_tasks.rs
+++ b/crates/agatehold/src/gateway/store_tasks.rs
@@ -23,6 +23,7 @@
 use agatehold_platform::watch;
 use agatehold_platform::write;
 
+use agatehold_core::dissemination::WatchedGroup;
 use agatehold_core::ids::HostId;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::StoreEra;
@@ -118,6 +119,15 @@
     }
 }
 
+impl From<WatchedGroup> for KeyGroup {
+    fn from(group: WatchedGroup) -> Self {
+        match group {
+            WatchedGroup::Configuration => Self::Configuration,
+            WatchedGroup::Targets => Self::Targets,
+        }
+    }
+}
+
 /// The place of this daemon among those that watch the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct WatchTurn {
@@ -147,12 +157,15 @@
 pub(crate) enum StoreEvent {
     /// A complete listing of a key group, as of a revision of the store.
     Listed(KeyGroup, Vec<Item>, StoreRevision),
-    /// Changes of a key group, in order.
-    Changed(KeyGroup, Vec<Item>),
+    /// Changes of a key group, in order, up to the present.
+    Changed(WatchedGroup, Vec<Item>),
     /// The call with this name failed.
     CallFailed(&'static str, StoreError),
-    /// A call succeeded.
-    CallSucceeded,
+    /// The lease was renewed, or the registration written.
+    LeaseKept,
+    /// The store has had nothing newer of a key group than was sent before, as its answer
+    /// to a listing or a watch shows.
+    Confirmed(WatchedGroup),
     /// Contents fetched from the daemon at this address.
     Fetched(SocketAddr, Box<Fetched>),
     /// A read of the configuration and the targets ended.
@@ -235,13 +248,16 @@
     }
 }
 
-/// Lists the keys of a group and then watches them, forever.
+/// Lists the keys of a group and then watches them, forever. `is_waiting` is true while a
+/// watch waits for changes, so that other answers of the store show that there are none.
 pub(crate) async fn list_and_watch(
     store: Rc<StoreClient>,
-    key_group: KeyGroup,
+    group: WatchedGroup,
     turn: Rc<Cell<WatchTurn>>,
+    is_waiting: Rc<Cell<bool>>,
     events: Sender<StoreEvent>,
 ) {
+    let key_group = KeyGroup::from(group);
     let mut backoff = Backoff::new();
     loop {
         let listed = list(&store, key_group, false).await;
@@ -259,7 +275,8 @@
         let _ = events
             .send(StoreEvent::Listed(key_group, items, revision))
             .await;
-        watch_changes(&store, key_group, revision, &turn, &events).await;
+        let _ = events.send(StoreEvent::Confirmed(group)).await;
+        watch_changes(&store, group, revision, &turn, &is_waiting, &events).await;
         // A replica that lags behind could send each listing back to a new one.
         tokio::time::sleep(BACKOFF_INITIAL).await;
     }
@@ -270,18 +287,22 @@
 /// the new era, where it may have been given out again.
 async fn watch_changes(
     store: &StoreClient,
-    key_group: KeyGroup,
+    group: WatchedGroup,
     mut revision: StoreRevision,
     turn: &Cell<WatchTurn>,
+    is_waiting: &Cell<bool>,
     events: &Sender<StoreEvent>,
 ) {
+    let key_group = KeyGroup::from(group);
     let mut backoff = Backoff::new();
     let mut follows_change = true;
     loop {
         let wait_ms = turn.get().wait(follows_change);
         let call = watch(key_group.prefix(), revision, wait_ms);
         let timeout = duration(wait_ms) + WATCH_MARGIN;
+        is_waiting.set(true);
         let response = store.call(call, timeout).await;
+        is_waiting.set(false);
         let watched = match response {
             Ok(response) if response.era != revision.era() => return,
             Ok(response) => {
@@ -295,12 +316,11 @@
                 revision = revision.max(watched.store_revision);
                 follows_change = !watched.changes.is_empty();
                 if watched.changes.is_empty() {
-                    let _ = events.send(StoreEvent::CallSucceeded).await;
+                    let _ = events.send(StoreEvent::Confirmed(group)).await;
                     continue;
                 }
-                let _ = events
-                    .send(StoreEvent::Changed(key_group, watched.changes))
-                    .await;
+                let changed = StoreEvent::Changed(group, watched.changes);
+                let _ = events.send(changed).await;
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             Err(StoreError::Status(StoreStatus::HistoryGone)) => {
@@ -513,7 +533,7 @@
                 if !std::mem::replace(&mut is_registered, true) {
                     log::info!("event=registered lease={} ttl={}", lease.id, lease.ttl_ms);
                 }
-                let _ = events.send(StoreEvent::CallSucceeded).await;
+                let _ = events.send(StoreEvent::LeaseKept).await;
             }
             Err(StoreError::Status(StoreStatus::NotFound)) => {
                 log::warn!("event=lease_ended lease={}", lease.id);
