dispatch: start traffic splits with large weights in bounded time

Weights of which the sum exceeds 32 bits made debug builds panic.

Change: at most 1,000 requests are gone through; the sum has 64 bits.

Test: large_weights_are_as_cheap_as_small_ones; before, the sum overflowed.

--- a/crates/agatehold-core/src/dispatch/weighted_round_robin.rs
+++ b/crates/agatehold-core/src/dispatch/weighted_round_robin.rs
@@ -2,6 +2,10 @@
 
 use crate::catalog::WeightedService;
 
+/// The maximum number of requests after which a state starts. The work of creating it grows
+/// with this number, and operators may write weights of any size.
+const OFFSET_MAX: u64 = 1_000;
+
 /// The state of smooth weighted round robin over the services of a route.
 ///
 /// Over any sequence of requests, each service gets its share to within one
@@ -21,8 +25,8 @@
     /// requests to the same service.
     pub fn starting_at(services: &[WeightedService], offset: u32) -> Self {
         let mut cursor = Self::default();
-        let total: u32 = services.iter().map(|entry| entry.weight).sum();
-        for _ in 0..offset % total.max(1) {
+        let total: u64 = services.iter().map(|entry| u64::from(entry.weight)).sum();
+        for _ in 0..u64::from(offset) % total.clamp(1, OFFSET_MAX) {
             cursor.next(services);
         }
         cursor
--- a/crates/agatehold-core/tests/dispatch_rules.rs
+++ b/crates/agatehold-core/tests/dispatch_rules.rs
@@ -172,6 +172,23 @@
     }
 }
 
+/// Guards against a traffic thread that stands still for seconds while it looks for the
+/// start of a split with large weights: it served no route meanwhile.
+#[test]
+fn large_weights_are_as_cheap_as_small_ones() {
+    let service = |name: &str, weight| WeightedService {
+        service: name.parse().expect("a name"),
+        weight,
+    };
+    let services = [service("a", u32::MAX), service("b", u32::MAX - 1)];
+    let mut counts = [0; 2];
+    for offset in 0..1_000 {
+        let mut cursor = WeightedRoundRobin::starting_at(&services, u32::MAX - offset);
+        counts[cursor.next(&services)] += 1;
+    }
+    assert_eq!(counts, [500, 500], "daemons start at different services");
+}
+
 /// A target can't be reached because of a network partition. The request never
 /// reached it, so sending it to another target takes nothing from the budget.
 #[test]
