gateway: spare reads and far fetches while a fleet starts

Change: a daemon without a configuration waits 1.3 s from the end of a read. One that has just started (2.5 s) fetches from sources that are ahead before it reads the store. A read is followed by a pause of 650 ms. Waits for a near source end 100 ms before a read is due. The mark of a process in heartbeats has 16 bits.

Tests: a_daemon_pauses_after_a_slow_read and a_daemon_that_starts_fetches_before_it_reads_the_store.

--- a/crates/agatehold-core/src/dissemination/heartbeats.rs
+++ b/crates/agatehold-core/src/dissemination/heartbeats.rs
@@ -3,7 +3,6 @@
 
 use crate::addresses::rendezvous_score;
 use crate::ids::HostId;
-use crate::ids::Incarnation;
 use crate::table::Table;
 use crate::units::DurationMs;
 use crate::units::StoreEra;
@@ -74,8 +73,9 @@
 /// suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SentTime {
-    /// The process.
-    pub incarnation: Incarnation,
+    /// A mark of the process that the one before on its host hardly has. It is short, since
+    /// heartbeats are sent to the whole fleet all the time.
+    pub process: u16,
     /// The time since an origin that the process has chosen.
     pub at: TimeMs,
 }
@@ -83,8 +83,8 @@
 /// How far the local clock is ahead of the clock of a sender.
 #[derive(Clone, Copy, Debug)]
 struct SenderClock {
-    /// The sender's process.
-    incarnation: Incarnation,
+    /// The mark of the sender's process.
+    process: u16,
     /// The least difference between the time of arrival and the time of sending, which is
     /// that of a heartbeat without delay.
     offset_ms: i64,
@@ -97,12 +97,12 @@
     fn delay(clock: &mut Option<Self>, sent: SentTime, now: TimeMs) -> DurationMs {
         let signed_ms = |time: TimeMs| i64::try_from(time.0).unwrap_or(i64::MAX);
         let offset_ms = signed_ms(now) - signed_ms(sent.at);
-        let known = clock.filter(|clock| clock.incarnation == sent.incarnation);
+        let known = clock.filter(|clock| clock.process == sent.process);
         let least_ms = known.map_or(offset_ms, |clock| {
             offset_ms.min(clock.offset_ms.saturating_add(DRIFT_MS))
         });
         *clock = Some(Self {
-            incarnation: sent.incarnation,
+            process: sent.process,
             offset_ms: least_ms,
         });
         DurationMs(offset_ms.abs_diff(least_ms))
--- a/crates/agatehold-core/src/dissemination/refresher.rs
+++ b/crates/agatehold-core/src/dissemination/refresher.rs
@@ -8,7 +8,6 @@
 use super::HeartbeatTable;
 use super::Revisions;
 use super::fetch_sources;
-use super::is_read_due;
 use super::read_due_at;
 
 /// The timeout of a fetch from another daemon.
@@ -18,6 +17,15 @@
 /// own learns of the change first. A watch pauses for 350 ms after each change.
 const FAR_FETCH_DELAY_MS: DurationMs = DurationMs(450);
 
+/// What a fetch takes as a rule. A longer allowance ended most of the waits for a near source
+/// early, so that the bytes between failure domains grew.
+const FETCH_ALLOWANCE_MS: DurationMs = DurationMs(100);
+
+/// The minimum time between the end of a read of the store and the next one. A read takes
+/// longer than [`HEARTBEAT_TIMEOUT_MS`] while a fleet starts on slow hosts or the store is
+/// slow; without a pause each of these daemons would read it all the time.
+const READ_PAUSE_MS: DurationMs = DurationMs(650);
+
 /// How a daemon gets newer contents of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refresh {
@@ -56,6 +64,9 @@
     pub read_not_before: TimeMs,
     /// Whether the store answers this daemon, as far as is known.
     pub is_store_available: bool,
+    /// Whether the daemon fetches rather than reads the store as long as it has sources: it
+    /// has just started, and the others have started with it as a rule.
+    pub prefers_fetch: bool,
     /// Whether the daemon may wait for a source in its own failure domain.
     pub may_wait_for_near: bool,
     /// Whether a host is in the daemon's own failure domain.
@@ -79,11 +90,20 @@
     is_reading: bool,
     /// When the last read of the store began.
     read_at: TimeMs,
+    /// When the last read of the store ended.
+    read_ended_at: TimeMs,
     /// Since when only daemons in other failure domains are known to be ahead.
     far_ahead_since: Option<TimeMs>,
 }
 
 impl Refresher {
+    /// Returns until when a daemon without a configuration waits after a read that did not
+    /// bring it. It has no contents that can be too old, and others may be about to send
+    /// heartbeats.
+    pub fn first_contents_pause_ends(&self) -> TimeMs {
+        self.read_ended_at + HEARTBEAT_TIMEOUT_MS
+    }
+
     /// Returns when the last read of the store began; zero if there was none.
     pub const fn read_at(&self) -> TimeMs {
         self.read_at
@@ -100,8 +120,9 @@
     }
 
     /// Records that a read of the store has ended.
-    pub const fn end_read(&mut self) {
+    pub const fn end_read(&mut self, now: TimeMs) {
         self.is_reading = false;
+        self.read_ended_at = now;
     }
 
     /// Records that a fetch has ended. Other fetches that run may still succeed if it
@@ -127,18 +148,15 @@
         own: &Revisions,
         read_not_before: TimeMs,
     ) -> Option<TimeMs> {
-        let mut due = None;
-        if !self.is_reading {
-            due = Some(read_due_at(heartbeats, own, self.read_at).max(read_not_before));
-        }
+        let read_due_at = self.read_due_at(heartbeats, own, read_not_before);
+        let due = (!self.is_reading).then_some(read_due_at);
         let Some(since) = self.far_ahead_since else {
             return due;
         };
         if self.running_fetches > 0 {
             return due;
         }
-        let wait_ends = self.far_wait_ends(heartbeats, own, since);
-        let fetch_due = wait_ends.max(self.fetch_not_before());
+        let fetch_due = far_wait_ends(since, read_due_at).max(self.fetch_not_before());
         Some(due.map_or(fetch_due, |due| due.min(fetch_due)))
     }
 
@@ -149,11 +167,12 @@
         inputs: &RefreshInputs<'_>,
         now: TimeMs,
     ) -> Refresh {
-        let is_due = is_read_due(heartbeats, &inputs.own, self.read_at, now);
-        if is_due && !self.is_reading && now >= inputs.read_not_before {
+        let read_due_at = self.read_due_at(heartbeats, &inputs.own, inputs.read_not_before);
+        let mut sources = fetch_sources(heartbeats, &inputs.own, inputs.has_address, now);
+        let fetches_first = inputs.prefers_fetch && !sources.is_empty();
+        if now >= read_due_at && !self.is_reading && !fetches_first {
             return self.begin_read(ReadReason::NotConfirmed, now);
         }
-        let mut sources = fetch_sources(heartbeats, &inputs.own, inputs.has_address, now);
         if sources.is_empty() {
             self.far_ahead_since = None;
             return Refresh::Nothing;
@@ -167,7 +186,7 @@
         }
         // Bytes between failure domains cost bandwidth.
         sources.sort_by_key(|host| !(inputs.is_near)(host));
-        if self.waits_for_near(heartbeats, &sources[0], inputs, now) {
+        if self.waits_for_near(&sources[0], inputs, read_due_at, now) {
             return Refresh::Nothing;
         }
         if !self.last_fetch_failed {
@@ -202,29 +221,34 @@
         Refresh::ReadStore(reason)
     }
 
+    /// Returns when the next read of the store is due if no further heartbeat arrives.
+    fn read_due_at(
+        &self,
+        heartbeats: &HeartbeatTable,
+        own: &Revisions,
+        read_not_before: TimeMs,
+    ) -> TimeMs {
+        let pause_ends = self.read_ended_at + READ_PAUSE_MS;
+        let due_at = read_due_at(heartbeats, own, self.read_at);
+        due_at.max(read_not_before).max(pause_ends)
+    }
+
     /// Returns the time before which no fetch is begun. A read that runs brings the same
-    /// contents; after the timeout of a fetch the store may not answer at all.
+    /// contents, unless the store does not answer it.
     fn fetch_not_before(&self) -> TimeMs {
         if self.is_reading {
-            return self.read_at + FETCH_TIMEOUT_MS;
+            return self.read_at + HEARTBEAT_TIMEOUT_MS;
         }
         TimeMs(0)
     }
 
-    /// Returns when to stop waiting for a daemon in the own failure domain, given since when
-    /// others are ahead: early enough that a fetch can spare the read that is due next.
-    fn far_wait_ends(&self, heartbeats: &HeartbeatTable, own: &Revisions, since: TimeMs) -> TimeMs {
-        let read_due_at = read_due_at(heartbeats, own, self.read_at);
-        (since + FAR_FETCH_DELAY_MS).min(read_due_at - FETCH_TIMEOUT_MS)
-    }
-
     /// Returns whether to wait until a daemon in the own failure domain is ahead too, given
     /// the nearest one that is ahead now.
     fn waits_for_near(
         &mut self,
-        heartbeats: &HeartbeatTable,
         nearest: &HostId,
         inputs: &RefreshInputs<'_>,
+        read_due_at: TimeMs,
         now: TimeMs,
     ) -> bool {
         if (inputs.is_near)(nearest) || !inputs.may_wait_for_near {
@@ -232,10 +256,16 @@
             return false;
         }
         let since = *self.far_ahead_since.get_or_insert(now);
-        if now < self.far_wait_ends(heartbeats, &inputs.own, since) {
+        if now < far_wait_ends(since, read_due_at) {
             return true;
         }
         self.far_ahead_since = None;
         false
     }
 }
+
+/// Returns when to stop waiting for a daemon in the own failure domain, given since when
+/// others are ahead: early enough that a fetch can spare the next read of the store.
+fn far_wait_ends(since: TimeMs, read_due_at: TimeMs) -> TimeMs {
+    (since + FAR_FETCH_DELAY_MS).min(read_due_at - FETCH_ALLOWANCE_MS)
+}
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -530,7 +530,7 @@
             Event::Answer { from, to } => {
                 let revision = if from == to { 2 } else { revisions[from] };
                 match from == to {
-                    true => refreshers[to].end_read(),
+                    true => refreshers[to].end_read(now),
                     false => refreshers[to].end_fetch(false),
                 }
                 if revision > revisions[to] {
@@ -548,7 +548,7 @@
                 number
             }
             Event::ReadRejected(number) => {
-                refreshers[number].end_read();
+                refreshers[number].end_read(now);
                 number
             }
         };
@@ -570,6 +570,7 @@
             own,
             read_not_before: TimeMs(0),
             is_store_available: !rejected[decides],
+            prefers_fetch: false,
             may_wait_for_near: false,
             is_near: &|_| false,
             has_address: &|host| registered.contains(host),
--- a/crates/agatehold-core/tests/refresh_bound.rs
+++ b/crates/agatehold-core/tests/refresh_bound.rs
@@ -13,6 +13,7 @@
 use agatehold_core::dissemination::HEARTBEAT_INTERVAL_MS;
 use agatehold_core::dissemination::HEARTBEAT_TIMEOUT_MS;
 use agatehold_core::dissemination::HeartbeatTable;
+use agatehold_core::dissemination::ReadReason;
 use agatehold_core::dissemination::Refresh;
 use agatehold_core::dissemination::RefreshInputs;
 use agatehold_core::dissemination::Refresher;
@@ -23,7 +24,6 @@
 use agatehold_core::dissemination::WatchedGroup;
 use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::HostId;
-use agatehold_core::ids::Incarnation;
 use agatehold_core::units::DurationMs;
 use agatehold_core::units::StoreEra;
 use agatehold_core::units::StoreRevision;
@@ -178,7 +178,7 @@
             Event::Tick => queue.push(Reverse((now_ms + TICK_MS, Event::Tick))),
             Event::Wake => {}
             Event::ReadEnded { revision } => {
-                refresher.end_read();
+                refresher.end_read(now);
                 known = known.max(revision);
             }
             Event::Fetched { revision } => {
@@ -235,7 +235,7 @@
                     },
                     store_age_ms: DurationMs(sent_ms - answered_ms),
                     sent: Some(SentTime {
-                        incarnation: Incarnation(number as u64),
+                        process: number as u16,
                         at: TimeMs(sent_ms + CLOCK_OFFSET_MS),
                     }),
                 };
@@ -259,6 +259,7 @@
             own,
             read_not_before: TimeMs(0),
             is_store_available: true,
+            prefers_fetch: false,
             may_wait_for_near: true,
             is_near: &|host| number_of(host) < senders.len() / 2,
             has_address: &|host| senders[number_of(host)] != Sender::WithoutAddress,
@@ -357,13 +358,13 @@
     }
 }
 
-fn sent_heartbeat(incarnation: u64, sent_ms: u64) -> StoreHeartbeat {
+fn sent_heartbeat(process: u16, sent_ms: u64) -> StoreHeartbeat {
     StoreHeartbeat {
         host: name(0),
         revisions: Revisions::default(),
         store_age_ms: DurationMs(100),
         sent: Some(SentTime {
-            incarnation: Incarnation(incarnation),
+            process,
             at: TimeMs(sent_ms),
         }),
     }
@@ -376,9 +377,9 @@
 fn only_a_delay_makes_a_heartbeat_old() {
     let own: HostId = "own".parse().expect("a name");
     let mut heartbeats = HeartbeatTable::new(&own);
-    let mut age = |incarnation, sent_ms, heard_ms| {
+    let mut age = |process, sent_ms, heard_ms| {
         let now = TimeMs(heard_ms);
-        heartbeats.record(&sent_heartbeat(incarnation, sent_ms), now);
+        heartbeats.record(&sent_heartbeat(process, sent_ms), now);
         let row = heartbeats.rows.get(&name(0)).expect("a heartbeat");
         now.since(row.store_answered_at).0
     };
@@ -444,3 +445,69 @@
         assert!(read_ms <= PROPAGATION_MS, "round {round}: {read_ms} ms");
     }
 }
+
+/// Guards against daemons that read the store all the time while a fleet starts on slow
+/// hosts, where a read takes longer than its contents count as current.
+#[test]
+fn a_daemon_pauses_after_a_slow_read() {
+    let own_host: HostId = "own".parse().expect("a name");
+    let heartbeats = HeartbeatTable::new(&own_host);
+    let mut refresher = Refresher::default();
+    let inputs = RefreshInputs {
+        own: Revisions::default(),
+        read_not_before: TimeMs(0),
+        is_store_available: true,
+        prefers_fetch: false,
+        may_wait_for_near: false,
+        is_near: &|_| false,
+        has_address: &|_| false,
+    };
+    let mut decide = |now_ms| {
+        let refresh = refresher.decide(&heartbeats, &inputs, TimeMs(now_ms));
+        if now_ms == START_MS {
+            refresher.end_read(TimeMs(START_MS + 2_000));
+        }
+        refresh
+    };
+    let read = Refresh::ReadStore(ReadReason::NotConfirmed);
+    assert_eq!(decide(START_MS), read);
+    assert_eq!(decide(START_MS + 2_600), Refresh::Nothing);
+    assert_eq!(decide(START_MS + 2_700), read);
+}
+
+/// Guards against a fleet in which all daemons read the store at once while it starts,
+/// although others have the contents already, and against one that waits for these only.
+#[test]
+fn a_daemon_that_starts_fetches_before_it_reads_the_store() {
+    let own_host: HostId = "own".parse().expect("a name");
+    let mut heartbeats = HeartbeatTable::new(&own_host);
+    let mut ahead = sent_heartbeat(1, START_MS);
+    ahead.revisions.configuration = at(5);
+    heartbeats.record(&ahead, TimeMs(START_MS));
+    let inputs = |prefers_fetch, address_known: &'static dyn Fn(&HostId) -> bool| RefreshInputs {
+        own: Revisions::default(),
+        read_not_before: TimeMs(0),
+        is_store_available: true,
+        prefers_fetch,
+        may_wait_for_near: false,
+        is_near: &|_| false,
+        has_address: address_known,
+    };
+    let decide = |inputs: &RefreshInputs<'_>| {
+        let mut refresher = Refresher::default();
+        let first = refresher.decide(&heartbeats, inputs, TimeMs(START_MS + 1));
+        refresher.end_fetch(true);
+        [
+            first,
+            refresher.decide(&heartbeats, inputs, TimeMs(START_MS + 2)),
+        ]
+    };
+    let fetch = Refresh::Fetch(vec![name(0)]);
+    let read = Refresh::ReadStore;
+    let starting = inputs(true, &|_| true);
+    assert_eq!(decide(&starting), [fetch, read(ReadReason::FetchFailed)]);
+    let without_source = inputs(true, &|_| false);
+    assert_eq!(decide(&without_source)[0], read(ReadReason::NotConfirmed));
+    let started = inputs(false, &|_| true);
+    assert_eq!(decide(&started)[0], read(ReadReason::NotConfirmed));
+}
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -75,6 +75,11 @@
 /// although it has heard none.
 const NEAR_HEARTBEAT_EXPECTED_MS: DurationMs = DurationMs(5_000);
 
+/// How long after its start a daemon fetches from others that are ahead although a read of
+/// the store is due. Its callers may rely on its contents from 3 s after the start, which
+/// leaves time for the read.
+const PREFERS_FETCH_MS: DurationMs = DurationMs(2_500);
+
 /// How long after its start a daemon that has read the store waits for heartbeats before
 /// it reads the store again. A fleet that starts needs about two seconds to agree on the
 /// daemons that send them.
@@ -279,7 +284,7 @@
         let now = self.shared.clock.now();
         match &event {
             StoreEvent::ReadEnded => {
-                self.refresher.end_read();
+                self.refresher.end_read(now);
                 return false;
             }
             StoreEvent::FetchEnded { failed_host } => {
@@ -448,7 +453,10 @@
 
     /// Returns the time before which the store is not read for lack of a confirmation.
     fn read_not_before(&self, tables: &ControlTables) -> TimeMs {
-        if tables.catalog.is_none() || tables.store_unavailable_since.is_some() {
+        if tables.catalog.is_none() {
+            return self.refresher.first_contents_pause_ends();
+        }
+        if tables.store_unavailable_since.is_some() {
             return TimeMs(0);
         }
         self.shared.clock.started_at() + SECOND_READ_AFTER_MS
@@ -502,6 +510,7 @@
             own,
             read_not_before: self.read_not_before(tables),
             is_store_available: tables.store_unavailable_since.is_none(),
+            prefers_fetch: self.shared.clock.uptime() < PREFERS_FETCH_MS,
             may_wait_for_near: self.may_wait_for_near(tables, now),
             is_near: &|host| tables.are_near(host, own_host),
             has_address: &|host| tables.fetch_address(host).is_some(),
--- a/crates/agatehold/src/gateway/control/peers.rs
+++ b/crates/agatehold/src/gateway/control/peers.rs
@@ -31,7 +31,8 @@
 /// The UDP socket for heartbeats.
 pub(super) struct Peers {
     socket: UdpSocket,
-    incarnation: Incarnation,
+    /// The mark of this process.
+    process: u16,
     /// The clock of the times at which heartbeats are sent.
     clock: Clock,
 }
@@ -42,7 +43,7 @@
         let socket = UdpSocket::bind(address).await?;
         Ok(Self {
             socket,
-            incarnation,
+            process: incarnation.0 as u16,
             clock: Clock::new_with_suspensions(),
         })
     }
@@ -69,8 +70,8 @@
             revisions: tables.contents().changed_at(),
             store_age_ms: now.since(tables.confirmations.oldest()),
             sent: Some(SentTime {
-                incarnation: self.incarnation,
-                at: self.clock.now(),
+                process: self.process,
+                at: TimeMs(self.clock.uptime().0),
             }),
         };
         let bytes = encode_heartbeat(&heartbeat);
--- a/crates/agatehold/src/gateway/messages.rs
+++ b/crates/agatehold/src/gateway/messages.rs
@@ -205,10 +205,10 @@
     targets: u64,
     members: u64,
     store_age_ms: u64,
-    /// The sender's process and its clock; absent in the heartbeats of daemons that don't
-    /// tell.
+    /// The mark of the sender's process and its clock; absent in the heartbeats of daemons
+    /// that don't tell.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    sent: Option<(String, u64)>,
+    sent: Option<(u16, u64)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -348,9 +348,7 @@
         targets: heartbeat.revisions.targets.packed(),
         members: heartbeat.revisions.members.packed(),
         store_age_ms: heartbeat.store_age_ms.0,
-        sent: heartbeat
-            .sent
-            .map(|sent| (sent.incarnation.to_string(), sent.at.0)),
+        sent: heartbeat.sent.map(|sent| (sent.process, sent.at.0)),
     };
     // Strings, numbers and booleans always serialize to JSON.
     serde_json::to_vec(&json).unwrap_or_default()
@@ -367,11 +365,9 @@
             members: StoreRevision::from_packed(json.members),
         },
         store_age_ms: DurationMs(json.store_age_ms),
-        sent: json.sent.and_then(|(incarnation, at_ms)| {
-            Some(SentTime {
-                incarnation: incarnation.parse().ok()?,
-                at: TimeMs(at_ms),
-            })
+        sent: json.sent.map(|(process, at_ms)| SentTime {
+            process,
+            at: TimeMs(at_ms),
         }),
     })
 }
