gateway: do not poll while a daemon that has just started awaits a fetch

While a daemon that has just started fetches before it reads the store, the read is due already, and its control loop woke each millisecond until the fetch ended (400 ms at most).

Change: the read that waits for the fetch is not among the times to wake at.

Test: a_daemon_that_starts_fetches_before_it_reads_the_store fails without the change (a read due in the past).

--- a/crates/agatehold-core/src/dissemination/refresher.rs
+++ b/crates/agatehold-core/src/dissemination/refresher.rs
@@ -147,9 +147,11 @@
         heartbeats: &HeartbeatTable,
         own: &Revisions,
         read_not_before: TimeMs,
+        prefers_fetch: bool,
     ) -> Option<TimeMs> {
         let read_due_at = self.read_due_at(heartbeats, own, read_not_before);
-        let due = (!self.is_reading).then_some(read_due_at);
+        let awaits_fetch = prefers_fetch && self.running_fetches > 0;
+        let due = (!self.is_reading && !awaits_fetch).then_some(read_due_at);
         let Some(since) = self.far_ahead_since else {
             return due;
         };
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -561,7 +561,7 @@
             members: rev(1),
         };
         heartbeats[decides].confirm(&own);
-        let due = refreshers[decides].next_due(&heartbeats[decides], &own, TimeMs(0));
+        let due = refreshers[decides].next_due(&heartbeats[decides], &own, TimeMs(0), false);
         if let Some(due) = due.filter(|due| due.0 > wakes_at[decides].max(now_ms)) {
             wakes_at[decides] = due.0;
             queue.push(Reverse((due.0, Event::Wake(decides))));
--- a/crates/agatehold-core/tests/refresh_bound.rs
+++ b/crates/agatehold-core/tests/refresh_bound.rs
@@ -289,7 +289,7 @@
             }
         }
         // The control loop wakes when a read is due.
-        let due = refresher.next_due(&heartbeats, &own, TimeMs(0));
+        let due = refresher.next_due(&heartbeats, &own, TimeMs(0), false);
         if let Some(due) = due.filter(|due| *due > now && now_ms > woken_at_ms) {
             woken_at_ms = now_ms;
             queue.push(Reverse((due.0, Event::Wake)));
@@ -496,6 +496,9 @@
     let decide = |inputs: &RefreshInputs<'_>| {
         let mut refresher = Refresher::default();
         let first = refresher.decide(&heartbeats, inputs, TimeMs(START_MS + 1));
+        // A read that is due must not wake a daemon that awaits a fetch all the time.
+        let due = refresher.next_due(&heartbeats, &inputs.own, TimeMs(0), inputs.prefers_fetch);
+        assert_eq!(due, None, "{first:?}");
         refresher.end_fetch(true);
         [
             first,
--- a/crates/agatehold/src/gateway/control/mod.rs
+++ b/crates/agatehold/src/gateway/control/mod.rs
@@ -462,6 +462,11 @@
         self.shared.clock.started_at() + SECOND_READ_AFTER_MS
     }
 
+    /// Returns whether this daemon has just started and fetches before it reads the store.
+    fn prefers_fetch(&self) -> bool {
+        self.shared.clock.uptime() < PREFERS_FETCH_MS
+    }
+
     /// Starts reading the configuration and the targets from the store.
     fn read_store(&self, tables: &ControlTables, reason: ReadReason) {
         log::info!("event=read_store reason={}", reason.name());
@@ -510,7 +515,7 @@
             own,
             read_not_before: self.read_not_before(tables),
             is_store_available: tables.store_unavailable_since.is_none(),
-            prefers_fetch: self.shared.clock.uptime() < PREFERS_FETCH_MS,
+            prefers_fetch: self.prefers_fetch(),
             may_wait_for_near: self.may_wait_for_near(tables, now),
             is_near: &|host| tables.are_near(host, own_host),
             has_address: &|host| tables.fetch_address(host).is_some(),
@@ -542,7 +547,9 @@
     if !store_sync.is_watching() || tables.store_unavailable_since.is_some() {
         let own = tables.contents().complete_to();
         let read_not_before = store_sync.read_not_before(tables);
-        let refresh = refresher.next_due(&tables.heartbeats, &own, read_not_before);
+        let prefers_fetch = store_sync.prefers_fetch();
+        let heartbeats = &tables.heartbeats;
+        let refresh = refresher.next_due(heartbeats, &own, read_not_before, prefers_fetch);
         due = due.min(refresh.unwrap_or(due));
     }
     for sweep in [tables.targets.next_sweep(), tables.members.next_sweep()] {
