gateway, platform: use one piece of code where the change had two

Read of the whole change; behaviour and expectations stay as they are.

- The port of a host name was taken off in request_reader and again in matching: both call catalog::without_port.
- is_read_due was `read_due_at <= now`, and only tests still called it.
It is gone, and its tests compare read_due_at with the time.

--- a/crates/agatehold-core/src/catalog/matching.rs
+++ b/crates/agatehold-core/src/catalog/matching.rs
@@ -20,7 +20,8 @@
     None
 }
 
-fn without_port(host: &str) -> &str {
+/// Returns a host name without its port, if it has one.
+pub fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
         _ => host,
--- a/crates/agatehold-core/src/catalog/mod.rs
+++ b/crates/agatehold-core/src/catalog/mod.rs
@@ -18,6 +18,7 @@
 pub use difference::compare_catalogs;
 pub use matching::is_newer;
 pub use matching::match_catalog_route;
+pub use matching::without_port;
 pub use rows::CallerLimits;
 pub use rows::Catalog;
 pub use rows::CatalogRoute;
--- a/crates/agatehold-core/src/dissemination/mod.rs
+++ b/crates/agatehold-core/src/dissemination/mod.rs
@@ -29,7 +29,6 @@
 pub use refresh::STORE_CHECK_INTERVAL_MS;
 pub use refresh::fetch_sources;
 pub use refresh::has_recent_heartbeat;
-pub use refresh::is_read_due;
 pub use refresh::is_store_unavailable;
 pub use refresh::read_due_at;
 pub use refresher::FETCH_TIMEOUT_MS;
--- a/crates/agatehold-core/src/dissemination/refresh.rs
+++ b/crates/agatehold-core/src/dissemination/refresh.rs
@@ -47,25 +47,14 @@
         .max()
 }
 
-/// Returns whether the contents of a daemon may be too old, so that it must read the store
-/// whatever other daemons announce.
+/// Returns when the contents of a daemon may be too old if no further heartbeat arrives, so
+/// that it must read the store then, whatever other daemons announce.
 ///
 /// `own` are the revisions up to which the daemon's contents are complete. They are known to
 /// be current as of a heartbeat that reports no newer ones, for as long as that heartbeat
 /// counts as recent, and for [`HEARTBEAT_TIMEOUT_MS`] from the last read of the store, which
 /// began at `read_at`. Heartbeats that report newer contents confirm nothing: their senders
 /// may be unknown, gone or slow, and the contents can't be fetched from them then.
-pub fn is_read_due(
-    heartbeats: &HeartbeatTable,
-    own: &Revisions,
-    read_at: TimeMs,
-    now: TimeMs,
-) -> bool {
-    now >= read_due_at(heartbeats, own, read_at)
-}
-
-/// Returns when [`is_read_due`] becomes true if no further heartbeat arrives, so that the
-/// read does not wait for the next tick.
 pub fn read_due_at(heartbeats: &HeartbeatTable, own: &Revisions, read_at: TimeMs) -> TimeMs {
     let read_until = read_at + HEARTBEAT_TIMEOUT_MS;
     heartbeats.confirmed_until(own).max(read_until) + DurationMs(1)
--- a/crates/agatehold-core/tests/dissemination.rs
+++ b/crates/agatehold-core/tests/dissemination.rs
@@ -30,7 +30,6 @@
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::dissemination::has_recent_heartbeat;
 use agatehold_core::dissemination::heartbeat_recipients;
-use agatehold_core::dissemination::is_read_due;
 use agatehold_core::dissemination::pull_sources;
 use agatehold_core::dissemination::read_due_at;
 use agatehold_core::dissemination::watching_daemons;
@@ -740,7 +739,7 @@
             if beat.0 < changed_at || due_at.0 >= next.0 {
                 continue;
             }
-            let is_due = is_read_due(&heartbeats, &own_revisions, own_answer_at, due_at);
+            let is_due = read_due_at(&heartbeats, &own_revisions, own_answer_at) <= due_at;
             assert!(is_due, "round {round}");
             read_at = Some(due_at.0 - changed_at);
             break;
--- a/crates/agatehold-core/tests/store_eras.rs
+++ b/crates/agatehold-core/tests/store_eras.rs
@@ -16,7 +16,6 @@
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::dissemination::fetch_sources;
 use agatehold_core::dissemination::has_recent_heartbeat;
-use agatehold_core::dissemination::is_read_due;
 use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::HostId;
 use agatehold_core::target_registry::EndedRegistration;
@@ -150,14 +149,14 @@
     assert!(!has_recent_heartbeat(&heartbeats, START));
     let sources = fetch_sources(&heartbeats, &own, &|_| true, START);
     assert_eq!(sources, [], "a knows nothing newer");
-    assert!(!is_read_due(&heartbeats, &own, START, START));
-    let read_due_at = read_due_at(&heartbeats, &own, TimeMs(0));
-    assert!(read_due_at < START, "a confirms nothing of the new era");
+    assert!(read_due_at(&heartbeats, &own, START) > START);
+    let due_at = read_due_at(&heartbeats, &own, TimeMs(0));
+    assert!(due_at < START, "a confirms nothing of the new era");
     heartbeats.record(&beat("b", at(2, 1)), START);
     let newest: HostId = "b".parse().expect("a name");
     let sources = fetch_sources(&heartbeats, &own, &|_| true, START);
     assert_eq!(sources, [newest]);
-    assert!(!is_read_due(&heartbeats, &own, START, START));
+    assert!(read_due_at(&heartbeats, &own, START) > START);
 }
 
 /// What a target writes to the store: its process, sequence, and whether it is leaving.
--- a/crates/agatehold-core/tests/store_view.rs
+++ b/crates/agatehold-core/tests/store_view.rs
@@ -24,8 +24,8 @@
 use agatehold_core::dissemination::Revisions;
 use agatehold_core::dissemination::StoreHeartbeat;
 use agatehold_core::dissemination::fetch_sources;
-use agatehold_core::dissemination::is_read_due;
 use agatehold_core::dissemination::is_store_unavailable;
+use agatehold_core::dissemination::read_due_at;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::Incarnation;
 use agatehold_core::table::Table;
@@ -254,10 +254,10 @@
         newest_first,
         "entry-1 has no newer revisions"
     );
-    assert!(!is_read_due(&heartbeats, &known(10), START, START));
+    assert!(read_due_at(&heartbeats, &known(10), START) > START);
     let sources = fetch_sources(&heartbeats, &known(12), &|_| true, START);
     assert_eq!(sources, []);
-    assert!(!is_read_due(&heartbeats, &known(12), START, START));
+    assert!(read_due_at(&heartbeats, &known(12), START) > START);
 }
 
 /// If the daemon that sends heartbeats is killed, cut off or frozen, the
@@ -267,11 +267,11 @@
     let mut heartbeats = HeartbeatTable::default();
     heartbeats.record(&heartbeat(1, 10, 0), START);
     let within = START + HEARTBEAT_TIMEOUT_MS;
-    assert!(!is_read_due(&heartbeats, &known(10), START, within));
+    assert!(read_due_at(&heartbeats, &known(10), START) > within);
     let after = within + DurationMs(1);
-    assert!(is_read_due(&heartbeats, &known(10), START, after));
+    assert!(read_due_at(&heartbeats, &known(10), START) <= after);
     assert!(
-        !is_read_due(&heartbeats, &known(10), after, after),
+        read_due_at(&heartbeats, &known(10), after) > after,
         "the store has just answered"
     );
     for now in [within, after] {
@@ -287,7 +287,7 @@
     let mut heartbeats = HeartbeatTable::default();
     let now = START + DurationMs(5_000);
     heartbeats.record(&heartbeat(1, 10, 4_000), now);
-    assert!(is_read_due(&heartbeats, &known(10), START, now));
+    assert!(read_due_at(&heartbeats, &known(10), START) <= now);
 }
 
 /// The store rejects this host for seconds while a target's entry is removed.
--- a/crates/agatehold/src/traffic/request_reader.rs
+++ b/crates/agatehold/src/traffic/request_reader.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use agatehold_core::catalog::without_port;
 use agatehold_core::ids::HostId;
 use agatehold_core::ids::RequestId;
 use agatehold_core::ids::TenantName;
@@ -165,11 +166,7 @@
         .and_then(|value| value.to_str().ok())
         .or(uri_host)
         .unwrap_or("");
-    let name = match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
-        _ => host,
-    };
-    name.to_ascii_lowercase().into()
+    without_port(host).to_ascii_lowercase().into()
 }
 
 async fn read_body(mut body: Incoming, limits: BodyLimits) -> Result<Bytes, RefusalKind> {
